Build the thin path from caller to bill

One daemon runs the filter chain on an embedded platform: authenticate, resolve, deduplicate, reserve, bill, choose, dispatch. The demo sends a streamed chat, an order and its repeat, and a request beyond the budget, and checks each.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 0
+STEPS ?= 400
+
+.PHONY: install test lint format demo serve bench fuzz clean
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+install: $(VENV)/.installed
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m pytest -n 4
+
+demo: install
+	$(BIN)/python -m dogwoodchute.tools.demo
+
+serve: install
+	$(BIN)/python -m dogwoodchute.tools.demo --serve
+
+bench: install
+	$(BIN)/python -m bench
+
+fuzz: install
+	DOGWOODCHUTE_FUZZ_SEED=$(SEED) DOGWOODCHUTE_FUZZ_EXAMPLES=$(STEPS) \
+		$(BIN)/python -m pytest -n 4 -k machine
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/dogwoodchute/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/dogwoodchute/callers.py
@@ -0,0 +1,205 @@
+"""The HTTP side for callers."""
+
+import asyncio
+import json
+import secrets
+from collections import abc
+
+import sanic
+
+from dogwoodchute import clock, exchange as exchanges, log, outcomes, state
+
+MAX_KEY = 128  # characters of an Idempotency-Key
+NON_IDEMPOTENT = "x-non-idempotent"
+PLAIN_METHODS = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
+
+Run = abc.Callable[[exchanges.Exchange], abc.Awaitable[outcomes.Outcome]]
+
+
+def add_routes(app: sanic.Sanic, *, host: state.HostState, run: Run) -> None:
+    """Register the callers' routes on `app`; `run` is the filter chain."""
+
+    async def chat(request: sanic.Request) -> sanic.HTTPResponse | None:
+        return await serve(request, host=host, run=run, service=None, path="")
+
+    async def plain(
+        request: sanic.Request, service: str, path: str = ""
+    ) -> sanic.HTTPResponse | None:
+        return await serve(
+            request, host=host, run=run, service=service, path=f"/{path}"
+        )
+
+    async def models(request: sanic.Request) -> sanic.HTTPResponse:
+        account = host.account_of_key(bearer(request) or "")
+        if account is None:
+            return unauthorized()
+        names = [n for n in account.services if n in host.current.services]
+        data = [{"id": name, "object": "model"} for name in sorted(names)]
+        return sanic.json({"object": "list", "data": data})
+
+    app.add_route(chat, exchanges.CHAT_PATH, methods=["POST"], name="chat")
+    app.add_route(models, "/v1/models", methods=["GET"], name="models")
+    app.add_route(
+        plain,
+        "/services/<service:str>/<path:path>",
+        methods=PLAIN_METHODS,
+        name="plain",
+    )
+
+
+def bearer(request: sanic.Request) -> str | None:
+    """Return the bearer key of a request, None if it has none."""
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
+
+
+def unauthorized() -> sanic.HTTPResponse:
+    """Return the answer to a request without a known key."""
+    body = {"code": "unknown_key", "message": "Send 'Authorization: Bearer <key>'."}
+    return sanic.json({"error": {**body, "outcome": "not_run"}}, status=401)
+
+
+def error_body(outcome: outcomes.NotRun | outcomes.Unknown, request_key: str) -> dict:
+    """Return the JSON body that tells a caller of an outcome without an answer."""
+    error = {
+        "code": outcome.code,
+        "message": outcome.message,
+        "request_key": request_key,
+        "outcome": outcomes.label(outcome),
+        "step": outcome.step,
+    }
+    return {"error": error}
+
+
+async def serve(
+    request: sanic.Request,
+    *,
+    host: state.HostState,
+    run: Run,
+    service: str | None,
+    path: str,
+) -> sanic.HTTPResponse | None:
+    """Pass one HTTP request through the filter chain and write its outcome."""
+    key = request.headers.get("idempotency-key", "").strip().strip('"')
+    request_key = key or secrets.token_hex(16)
+    if len(request_key) > MAX_KEY or not request_key.isprintable():
+        refusal = outcomes.refuse(
+            400,
+            "bad_idempotency_key",
+            f"Use an Idempotency-Key of 1 to {MAX_KEY} printable characters.",
+            step="read",
+        )
+        return sanic.json(error_body(refusal, ""), status=400)
+    writer = _Writer(request=request, request_key=request_key)
+    mark = request.headers.get(NON_IDEMPOTENT)
+    exchange = exchanges.Exchange(
+        request=exchanges.Request(
+            method=request.method,
+            path=path,
+            query=request.query_string,
+            headers=dict(request.headers),
+            body=request.body,
+            bearer=bearer(request),
+            service=service,
+            idempotency_key=key or None,
+            idempotent=None if mark is None else mark.lower() not in ("1", "true"),
+        ),
+        reply=exchanges.Reply(start=writer.start, chunk=writer.chunk),
+        received=clock.monotonic(),
+        request_key=request_key,
+    )
+    exchange.deadline = exchange.received + host.config.limits.total_timeout
+    # The chain runs in a task of its own: a caller that disconnects must not cut
+    # off a commit or the settling of a claim.
+    task = asyncio.create_task(_run_counted(exchange, host=host, run=run))
+    try:
+        outcome = await asyncio.shield(task)
+    except asyncio.CancelledError:
+        exchange.gone.set()
+        raise
+    return await writer.finish(exchange, outcome)
+
+
+async def _run_counted(
+    exchange: exchanges.Exchange, *, host: state.HostState, run: Run
+) -> outcomes.Outcome:
+    host.in_flight += 1
+    try:
+        outcome = await run(exchange)
+    except Exception:
+        log.exception("request_failed", request=exchange.request_key)
+        outcome = _internal_error(exchange)
+    finally:
+        host.in_flight -= 1
+    elapsed = clock.monotonic() - exchange.received
+    log.info(
+        "request",
+        request=exchange.request_key,
+        account=exchange.account.name if exchange.account else None,
+        service=exchange.service.name if exchange.service else None,
+        outcome=outcomes.label(outcome),
+        code=getattr(outcome, "code", None),
+        step=getattr(outcome, "step", None),
+        peer=getattr(outcome, "peer", None),
+        endpoint=getattr(outcome, "endpoint", None),
+        tokens=exchange.used,
+        seconds=f"{elapsed:.4f}",
+    )
+    return outcome
+
+
+def _internal_error(exchange: exchanges.Exchange) -> outcomes.Outcome:
+    message = "The router failed; retry with the same Idempotency-Key."
+    if exchange.dispatched:
+        return outcomes.Unknown(
+            status=500, code="internal_error", message=message, step="chain"
+        )
+    return outcomes.refuse(500, "internal_error", message, step="chain")
+
+
+class _Writer:
+    """Writes one reply to its caller."""
+
+    def __init__(self, *, request: sanic.Request, request_key: str) -> None:
+        self._request = request
+        self._request_key = request_key
+        self._response = None
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        headers = {**headers, "Idempotency-Key": self._request_key}
+        content_type = headers.pop("Content-Type", None)
+        self._response = await self._request.respond(
+            status=status, headers=headers, content_type=content_type
+        )
+
+    async def chunk(self, data: bytes) -> None:
+        await self._response.send(data)
+
+    async def finish(
+        self, exchange: exchanges.Exchange, outcome: outcomes.Outcome
+    ) -> sanic.HTTPResponse | None:
+        if isinstance(outcome, outcomes.Answered):
+            if self._response is None:
+                headers = {
+                    **exchange.reply_headers,
+                    "Idempotency-Key": self._request_key,
+                }
+                content_type = headers.pop("Content-Type", None)
+                return sanic.HTTPResponse(
+                    b"".join(exchange.held),
+                    status=exchange.status,
+                    headers=headers,
+                    content_type=content_type,
+                )
+            await self._response.send(b"".join(exchange.held), True)
+            return None
+        body = error_body(outcome, self._request_key)
+        if self._response is None:
+            headers = {"Idempotency-Key": self._request_key}
+            retry_after = getattr(outcome, "retry_after", None)
+            if retry_after is not None:
+                headers["Retry-After"] = str(max(1, round(retry_after)))
+            return sanic.json(body, status=outcome.status, headers=headers)
+        event = f"event: error\ndata: {json.dumps(body)}\n\n"
+        await self._response.send(event.encode(), True)
+        return None
--- /dev/null
+++ b/dogwoodchute/controller.py
@@ -0,0 +1,66 @@
+"""Controllers: long-running tasks of the daemon, registered explicitly."""
+
+import asyncio
+from collections import abc
+from typing import NamedTuple
+
+from dogwoodchute import log
+
+
+class Controller(NamedTuple):
+    """One controller. `stop` flushes what must last before the host exits."""
+
+    name: str
+    start: abc.Callable[[], abc.Awaitable[None]]
+    stop: abc.Callable[[], abc.Awaitable[None]]
+
+
+async def start_all(controllers: list[Controller]) -> None:
+    """Start controllers in order."""
+    for controller in controllers:
+        await controller.start()
+        log.info("controller_started", controller=controller.name)
+
+
+async def stop_all(controllers: list[Controller]) -> None:
+    """Stop controllers in reverse order, going on past a failure."""
+    for controller in reversed(controllers):
+        try:
+            await controller.stop()
+        except Exception:
+            log.exception("controller_stop_failed", controller=controller.name)
+
+
+def periodic(
+    name: str,
+    step: abc.Callable[[], abc.Awaitable[None]],
+    *,
+    interval: float,
+    final: abc.Callable[[], abc.Awaitable[None]] | None = None,
+) -> Controller:
+    """Return a controller that awaits `step` every `interval` seconds.
+
+    A failed step is logged and tried again at the next interval. `final` runs on stop.
+    """
+    tasks: list[asyncio.Task] = []
+
+    async def run() -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                log.exception("controller_step_failed", controller=name)
+            await asyncio.sleep(interval)
+
+    async def start() -> None:
+        tasks.append(asyncio.create_task(run(), name=name))
+
+    async def stop() -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        tasks.clear()
+        if final is not None:
+            await final()
+
+    return Controller(name, start, stop)
--- /dev/null
+++ b/dogwoodchute/coordination/rows.py
@@ -0,0 +1,38 @@
+"""Keys of the rows that the fleet keeps in the table service."""
+
+RELEASE_HEAD = "release/head"
+
+
+def budget(account: str) -> str:
+    """Key of a client account's budget: `paid`, `drawn`, in tokens."""
+    return f"budget/{account}"
+
+
+def top_up(account: str, top_up_id: str) -> str:
+    """Key of one top-up, whose presence makes a repeat harmless."""
+    return f"topup/{account}/{top_up_id}"
+
+
+def grant(account: str, incarnation: str) -> str:
+    """Key of a grant: `granted`, `billed`, in tokens, and `closed`."""
+    return f"grant/{account}/{incarnation}"
+
+
+def bill(account: str, request_key: str) -> str:
+    """Key of the bill of one request."""
+    return f"bill/{account}/{request_key}"
+
+
+def claim(account: str, request_key: str) -> str:
+    """Key of the claim of one non-idempotent request."""
+    return f"claim/{account}/{request_key}"
+
+
+def host(host_id: str) -> str:
+    """Key of a host's registration."""
+    return f"host/{host_id}"
+
+
+def release(revision: int) -> str:
+    """Key of the full state at one revision."""
+    return f"release/{revision}"
--- /dev/null
+++ b/dogwoodchute/daemon.py
@@ -0,0 +1,91 @@
+"""Assembles one host's daemon from its parts."""
+
+import random
+
+from dogwoodchute import (
+    callers,
+    controller,
+    exchange,
+    forward,
+    log,
+    operators,
+    server,
+    state,
+)
+from dogwoodchute.controllers import bills, grants, releases
+from dogwoodchute.filters import (
+    authenticate,
+    bill,
+    choose,
+    deduplicate,
+    dispatch,
+    reserve,
+    resolve,
+)
+
+
+class Daemon:
+    """One host's listeners, filter chain and controllers."""
+
+    def __init__(self, *, host: state.HostState) -> None:
+        self.host = host
+        config = host.config
+        self.grants = grants.Grants(host=host)
+        self.bills = bills.Bills(host=host, granted=self.grants)
+        self.releases = releases.Releases(host=host)
+        self.forwarder = forward.Forwarder(host=host)
+        self.callers = _server("callers", host)
+        self.operators = _server("operators", host)
+        self._controllers = [
+            controller.Controller(
+                "forwarder", self.forwarder.start, self.forwarder.stop
+            ),
+            self.releases.controller(),
+            self.bills.controller(),
+        ]
+        rng = random.Random(host.incarnation)
+        chain = exchange.chain(
+            [
+                authenticate.make(host=host),
+                resolve.make(host=host),
+                deduplicate.make(runs=deduplicate.Runs()),
+                reserve.make(granted=self.grants),
+                bill.make(granted=self.grants, billing=self.bills),
+                choose.make(host=host, rng=rng),
+                dispatch.make(forwarder=self.forwarder),
+            ]
+        )
+        callers.add_routes(self.callers.app, host=host, run=chain)
+        operators.add_routes(self.operators.app, host=host, releasing=self.releases)
+        self._config = config
+
+    async def start(self) -> None:
+        """Start controllers, then listen."""
+        await controller.start_all(self._controllers)
+        place = self._config.host
+        await self.operators.start(place.operator_address, place.operator_port)
+        await self.callers.start(place.address, place.caller_port)
+        log.info(
+            "host_started",
+            host=place.id,
+            incarnation=self.host.incarnation,
+            caller_port=self.callers.port,
+            operator_port=self.operators.port,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening, then stop controllers, which flush what must last."""
+        self.host.draining = True
+        await self.callers.stop()
+        await controller.stop_all(self._controllers)
+        await self.operators.stop()
+        log.info("host_stopped", host=self._config.host.id)
+
+
+def _server(name: str, host: state.HostState) -> server.Server:
+    limits = host.config.limits
+    return server.Server(
+        name=f"{name}-{host.incarnation}",
+        body_bytes=limits.body_bytes,
+        idle_timeout=limits.idle_timeout,
+    )
--- /dev/null
+++ b/dogwoodchute/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The steps that one request passes, one module each."""
--- /dev/null
+++ b/dogwoodchute/filters/authenticate.py
@@ -0,0 +1,26 @@
+"""Finds the client account of a request's bearer key."""
+
+import http
+
+from dogwoodchute import exchange as exchanges, outcomes, state
+
+
+def make(*, host: state.HostState) -> exchanges.Filter:
+    """Return the filter."""
+
+    async def authenticate(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        key = exchange.request.bearer
+        account = host.account_of_key(key) if key else None
+        if account is None:
+            return outcomes.refuse(
+                http.HTTPStatus.UNAUTHORIZED,
+                "unknown_key",
+                "Send a client account's key as 'Authorization: Bearer <key>'.",
+                step="authenticate",
+            )
+        exchange.account = account
+        return await proceed()
+
+    return authenticate
--- /dev/null
+++ b/dogwoodchute/operators.py
@@ -0,0 +1,65 @@
+"""The HTTP side for operators."""
+
+import hmac
+
+import prometheus_client
+import sanic
+
+from dogwoodchute import callers, catalog, state
+from dogwoodchute.controllers import releases
+from dogwoodchute.coordination import rows
+from dogwoodchute.platform import table
+
+
+def add_routes(
+    app: sanic.Sanic, *, host: state.HostState, releasing: releases.Releases
+) -> None:
+    """Register the operators' routes on `app`."""
+
+    async def check_key(request: sanic.Request) -> sanic.HTTPResponse | None:
+        if not request.path.startswith("/ops/"):
+            return None
+        digest = catalog.hash_key(callers.bearer(request) or "")
+        if hmac.compare_digest(digest, host.config.keys.operator_sha256):
+            return None
+        return callers.unauthorized()
+
+    async def submit(request: sanic.Request) -> sanic.HTTPResponse:
+        outcome = await releasing.submit(request.body.decode("utf-8", "replace"))
+        if isinstance(outcome, releases.Accepted):
+            return sanic.json({"revision": outcome.revision})
+        body = {"error": {"code": outcome.code, "faults": outcome.faults}}
+        return sanic.json(body, status=409)
+
+    async def account(request: sanic.Request, name: str) -> sanic.HTTPResponse:
+        found = await host.store.read([rows.budget(name)])
+        if isinstance(found, table.Unavailable):
+            return sanic.json({"error": {"code": "store_unavailable"}}, status=503)
+        row = found.rows.get(rows.budget(name))
+        if row is None:
+            return sanic.json({"error": {"code": "unknown_account"}}, status=404)
+        bills = await host.store.scan(rows.bill(name, ""))
+        billed = None
+        if isinstance(bills, table.Rows):
+            billed = sum(bill.value["tokens"] for bill in bills.rows.values())
+        return sanic.json({"account": name, **row.value, "billed": billed})
+
+    async def healthy(request: sanic.Request) -> sanic.HTTPResponse:
+        return sanic.json({"status": "ok"})
+
+    async def ready(request: sanic.Request) -> sanic.HTTPResponse:
+        serving = host.ready and not host.draining
+        return sanic.json({"ready": serving}, status=200 if serving else 503)
+
+    async def metrics(request: sanic.Request) -> sanic.HTTPResponse:
+        return sanic.HTTPResponse(
+            prometheus_client.generate_latest(),
+            content_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    app.register_middleware(check_key, "request")
+    app.add_route(submit, "/ops/v1/releases", methods=["POST"], name="submit")
+    app.add_route(account, "/ops/v1/accounts/<name:str>", name="account")
+    app.add_route(healthy, "/healthz", name="healthz")
+    app.add_route(ready, "/readyz", name="readyz")
+    app.add_route(metrics, "/metrics", name="metrics")
--- /dev/null
+++ b/dogwoodchute/outcomes.py
@@ -0,0 +1,74 @@
+"""Outcomes of a request, as told to its caller.
+
+A request ends in exactly one of `Answered`, `NotRun` and `Unknown`. `NotRun` is used
+only where no byte of the request can have taken effect at an endpoint.
+"""
+
+import dataclasses
+import http
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """The caller got, or may now be sent the end of, the whole answer."""
+
+    status: int
+    tokens: int
+    endpoint: str
+    replayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotRun:
+    """The request certainly had no effect and was not billed."""
+
+    status: int
+    code: str
+    message: str
+    step: str
+    peer: str | None = None
+    retry_after: float | None = None  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """The request may have run, in part or in whole."""
+
+    status: int
+    code: str
+    message: str
+    step: str
+    peer: str | None = None
+    tokens: int = 0
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+def label(outcome: Outcome) -> str:
+    """Return the name of an outcome as callers see it."""
+    if isinstance(outcome, Answered):
+        return "answered"
+    if isinstance(outcome, NotRun):
+        return "not_run"
+    return "unknown"
+
+
+def refuse(
+    status: http.HTTPStatus,
+    code: str,
+    message: str,
+    *,
+    step: str,
+    peer: str | None = None,
+    retry_after: float | None = None,
+) -> NotRun:
+    """Build a `NotRun`; `message` says what the caller should do."""
+    return NotRun(
+        status=int(status),
+        code=code,
+        message=message,
+        step=step,
+        peer=peer,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/dogwoodchute/peers.py
@@ -0,0 +1,72 @@
+"""The seam to the other hosts of the fleet."""
+
+import dataclasses
+from collections import abc
+from typing import NamedTuple
+
+
+class Peer(NamedTuple):
+    """Another host as heartbeats and the register show it."""
+
+    host: str
+    incarnation: str
+    region: str
+    data_centre: str
+    address: str  # IP number and port of its peer listener
+    caller_address: str  # IP number and port of its caller listener
+    alive: bool  # heartbeats arrive
+    leaving: bool
+    hints: dict  # what it last said of itself; never to be taken as truth
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A peer's answer to a call."""
+
+    body: dict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotSent:
+    """The call certainly never reached the peer."""
+
+    reason: str
+    peer: str
+    step: str = "peer"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoAnswer:
+    """The call may have reached the peer; no answer came in time."""
+
+    reason: str
+    peer: str
+    step: str = "peer"
+
+
+CallOutcome = Answer | NotSent | NoAnswer
+Handler = abc.Callable[[str, dict], abc.Awaitable[dict]]  # sending host, body
+
+
+class Peers(NamedTuple):
+    """The operations of the peer layer. Bodies are maps that msgpack can carry."""
+
+    call: abc.Callable[[str, str, dict, float], abc.Awaitable[CallOutcome]]
+    # arguments: host, kind, body, timeout in seconds
+    handle: abc.Callable[[str, Handler], None]  # registers the handler of a kind
+    known: abc.Callable[[], list[Peer]]
+    hint: abc.Callable[[str, object], None]  # sets one of this host's own hints
+
+
+def alone() -> Peers:
+    """Return the peer layer of a host that has no peers."""
+
+    async def call(host: str, kind: str, body: dict, timeout: float) -> CallOutcome:
+        return NotSent(reason="no peers", peer=host)
+
+    return Peers(
+        call=call,
+        handle=lambda kind, handler: None,
+        known=list,
+        hint=lambda name, value: None,
+    )
--- /dev/null
+++ b/dogwoodchute/platform/table.py
@@ -0,0 +1,85 @@
+"""The seam to the platform's transactional table service.
+
+A table holds rows by key. Each row has a version that no other state of any row ever
+has, so a version check never passes by coincidence. Version 0 stands for "absent".
+"""
+
+import dataclasses
+from collections import abc
+from typing import NamedTuple
+
+
+class Row(NamedTuple):
+    """One row as read."""
+
+    key: str
+    value: dict
+    version: int
+    commit_id: str  # the commit that wrote this version
+
+
+class Check(NamedTuple):
+    """A condition of a commit: the row has this version, 0 for absent."""
+
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """A change of a commit: the row's new value, None to delete it."""
+
+    key: str
+    value: dict | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Committed:
+    """The commit took effect; `versions` maps each written key to its version."""
+
+    versions: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """A check failed and nothing was written; `rows` are the rows that differ."""
+
+    rows: dict[str, Row | None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unavailable:
+    """The service was not reached: the commit certainly has no effect, ever."""
+
+    reason: str
+    step: str = "table"
+    peer: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """No answer came: the commit may have taken effect, or may yet."""
+
+    reason: str
+    step: str = "table"
+    peer: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rows:
+    """The rows of a read or scan, by key; absent rows are left out."""
+
+    rows: dict[str, Row]
+
+
+CommitOutcome = Committed | Conflict | Unavailable | Unknown
+ReadOutcome = Rows | Unavailable
+
+
+class Table(NamedTuple):
+    """The operations of a table service, each atomic over its rows."""
+
+    read: abc.Callable[[list[str]], abc.Awaitable[ReadOutcome]]
+    scan: abc.Callable[[str], abc.Awaitable[ReadOutcome]]
+    commit: abc.Callable[
+        [str, list[Check], list[Write]], abc.Awaitable[CommitOutcome]
+    ]  # arguments: commit id, checks, writes
--- /dev/null
+++ b/dogwoodchute/server.py
@@ -0,0 +1,51 @@
+"""Runs Sanic applications inside the daemon's own event loop."""
+
+import socket
+
+import sanic
+from sanic.server import async_server
+
+
+class Server:
+    """One listening HTTP application."""
+
+    def __init__(self, *, name: str, body_bytes: int, idle_timeout: float) -> None:
+        self.app = sanic.Sanic(name, configure_logging=False)
+        self.app.config.REQUEST_MAX_SIZE = body_bytes
+        self.app.config.KEEP_ALIVE_TIMEOUT = int(idle_timeout)
+        self.app.config.REQUEST_TIMEOUT = int(idle_timeout)
+        self.app.config.RESPONSE_TIMEOUT = 86_400
+        # Touch-up rewrites shared classes, which fails for a second application.
+        self.app.config.TOUCHUP = False
+        self.app.config.MOTD = False
+        self.app.config.ACCESS_LOG = False
+        self._server: async_server.AsyncioServer | None = None
+        self.port = 0
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen at `address` and `port`, 0 for any; sets `self.port`."""
+        family = socket.AF_INET6 if ":" in address else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, port))
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        self._server = await self.app.create_server(
+            sock=listener, return_asyncio_server=True, access_log=False
+        )
+        await self._server.startup()
+        await self._server.before_start()
+        await self._server.start_serving()
+        await self._server.after_start()
+
+    async def stop(self) -> None:
+        """Close the listener and all idle connections."""
+        if self._server is None:
+            return
+        await self._server.before_stop()
+        self._server.close()
+        for connection in list(self._server.connections):
+            connection.close_if_idle()
+        await self._server.after_stop()
+        sanic.Sanic.unregister_app(self.app)
+        self._server = None
--- /dev/null
+++ b/dogwoodchute/settings.py
@@ -0,0 +1,182 @@
+"""Settings of one host: an INI file, checked in full on load.
+
+Every key has a description here; `docs/SETTINGS.md` is made from these.
+"""
+
+import configparser
+import difflib
+import ipaddress
+import pathlib
+from typing import Annotated, Literal, NamedTuple
+
+import pydantic
+
+
+def _ip_number(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+IPNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+Seconds = Annotated[float, pydantic.Field(gt=0)]
+Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class Section(pydantic.BaseModel):
+    """Base of all sections: frozen, and unknown keys are faults."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+def key(description: str, default: object = ..., **limits: object) -> object:
+    """Declare one key with its description and default."""
+    return pydantic.Field(default=default, description=description, **limits)
+
+
+class Host(Section):
+    """Who this host is and where it listens."""
+
+    id: Name = key("Name of the host, unique in the fleet.")
+    region: Name = key("Region of the host.")
+    data_centre: Name = key("Data centre of the host.")
+    address: IPNumber = key("IP number that peers and callers reach.")
+    caller_port: Port = key("TCP port for callers.", 8080)
+    operator_address: IPNumber = key("IP number for operators.", "127.0.0.1")
+    operator_port: Port = key("TCP port for operators.", 8081)
+    peer_port: Port = key("TCP port for the fleet's other hosts.", 8082)
+
+
+class Platform(Section):
+    """Where the platform's services are."""
+
+    mode: Literal["embedded", "http"] = key(
+        "`embedded` keeps everything in this process and loses it on exit.", "http"
+    )
+    table_address: str = key("IP number and port of the table service.", "")
+    objects_address: str = key("IP number and port of the object store.", "")
+    hostlist_address: str = key("IP number and port of the host list.", "")
+    weights_address: str = key("IP number and port of the weight store.", "")
+
+
+class Keys(Section):
+    """Secrets of the fleet."""
+
+    operator_sha256: str = key(
+        "SHA-256 hex digest of the operators' bearer key.", pattern=r"^[0-9a-f]{64}$"
+    )
+    fleet_key: str = key(
+        "Shared secret that authenticates peers and signs tokens.", min_length=16
+    )
+
+
+class Limits(Section):
+    """Bounds on requests."""
+
+    body_bytes: int = key("Largest request body.", 2_000_000, gt=0)
+    header_bytes: int = key("Largest request head.", 16_384, ge=1024)
+    idle_timeout: Seconds = key("Seconds without a byte before a cut.", 60.0)
+    total_timeout: Seconds = key("Seconds that one request may take.", 600.0)
+    connect_timeout: Seconds = key("Seconds to connect to an endpoint.", 2.0)
+    drain_timeout: Seconds = key("Seconds that a graceful shutdown may take.", 120.0)
+
+
+class Budget(Section):
+    """How grants are drawn and bills are kept."""
+
+    horizon: Seconds = key("Seconds of expected use that a grant covers.", 30.0)
+    bill_interval: Seconds = key("Seconds between group commits.", 0.1)
+
+
+class Log(Section):
+    """What is logged."""
+
+    level: Literal["debug", "info", "warning", "error"] = key(
+        "Least severe level that is logged.", "info"
+    )
+
+
+class Settings(Section):
+    """All sections of one host's settings."""
+
+    host: Host
+    platform: Platform = Platform()
+    keys: Keys
+    limits: Limits = Limits()
+    budget: Budget = Budget()
+    log: Log = Log()
+
+
+class Fault(NamedTuple):
+    """One fault of a settings file."""
+
+    section: str
+    key: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        value = "" if self.value == "" else f" = {self.value!r}"
+        return f"[{self.section}] {self.key}{value}: {self.allowed}"
+
+
+class SettingsError(Exception):
+    """The settings have faults; all of them are listed."""
+
+    def __init__(self, *, source: str, faults: list[Fault]) -> None:
+        super().__init__(f"{source}: " + "; ".join(str(f) for f in faults))
+        self.source = source
+        self.faults = faults
+
+
+SECRET_KEYS = frozenset({"fleet_key", "operator_sha256"})
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and check the settings file at `path`.
+
+    Raises `SettingsError` with every fault, and `OSError` if it can't be read.
+    """
+    return parse(path.read_text(encoding="utf-8"), source=str(path))
+
+
+def parse(text: str, *, source: str) -> Settings:
+    """Check the text of a settings file; raise `SettingsError` with every fault."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=source)
+    except configparser.Error as error:
+        fault = Fault("-", "-", "", str(error).replace("\n", " "))
+        raise SettingsError(source=source, faults=[fault]) from error
+    plain = {name: dict(parser.items(name)) for name in parser.sections()}
+    try:
+        return Settings.model_validate(plain)
+    except pydantic.ValidationError as error:
+        faults = [_fault(detail, plain) for detail in error.errors()]
+        raise SettingsError(source=source, faults=faults) from error
+
+
+def _fault(detail: dict, plain: dict) -> Fault:
+    location = [str(part) for part in detail["loc"]]
+    section = location[0]
+    name = location[1] if len(location) > 1 else ""
+    value = str(plain.get(section, {}).get(name, ""))
+    if name in SECRET_KEYS:
+        value = "(hidden)"
+    if detail["type"] == "missing":
+        return Fault(section, name, "", "required, but absent")
+    if detail["type"] == "extra_forbidden":
+        return Fault(section, name, value, _suggest(section, name))
+    return Fault(section, name, value, detail["msg"])
+
+
+def _suggest(section: str, name: str) -> str:
+    if not name:
+        known = list(Settings.model_fields)
+        wanted, kind = section, "section"
+    else:
+        known = list(Settings.model_fields[section].annotation.model_fields)
+        wanted, kind = name, "key"
+    close = difflib.get_close_matches(wanted, known, n=1)
+    hint = f"did you mean {close[0]!r}?" if close else f"known: {', '.join(known)}"
+    return f"unknown {kind}; {hint}"
--- /dev/null
+++ b/dogwoodchute/state.py
@@ -0,0 +1,49 @@
+"""What the parts of one daemon share."""
+
+import secrets
+
+from dogwoodchute import catalog, peers, settings
+from dogwoodchute.platform import hostlist, objects, table
+
+
+class HostState:
+    """The state of one host process, from its start to its exit."""
+
+    def __init__(
+        self,
+        *,
+        config: settings.Settings,
+        store: table.Table,
+        objects_store: objects.Objects,
+        hosts: hostlist.Hosts,
+        peer_layer: peers.Peers,
+    ) -> None:
+        self.config = config
+        self.store = store
+        self.objects = objects_store
+        self.hosts = hosts
+        self.peers = peer_layer
+        self.incarnation = f"{config.host.id}-{secrets.token_hex(6)}"
+        self.draining = False
+        self.ready = False
+        self.in_flight = 0
+        self.host_list: hostlist.HostList | None = None
+        self._current = catalog.EMPTY
+        self._key_index: dict[str, str] = {}
+
+    @property
+    def current(self) -> catalog.Catalog:
+        """The state in force on this host."""
+        return self._current
+
+    def adopt(self, newer: catalog.Catalog) -> bool:
+        """Put a catalog in force if its revision is higher; return whether it was."""
+        if newer.revision <= self._current.revision:
+            return False
+        self._current = newer
+        self._key_index = catalog.index_keys(newer)
+        return True
+
+    def account_of_key(self, key: str) -> catalog.ClientAccount | None:
+        """Return the client account of a bearer key."""
+        return catalog.account_of_key(self._current, self._key_index, key)
--- /dev/null
+++ b/dogwoodchute/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The test suite."""
--- /dev/null
+++ b/dogwoodchute/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line entry points."""
