--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -1,7 +1,5 @@
 """Assembles one host's daemon from its parts."""
 
-import random
-
 from dogwoodchute import (
     callers,
     controller,
@@ -43,7 +41,6 @@
             self.releases.controller(),
             self.bills.controller(),
         ]
-        rng = random.Random(host.incarnation)
         chain = exchange.chain(
             [
                 authenticate.make(host=host),
@@ -51,7 +48,7 @@
                 deduplicate.make(runs=deduplicate.Runs()),
                 reserve.make(granted=self.grants),
                 bill.make(granted=self.grants, billing=self.bills),
-                choose.make(host=host, rng=rng),
+                choose.make(host=host, rng=host.rng),
                 dispatch.make(forwarder=self.forwarder),
             ]
         )
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -1,8 +1,10 @@
 """What the parts of one daemon share."""
 
+import random
 import secrets
+from collections import abc
 
-from dogwoodchute import catalog, peers, settings
+from dogwoodchute import catalog, clock, peers, settings
 from dogwoodchute.platform import hostlist, objects, table
 
 
@@ -17,13 +19,17 @@
         objects_store: objects.Objects,
         hosts: hostlist.Hosts,
         peer_layer: peers.Peers,
+        now: abc.Callable[[], float] = clock.monotonic,
+        rng: random.Random | None = None,
     ) -> None:
         self.config = config
         self.store = store
         self.objects = objects_store
         self.hosts = hosts
         self.peers = peer_layer
-        self.incarnation = f"{config.host.id}-{secrets.token_hex(6)}"
+        self.now = now  # monotonic seconds
+        self.rng = rng or random.Random(secrets.randbits(64))
+        self.incarnation = f"{config.host.id}-{self.rng.getrandbits(48):012x}"
         self.draining = False
         self.ready = False
         self.in_flight = 0
