Refuse bad input with a clear error, and check the platform's settings

HTTP faults that never reach the chain answer in the callers' JSON shape. Platform addresses are checked as IP number and port, and required with mode = http.

--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -2,6 +2,7 @@
 
 from dogwoodchute import (
     callers,
+    callers_errors,
     controller,
     exchange,
     forward,
@@ -52,6 +53,7 @@
                 dispatch.make(forwarder=self.forwarder),
             ]
         )
+        callers_errors.add_handlers(self.callers.app)
         callers.add_routes(self.callers.app, host=host, run=chain)
         operators.add_routes(self.operators.app, host=host, releasing=self.releases)
         self._config = config
@@ -84,5 +86,6 @@
     return server.Server(
         name=f"{name}-{host.incarnation}",
         body_bytes=limits.body_bytes,
+        header_bytes=limits.header_bytes,
         idle_timeout=limits.idle_timeout,
     )
--- /dev/null
+++ b/dogwoodchute/platform/connect.py
@@ -0,0 +1,66 @@
+"""Connects a host to the platform that its settings name."""
+
+from collections import abc
+from typing import NamedTuple
+
+from dogwoodchute import settings
+from dogwoodchute.platform import hostlist, http_client, objects, table
+from dogwoodchute.standins import (
+    hostlist as memory_hostlist,
+    objects as memory_objects,
+    table as memory_table,
+)
+
+
+class Platform(NamedTuple):
+    """The platform's services, and how to close the connections to them."""
+
+    store: table.Table
+    objects: objects.Objects
+    hosts: hostlist.Hosts
+    close: abc.Callable[[], abc.Awaitable[None]]
+
+
+def embedded(
+    *,
+    tables: memory_table.MemoryTable | None = None,
+    contents: memory_objects.MemoryObjects | None = None,
+    hosts: memory_hostlist.MemoryHostList | None = None,
+) -> Platform:
+    """Return a platform kept in this process, lost when it exits."""
+
+    async def close() -> None:
+        return None
+
+    return Platform(
+        store=(tables or memory_table.MemoryTable()).client(),
+        objects=(contents or memory_objects.MemoryObjects()).client(),
+        hosts=(hosts or memory_hostlist.MemoryHostList()).client(),
+        close=close,
+    )
+
+
+def connect(config: settings.Platform) -> Platform:
+    """Return the platform of `config`; connections open on first use."""
+    if config.mode == "embedded":
+        return embedded()
+    table_connection = http_client.Connection(
+        address=config.table_address, timeout=config.table_timeout
+    )
+    objects_connection = http_client.Connection(
+        address=config.objects_address, timeout=config.objects_timeout
+    )
+    hosts_connection = http_client.Connection(
+        address=config.hostlist_address, timeout=config.table_timeout
+    )
+
+    async def close() -> None:
+        for each in (table_connection, objects_connection, hosts_connection):
+            await each.close()
+
+    return Platform(
+        store=http_client.table_client(table_connection),
+        objects=http_client.objects_client(objects_connection),
+        hosts=http_client.hosts_client(hosts_connection),
+        close=close,
+    )
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -9,9 +9,12 @@
 class Server:
     """One listening HTTP application."""
 
-    def __init__(self, *, name: str, body_bytes: int, idle_timeout: float) -> None:
+    def __init__(
+        self, *, name: str, body_bytes: int, header_bytes: int, idle_timeout: float
+    ) -> None:
         self.app = sanic.Sanic(name, configure_logging=False)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
+        self.app.config.REQUEST_MAX_HEADER_SIZE = header_bytes
         self.app.config.KEEP_ALIVE_TIMEOUT = int(idle_timeout)
         self.app.config.REQUEST_TIMEOUT = int(idle_timeout)
         self.app.config.RESPONSE_TIMEOUT = 86_400
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -20,6 +20,19 @@
 IPNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Seconds = Annotated[float, pydantic.Field(gt=0)]
+
+
+def _ip_address(value: str) -> str:
+    host, separator, port = value.rpartition(":")
+    if not value:
+        return value
+    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError("use IP number and port, such as 10.0.0.7:7000")
+    ipaddress.ip_address(host.strip("[]"))
+    return value
+
+
+Address = Annotated[str, pydantic.AfterValidator(_ip_address)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 
 
@@ -53,10 +66,21 @@
     mode: Literal["embedded", "http"] = key(
         "`embedded` keeps everything in this process and loses it on exit.", "http"
     )
-    table_address: str = key("IP number and port of the table service.", "")
-    objects_address: str = key("IP number and port of the object store.", "")
-    hostlist_address: str = key("IP number and port of the host list.", "")
-    weights_address: str = key("IP number and port of the weight store.", "")
+    table_address: Address = key("IP number and port of the table service.", "")
+    objects_address: Address = key("IP number and port of the object store.", "")
+    hostlist_address: Address = key("IP number and port of the host list.", "")
+    weights_address: Address = key("IP number and port of the weight store.", "")
+    table_timeout: Seconds = key("Seconds to wait for one table call.", 2.0)
+    objects_timeout: Seconds = key("Seconds to wait for one object call.", 10.0)
+
+    @pydantic.model_validator(mode="after")
+    def _addresses_are_set(self) -> "Platform":
+        if self.mode == "embedded":
+            return self
+        for name in ("table_address", "objects_address", "hostlist_address"):
+            if not getattr(self, name):
+                raise ValueError(f"{name} is required with mode = http")
+        return self
 
 
 class Keys(Section):
@@ -100,7 +124,7 @@
     """All sections of one host's settings."""
 
     host: Host
-    platform: Platform = Platform()
+    platform: Platform
     keys: Keys
     limits: Limits = Limits()
     budget: Budget = Budget()
@@ -163,11 +187,13 @@
     value = str(plain.get(section, {}).get(name, ""))
     if name in SECRET_KEYS:
         value = "(hidden)"
+    if detail["type"] == "missing" and not name:
+        return Fault(section, "-", "", "required section, but absent")
     if detail["type"] == "missing":
         return Fault(section, name, "", "required, but absent")
     if detail["type"] == "extra_forbidden":
-        return Fault(section, name, value, _suggest(section, name))
-    return Fault(section, name, value, detail["msg"])
+        return Fault(section, name or "-", value, _suggest(section, name))
+    return Fault(section, name or "-", value, detail["msg"])
 
 
 def _suggest(section: str, name: str) -> str:
