Size draws and returns by demand

Cause: a fixed sixteenth of a budget left tokens idle on quiet hosts and ran out on busy ones. Change: an irregular moving average of use, a draw that covers a horizon within a share of what remains, and a return of what exceeds it.

--- /dev/null
+++ b/dogwoodchute/coordination/sizing.py
@@ -0,0 +1,78 @@
+"""How many tokens a host draws from a budget, and how many it gives back."""
+
+import math
+
+from dogwoodchute.coordination import grants
+
+DEMAND_WINDOW = 60.0  # seconds
+
+
+class Demand:
+    """The rate at which one client account uses tokens on this host.
+
+    An exponentially weighted moving average over irregular samples: each use adds
+    `tokens / window`, and the sum decays by `exp(-elapsed / window)`.
+    """
+
+    def __init__(self, *, window: float = DEMAND_WINDOW) -> None:
+        self._window = window
+        self._rate = 0.0
+        self._at = 0.0
+        self._used_at: float | None = None
+
+    def note(self, now: float, tokens: int) -> None:
+        """Count `tokens` as used at `now`, monotonic seconds."""
+        self._rate = self.rate(now) + tokens / self._window
+        self._at = now
+        self._used_at = now
+
+    def rate(self, now: float) -> float:
+        """Return the rate at `now` in tokens a second."""
+        elapsed = max(0.0, now - self._at)
+        return self._rate * math.exp(-elapsed / self._window)
+
+    def idle(self, now: float) -> float:
+        """Return the seconds since the last use, infinite if there was none."""
+        if self._used_at is None:
+            return math.inf
+        return max(0.0, now - self._used_at)
+
+
+def draw_size(
+    *,
+    balance: grants.Balance,
+    needed: int,
+    rate: float,
+    horizon: float,
+    share: float,
+) -> int:
+    """Return how many tokens to draw, 0 if the budget does not cover `needed`.
+
+    The draw covers `needed` and the use at `rate` for `horizon` seconds, up to the
+    fraction `share` of what remains. As the budget runs out the cap falls below
+    `needed`, and draws become exact.
+    """
+    remaining = balance.paid - balance.drawn
+    if needed > remaining:
+        return 0
+    wanted = needed + math.ceil(rate * horizon)
+    return max(needed, min(wanted, int(remaining * share)))
+
+
+def return_size(
+    *, available: int, reserved: int, rate: float, horizon: float, idle: float
+) -> int:
+    """Return how many of the `available` tokens to give back to the budget.
+
+    After `horizon` idle seconds with nothing `reserved`, everything goes back. Before
+    that, what exceeds twice the use of one horizon goes back down to that use, so that
+    a return is not followed at once by a draw.
+    """
+    if available <= 0:
+        return 0
+    if idle >= horizon and reserved == 0:
+        return available
+    keep = math.ceil(rate * horizon)
+    if available + reserved <= 2 * keep:
+        return 0
+    return max(0, available - keep)
