--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module for each area, one key=value line for each figure."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,36 @@
+"""Runs the measurements of all areas, or of those named on the command line."""
+
+import importlib
+import pkgutil
+import sys
+
+import bench
+
+
+def areas() -> list[str]:
+    """Return the modules of this package that measure: those with a `run`."""
+    names = [module.name for module in pkgutil.iter_modules(bench.__path__)]
+    found = []
+    for name in names:
+        if name.startswith("_"):
+            continue
+        if hasattr(importlib.import_module(f"bench.{name}"), "run"):
+            found.append(name)
+    return found
+
+
+def main(argv: list[str]) -> int:
+    """Run the named areas, all if none is named; return the exit code."""
+    known = areas()
+    unknown = sorted(set(argv) - set(known))
+    if unknown:
+        print(f"unknown: {', '.join(unknown)}; known: {', '.join(known)}")
+        return 2
+    for name in argv or known:
+        print(f"# {name}", flush=True)
+        importlib.import_module(f"bench.{name}").run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
