--- a/dogwoodchute/callers.py
+++ b/dogwoodchute/callers.py
@@ -23,10 +23,12 @@
         return await serve(request, host=host, run=run, service=None, path="")
 
     async def plain(
-        request: sanic.Request, service: str, path: str = ""
+        request: sanic.Request, service: str, path: str
     ) -> sanic.HTTPResponse | None:
+        raw = request.raw_url.decode("ascii", "replace").partition("?")[0]
+        rest = raw.removeprefix("/services/").partition("/")[2]
         return await serve(
-            request, host=host, run=run, service=service, path=f"/{path}"
+            request, host=host, run=run, service=service, path=f"/{rest}"
         )
 
     async def models(request: sanic.Request) -> sanic.HTTPResponse:
--- /dev/null
+++ b/dogwoodchute/tools/dogwoodload.py
@@ -0,0 +1,220 @@
+"""A load and experiment tool: bounded open-loop load on a local trial fleet."""
+
+import asyncio
+import collections
+import dataclasses
+import ipaddress
+import json
+import random
+import sys
+import time
+from typing import Annotated
+
+import aiohttp
+import cappa
+import uvloop
+from hdrh import histogram
+
+from dogwoodchute import log
+
+MAX_SECONDS = 600.0
+MAX_RATE = 2_000.0  # requests a second
+MAX_OPEN = 5_000  # requests in flight
+MICROSECONDS = 1_000_000
+HIGHEST = 600 * MICROSECONDS
+
+
+@dataclasses.dataclass
+class Dogwoodload:
+    """Send chats at a fixed mean rate to hosts on loopback, and tell what came back.
+
+    Arrivals are a Poisson process, so a slow fleet does not slow the load. The run ends
+    by itself after --seconds and the last answers.
+
+    Example: dogwoodload 127.0.0.1:8080 --key demo-client-key --model assistant-llm
+    """
+
+    hosts: Annotated[list[str], cappa.Arg(help="IP number and port of each host")]
+    key: Annotated[str, cappa.Arg(long="--key", help="A client account's bearer key")]
+    model: Annotated[str, cappa.Arg(long="--model", help="The chat service's name")]
+    rate: Annotated[float, cappa.Arg(long="--rate", help="Mean requests a second")] = (
+        10.0
+    )
+    seconds: Annotated[float, cappa.Arg(long="--seconds", help="Length of the run")] = (
+        10.0
+    )
+    tokens: Annotated[int, cappa.Arg(long="--tokens", help="max_tokens of each")] = 32
+    repeats: Annotated[
+        int, cappa.Arg(long="--repeats", help="Tries after a failure, same key")
+    ] = 0
+    seed: Annotated[int, cappa.Arg(long="--seed", help="Seed of arrivals")] = 0
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
+
+
+class Tally:
+    """What came back, with times in microseconds."""
+
+    def __init__(self) -> None:
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.first_token = histogram.HdrHistogram(1, HIGHEST, 3)
+        self.between_tokens = histogram.HdrHistogram(1, HIGHEST, 3)
+        self.chunks = 0
+
+    def report(self, elapsed: float) -> dict:
+        """Return the figures of a run of `elapsed` seconds."""
+        return {
+            "seconds": round(elapsed, 3),
+            "outcomes": dict(sorted(self.outcomes.items())),
+            "answered_per_second": round(self.outcomes["answered"] / elapsed, 3),
+            "chunks_per_second": round(self.chunks / elapsed, 3),
+            "first_token_ms": percentiles(self.first_token),
+            "between_tokens_ms": percentiles(self.between_tokens),
+        }
+
+
+def percentiles(times: histogram.HdrHistogram) -> dict[str, float]:
+    """Return the 50th, 95th and 99th percentile in milliseconds."""
+    found = {}
+    for percent in (50, 95, 99):
+        found[f"p{percent}"] = times.get_value_at_percentile(percent) / 1000
+    return found
+
+
+def faults_of(options: Dogwoodload) -> list[str]:
+    """Return what is wrong with the options, or out of bounds."""
+    faults = []
+    for host in options.hosts:
+        address, _, port = host.rpartition(":")
+        try:
+            loopback = ipaddress.ip_address(address.strip("[]")).is_loopback
+        except ValueError:
+            loopback = False
+        if not loopback or not port.isdecimal():
+            faults.append(f"{host}: only IP number and port on loopback")
+    if not 0 < options.seconds <= MAX_SECONDS:
+        faults.append(f"--seconds {options.seconds}: above 0, at most {MAX_SECONDS}")
+    if not 0 < options.rate <= MAX_RATE:
+        faults.append(f"--rate {options.rate}: above 0, at most {MAX_RATE}")
+    return faults
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    options: Dogwoodload,
+    tally: Tally,
+    number: int,
+    rng: random.Random,
+) -> None:
+    """Send one chat, repeating it with the same key as often as the options allow."""
+    body = {
+        "model": options.model,
+        "stream": True,
+        "max_tokens": options.tokens,
+        "messages": [{"role": "user", "content": f"load request {number}"}],
+    }
+    headers = {"Idempotency-Key": f"load-{options.seed}-{number}-{rng.random()}"}
+    for attempt in range(options.repeats + 1):
+        host = rng.choice(options.hosts)
+        url = f"http://{host}/v1/chat/completions"
+        try:
+            outcome = await _one(session, url, body, headers, tally)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            outcome = "no_answer"
+        if outcome == "answered" or attempt == options.repeats:
+            tally.outcomes[outcome] += 1
+            return
+        tally.outcomes["repeated"] += 1
+
+
+async def _one(
+    session: aiohttp.ClientSession, url: str, body: dict, headers: dict, tally: Tally
+) -> str:
+    began = time.monotonic()
+    previous = None
+    tail = b""
+    async with session.post(url, json=body, headers=headers) as response:
+        if response.status != 200:
+            return _label(await response.read())
+        async for data in response.content.iter_any():
+            now = time.monotonic()
+            tally.chunks += data.count(b"\n\n")
+            if previous is None:
+                _record(tally.first_token, now - began)
+            else:
+                _record(tally.between_tokens, now - previous)
+            previous = now
+            tail = (tail + data)[-4096:]
+    if tail.endswith(b"data: [DONE]\n\n"):
+        return "answered"
+    _, _, error = tail.rpartition(b"event: error\ndata: ")
+    return _label(error)
+
+
+def _record(times: histogram.HdrHistogram, seconds: float) -> None:
+    times.record_value(max(1, min(HIGHEST, int(seconds * MICROSECONDS))))
+
+
+def _label(content: bytes) -> str:
+    try:
+        error = json.loads(content)["error"]
+        return f"{error['outcome']}:{error['code']}"
+    except (ValueError, KeyError, TypeError):
+        return "no_answer"
+
+
+async def run(options: Dogwoodload) -> dict:
+    """Run the load and return the report."""
+    rng = random.Random(options.seed)
+    tally = Tally()
+    headers = {"Authorization": f"Bearer {options.key}"}
+    timeout = aiohttp.ClientTimeout(total=MAX_SECONDS)
+    connector = aiohttp.TCPConnector(limit=0)
+    began = time.monotonic()
+    due = 0.0
+    number = 0
+    async with (
+        aiohttp.ClientSession(
+            headers=headers, timeout=timeout, connector=connector
+        ) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        open_tasks: set[asyncio.Task] = set()
+        while True:
+            due += rng.expovariate(options.rate)
+            if due > options.seconds:
+                break
+            await asyncio.sleep(max(0.0, began + due - time.monotonic()))
+            if len(open_tasks) >= MAX_OPEN:
+                tally.outcomes["not_sent"] += 1
+                continue
+            number += 1
+            task = group.create_task(send(session, options, tally, number, rng))
+            open_tasks.add(task)
+            task.add_done_callback(open_tasks.discard)
+    return tally.report(time.monotonic() - began)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Parse the command line and run; return the exit code."""
+    options = cappa.parse(
+        Dogwoodload, argv=argv, backend=cappa.backend, completion=False
+    )
+    faults = faults_of(options)
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    if faults:
+        return 2
+    report = uvloop.run(run(options))
+    if options.as_json:
+        print(json.dumps(report, indent=2))
+        return 0
+    for key, value in report.items():
+        if isinstance(value, dict):
+            print(log.render(key, value))
+            continue
+        print(log.render(key, {"value": value}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
