--- a/dogwoodchute/callers.py
+++ b/dogwoodchute/callers.py
@@ -7,7 +7,7 @@
 
 import sanic
 
-from dogwoodchute import clock, exchange as exchanges, log, outcomes, state
+from dogwoodchute import clock, exchange as exchanges, log, metrics, outcomes, state
 
 MAX_KEY = 128  # characters of an Idempotency-Key
 NON_IDEMPOTENT = "x-non-idempotent"
@@ -126,6 +126,7 @@
     exchange: exchanges.Exchange, *, host: state.HostState, run: Run
 ) -> outcomes.Outcome:
     host.in_flight += 1
+    metrics.in_flight.inc()
     try:
         outcome = await run(exchange)
     except Exception:
@@ -133,13 +134,28 @@
         outcome = _internal_error(exchange)
     finally:
         host.in_flight -= 1
+        metrics.in_flight.dec()
+    _report(exchange, outcome)
+    return outcome
+
+
+def _report(exchange: exchanges.Exchange, outcome: outcomes.Outcome) -> None:
+    """Log and count the end of a request."""
     elapsed = clock.monotonic() - exchange.received
+    service = exchange.service.name if exchange.service else ""
+    label = outcomes.label(outcome)
+    metrics.requests.labels(service, label, getattr(outcome, "code", "")).inc()
+    metrics.seconds.labels(service).observe(elapsed)
+    metrics.tokens.labels(service).inc(exchange.used)
+    if exchange.first_token is not None:
+        wait = exchange.first_token - exchange.received
+        metrics.first_token_seconds.labels(service).observe(wait)
     log.info(
         "request",
         request=exchange.request_key,
         account=exchange.account.name if exchange.account else None,
-        service=exchange.service.name if exchange.service else None,
-        outcome=outcomes.label(outcome),
+        service=service or None,
+        outcome=label,
         code=getattr(outcome, "code", None),
         step=getattr(outcome, "step", None),
         peer=getattr(outcome, "peer", None),
@@ -147,7 +163,6 @@
         tokens=exchange.used,
         seconds=f"{elapsed:.4f}",
     )
-    return outcome
 
 
 def _internal_error(exchange: exchanges.Exchange) -> outcomes.Outcome:
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -62,8 +62,17 @@
         """Start controllers, then listen."""
         await controller.start_all(self._controllers)
         place = self._config.host
-        await self.operators.start(place.operator_address, place.operator_port)
-        await self.callers.start(place.address, place.caller_port)
+        tls = self._config.tls
+        await self.operators.start(
+            place.operator_address,
+            place.operator_port,
+            tls=server.tls_context(tls.operator_certificate, tls.operator_key),
+        )
+        await self.callers.start(
+            place.address,
+            place.caller_port,
+            tls=server.tls_context(tls.caller_certificate, tls.caller_key),
+        )
         log.info(
             "host_started",
             host=place.id,
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -1,6 +1,7 @@
 """Runs Sanic applications inside the daemon's own event loop."""
 
 import socket
+import ssl
 
 import sanic
 from sanic.server import async_server
@@ -25,7 +26,9 @@
         self._server: async_server.AsyncioServer | None = None
         self.port = 0
 
-    async def start(self, address: str, port: int) -> None:
+    async def start(
+        self, address: str, port: int, *, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Listen at `address` and `port`, 0 for any; sets `self.port`."""
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
@@ -34,7 +37,7 @@
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
         self._server = await self.app.create_server(
-            sock=listener, return_asyncio_server=True, access_log=False
+            sock=listener, ssl=tls, return_asyncio_server=True, access_log=False
         )
         await self._server.startup()
         await self._server.before_start()
@@ -52,3 +55,16 @@
         await self._server.after_stop()
         sanic.Sanic.unregister_app(self.app)
         self._server = None
+
+
+def tls_context(certificate: str, key: str) -> ssl.SSLContext | None:
+    """Return the context of a listener's PEM files, None where none are set.
+
+    Raises `OSError` or `ssl.SSLError` if a file can't be used.
+    """
+    if not certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(certificate, key)
+    return context
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -94,6 +94,23 @@
     )
 
 
+class TLS(Section):
+    """Certificates of the listeners; without them a listener speaks plain HTTP."""
+
+    caller_certificate: str = key("PEM file of the callers' side.", "")
+    caller_key: str = key("PEM file of the key of `caller_certificate`.", "")
+    operator_certificate: str = key("PEM file of the operators' side.", "")
+    operator_key: str = key("PEM file of the key of `operator_certificate`.", "")
+
+    @pydantic.model_validator(mode="after")
+    def _keys_are_paired(self) -> "TLS":
+        for side in ("caller", "operator"):
+            certificate = getattr(self, f"{side}_certificate")
+            if bool(certificate) != bool(getattr(self, f"{side}_key")):
+                raise ValueError(f"set {side}_certificate and {side}_key, or neither")
+        return self
+
+
 class Limits(Section):
     """Bounds on requests."""
 
@@ -126,6 +143,7 @@
     host: Host
     platform: Platform
     keys: Keys
+    tls: TLS = TLS()
     limits: Limits = Limits()
     budget: Budget = Budget()
     log: Log = Log()
--- /dev/null
+++ b/dogwoodchute/tests/test_dogwoodctl.py
@@ -0,0 +1,66 @@
+"""The operators' command line against the demo's host."""
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+from unittest import mock
+
+from dogwoodchute.tests import support
+from dogwoodchute.tools import ctl, demo, dogwoodctl
+
+
+def command(at, *words, key=demo.OPERATOR_KEY):
+    """Run one command; return exit code, output and errors."""
+    output, errors = io.StringIO(), io.StringIO()
+    with (
+        mock.patch.dict(os.environ, {"DOGWOODCTL_KEY": key}),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+    ):
+        code = dogwoodctl.main([*words, "--at", at])
+    return code, output.getvalue(), errors.getvalue()
+
+
+class DogwoodctlTest(support.TestCase):
+    def against_demo(self, *commands, key=demo.OPERATOR_KEY):
+        """Run each command in turn against one demo host; return the results."""
+
+        async def run():
+            host = demo.Demo()
+            await host.start()
+            at = f"127.0.0.1:{host.daemon.operators.port}"
+            results = []
+            for words in commands:
+                # The command runs a loop of its own, so it needs a thread of its own.
+                result = await asyncio.to_thread(command, at, *words, key=key)
+                results.append(result)
+            await host.stop()
+            return results
+
+        return self.run_async(run())
+
+    def test_shows_an_account(self):
+        table, as_json = self.against_demo(
+            ("account", "show", "growers"), ("account", "show", "growers", "--json")
+        )
+        self.assertEqual(0, table[0], table)
+        self.assertIn("growers", table[1])
+        self.assertEqual(demo.BUDGET, json.loads(as_json[1])["paid"])
+
+    def test_refusals_and_wrong_usage_have_codes_of_their_own(self):
+        unknown, usage = self.against_demo(("account", "show", "nobody"), ("nonsense",))
+        self.assertEqual(ctl.EXIT_REFUSED, unknown[0])
+        self.assertIn("unknown_account", unknown[2])
+        self.assertEqual(ctl.EXIT_USAGE, usage[0])
+
+    def test_wrong_key_is_refused(self):
+        [result] = self.against_demo(("account", "show", "growers"), key="wrong")
+        self.assertEqual(ctl.EXIT_REFUSED, result[0])
+        self.assertNotIn("paid", result[1])
+
+    def test_no_daemon_has_a_code_of_its_own(self):
+        code, _, errors = command("127.0.0.1:1", "account", "show", "growers")
+        self.assertEqual(ctl.EXIT_UNREACHABLE, code)
+        self.assertIn("--at", errors)
--- /dev/null
+++ b/dogwoodchute/tests/test_server.py
@@ -0,0 +1,76 @@
+"""The listeners, with and without TLS."""
+
+import datetime
+import ipaddress
+import pathlib
+import ssl
+import tempfile
+
+import aiohttp
+import sanic
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from dogwoodchute import server
+from dogwoodchute.tests import support
+
+
+def write_certificate(folder):
+    """Write a self-signed certificate of 127.0.0.1; return certificate and key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, "test")])
+    alternative = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    began = datetime.datetime(2020, 1, 1)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(began)
+        .not_valid_after(began + datetime.timedelta(days=36_500))
+        .add_extension(x509.SubjectAlternativeName([alternative]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    paths = [pathlib.Path(folder) / name for name in ("tls.crt", "tls.key")]
+    paths[0].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    paths[1].write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return [str(path) for path in paths]
+
+
+class TLSTest(support.TestCase):
+    def test_listener_speaks_tls_and_refuses_plain(self):
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                certificate, key = write_certificate(folder)
+                context = server.tls_context(certificate, key)
+                trust = ssl.create_default_context(cafile=certificate)
+            listener = server.Server(
+                name="tls-test", body_bytes=1000, header_bytes=4096, idle_timeout=5
+            )
+
+            async def answer(request):
+                return sanic.text("hello")
+
+            listener.app.add_route(answer, "/")
+            await listener.start("127.0.0.1", 0, tls=context)
+            address = f"127.0.0.1:{listener.port}/"
+            async with aiohttp.ClientSession() as session:
+                async with session.get(f"https://{address}", ssl=trust) as response:
+                    self.assertEqual("hello", await response.text())
+                with self.assertRaises(aiohttp.ClientError):
+                    await session.get(f"http://{address}")
+            await listener.stop()
+
+        self.run_async(run())
+
+    def test_no_certificate_means_no_tls(self):
+        self.assertIsNone(server.tls_context("", ""))
--- a/dogwoodchute/tools/ctl.py
+++ b/dogwoodchute/tools/ctl.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import os
+import ssl
 import sys
 from collections import abc
 from typing import Annotated
@@ -26,6 +27,9 @@
     at: Annotated[
         str, cappa.Arg(long="--at", help="IP number and port of a host's operator side")
     ] = os.environ.get("DOGWOODCTL_AT", "127.0.0.1:8081")
+    ca: Annotated[
+        str, cappa.Arg(long="--ca", help="PEM file to trust; set it to use TLS")
+    ] = os.environ.get("DOGWOODCTL_CA", "")
     as_json: Annotated[
         bool, cappa.Arg(long="--json", help="Print JSON instead of a table")
     ] = False
@@ -43,9 +47,13 @@
 async def _send(connection: Connection, method: str, path: str, **options) -> object:
     headers = {"Authorization": f"Bearer {os.environ.get('DOGWOODCTL_KEY', '')}"}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT)
+    url = f"http://{connection.at}{path}"
+    if connection.ca:
+        url = f"https://{connection.at}{path}"
+        options["ssl"] = ssl.create_default_context(cafile=connection.ca)
     async with (
         aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
-        session.request(method, f"http://{connection.at}{path}", **options) as response,
+        session.request(method, url, **options) as response,
     ):
         text = await response.text()
         try:
