--- /dev/null
+++ b/dogwoodchute/controllers/claims.py
@@ -0,0 +1,222 @@
+"""Inserts, abandons and looks up the claims of non-idempotent calls."""
+
+import asyncio
+import dataclasses
+from typing import NamedTuple
+
+from dogwoodchute import log, metrics_money as metrics, peers, state
+from dogwoodchute.coordination import claims, rows, throttle
+from dogwoodchute.platform import table, table_client
+
+KIND = "claim"
+HOLDER_WAIT = 2.0  # seconds that a holder waits for the end before it answers
+CALL_TIMEOUT = 4.0  # seconds
+RETRY_BASE = 0.1  # seconds
+RETRY_LIMIT = 5.0  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Claimed:
+    """The claim is durable and ours: this host alone may run the request."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Taken:
+    """The key has a claim or a bill already; `row` is the claim's, if any."""
+
+    row: table.Row | None
+    billed: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotCertain:
+    """The claim can't be made certain now; the request must not run."""
+
+    reason: str
+    peer: str | None = None
+
+
+class Running(NamedTuple):
+    """A claim that this host has not brought to an end yet."""
+
+    ended: asyncio.Event
+
+
+class Claims:
+    """The claims that this host holds and has not ended."""
+
+    def __init__(self, *, host: state.HostState) -> None:
+        self._host = host
+        self._running: dict[str, Running] = {}
+        self._tasks: set[asyncio.Task] = set()
+        host.peers.handle(KIND, self._tell)
+
+    async def insert(
+        self,
+        account: str,
+        request_key: str,
+        fingerprint: str,
+        replaced: table.Row | None = None,
+    ) -> Claimed | Taken | NotCertain:
+        """Claim a request, in the settings' bound.
+
+        `replaced` is an abandoned claim of the same key. A claim that becomes certain
+        after the bound is abandoned.
+        """
+        key = rows.claim(account, request_key)
+        if key in self._running:
+            await self._ended(key)
+            return await self._read(account, request_key)
+        self._running[key] = Running(asyncio.Event())
+        task = asyncio.create_task(
+            self._insert(account, request_key, fingerprint, replaced)
+        )
+        timeout = self._host.config.budget.claim_wait
+        await asyncio.wait({task}, timeout=timeout)
+        if not task.done():
+            self._keep(self._abandon_late(task, account, request_key))
+            return NotCertain(reason=f"no certain claim in {timeout} s")
+        result = task.result()
+        if not isinstance(result, Claimed):
+            self.end(account, request_key)
+        return result
+
+    def end(self, account: str, request_key: str) -> None:
+        """Record that a claim's row has its last state."""
+        running = self._running.pop(rows.claim(account, request_key), None)
+        if running is not None:
+            running.ended.set()
+
+    def abandon(self, account: str, request_key: str, version: int) -> None:
+        """Mark a claim abandoned in the background; its request has not run."""
+        self._keep(self._abandon(account, request_key, version))
+
+    async def wait_for_holder(self, account: str, request_key: str) -> bool:
+        """Wait some seconds for a claim of this host or a peer to end.
+
+        Return whether it may still end, False if its holder is gone.
+        """
+        found = await self._read(account, request_key)
+        if isinstance(found, NotCertain):
+            await asyncio.sleep(RETRY_BASE)
+            return True
+        if found.row is None or found.row.value["state"] != claims.CLAIMED:
+            return True
+        claim = claims.claim_of(found.row.value)
+        body = {"account": account, "request_key": request_key}
+        if claim.incarnation == self._host.incarnation:
+            answer = await self._tell(claim.host, body)
+        else:
+            outcome = await self._host.peers.call(claim.host, KIND, body, CALL_TIMEOUT)
+            if not isinstance(outcome, peers.Answer):
+                await asyncio.sleep(RETRY_BASE)
+                return True
+            answer = outcome.body
+        if answer["incarnation"] != claim.incarnation:
+            return False
+        if answer["running"]:
+            return True
+        # It may have ended between the read and the answer.
+        found = await self._read(account, request_key)
+        if isinstance(found, NotCertain) or found.row is None:
+            return True
+        return found.row.value["state"] != claims.CLAIMED
+
+    async def _tell(self, sender: str, body: dict) -> dict:
+        key = rows.claim(body["account"], body["request_key"])
+        await self._ended(key)
+        running = key in self._running
+        return {"incarnation": self._host.incarnation, "running": running}
+
+    async def _ended(self, key: str) -> None:
+        """Wait some seconds for the end of a claim of this host."""
+        running = self._running.get(key)
+        if running is None:
+            return
+        ended = asyncio.create_task(running.ended.wait())
+        await asyncio.wait({ended}, timeout=HOLDER_WAIT)
+        ended.cancel()
+
+    async def _read(self, account: str, request_key: str) -> Taken | NotCertain:
+        claim_key = rows.claim(account, request_key)
+        bill_key = rows.bill(account, request_key)
+        found = await self._host.store.read([claim_key, bill_key])
+        if isinstance(found, table.Unavailable):
+            return NotCertain(reason=found.reason, peer=found.peer)
+        return Taken(row=found.rows.get(claim_key), billed=bill_key in found.rows)
+
+    async def _insert(
+        self,
+        account: str,
+        request_key: str,
+        fingerprint: str,
+        replaced: table.Row | None,
+    ) -> Claimed | Taken | NotCertain:
+        key = rows.claim(account, request_key)
+        bill_key = rows.bill(account, request_key)
+        claim = claims.Claim(
+            claims.CLAIMED,
+            self._host.config.host.id,
+            self._host.incarnation,
+            fingerprint,
+        )
+        plain = claims.value(claim)
+        if replaced is not None:
+            plain[table_client.AFTER] = replaced.commit_id
+        version = replaced.version if replaced is not None else 0
+        outcome = await self._host.store.commit(
+            table.commit_id(self._host.rng),
+            [table.Check(key, version), table.Check(bill_key, 0)],
+            [table.Write(key, plain)],
+        )
+        if isinstance(outcome, table.Committed):
+            return Claimed(version=outcome.versions[key])
+        if isinstance(outcome, table.Conflict):
+            row = outcome.rows.get(key, replaced)
+            billed = outcome.rows.get(bill_key) is not None
+            return Taken(row=row, billed=billed)
+        return NotCertain(reason=outcome.reason, peer=outcome.peer)
+
+    async def _abandon_late(
+        self, task: asyncio.Task, account: str, request_key: str
+    ) -> None:
+        result = await task
+        if isinstance(result, Claimed):
+            await self._abandon(account, request_key, result.version)
+        else:
+            self.end(account, request_key)
+
+    async def _abandon(self, account: str, request_key: str, version: int) -> None:
+        key = rows.claim(account, request_key)
+        attempt = 0
+        while True:
+            found = await self._host.store.read([key])
+            if isinstance(found, table.Rows):
+                row = found.rows.get(key)
+                if row is None or row.version != version:
+                    break
+                abandoned = {**row.value, "state": claims.ABANDONED}
+                abandoned[table_client.AFTER] = row.commit_id
+                outcome = await self._host.store.commit(
+                    table.commit_id(self._host.rng),
+                    [table.Check(key, version)],
+                    [table.Write(key, abandoned)],
+                )
+                if not isinstance(outcome, table.Unavailable):
+                    break
+            attempt += 1
+            await asyncio.sleep(
+                throttle.backoff(
+                    attempt, base=RETRY_BASE, limit=RETRY_LIMIT, rng=self._host.rng
+                )
+            )
+        metrics.CLAIMS.labels(claims.ABANDONED).inc()
+        log.info("claim_abandoned", account=account, request=request_key)
+        self.end(account, request_key)
+
+    def _keep(self, coroutine: object) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/dogwoodchute/controllers/copies.py
@@ -0,0 +1,200 @@
+"""Copies of pending bills at peers, for the time that the store is away.
+
+A copy is a write on its way to the store, not a replica: it is dropped once the store
+has the bill, and whoever can write it first does, each through its own grant.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from dogwoodchute import controller, log, metrics_money as metrics, peers, state
+from dogwoodchute.controllers import bills, grants
+from dogwoodchute.coordination import bills as pure_bills, rows
+from dogwoodchute.platform import table
+
+KIND = "pending_bill"
+KIND_OF = "pending_bills_of"
+WANTED = 2  # peers that keep a copy
+OFFER_AGE = 0.3  # seconds that a bill waits for the store before it is offered
+WRITE_AGE = 5.0  # seconds that a copy waits for the bill's own host
+CALL_TIMEOUT = 1.0  # seconds
+INTERVAL = 0.25  # seconds
+READ_GROUP = 50  # copies looked up in one read
+MAX_COPIES = 10_000
+
+
+class Copy(NamedTuple):
+    """A copy of another host's bill."""
+
+    entry: pure_bills.Entry
+    checks: list[table.Check]
+    writes: list[table.Write]
+    received: float  # monotonic seconds
+
+    @property
+    def key(self) -> str:
+        """The key of the bill's row."""
+        return rows.bill(self.entry.account, self.entry.request_key)
+
+
+def to_plain(bill: bills.Bill) -> dict:
+    """Return the body of a call that offers a bill."""
+    return {
+        "entry": list(bill.entry),
+        "checks": [list(check) for check in bill.checks],
+        "writes": [list(write) for write in bill.writes],
+    }
+
+
+def from_plain(body: dict, received: float) -> Copy:
+    """Return the copy in the body of an offer."""
+    return Copy(
+        pure_bills.Entry(*body["entry"]),
+        [table.Check(*check) for check in body["checks"]],
+        [table.Write(*write) for write in body["writes"]],
+        received,
+    )
+
+
+class Copies:
+    """The copies that this host keeps, and those of its own bills elsewhere."""
+
+    def __init__(
+        self, *, host: state.HostState, granted: grants.Grants, billing: bills.Bills
+    ) -> None:
+        self._host = host
+        self._grants = granted
+        self._bills = billing
+        self._copies: dict[str, Copy] = {}
+        self._writing: set[str] = set()
+        host.peers.handle(KIND, self._keep)
+        host.peers.handle(KIND_OF, self._tell)
+
+    async def step(self) -> None:
+        """Offer bills that wait for the store, and write copies that it lacks."""
+        await self.offer(age=OFFER_AGE, anywhere=False)
+        await self._write_copies()
+
+    async def offer(self, *, age: float, anywhere: bool) -> None:
+        """Have peers keep copies of bills older than `age` seconds."""
+        before = self._host.now() - age
+        waiting = []
+        for bill in self._bills.unwritten:
+            if bill.copied or bill.submitted > before or len(bill.holders) >= WANTED:
+                continue
+            waiting.append(bill)
+        if waiting:
+            await asyncio.gather(*(self._offer(bill, anywhere) for bill in waiting))
+
+    async def hand_over(self) -> int:
+        """Leave what is unbilled with any peer; return how many bills none took."""
+        await self.offer(age=0.0, anywhere=True)
+        left = 0
+        for bill in self._bills.unwritten:
+            if bill.copied or bill.holders:
+                continue
+            left += 1
+            log.error("bill_left_behind", **bill.entry._asdict())
+        return left
+
+    async def of_incarnation(self, incarnation: str) -> list[Copy]:
+        """Return the pending bills of a host process that any reachable peer keeps."""
+        found = {c.key: c for c in self._copies.values() if _from(c, incarnation)}
+        known = [peer for peer in self._host.peers.known() if peer.alive]
+        body = {"incarnation": incarnation}
+        answers = await asyncio.gather(
+            *(self._host.peers.call(p.host, KIND_OF, body, CALL_TIMEOUT) for p in known)
+        )
+        for answer in answers:
+            if not isinstance(answer, peers.Answer):
+                continue
+            for plain in answer.body["bills"]:
+                copy = from_plain(plain, 0.0)
+                found.setdefault(copy.key, copy)
+        return list(found.values())
+
+    def controller(self) -> controller.Controller:
+        """Return the controller that offers bills and writes copies."""
+        return controller.periodic(
+            "copies", self.step, interval=INTERVAL, final=self._last
+        )
+
+    async def _last(self) -> None:
+        await self.hand_over()
+
+    async def _offer(self, bill: bills.Bill, anywhere: bool) -> None:
+        candidates = [
+            pure_bills.Candidate(p.host, p.data_centre, p.alive, p.leaving)
+            for p in self._host.peers.known()
+        ]
+        place = self._host.config.host.data_centre
+        body = to_plain(bill)
+        for peer in pure_bills.holders(
+            candidates, data_centre=place, anywhere=anywhere
+        ):
+            if len(bill.holders) >= WANTED or bill.durable.done():
+                break
+            if peer in bill.holders:
+                continue
+            answer = await self._host.peers.call(peer, KIND, body, CALL_TIMEOUT)
+            if isinstance(answer, peers.Answer) and answer.body.get("kept"):
+                bill.holders.add(peer)
+        if len(bill.holders) >= WANTED and not bill.kept.done():
+            bill.kept.set_result(bills.AtPeers(hosts=tuple(sorted(bill.holders))))
+
+    async def _keep(self, sender: str, body: dict) -> dict:
+        copy = from_plain(body, self._host.now())
+        if len(self._copies) >= MAX_COPIES and copy.key not in self._copies:
+            return {"kept": False}
+        self._copies.setdefault(copy.key, copy)
+        metrics.PENDING_COPIES.set(len(self._copies))
+        return {"kept": True}
+
+    async def _tell(self, sender: str, body: dict) -> dict:
+        incarnation = body["incarnation"]
+        found = [c for c in self._copies.values() if _from(c, incarnation)]
+        return {"bills": [_plain_copy(copy) for copy in found]}
+
+    async def _write_copies(self) -> None:
+        before = self._host.now() - WRITE_AGE
+        due = [c for c in self._copies.values() if c.received <= before]
+        due = [c for c in due if c.key not in self._writing][:READ_GROUP]
+        if not due:
+            return
+        found = await self._host.store.read([copy.key for copy in due])
+        if isinstance(found, table.Unavailable):
+            return
+        for copy in due:
+            if copy.key in found.rows:
+                self._drop(copy.key)
+                continue
+            await self._write(copy)
+
+    async def _write(self, copy: Copy) -> None:
+        entry = copy.entry
+        result = await self._grants.reserve(entry.account, entry.tokens)
+        if not isinstance(result, grants.Reserved):
+            return
+        self._grants.settle(entry.account, entry.tokens, entry.tokens)
+        bill = self._bills.submit(
+            entry, checks=copy.checks, writes=copy.writes, copied=True
+        )
+        self._writing.add(copy.key)
+        bill.durable.add_done_callback(lambda _: self._drop(copy.key))
+
+    def _drop(self, key: str) -> None:
+        self._copies.pop(key, None)
+        self._writing.discard(key)
+        metrics.PENDING_COPIES.set(len(self._copies))
+
+
+def _from(copy: Copy, incarnation: str) -> bool:
+    return copy.entry.incarnation == incarnation
+
+
+def _plain_copy(copy: Copy) -> dict:
+    return {
+        "entry": list(copy.entry),
+        "checks": [list(check) for check in copy.checks],
+        "writes": [list(write) for write in copy.writes],
+    }
--- /dev/null
+++ b/dogwoodchute/controllers/lookups.py
@@ -0,0 +1,46 @@
+"""Looks up whether request keys were billed before, many in one read."""
+
+import asyncio
+
+from dogwoodchute import state
+from dogwoodchute.coordination import rows
+from dogwoodchute.platform import table
+
+INTERVAL = 0.2  # seconds between two reads
+MAX_GROUP = 200  # keys in one read
+
+
+class Lookups:
+    """The keys that wait for the next read.
+
+    The first key after a calm is read at once; the rate of reads is bounded whatever
+    the number of requests.
+    """
+
+    def __init__(self, *, host: state.HostState) -> None:
+        self._host = host
+        self._waiting: dict[str, asyncio.Future] = {}
+        self._task: asyncio.Task | None = None
+
+    async def bill(self, account: str, request_key: str) -> table.Row | None:
+        """Return the bill of a request key; None if there is none or no answer."""
+        key = rows.bill(account, request_key)
+        found = self._waiting.get(key)
+        if found is None:
+            found = asyncio.get_running_loop().create_future()
+            self._waiting[key] = found
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._read())
+        timeout = self._host.config.budget.lookup_wait
+        await asyncio.wait({found}, timeout=timeout)
+        return found.result() if found.done() else None
+
+    async def _read(self) -> None:
+        while self._waiting:
+            keys = list(self._waiting)[:MAX_GROUP]
+            group = {key: self._waiting.pop(key) for key in keys}
+            outcome = await self._host.store.read(keys)
+            found = outcome.rows if isinstance(outcome, table.Rows) else {}
+            for key, future in group.items():
+                future.set_result(found.get(key))
+            await asyncio.sleep(INTERVAL)
--- /dev/null
+++ b/dogwoodchute/controllers/reclaim.py
@@ -0,0 +1,204 @@
+"""Closes the grants of lost host processes and returns what they did not spend."""
+
+from collections import abc
+
+from dogwoodchute import clock, controller, log, metrics_money as metrics, state
+from dogwoodchute.controllers import copies, grants
+from dogwoodchute.coordination import (
+    bills as pure_bills,
+    grants as pure_grants,
+    reclaim,
+    rows,
+)
+from dogwoodchute.platform import table, table_client
+
+MAX_TRIES = 8
+MAX_BILLS = 100  # pending bills written with one closing commit
+CHECK_INTERVAL = 60.0  # seconds between two looks at one account's grants
+SPENT_INTERVAL = 5.0  # seconds between two looks that a spent budget asks for
+KEEP_CLOSED = 86_400.0  # seconds that a closed grant's row is kept
+
+
+class Reclaim:
+    """What this host knows of the grants of others."""
+
+    def __init__(
+        self,
+        *,
+        host: state.HostState,
+        granted: grants.Grants,
+        copying: copies.Copies,
+        wall: abc.Callable[[], float] = clock.wall,
+    ) -> None:
+        self._host = host
+        self._grants = granted
+        self._copies = copying
+        self._wall = wall
+        self._checked: dict[str, float] = {}
+        granted.find_lost = self.search
+
+    async def search(self, account: str) -> int:
+        """Look for lost grants now, unless that was done within some seconds."""
+        last = self._checked.get(account)
+        if last is not None and self._host.now() - last < SPENT_INTERVAL:
+            return 0
+        return await self.check(account)
+
+    async def step(self) -> None:
+        """Look at the account, of those served here, that was looked at first."""
+        due = self._host.now() - CHECK_INTERVAL
+        oldest = None
+        for account in self._grants.accounts:
+            last = self._checked.get(account, float("-inf"))
+            if last <= due and (oldest is None or last < oldest[0]):
+                oldest = (last, account)
+        if oldest is not None:
+            await self.check(oldest[1])
+
+    async def check(self, account: str) -> int:
+        """Close the account's lost grants; return how many tokens came back."""
+        self._checked[account] = self._host.now()
+        prefix = rows.grant(account, "")
+        found = await self._host.store.scan(prefix)
+        if isinstance(found, table.Unavailable):
+            return 0
+        others = {}
+        for key, row in found.rows.items():
+            incarnation = key.removeprefix(prefix)
+            if incarnation != self._host.incarnation:
+                others[incarnation] = row
+        evidence = await self._evidence(others)
+        returned = 0
+        for incarnation, row in others.items():
+            if row.value.get("closed"):
+                await self._purge(account, row)
+                continue
+            if reclaim.is_gone(incarnation, row.value.get("listed"), evidence):
+                returned += await self._close(account, incarnation, row)
+        return returned
+
+    def controller(self) -> controller.Controller:
+        """Return the controller that looks for lost grants."""
+        interval = self._host.config.budget.reclaim_interval
+        return controller.periodic("reclaim", self.step, interval=interval)
+
+    async def _evidence(self, incarnations: abc.Iterable[str]) -> reclaim.Evidence:
+        listed = self._host.host_list
+        hosts = sorted({reclaim.host_of(name) for name in incarnations})
+        registered = {}
+        found = await self._host.store.read([rows.host(name) for name in hosts])
+        if isinstance(found, table.Rows):
+            for name in hosts:
+                row = found.rows.get(rows.host(name))
+                if row is not None and "incarnation" in row.value:
+                    registered[name] = row.value["incarnation"]
+        known = self._host.peers.known()
+        return reclaim.Evidence(
+            revision=listed.revision if listed is not None else 0,
+            listed=frozenset(listed.hosts) if listed is not None else None,
+            registered=registered,
+            alive=frozenset(peer.incarnation for peer in known if peer.alive),
+        )
+
+    async def _close(self, account: str, incarnation: str, row: table.Row) -> int:
+        budget_key = rows.budget(account)
+        held = await self._copies.of_incarnation(incarnation)
+        pending = [copy for copy in held if copy.entry.account == account]
+        budget = None
+        for _ in range(MAX_TRIES):
+            if budget is None:
+                found = await self._host.store.read([budget_key])
+                if isinstance(found, table.Unavailable) or not found.rows:
+                    return 0
+                budget = found.rows[budget_key]
+            grant = pure_grants.grant_of(row.value)
+            chosen = _fitting(pending, grant.unspent)
+            checks, writes = self._closing(row, grant, budget, chosen)
+            outcome = await self._host.store.commit(
+                table.commit_id(self._host.rng), checks, writes
+            )
+            if isinstance(outcome, table.Committed):
+                billed = sum(copy.entry.tokens for copy in chosen)
+                metrics.RECLAIMED.inc()
+                metrics.BILLED.inc(billed)
+                log.info(
+                    "grant_reclaimed",
+                    account=account,
+                    incarnation=incarnation,
+                    returned=grant.unspent - billed,
+                    billed=billed,
+                )
+                return grant.unspent - billed
+            if isinstance(outcome, table.Unavailable) or row.key in outcome.rows:
+                return 0
+            budget = outcome.rows.get(budget_key, budget)
+            pending = [copy for copy in pending if not _met(copy, outcome)]
+        return 0
+
+    def _closing(
+        self,
+        row: table.Row,
+        grant: pure_grants.Grant,
+        budget: table.Row,
+        chosen: list[copies.Copy],
+    ) -> tuple[list[table.Check], list[table.Write]]:
+        billed = sum(copy.entry.tokens for copy in chosen)
+        balance = pure_grants.balance_of(budget.value)
+        balance, closed = pure_grants.close(balance, grant, billed)
+        plain = pure_grants.grant_value(closed)
+        plain[table_client.AFTER] = row.commit_id
+        plain["closed_at"] = self._wall()
+        checks = [
+            table.Check(row.key, row.version),
+            table.Check(budget.key, budget.version),
+        ]
+        writes = [
+            table.Write(row.key, plain),
+            table.Write(budget.key, pure_grants.balance_value(balance)),
+        ]
+        for copy in chosen:
+            checks += [table.Check(copy.key, 0), *copy.checks]
+            writes.append(table.Write(copy.key, pure_bills.value(copy.entry)))
+            writes += copy.writes
+        return checks, writes
+
+    async def _purge(self, account: str, row: table.Row) -> None:
+        """Delete a closed grant's row once no writer can still need it."""
+        if self._wall() - row.value["closed_at"] < KEEP_CLOSED:
+            return
+        budget_key = rows.budget(account)
+        found = await self._host.store.read([budget_key])
+        if isinstance(found, table.Unavailable) or not found.rows:
+            return
+        budget = found.rows[budget_key]
+        balance = pure_grants.retire(
+            pure_grants.balance_of(budget.value), pure_grants.grant_of(row.value)
+        )
+        await self._host.store.commit(
+            table.commit_id(self._host.rng),
+            [
+                table.Check(row.key, row.version),
+                table.Check(budget_key, budget.version),
+            ],
+            [
+                table.Write(row.key, None),
+                table.Write(budget_key, pure_grants.balance_value(balance)),
+            ],
+        )
+
+
+def _fitting(pending: list[copies.Copy], room: int) -> list[copies.Copy]:
+    """Return the pending bills that one closing commit can write."""
+    chosen = []
+    for copy in pending[:MAX_BILLS]:
+        if copy.entry.tokens <= room:
+            room -= copy.entry.tokens
+            chosen.append(copy)
+    return chosen
+
+
+def _met(copy: copies.Copy, conflict: table.Conflict) -> bool:
+    """Return whether a conflict shows that a pending bill can't be written."""
+    if copy.key in conflict.rows:
+        return True
+    return any(check.key in conflict.rows for check in copy.checks)
--- a/dogwoodchute/coordination/grants.py
+++ b/dogwoodchute/coordination/grants.py
@@ -1,30 +1,126 @@
-"""Grants: the part of a prepaid budget that one host may spend from memory."""
+"""Grants: the part of a prepaid budget that one host may spend from memory.
+
+The rows keep, in every commit:
+
+- `drawn <= paid` in each budget and `billed <= granted` in each grant;
+- `drawn` = `closed_billed` + the sum of `granted` over the account's grant rows;
+- billed in all = `closed_billed` + the sum of `billed` over the grant rows.
+
+Source of the method: P. O'Neil, "The Escrow Transactional Method", ACM TODS 11, 1986.
+"""
 
 from typing import NamedTuple
 
+AFTER = "after"  # the id of the holder's commit that a closing commit replaced
+
 
 class Balance(NamedTuple):
     """A client account's budget row, in tokens."""
 
-    paid: int
-    drawn: int
+    paid: int  # cumulative
+    drawn: int  # cumulative, net of returns
+    closed_billed: int = 0  # billed in grants whose rows are gone
+
+    @property
+    def remaining(self) -> int:
+        """Tokens that may still be drawn."""
+        return self.paid - self.drawn
+
+
+class Grant(NamedTuple):
+    """A grant row, in tokens."""
+
+    granted: int
+    billed: int
+    closed: bool = False
+
+    @property
+    def unspent(self) -> int:
+        """Tokens that may still be billed."""
+        return self.granted - self.billed
+
+
+class InvariantError(Exception):
+    """A change would spend more than was paid; nothing of it may be written."""
+
+
+def balance_of(value: dict) -> Balance:
+    """Return the balance in the value of a budget row."""
+    return Balance(value["paid"], value["drawn"], value.get("closed_billed", 0))
+
+
+def balance_value(balance: Balance) -> dict:
+    """Return the value of a budget row; raise `InvariantError` if it must not be."""
+    if not 0 <= balance.closed_billed <= balance.drawn <= balance.paid:
+        raise InvariantError(f"budget would become {balance}")
+    return balance._asdict()
+
+
+def grant_of(value: dict) -> Grant:
+    """Return the grant in the value of a grant row."""
+    return Grant(value["granted"], value["billed"], value.get("closed", False))
+
+
+def grant_value(grant: Grant) -> dict:
+    """Return the value of a grant row; raise `InvariantError` if it must not be."""
+    if not 0 <= grant.billed <= grant.granted:
+        raise InvariantError(f"grant would become {grant}")
+    return grant._asdict()
+
+
+def top_up(balance: Balance, tokens: int) -> Balance:
+    """Return the balance after a top-up."""
+    return balance._replace(paid=balance.paid + tokens)
+
+
+def draw(balance: Balance, grant: Grant, tokens: int) -> tuple[Balance, Grant]:
+    """Move `tokens` from the budget to the grant; a negative number gives back."""
+    return (
+        balance._replace(drawn=balance.drawn + tokens),
+        grant._replace(granted=grant.granted + tokens, closed=False),
+    )
+
+
+def close(balance: Balance, grant: Grant, billed: int) -> tuple[Balance, Grant]:
+    """Bill `billed` more tokens of a lost grant and give back what it did not spend."""
+    total = grant.billed + billed
+    closed = Grant(total, total, closed=True)
+    if total > grant.granted:
+        raise InvariantError(f"{billed} more tokens billed to {grant}")
+    return balance._replace(drawn=balance.drawn - grant.granted + total), closed
+
+
+def retire(balance: Balance, grant: Grant) -> Balance:
+    """Return the balance after the grant's row is deleted."""
+    return balance._replace(
+        drawn=balance.drawn - grant.unspent,
+        closed_billed=balance.closed_billed + grant.billed,
+    )
 
 
 class Ledger:
     """One client account's grant on this host, in tokens.
 
-    Keeps `billed + reserved <= granted` at all times.
+    `granted` and `billed` are as in the row. `unbilled` was used, but is not yet in a
+    durable bill; `reserved` is set aside for requests in flight. `available` is below 0
+    only after the grant was lost.
     """
 
-    def __init__(self, *, granted: int = 0, billed: int = 0) -> None:
-        self.granted = granted
-        self.billed = billed
+    def __init__(self) -> None:
+        self.granted = 0
+        self.billed = 0
+        self.unbilled = 0
         self.reserved = 0
 
     @property
     def available(self) -> int:
         """Tokens that a new request may reserve."""
-        return self.granted - self.billed - self.reserved
+        return self.granted - self.billed - self.unbilled - self.reserved
+
+    @property
+    def grant(self) -> Grant:
+        """The row as this host would write it."""
+        return Grant(self.granted, self.billed)
 
     def reserve(self, tokens: int) -> bool:
         """Reserve `tokens`; return whether the grant covers them."""
@@ -34,16 +130,22 @@
         return True
 
     def settle(self, reserved: int, used: int) -> int:
-        """End a reservation, bill what was used of it, and return the billed part."""
-        billed = min(used, reserved)
+        """End a reservation and return how many tokens of it are to be billed."""
+        unbilled = max(0, min(used, reserved))
         self.reserved -= reserved
-        self.billed += billed
-        return billed
+        self.unbilled += unbilled
+        return unbilled
+
+    def confirm(self, tokens: int) -> None:
+        """Record that `tokens` unbilled tokens are in a durable bill of this grant."""
+        self.unbilled -= tokens
+        self.billed += tokens
 
+    def drop(self, tokens: int) -> None:
+        """Forget `tokens` unbilled tokens, which are billed elsewhere or never."""
+        self.unbilled -= tokens
 
-def draw_size(balance: Balance, needed: int, wanted: int) -> int:
-    """Return how many tokens to draw, 0 if the budget does not cover `needed`."""
-    remaining = balance.paid - balance.drawn
-    if needed > remaining:
-        return 0
-    return min(remaining, max(needed, wanted, remaining // 16))
+    def replace(self, grant: Grant) -> None:
+        """Take over the row that another writer left; what is owed here stays owed."""
+        self.granted = grant.granted
+        self.billed = grant.billed
--- /dev/null
+++ b/dogwoodchute/coordination/reclaim.py
@@ -0,0 +1,40 @@
+"""Evidence that a host process is gone. Silence is none."""
+
+from collections import abc
+from typing import NamedTuple
+
+
+class Evidence(NamedTuple):
+    """What one reclaiming host knows.
+
+    `listed` are the hosts of the host list at `revision`, None without a list.
+    `registered` maps each host to the incarnation of its registration row. `alive` are
+    the incarnations whose heartbeats arrive.
+    """
+
+    revision: int
+    listed: frozenset[str] | None
+    registered: abc.Mapping[str, str]
+    alive: frozenset[str]
+
+
+def host_of(incarnation: str) -> str:
+    """Return the host of an incarnation."""
+    return incarnation.rpartition("-")[0]
+
+
+def is_gone(incarnation: str, seen_listed: int | None, evidence: Evidence) -> bool:
+    """Return whether `incarnation` is certainly no longer entitled to its grant.
+
+    `seen_listed` is the last host list revision in which it saw its host, as its grant
+    row tells. A list that never had the host, or is older, proves nothing.
+    """
+    if incarnation in evidence.alive:
+        return False
+    host = host_of(incarnation)
+    newer = evidence.registered.get(host)
+    if newer is not None and newer != incarnation:
+        return True
+    if evidence.listed is None or seen_listed is None:
+        return False
+    return evidence.revision > seen_listed and host not in evidence.listed
--- /dev/null
+++ b/dogwoodchute/coordination/throttle.py
@@ -0,0 +1,83 @@
+"""Rate budgets, jittered back-off and circuit breaking, with time passed in."""
+
+import random
+
+
+class TokenBucket:
+    """A rate budget of `rate` calls a second and `burst` calls at once."""
+
+    def __init__(self, *, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self._level = burst
+        self._updated = float("-inf")
+
+    def take(self, now: float) -> float:
+        """Take one call and return the seconds to wait before making it."""
+        elapsed = max(0.0, now - self._updated)
+        self._level = min(self.burst, self._level + elapsed * self.rate)
+        self._updated = now
+        self._level -= 1.0
+        return max(0.0, -self._level / self.rate)
+
+    def give_back(self) -> None:
+        """Undo one `take` whose call was not made."""
+        self._level = min(self.burst, self._level + 1.0)
+
+
+def backoff(attempt: int, *, base: float, limit: float, rng: random.Random) -> float:
+    """Return the seconds to wait after failed attempt number `attempt`, from 1 on.
+
+    Exponential back-off with equal jitter, as described in M. Brooker, "Exponential
+    Backoff and Jitter", AWS Architecture Blog, 2015.
+    """
+    longest = min(limit, base * 2.0 ** min(attempt - 1, 30))
+    return longest / 2 + rng.uniform(0.0, longest / 2)
+
+
+class Breaker:
+    """A circuit breaker: opens after `threshold` failures in a row.
+
+    While it is open, one probe is let through after each back-off. Source: M. Nygard,
+    "Release It!", chapter "Circuit Breaker".
+    """
+
+    def __init__(
+        self, *, threshold: int, base: float, limit: float, rng: random.Random
+    ) -> None:
+        self._threshold = threshold
+        self._base = base
+        self._limit = limit
+        self._rng = rng
+        self._failures = 0
+        self._next_probe = 0.0
+
+    @property
+    def closed(self) -> bool:
+        """Whether calls pass freely."""
+        return self._failures < self._threshold
+
+    def allows(self, now: float) -> bool:
+        """Return whether a call may be made; counts as the probe if it is one."""
+        if self.closed:
+            return True
+        if now < self._next_probe:
+            return False
+        self._schedule(now)
+        return True
+
+    def succeeded(self) -> None:
+        """Record an answer."""
+        self._failures = 0
+
+    def failed(self, now: float) -> None:
+        """Record a call without an answer."""
+        self._failures += 1
+        if not self.closed:
+            self._schedule(now)
+
+    def _schedule(self, now: float) -> None:
+        attempt = self._failures - self._threshold + 1
+        self._next_probe = now + backoff(
+            attempt, base=self._base, limit=self._limit, rng=self._rng
+        )
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -8,19 +8,31 @@
     forward,
     log,
     operators,
+    operators_money,
     server,
     state,
 )
-from dogwoodchute.controllers import bills, grants, releases
+from dogwoodchute.controllers import (
+    bills,
+    budgets,
+    claims,
+    copies,
+    grants,
+    lookups,
+    reclaim,
+    releases,
+)
 from dogwoodchute.filters import (
     authenticate,
     bill,
     choose,
+    claim,
     deduplicate,
     dispatch,
     reserve,
     resolve,
 )
+from dogwoodchute.platform import table_client
 
 
 class Daemon:
@@ -29,8 +41,15 @@
     def __init__(self, *, host: state.HostState) -> None:
         self.host = host
         config = host.config
+        host.store = table_client.guard(host.store, now=host.now, rng=host.rng)
         self.grants = grants.Grants(host=host)
         self.bills = bills.Bills(host=host, granted=self.grants)
+        self.copies = copies.Copies(host=host, granted=self.grants, billing=self.bills)
+        self.reclaim = reclaim.Reclaim(
+            host=host, granted=self.grants, copying=self.copies
+        )
+        self.claims = claims.Claims(host=host)
+        self.budgets = budgets.Budgets(host=host)
         self.releases = releases.Releases(host=host)
         self.forwarder = forward.Forwarder(host=host)
         self.callers = _server("callers", host)
@@ -40,15 +59,21 @@
                 "forwarder", self.forwarder.start, self.forwarder.stop
             ),
             self.releases.controller(),
+            self.grants.controller(),
+            self.copies.controller(),
             self.bills.controller(),
+            self.reclaim.controller(),
         ]
         chain = exchange.chain(
             [
                 authenticate.make(host=host),
                 resolve.make(host=host),
-                deduplicate.make(runs=deduplicate.Runs()),
+                deduplicate.make(
+                    runs=deduplicate.Runs(), known=lookups.Lookups(host=host)
+                ),
                 reserve.make(granted=self.grants),
-                bill.make(granted=self.grants, billing=self.bills),
+                claim.make(host=host, claiming=self.claims),
+                bill.make(host=host, granted=self.grants, billing=self.bills),
                 choose.make(host=host, rng=host.rng),
                 dispatch.make(forwarder=self.forwarder),
             ]
@@ -56,6 +81,10 @@
         callers_errors.add_handlers(self.callers.app)
         callers.add_routes(self.callers.app, host=host, run=chain)
         operators.add_routes(self.operators.app, host=host, releasing=self.releases)
+        operators_money.add_routes(self.operators.app, host=host, budget=self.budgets)
+        operators_money.add_caller_routes(
+            self.callers.app, host=host, budget=self.budgets
+        )
         self._config = config
 
     async def start(self) -> None:
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from dogwoodchute import catalog, outcomes
+from dogwoodchute.platform import table
 
 CHAT_PATH = "/v1/chat/completions"
 
@@ -30,6 +31,17 @@
     chunk: abc.Callable[[bytes], abc.Awaitable[None]]
 
 
+class Settlement(NamedTuple):
+    """What must be written in the same commit as a request's bill."""
+
+    checks: list[table.Check]
+    writes: list[table.Write]
+    ended: abc.Callable[[], None]  # called once the store has it
+
+
+Settle = abc.Callable[[outcomes.Outcome], abc.Awaitable[Settlement]]
+
+
 class Exchange:
     """The state of one request; each filter fills in what later ones need."""
 
@@ -51,6 +63,9 @@
         self.used = 0  # tokens that the endpoint reported
         self.endpoint: catalog.Endpoint | None = None
         self.dispatched = False  # a byte may have reached an endpoint
+        self.settle: Settle | None = None  # set for a claimed call
+        self.settled = False  # the reservation has become a bill
+        self.digest = ""  # hex digest of what a repeat under the same key must equal
         self.unbilled = False  # a repeat whose first run is billed already
         self.started = False  # the reply's head has been sent
         self.held: list[bytes] = []  # sent after the bill is durable
--- a/dogwoodchute/filters/bill.py
+++ b/dogwoodchute/filters/bill.py
@@ -1,30 +1,99 @@
 """Bills what a request used before the caller sees the end of its answer."""
 
-from dogwoodchute import exchange as exchanges, log, outcomes
+import http
+
+from dogwoodchute import exchange as exchanges, log, outcomes, state
 from dogwoodchute.controllers import bills, grants
+from dogwoodchute.coordination import bills as pure_bills
 
 
-def make(*, granted: grants.Grants, billing: bills.Bills) -> exchanges.Filter:
-    """Return the filter."""
+def make(
+    *, host: state.HostState, granted: grants.Grants, billing: bills.Bills
+) -> exchanges.Filter:
+    """Return the filter. A reservation that it does not settle is freed by another."""
 
     async def bill(
         exchange: exchanges.Exchange, proceed: exchanges.Proceed
     ) -> outcomes.Outcome:
-        outcome = await proceed()
+        try:
+            outcome = await proceed()
+        except Exception:
+            if not exchange.dispatched:
+                raise
+            log.exception("request_failed", request=exchange.request_key)
+            outcome = _failed()
         if isinstance(outcome, outcomes.NotRun) or exchange.unbilled:
             return outcome
-        account = exchange.account.name
-        if exchange.used > exchange.reserved:
-            log.error(
-                "usage_above_reservation",
-                account=account,
-                request=exchange.request_key,
-                endpoint=exchange.endpoint.name,
-                used=exchange.used,
-                reserved=exchange.reserved,
+        failed = isinstance(outcome, outcomes.Unknown)
+        if failed and exchange.used == 0 and exchange.settle is None:
+            return outcome
+        settlement = None
+        if exchange.settle is not None:
+            settlement = await exchange.settle(outcome)
+        entry = _settle(exchange, host=host, granted=granted)
+        if settlement is None:
+            submitted = billing.submit(entry)
+        else:
+            submitted = billing.submit(
+                entry, checks=settlement.checks, writes=settlement.writes
             )
-        tokens = granted.ledger(account).settle(exchange.reserved, exchange.used)
-        await billing.submit(account, exchange.request_key, tokens)
-        return outcome
+            submitted.durable.add_done_callback(lambda _: settlement.ended())
+        return _told(exchange, outcome, await billing.wait(submitted))
 
     return bill
+
+
+def _settle(
+    exchange: exchanges.Exchange, *, host: state.HostState, granted: grants.Grants
+) -> pure_bills.Entry:
+    """End the reservation and return what is to be billed."""
+    account = exchange.account.name
+    if exchange.used > exchange.reserved:
+        log.error(
+            "usage_above_reservation",
+            account=account,
+            request=exchange.request_key,
+            endpoint=exchange.endpoint.name if exchange.endpoint else None,
+            used=exchange.used,
+            reserved=exchange.reserved,
+        )
+    tokens = granted.settle(account, exchange.reserved, exchange.used)
+    exchange.settled = True
+    return pure_bills.Entry(
+        account, exchange.request_key, tokens, exchange.digest, host.incarnation
+    )
+
+
+def _told(
+    exchange: exchanges.Exchange, outcome: outcomes.Outcome, kept: bills.Kept | None
+) -> outcomes.Outcome:
+    """Return what the caller may be told, given how the bill is kept."""
+    if isinstance(kept, bills.Elsewhere):
+        billed = kept.row.value.get("fingerprint")
+        if billed is not None and billed != exchange.digest:
+            return outcomes.Unknown(
+                status=int(http.HTTPStatus.UNPROCESSABLE_ENTITY),
+                code="key_reused",
+                message="The Idempotency-Key was used with another request, which was "
+                "billed; use a new key.",
+                step="bill",
+            )
+    if kept is None and exchange.settle is not None:
+        # Nobody else would know of the answer if this host were lost now.
+        return outcomes.Unknown(
+            status=int(http.HTTPStatus.SERVICE_UNAVAILABLE),
+            code="not_settled",
+            message="The call ran and its answer is not yet safe; retry with the same "
+            "Idempotency-Key to get it.",
+            step="bill",
+        )
+    return outcome
+
+
+def _failed() -> outcomes.Unknown:
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.INTERNAL_SERVER_ERROR),
+        code="internal_error",
+        message="The router failed; retry with the same Idempotency-Key.",
+        step="bill",
+    )
--- /dev/null
+++ b/dogwoodchute/filters/claim.py
@@ -0,0 +1,193 @@
+"""Claims a non-idempotent call before it runs, and settles it with its answer."""
+
+import asyncio
+import base64
+import http
+
+from dogwoodchute import (
+    exchange as exchanges,
+    log,
+    metrics_money as metrics,
+    outcomes,
+    state,
+)
+from dogwoodchute.controllers import claims
+from dogwoodchute.coordination import claims as pure_claims, rows
+from dogwoodchute.platform import objects, table
+
+UNCERTAIN_RETRY_AFTER = 5.0  # seconds
+OBJECT_WAIT = 2.0  # seconds to put a large answer
+
+
+def make(*, host: state.HostState, claiming: claims.Claims) -> exchanges.Filter:
+    """Return the filter."""
+
+    async def claim(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        if exchange.idempotent:
+            return await proceed()
+        version = await _claim(exchange, host=host, claiming=claiming)
+        if not isinstance(version, int):
+            return version
+        account, key = exchange.account.name, exchange.request_key
+        claim_key = rows.claim(account, key)
+        answer = _buffer(exchange)
+
+        async def settle(outcome: outcomes.Outcome) -> exchanges.Settlement:
+            exchange.held = [b"".join([*answer, *exchange.held])]
+            settled = await _settled(exchange, outcome, host=host)
+            metrics.CLAIMS.labels(settled.state).inc()
+            return exchanges.Settlement(
+                checks=[table.Check(claim_key, version)],
+                writes=[table.Write(claim_key, pure_claims.value(settled))],
+                ended=lambda: claiming.end(account, key),
+            )
+
+        exchange.settle = settle
+        outcome = await _run(exchange, proceed)
+        if isinstance(outcome, outcomes.NotRun):
+            claiming.abandon(account, key, version)
+        return outcome
+
+    return claim
+
+
+async def _claim(
+    exchange: exchanges.Exchange, *, host: state.HostState, claiming: claims.Claims
+) -> int | outcomes.Outcome:
+    """Return the version of the durable claim, or what to tell the caller instead."""
+    account, key = exchange.account.name, exchange.request_key
+    give_up = min(exchange.deadline, host.now() + host.config.budget.repeat_wait)
+    replaced = None
+    while True:
+        found = await claiming.insert(account, key, exchange.digest, replaced)
+        if isinstance(found, claims.Claimed):
+            return found.version
+        if isinstance(found, claims.NotCertain):
+            return _uncertain(found)
+        held = pure_claims.claim_of(found.row.value) if found.row is not None else None
+        decision = pure_claims.decide(
+            held, billed=found.billed, fingerprint=exchange.digest
+        )
+        if decision == pure_claims.REFUSE:
+            return _reused()
+        if decision == pure_claims.REPLAY:
+            return await _replay(exchange, held, host=host)
+        if decision == pure_claims.GIVE_UP or host.now() >= give_up:
+            return _unknown("The first call with this key may have run.")
+        if decision == pure_claims.WAIT:
+            replaced = None
+            if not await claiming.wait_for_holder(account, key):
+                return _unknown("The host that ran this call is gone.")
+            continue
+        replaced = found.row
+
+
+async def _run(
+    exchange: exchanges.Exchange, proceed: exchanges.Proceed
+) -> outcomes.Outcome:
+    try:
+        return await proceed()
+    except Exception:
+        if exchange.dispatched:
+            raise
+        log.exception("request_failed", request=exchange.request_key)
+    return outcomes.refuse(
+        http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        "internal_error",
+        "The router failed; retry with the same Idempotency-Key.",
+        step="claim",
+    )
+
+
+def _buffer(exchange: exchanges.Exchange) -> list[bytes]:
+    """Keep the answer back until it is settled; return where it gathers."""
+    gathered: list[bytes] = []
+
+    async def start(status: int, headers: dict[str, str]) -> None:
+        exchange.status = status
+
+    async def chunk(data: bytes) -> None:
+        gathered.append(data)
+
+    exchange.reply = exchanges.Reply(start=start, chunk=chunk)
+    return gathered
+
+
+async def _settled(
+    exchange: exchanges.Exchange, outcome: outcomes.Outcome, *, host: state.HostState
+) -> pure_claims.Claim:
+    place = (host.config.host.id, host.incarnation, exchange.digest)
+    if not isinstance(outcome, outcomes.Answered):
+        return pure_claims.Claim(pure_claims.UNKNOWN, *place)
+    settled = pure_claims.Claim(
+        pure_claims.SETTLED,
+        *place,
+        status=outcome.status,
+        headers=dict(exchange.reply_headers),
+    )
+    content = b"".join(exchange.held)
+    if len(content) <= pure_claims.MAX_INLINE:
+        return settled._replace(answer=base64.b64encode(content).decode())
+    name = f"answers/{exchange.account.name}/{exchange.request_key}"
+    try:
+        async with asyncio.timeout(OBJECT_WAIT):
+            stored = await host.objects.put(name, content)
+    except TimeoutError:
+        stored = None
+    if isinstance(stored, objects.Stored):
+        return settled._replace(stored=name)
+    log.warning("answer_not_stored", request=exchange.request_key)
+    return settled
+
+
+async def _replay(
+    exchange: exchanges.Exchange, settled: pure_claims.Claim, *, host: state.HostState
+) -> outcomes.Outcome:
+    content = None
+    if settled.answer is not None:
+        content = base64.b64decode(settled.answer)
+    elif settled.stored is not None:
+        found = await host.objects.get(settled.stored)
+        if isinstance(found, objects.Found):
+            content = found.content
+    if content is None:
+        return _unknown("The call was answered, but its answer can't be had now.")
+    exchange.status = settled.status
+    exchange.reply_headers = dict(settled.headers or {})
+    exchange.held = [content]
+    return outcomes.Answered(
+        status=settled.status, tokens=0, endpoint="", replayed=True
+    )
+
+
+def _uncertain(found: claims.NotCertain) -> outcomes.NotRun:
+    metrics.REFUSALS.labels("claim_uncertain").inc()
+    return outcomes.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        "claim_uncertain",
+        "The call could not be claimed and was not run; retry with the same key.",
+        step="claim",
+        peer=found.peer,
+        retry_after=UNCERTAIN_RETRY_AFTER,
+    )
+
+
+def _reused() -> outcomes.NotRun:
+    metrics.REFUSALS.labels("key_reused").inc()
+    return outcomes.refuse(
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        "key_reused",
+        "The Idempotency-Key was used with another request; use a new key.",
+        step="claim",
+    )
+
+
+def _unknown(message: str) -> outcomes.Unknown:
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.CONFLICT),
+        code="outcome_unknown",
+        message=message,
+        step="claim",
+    )
--- a/dogwoodchute/filters/reserve.py
+++ b/dogwoodchute/filters/reserve.py
@@ -2,7 +2,7 @@
 
 import http
 
-from dogwoodchute import exchange as exchanges, outcomes
+from dogwoodchute import exchange as exchanges, metrics_money as metrics, outcomes
 from dogwoodchute.controllers import grants
 
 OUT_OF_REACH_RETRY_AFTER = 5.0  # seconds
@@ -18,26 +18,35 @@
             return await proceed()
         account = exchange.account.name
         result = await granted.reserve(account, exchange.reserved)
-        if isinstance(result, grants.Spent):
-            return outcomes.refuse(
-                http.HTTPStatus.PAYMENT_REQUIRED,
-                "budget_spent",
-                f"The request may need {exchange.reserved} tokens and the budget has "
-                f"{result.remaining} left: top it up or lower 'max_tokens'.",
-                step="reserve",
-            )
-        if isinstance(result, grants.OutOfReach):
-            return outcomes.refuse(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                "budget_out_of_reach",
-                "The budget can't be reached now; retry later.",
-                step="reserve",
-                peer=result.peer,
-                retry_after=OUT_OF_REACH_RETRY_AFTER,
-            )
-        outcome = await proceed()
-        if isinstance(outcome, outcomes.NotRun):
-            granted.ledger(account).settle(exchange.reserved, 0)
-        return outcome
+        if not isinstance(result, grants.Reserved):
+            return _refuse(exchange, result)
+        try:
+            return await proceed()
+        finally:
+            if not exchange.settled:
+                granted.settle(account, exchange.reserved, 0)
 
     return reserve
+
+
+def _refuse(
+    exchange: exchanges.Exchange, result: grants.Spent | grants.OutOfReach
+) -> outcomes.NotRun:
+    if isinstance(result, grants.Spent):
+        metrics.REFUSALS.labels("budget_spent").inc()
+        return outcomes.refuse(
+            http.HTTPStatus.PAYMENT_REQUIRED,
+            "budget_spent",
+            f"The request may need {exchange.reserved} tokens and the budget has "
+            f"{result.remaining} left: top it up or lower 'max_tokens'.",
+            step="reserve",
+        )
+    metrics.REFUSALS.labels("budget_out_of_reach").inc()
+    return outcomes.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        "budget_out_of_reach",
+        "The budget can't be reached now; retry later.",
+        step="reserve",
+        peer=result.peer,
+        retry_after=OUT_OF_REACH_RETRY_AFTER,
+    )
--- a/dogwoodchute/operators.py
+++ b/dogwoodchute/operators.py
@@ -7,8 +7,6 @@
 
 from dogwoodchute import callers, catalog, state
 from dogwoodchute.controllers import releases
-from dogwoodchute.coordination import rows
-from dogwoodchute.platform import table
 
 
 def add_routes(
@@ -31,19 +29,6 @@
         body = {"error": {"code": outcome.code, "faults": outcome.faults}}
         return sanic.json(body, status=409)
 
-    async def account(request: sanic.Request, name: str) -> sanic.HTTPResponse:
-        found = await host.store.read([rows.budget(name)])
-        if isinstance(found, table.Unavailable):
-            return sanic.json({"error": {"code": "store_unavailable"}}, status=503)
-        row = found.rows.get(rows.budget(name))
-        if row is None:
-            return sanic.json({"error": {"code": "unknown_account"}}, status=404)
-        bills = await host.store.scan(rows.bill(name, ""))
-        billed = None
-        if isinstance(bills, table.Rows):
-            billed = sum(bill.value["tokens"] for bill in bills.rows.values())
-        return sanic.json({"account": name, **row.value, "billed": billed})
-
     async def healthy(request: sanic.Request) -> sanic.HTTPResponse:
         return sanic.json({"status": "ok"})
 
@@ -59,7 +44,6 @@
 
     app.register_middleware(check_key, "request")
     app.add_route(submit, "/ops/v1/releases", methods=["POST"], name="submit")
-    app.add_route(account, "/ops/v1/accounts/<name:str>", name="account")
     app.add_route(healthy, "/healthz", name="healthz")
     app.add_route(ready, "/readyz", name="readyz")
     app.add_route(metrics, "/metrics", name="metrics")
--- a/dogwoodchute/platform/table.py
+++ b/dogwoodchute/platform/table.py
@@ -2,9 +2,12 @@
 
 A table holds rows by key. Each row has a version that no other state of any row ever
 has, so a version check never passes by coincidence. Version 0 stands for "absent".
+
+A commit's first write is its witness; `table_client` says what that asks of a writer.
 """
 
 import dataclasses
+import random
 from collections import abc
 from typing import NamedTuple
 
@@ -83,3 +86,8 @@
     commit: abc.Callable[
         [str, list[Check], list[Write]], abc.Awaitable[CommitOutcome]
     ]  # arguments: commit id, checks, writes
+
+
+def commit_id(rng: random.Random) -> str:
+    """Return a new commit id."""
+    return f"{rng.getrandbits(96):024x}"
--- /dev/null
+++ b/dogwoodchute/platform/table_client.py
@@ -0,0 +1,217 @@
+"""A table client whose commits end in a definite outcome.
+
+`guard` adds timeouts, a rate budget, back-off and a circuit breaker to a table, and
+resolves `Unknown` by sending the same commit again with the same id.
+
+The proof that a commit took effect rests on its witness, the first row that it writes:
+
+- the witness must be checked by the commit, so that at most one copy applies;
+- while the commit is unresolved, nobody else writes the witness, except that a writer
+  may replace the row if its value keeps the replaced commit's id under `AFTER`.
+
+Then a conflict is definite. If the witness still has the checked version, no copy took
+effect, and none will, since the version that failed its check never comes back. If the
+witness carries the commit's id, directly or under `AFTER`, a copy took effect. If it
+carries another id, another writer was first.
+"""
+
+import asyncio
+import random
+from collections import abc
+from typing import NamedTuple
+
+from dogwoodchute import log, metrics_money as metrics
+from dogwoodchute.coordination import throttle
+from dogwoodchute.platform import table
+
+AFTER = "after"  # key in a row's value: the id of the commit that it replaced
+
+
+class Limits(NamedTuple):
+    """Bounds of one host's use of the table service."""
+
+    timeout: float = 2.0  # seconds for one call
+    rate: float = 50.0  # calls a second
+    burst: float = 100.0  # calls
+    longest_wait: float = 1.0  # seconds that a call may wait for the rate budget
+    tries: int = 3  # of a commit that certainly had no effect yet
+    backoff_base: float = 0.05  # seconds
+    backoff_limit: float = 5.0  # seconds
+    breaker_threshold: int = 5  # failures in a row
+
+
+class Client:
+    """The state of a guarded table: its rate budget and circuit breaker."""
+
+    def __init__(
+        self,
+        *,
+        inner: table.Table,
+        now: abc.Callable[[], float],
+        rng: random.Random,
+        sleep: abc.Callable[[float], abc.Awaitable[None]],
+        limits: Limits,
+        relay: table.Table | None,
+    ) -> None:
+        self._inner = inner
+        self._now = now
+        self._rng = rng
+        self._sleep = sleep
+        self._limits = limits
+        self._relay = relay
+        self._bucket = throttle.TokenBucket(rate=limits.rate, burst=limits.burst)
+        self._breaker = throttle.Breaker(
+            threshold=limits.breaker_threshold,
+            base=limits.backoff_base,
+            limit=limits.backoff_limit,
+            rng=rng,
+        )
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the direct path answered of late."""
+        return self._breaker.closed
+
+    async def read(self, keys: list[str]) -> table.ReadOutcome:
+        """Read rows; `Unavailable` after a timeout."""
+        return await self._send(lambda target: target.read(keys), table.Unavailable)
+
+    async def scan(self, prefix: str) -> table.ReadOutcome:
+        """Read the rows of a prefix; `Unavailable` after a timeout."""
+        return await self._send(lambda target: target.scan(prefix), table.Unavailable)
+
+    async def commit(
+        self, commit_id: str, checks: list[table.Check], writes: list[table.Write]
+    ) -> table.CommitOutcome:
+        """Commit and return `Committed`, `Conflict` or `Unavailable`, never `Unknown`.
+
+        Takes as long as it takes once a copy may have reached the service. A commit
+        that was proved by its witness tells the versions of those rows only that
+        nobody has replaced since.
+        """
+
+        def call(target: table.Table) -> abc.Awaitable[table.CommitOutcome]:
+            return target.commit(commit_id, checks, writes)
+
+        uncertain = False
+        attempt = 0
+        try:
+            while True:
+                outcome = await self._send(call, table.Unknown)
+                if isinstance(outcome, table.Committed):
+                    return outcome
+                if isinstance(outcome, table.Conflict):
+                    if not uncertain:
+                        return outcome
+                    return await self._resolve(commit_id, checks, writes, outcome)
+                if isinstance(outcome, table.Unknown) and not uncertain:
+                    uncertain = True
+                    metrics.UNRESOLVED_COMMITS.inc()
+                attempt += 1
+                if not uncertain and attempt >= self._limits.tries:
+                    return outcome
+                await self._back_off(attempt)
+        finally:
+            if uncertain:
+                metrics.UNRESOLVED_COMMITS.dec()
+
+    async def _resolve(
+        self,
+        commit_id: str,
+        checks: list[table.Check],
+        writes: list[table.Write],
+        conflict: table.Conflict,
+    ) -> table.CommitOutcome:
+        witness = writes[0].key
+        rows = conflict.rows
+        if all(check.key != witness for check in checks):
+            rows = {**rows, witness: await self._read_witness(witness)}
+        if not carries(rows.get(witness), commit_id):
+            return conflict
+        versions = {}
+        for key, _ in writes:
+            row = rows.get(key)
+            if row is not None and row.commit_id == commit_id:
+                versions[key] = row.version
+        log.info("commit_proved", commit=commit_id, witness=witness)
+        return table.Committed(versions=versions)
+
+    async def _read_witness(self, key: str) -> table.Row | None:
+        attempt = 0
+        while True:
+            found = await self.read([key])
+            if isinstance(found, table.Rows):
+                return found.rows.get(key)
+            attempt += 1
+            await self._back_off(attempt)
+
+    async def _back_off(self, attempt: int) -> None:
+        await self._sleep(
+            throttle.backoff(
+                attempt,
+                base=self._limits.backoff_base,
+                limit=self._limits.backoff_limit,
+                rng=self._rng,
+            )
+        )
+
+    async def _send(
+        self, call: abc.Callable, timed_out: type[table.Unavailable | table.Unknown]
+    ) -> table.ReadOutcome | table.CommitOutcome:
+        wait = self._bucket.take(self._now())
+        if wait > self._limits.longest_wait:
+            self._bucket.give_back()
+            metrics.TABLE_CALLS.labels("over_rate").inc()
+            return table.Unavailable(reason="over this host's rate budget")
+        if wait > 0:
+            await self._sleep(wait)
+        outcome = await self._send_direct(call, timed_out)
+        metrics.TABLE_CALLS.labels(type(outcome).__name__.lower()).inc()
+        if not isinstance(outcome, table.Unavailable) or self._relay is None:
+            return outcome
+        relayed = await call(self._relay)
+        metrics.TABLE_CALLS.labels(f"relay_{type(relayed).__name__.lower()}").inc()
+        return relayed
+
+    async def _send_direct(
+        self, call: abc.Callable, timed_out: type[table.Unavailable | table.Unknown]
+    ) -> table.ReadOutcome | table.CommitOutcome:
+        if not self._breaker.allows(self._now()):
+            return table.Unavailable(reason="circuit breaker is open")
+        try:
+            async with asyncio.timeout(self._limits.timeout):
+                outcome = await call(self._inner)
+        except TimeoutError:
+            outcome = timed_out(reason=f"no answer in {self._limits.timeout} s")
+        if isinstance(outcome, table.Unavailable | table.Unknown):
+            self._breaker.failed(self._now())
+        else:
+            self._breaker.succeeded()
+        return outcome
+
+
+def carries(row: table.Row | None, commit_id: str) -> bool:
+    """Return whether a witness row proves that the commit took effect."""
+    if row is None:
+        return False
+    return row.commit_id == commit_id or row.value.get(AFTER) == commit_id
+
+
+def guard(
+    inner: table.Table,
+    *,
+    now: abc.Callable[[], float],
+    rng: random.Random,
+    sleep: abc.Callable[[float], abc.Awaitable[None]] = asyncio.sleep,
+    limits: Limits = Limits(),  # noqa: B008
+    relay: table.Table | None = None,
+) -> table.Table:
+    """Return a table whose commits never end in `Unknown`.
+
+    `now` gives monotonic seconds. `relay`, if given, is tried where `inner` was
+    certainly not reached.
+    """
+    client = Client(
+        inner=inner, now=now, rng=rng, sleep=sleep, limits=limits, relay=relay
+    )
+    return table.Table(read=client.read, scan=client.scan, commit=client.commit)
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -126,7 +126,29 @@
     """How grants are drawn and bills are kept."""
 
     horizon: Seconds = key("Seconds of expected use that a grant covers.", 30.0)
+    share: float = key(
+        "Largest part of what remains of a budget that one draw takes beyond need.",
+        0.125,
+        gt=0,
+        le=1,
+    )
+    draw_timeout: Seconds = key("Seconds that a request waits for a draw.", 2.0)
     bill_interval: Seconds = key("Seconds between group commits.", 0.1)
+    bill_wait: Seconds = key(
+        "Seconds that an answer's end waits for its bill on a host that is cut off.",
+        3.0,
+    )
+    claim_wait: Seconds = key("Seconds that a call waits for its claim.", 2.0)
+    lookup_wait: Seconds = key(
+        "Seconds that a request with a caller's key waits to learn of earlier runs.",
+        0.3,
+    )
+    repeat_wait: Seconds = key(
+        "Seconds that the repeat of a non-idempotent call waits for the first.", 30.0
+    )
+    reclaim_interval: Seconds = key(
+        "Seconds between two looks for grants of lost hosts.", 10.0
+    )
 
 
 class Log(Section):
