--- a/dogwoodchute/filters/bill.py
+++ b/dogwoodchute/filters/bill.py
@@ -21,7 +21,7 @@
             if not exchange.dispatched:
                 raise
             log.exception("request_failed", request=exchange.request_key)
-            outcome = _failed()
+            outcome = outcomes.router_failed(step="bill")
         if isinstance(outcome, outcomes.NotRun) or exchange.unbilled:
             return outcome
         failed = isinstance(outcome, outcomes.Unknown)
@@ -88,12 +88,3 @@
             step="bill",
         )
     return outcome
-
-
-def _failed() -> outcomes.Unknown:
-    return outcomes.Unknown(
-        status=int(http.HTTPStatus.INTERNAL_SERVER_ERROR),
-        code="internal_error",
-        message="The router failed; retry with the same Idempotency-Key.",
-        step="bill",
-    )
--- a/dogwoodchute/filters/claim.py
+++ b/dogwoodchute/filters/claim.py
@@ -71,7 +71,8 @@
             held, billed=found.billed, fingerprint=exchange.digest
         )
         if decision == pure_claims.REFUSE:
-            return _reused()
+            metrics.REFUSALS.labels("key_reused").inc()
+            return outcomes.key_reused(step="claim")
         if decision == pure_claims.REPLAY:
             return await _replay(exchange, held, host=host)
         if decision == pure_claims.GIVE_UP or host.now() >= give_up:
@@ -174,16 +175,6 @@
     )
 
 
-def _reused() -> outcomes.NotRun:
-    metrics.REFUSALS.labels("key_reused").inc()
-    return outcomes.refuse(
-        http.HTTPStatus.UNPROCESSABLE_ENTITY,
-        "key_reused",
-        "The Idempotency-Key was used with another request; use a new key.",
-        step="claim",
-    )
-
-
 def _unknown(message: str) -> outcomes.Unknown:
     return outcomes.Unknown(
         status=int(http.HTTPStatus.CONFLICT),
--- a/dogwoodchute/filters/deduplicate.py
+++ b/dogwoodchute/filters/deduplicate.py
@@ -89,14 +89,20 @@
         account, key = exchange.account.name, exchange.request_key
         exchange.digest = hashlib.sha256(exchange.fingerprint).hexdigest()
         first = runs.get(account, key)
-        if first is not None and first.digest != exchange.digest:
-            return _reused()
-        if first is not None:
+        while first is not None:
+            if first.digest != exchange.digest:
+                metrics.REFUSALS.labels("key_reused").inc()
+                return outcomes.key_reused(step="deduplicate")
+            joined = not first.ended.done()
             outcome = await asyncio.shield(first.ended)
             if not isinstance(outcome, outcomes.Answered):
-                return outcome or _failed()
+                return outcome or outcomes.router_failed(step="deduplicate")
             if first.answer is not None:
                 return _replay(exchange, first, outcome)
+            if not joined:
+                break
+            # Another repeat may have started to run it again meanwhile.
+            first = runs.get(account, key)
         run = runs.start(account, key, exchange.digest)
         outcome = None
         try:
@@ -119,7 +125,8 @@
             if row is None:
                 return None
             if row.value.get("fingerprint") not in (None, exchange.digest):
-                return _reused()
+                metrics.REFUSALS.labels("key_reused").inc()
+                return outcomes.key_reused(step="deduplicate")
             run.reruns = 1
         else:
             return None
@@ -159,16 +166,6 @@
     )
 
 
-def _reused() -> outcomes.NotRun:
-    metrics.REFUSALS.labels("key_reused").inc()
-    return outcomes.refuse(
-        http.HTTPStatus.UNPROCESSABLE_ENTITY,
-        "key_reused",
-        "The Idempotency-Key was used with another request; use a new key.",
-        step="deduplicate",
-    )
-
-
 def _too_many() -> outcomes.Unknown:
     metrics.REFUSALS.labels("too_many_repeats").inc()
     return outcomes.Unknown(
@@ -178,12 +175,3 @@
         "and it was run again too often; use a new key.",
         step="deduplicate",
     )
-
-
-def _failed() -> outcomes.Unknown:
-    return outcomes.Unknown(
-        status=int(http.HTTPStatus.INTERNAL_SERVER_ERROR),
-        code="internal_error",
-        message="The router failed; retry with the same Idempotency-Key.",
-        step="deduplicate",
-    )
--- a/dogwoodchute/outcomes.py
+++ b/dogwoodchute/outcomes.py
@@ -72,3 +72,23 @@
         peer=peer,
         retry_after=retry_after,
     )
+
+
+def key_reused(*, step: str) -> NotRun:
+    """Build the refusal of a request key that was used with another request."""
+    return refuse(
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        "key_reused",
+        "The Idempotency-Key was used with another request; use a new key.",
+        step=step,
+    )
+
+
+def router_failed(*, step: str) -> Unknown:
+    """Build the outcome of a request that a fault of the router ended."""
+    return Unknown(
+        status=int(http.HTTPStatus.INTERNAL_SERVER_ERROR),
+        code="internal_error",
+        message="The router failed; retry with the same Idempotency-Key.",
+        step=step,
+    )
--- a/dogwoodchute/tools/ctl.py
+++ b/dogwoodchute/tools/ctl.py
@@ -39,7 +39,8 @@
     """The daemon refused a call."""
 
     def __init__(self, *, status: int, error: dict) -> None:
-        super().__init__(error.get("message", error.get("code", str(status))))
+        parts = [error[key] for key in ("code", "message") if error.get(key)]
+        super().__init__(": ".join(parts) or str(status))
         self.status = status
         self.error = error
 
