--- /dev/null
+++ b/dogwoodchute/standins/batch.py
@@ -0,0 +1,144 @@
+"""Continuous batching in the small: sequences that share an engine's steps."""
+
+import asyncio
+import collections
+import json
+
+from dogwoodchute import sse
+
+WORDS = ("the", "stove", "net", "is", "ready", "for", "the", "season")
+PREFILL_PER_STEP = 256  # prompt tokens
+MAX_KEPT = 256  # ended sequences that can still be resumed
+
+
+class Sequence:
+    """One request in the batch, with the events that it has produced."""
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        model: str,
+        prompt: int,
+        cached: int,
+        limit: int,
+        priority: int,
+        overreport: int,
+    ) -> None:
+        self.request_id = request_id
+        self.model = model
+        self.prompt = prompt  # tokens
+        self.cached = cached  # tokens of the prompt
+        self.limit = limit  # tokens
+        self.priority = priority  # lower runs first
+        self.overreport = overreport  # tokens
+        self.prefill = prompt - cached  # tokens left
+        self.events: list[bytes] = []
+        self.ended = False
+        self.cancelled = False
+        self.attached = 0  # open streams
+        self._changed = asyncio.Event()
+
+    @property
+    def usage(self) -> dict:
+        """The usage map so far."""
+        completion = len(self.events) + self.overreport
+        return {
+            "prompt_tokens": self.prompt,
+            "completion_tokens": completion,
+            "total_tokens": self.prompt + completion,
+            "prompt_tokens_details": {"cached_tokens": self.cached},
+        }
+
+    def step(self) -> None:
+        """Prefill a part of the prompt, or produce one token."""
+        if self.prefill > 0:
+            self.prefill -= PREFILL_PER_STEP
+            return
+        position = len(self.events)
+        last = position == self.limit - 1
+        self.events.append(b"")
+        event = chunk(self.request_id, self.model, position, last)
+        event["usage"] = self.usage
+        data = json.dumps(event, separators=(",", ":")).encode()
+        self.events[position] = b"id: %d\ndata: %s\n\n" % (position, data)
+        if last:
+            self.ended = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the streams that wait for an event."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def after(self, position: int) -> bytes:
+        """Return the events from `position` on, with the closing event if ended.
+
+        Returns no bytes if the sequence was cancelled.
+        """
+        while len(self.events) <= position and not self.ended and not self.cancelled:
+            await self._changed.wait()
+        whole = b"".join(self.events[position:])
+        return whole + sse.DONE if self.ended else whole
+
+
+class Batch:
+    """Runs up to `slots` sequences, one token each a step.
+
+    `token_seconds` is the length of a step and `slow` a factor on it.
+    """
+
+    def __init__(self, *, slots: int, token_seconds: float) -> None:
+        self.slots = slots
+        self.token_seconds = token_seconds
+        self.slow = 1.0
+        self.running: list[Sequence] = []
+        self.waiting: list[Sequence] = []
+        self.kept: collections.OrderedDict[str, Sequence]
+        self.kept = collections.OrderedDict()
+        self._task: asyncio.Task | None = None
+
+    def add(self, sequence: Sequence) -> None:
+        """Queue a sequence behind those of the same or a more urgent priority."""
+        self.waiting.append(sequence)
+        self.waiting.sort(key=lambda each: each.priority)
+        self.kept[sequence.request_id] = sequence
+        self.kept.move_to_end(sequence.request_id)
+        while len(self.kept) > MAX_KEPT:
+            self.kept.popitem(last=False)
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run())
+
+    def cancel(self, sequence: Sequence) -> bool:
+        """End a sequence early; return False if it had ended."""
+        if sequence.ended or sequence.cancelled:
+            return False
+        sequence.cancelled = True
+        sequence.wake()
+        return True
+
+    async def _run(self) -> None:
+        while self.running or self.waiting:
+            self._admit()
+            await asyncio.sleep(self.token_seconds * self.slow)
+            for sequence in self.running:
+                if not sequence.cancelled:
+                    sequence.step()
+            self.running = [s for s in self.running if not s.ended and not s.cancelled]
+
+    def _admit(self) -> None:
+        self.waiting = [s for s in self.waiting if not s.cancelled]
+        while self.waiting and len(self.running) < self.slots:
+            self.running.append(self.waiting.pop(0))
+
+
+def chunk(request_id: str, model: str, position: int, last: bool) -> dict:
+    """Return the chat event of the token at `position`."""
+    delta = {"content": WORDS[position % len(WORDS)] + " "}
+    choice = {"index": 0, "delta": delta, "finish_reason": "length" if last else None}
+    return {
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [choice],
+    }
--- /dev/null
+++ b/dogwoodchute/standins/connections.py
@@ -0,0 +1,48 @@
+"""Faults of connections that the HTTP stand-ins share."""
+
+import asyncio
+
+from aiohttp import web
+
+FOREVER = 3600.0  # seconds
+
+
+class Connections:
+    """The connections that a stand-in has seen, and how they fail.
+
+    `down` resets each new request. `silence` makes the connections seen so far go
+    silent for good while new ones work.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self._seen: set[tuple] = set()
+        self._silenced: set[tuple] = set()
+
+    def silence(self) -> None:
+        """Let every connection seen so far go silent for good."""
+        self._silenced |= self._seen
+
+    async def enter(self, request: web.Request) -> None:
+        """Pass a new request, or fail its connection."""
+        if self.down:
+            self.reset(request)
+        self._seen.add(_remote(request))
+        await self.hold(request)
+
+    async def hold(self, request: web.Request) -> None:
+        """Wait for ever on a connection that went silent."""
+        if _remote(request) in self._silenced:
+            await asyncio.sleep(FOREVER)
+
+    def reset(self, request: web.Request) -> None:
+        """Reset the connection of `request`; raises `ConnectionResetError`."""
+        if request.transport is not None:
+            request.transport.abort()
+        raise ConnectionResetError("reset by the stand-in")
+
+
+def _remote(request: web.Request) -> tuple:
+    if request.transport is None:
+        return ()
+    return tuple(request.transport.get_extra_info("peername") or ())
--- a/dogwoodchute/tests/support.py
+++ b/dogwoodchute/tests/support.py
@@ -26,6 +26,15 @@
         return uvloop.run(bounded())
 
 
+async def until(condition: abc.Callable[[], object], *, seconds: float = 20.0) -> None:
+    """Wait until `condition` holds; fail after `seconds`."""
+    for _ in range(int(seconds / 0.005)):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("the condition did not come to hold")
+
+
 def fuzz_settings(examples: int, steps: int = 50) -> hypothesis.settings:
     """Return settings that are derandomized unless a fuzz seed is set."""
     return hypothesis.settings(
