Resume silent streams and tell each failure truthfully

Cause: a stream that went silent held its caller until the idle timeout, a caller that left was only noticed between chunks, the HTTP library resent broken GET, PUT and DELETE calls, request ids of two client accounts could collide at an engine, and a 5xx of an engine was told as not run. Change: silence by the engine's own cadence, resume on a new connection after the last whole event with a check of continuity, prompt cancellation with the usage told, reruns only where nothing was seen, outcomes by exception and status, no resending, no redirects, no cookies, bounded answers. Trial: without the middleware, test_anything_after_connecting fails on PUT.

--- /dev/null
+++ b/dogwoodchute/coordination/cadence.py
@@ -0,0 +1,37 @@
+"""How long a stream may stay quiet before it counts as silent.
+
+Source: the smoothed mean and deviation of RFC 6298 (Jacobson and Karels), applied to
+the gaps between an engine's events in place of round-trip times.
+"""
+
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+DEVIATIONS = 8.0
+
+
+class Cadence:
+    """The gaps of one engine's streams, in seconds."""
+
+    def __init__(self, *, floor: float, ceiling: float) -> None:
+        self.floor = floor
+        self._ceiling = ceiling
+        self._mean: float | None = None
+        self._deviation = 0.0
+
+    def note(self, gap: float) -> None:
+        """Count one seen gap."""
+        mean = self._mean
+        if mean is None:
+            self._mean = gap
+            self._deviation = gap / 2
+            return
+        error = gap - mean
+        self._mean = mean + MEAN_GAIN * error
+        self._deviation += DEVIATION_GAIN * (abs(error) - self._deviation)
+
+    def bound(self, tries: int = 0) -> float:
+        """Return the longest gap to bear, doubled for each try in vain so far."""
+        if self._mean is None:
+            return self._ceiling
+        usual = self._mean + DEVIATIONS * self._deviation
+        return min(self._ceiling, max(self.floor, usual) * 2**tries)
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -42,6 +42,13 @@
 Settle = abc.Callable[[outcomes.Outcome], abc.Awaitable[Settlement]]
 
 
+class Resume(NamedTuple):
+    """The stream that a caller continues, from a verified token."""
+
+    endpoint: str
+    last_event_id: str
+
+
 class Exchange:
     """The state of one request; each filter fills in what later ones need."""
 
@@ -66,6 +73,8 @@
         self.settle: Settle | None = None  # set for a claimed call
         self.settled = False  # the reservation has become a bill
         self.digest = ""  # hex digest of what a repeat under the same key must equal
+        self.maybe_ran: outcomes.Unknown | None = None  # an earlier try's outcome
+        self.resume: Resume | None = None  # the caller continues a stream
         self.unbilled = False  # a repeat whose first run is billed already
         self.started = False  # the reply's head has been sent
         self.held: list[bytes] = []  # sent after the bill is durable
--- /dev/null
+++ b/dogwoodchute/failures.py
@@ -0,0 +1,123 @@
+"""Outcomes of requests whose endpoint refused, failed or could not be reached.
+
+What is billed on an unknown outcome: a chat costs what its engine told of it, and
+nothing where the engine failed before the caller saw any of the answer and the chat may
+be repeated; a plain call that may not be repeated costs its price; any other plain call
+costs nothing.
+"""
+
+import http
+
+import aiohttp
+
+from dogwoodchute import exchange as exchanges, outcomes
+
+GONE = "the caller disconnected"
+SILENT = "the stream went silent"
+LATE = "the request took too long"
+CUT = "the answer ended early"
+REASON_LABELS = {GONE: "caller_gone", SILENT: "silent", LATE: "timed_out"}
+CALLER_GONE = 499  # seen in logs only
+STATUS_OF = {
+    GONE: (CALLER_GONE, "caller_gone"),
+    LATE: (http.HTTPStatus.GATEWAY_TIMEOUT, "timed_out"),
+}
+RETRY = "Retry with the same Idempotency-Key to run it again."
+NO_RETRY = "It will not be run again under this Idempotency-Key; check its effect."
+BUSY_STATUSES = frozenset({429, 503})
+BAD_REQUEST_STATUSES = frozenset({400, 404, 405, 413, 415, 422})
+MAX_REASON = 200  # bytes
+
+
+def incomplete(
+    exchange: exchanges.Exchange, reason: str, *, seen: bool
+) -> outcomes.Unknown:
+    """Return the outcome of a chat that broke off; `seen` if the caller saw a part."""
+    status, code = STATUS_OF.get(
+        reason, (http.HTTPStatus.BAD_GATEWAY, "endpoint_failed")
+    )
+    return outcomes.Unknown(
+        status=int(status),
+        code=code,
+        message=f"The answer is not whole: {reason}. {_advice(exchange)}",
+        step="dispatch",
+        peer=exchange.endpoint.name,
+        tokens=exchange.used,
+        may_rerun=exchange.idempotent and not seen and reason != LATE,
+    )
+
+
+def not_reached(exchange: exchanges.Exchange, error: Exception) -> outcomes.NotRun:
+    """Return the outcome of a request of which no byte was sent."""
+    return outcomes.refuse(
+        http.HTTPStatus.BAD_GATEWAY,
+        "endpoint_unreachable",
+        f"The endpoint could not be reached ({error}); retry.",
+        step="dispatch",
+        peer=exchange.endpoint.name,
+        retry_after=1.0,
+    )
+
+
+async def refusal(
+    exchange: exchanges.Exchange, response: aiohttp.ClientResponse
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return the outcome of a chat that the engine answered with an error status."""
+    text = (await response.content.read(MAX_REASON)).decode(errors="replace")
+    message = f"The endpoint answered {response.status}: {text}"
+    peer = exchange.endpoint.name
+    if response.status in BUSY_STATUSES:
+        return outcomes.refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            "endpoint_busy",
+            message,
+            step="dispatch",
+            peer=peer,
+            retry_after=1.0,
+        )
+    if response.status in BAD_REQUEST_STATUSES:
+        status = http.HTTPStatus(response.status)
+        code = "endpoint_refused"
+        return outcomes.refuse(status, code, message, step="dispatch", peer=peer)
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.BAD_GATEWAY),
+        code="endpoint_failed",
+        message=f"{message} {_advice(exchange)}",
+        step="dispatch",
+        peer=peer,
+        may_rerun=exchange.idempotent,
+    )
+
+
+def plain_unknown(exchange: exchanges.Exchange, reason: str) -> outcomes.Unknown:
+    """Return the outcome of a plain call that may have run; sets what it costs."""
+    exchange.used = 0 if exchange.idempotent else exchange.service.price
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.BAD_GATEWAY),
+        code="endpoint_failed",
+        message=f"The endpoint failed in the call: {reason}. {_advice(exchange)}",
+        step="dispatch",
+        peer=exchange.endpoint.name,
+        tokens=exchange.used,
+        may_rerun=exchange.idempotent,
+    )
+
+
+def plain_busy(
+    exchange: exchanges.Exchange, response: aiohttp.ClientResponse
+) -> outcomes.Unknown:
+    """Return the outcome of an idempotent plain call that the endpoint put off."""
+    exchange.used = 0
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.SERVICE_UNAVAILABLE),
+        code="endpoint_busy",
+        message=f"The endpoint answered {response.status}. {RETRY}",
+        step="dispatch",
+        peer=exchange.endpoint.name,
+        retry_after=1.0,
+        may_rerun=True,
+    )
+
+
+def _advice(exchange: exchanges.Exchange) -> str:
+    return RETRY if exchange.idempotent else NO_RETRY
--- a/dogwoodchute/filters/choose.py
+++ b/dogwoodchute/filters/choose.py
@@ -27,8 +27,12 @@
         for endpoint in candidates[:MAX_TRIES]:
             exchange.endpoint = endpoint
             outcome = await proceed()
-            if not isinstance(outcome, outcomes.NotRun):
+            if not (isinstance(outcome, outcomes.NotRun) or _may_rerun(outcome)):
                 return outcome
         return outcome
 
     return choose
+
+
+def _may_rerun(outcome: outcomes.Outcome) -> bool:
+    return isinstance(outcome, outcomes.Unknown) and outcome.may_rerun
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -1,19 +1,29 @@
 """Calls endpoints over HTTP."""
 
 import asyncio
+import hashlib
 import http
-import json
+from collections import abc
 
 import aiohttp
+import yarl
+
+from dogwoodchute import (
+    clock,
+    exchange as exchanges,
+    failures,
+    outcomes,
+    state,
+    streams,
+)
+from dogwoodchute.coordination import cadence, resume
 
-from dogwoodchute import clock, exchange as exchanges, outcomes, sse, state
-
+CANCEL_PATH = "/v1/cancel"
+RESUME_TOKEN = "X-Resume-Token"
 HOP_HEADERS = frozenset(
     {
-        "authorization",
         "connection",
         "content-length",
-        "host",
         "keep-alive",
         "te",
         "trailer",
@@ -21,8 +31,26 @@
         "upgrade",
     }
 )
-NO_EFFECT_STATUS = frozenset({429, 503})
-EVENT_STREAM = "text/event-stream"
+REQUEST_ONLY = HOP_HEADERS | {"authorization", "host", "idempotency-key"}
+REPLY_ONLY = HOP_HEADERS | {"date", "server", "idempotency-key"}
+# A plain service that is busy may have begun the call, so none of these is "not run".
+BUSY_STATUSES = frozenset({429, 502, 503, 504})
+
+
+class Broken(aiohttp.ClientError):
+    """The connection broke after the request may have been sent."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the library from sending a request again on its own."""
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise Broken(str(error) or type(error).__name__) from error
 
 
 class Forwarder:
@@ -32,23 +60,15 @@
         self._host = host
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
+        self._background: set[asyncio.Task] = set()
+        self._paces: dict[str, streams.Pace] = {}
 
     async def start(self) -> None:
         """Open the sessions; needs the running loop."""
-        limits = self._host.config.limits
-        timeout = aiohttp.ClientTimeout(
-            total=limits.total_timeout,
-            sock_connect=limits.connect_timeout,
-            sock_read=limits.idle_timeout,
-        )
-        self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), timeout=timeout
-        )
+        self._pooled = self._session(aiohttp.TCPConnector(limit=0))
         # A pooled connection may be silently dead, so a call that must not be
         # repeated always gets a connection of its own.
-        self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=timeout
-        )
+        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True))
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -58,7 +78,8 @@
 
     async def chat(self, exchange: exchanges.Exchange) -> outcomes.Outcome:
         """Run a chat request at `exchange.endpoint`."""
-        endpoint = exchange.endpoint
+        base = f"http://{exchange.endpoint.address}"
+        request_id = engine_request_id(exchange)
         body = {
             **exchange.body,
             "max_tokens": exchange.output_limit,
@@ -66,153 +87,166 @@
             "stream_options": {"include_usage": True, "continuous_usage_stats": True},
         }
         body.pop("max_completion_tokens", None)
-        url = f"http://{endpoint.address}{exchanges.CHAT_PATH}"
-        headers = {"X-Request-Id": exchange.request_key}
-        session = self._pooled if exchange.idempotent else self._fresh
-        splitter = sse.Splitter()
-        events: list[bytes] = []
-        try:
-            async with session.post(url, json=body, headers=headers) as response:
-                exchange.dispatched = True
-                if response.status != http.HTTPStatus.OK:
-                    return await _refused(exchange, response)
-                exchange.reply_headers = {"Content-Type": EVENT_STREAM}
-                if exchange.stream:
-                    await exchange.reply.start(200, exchange.reply_headers)
-                    exchange.started = True
-                while not splitter.done:
-                    data = await _next_data(response, exchange.gone)
-                    if data is None:
-                        break
-                    whole = splitter.feed(data)
-                    if not whole:
-                        continue
-                    exchange.last_token = clock.monotonic()
-                    if exchange.first_token is None:
-                        exchange.first_token = exchange.last_token
-                    if exchange.stream:
-                        await exchange.reply.chunk(whole)
-                    else:
-                        events.append(whole)
-        except aiohttp.ClientConnectorError as error:
-            return _not_reached(exchange, error)
-        except (aiohttp.ClientError, TimeoutError, sse.FormatError) as error:
-            return _cut(exchange, splitter, str(error) or type(error).__name__)
-        if not splitter.done:
-            return _cut(exchange, splitter, "the answer ended early")
-        exchange.used = sse.usage_tokens(splitter.last_event) or exchange.reserved
-        if exchange.stream:
-            exchange.held = [sse.DONE]
-        else:
-            exchange.reply_headers = {"Content-Type": "application/json"}
-            exchange.held = [_whole_answer(exchange, b"".join(events))]
-        return _answered(exchange, 200)
+
+        async def cancel() -> int | None:
+            return await self._cancel(base, request_id)
+
+        links = streams.Links(
+            pooled=self._pooled,
+            fresh=self._fresh,
+            url=base + exchanges.CHAT_PATH,
+            body=body,
+            headers={"X-Request-Id": request_id, "Accept-Encoding": "identity"},
+            cancel=cancel,
+            cancel_later=lambda: self._later(cancel()),
+        )
+        run = streams.ChatRun(
+            exchange=exchange,
+            links=links,
+            pace=self._pace(exchange.endpoint.name),
+            bounds=streams.Bounds(
+                total=exchange.deadline - self._host.now(),
+                caller_idle=self._host.config.limits.idle_timeout,
+            ),
+            head=lambda: {RESUME_TOKEN: self.resume_token(exchange)},
+        )
+        return await run.run()
 
     async def plain(self, exchange: exchanges.Exchange) -> outcomes.Outcome:
-        """Run a call of a plain service at `exchange.endpoint`."""
+        """Run a call of a plain service at `exchange.endpoint`.
+
+        Bills the price for an answer, and for an unknown outcome of a call that may not
+        be repeated; a busy answer and other unknown outcomes cost nothing.
+        """
         request = exchange.request
-        url = f"http://{exchange.endpoint.address}{request.path}"
-        if request.query:
-            url += f"?{request.query}"
-        headers = {k: v for k, v in request.headers.items() if k not in HOP_HEADERS}
-        headers["Idempotency-Key"] = exchange.request_key
+        headers = {k: v for k, v in request.headers.items() if k not in REQUEST_ONLY}
+        headers["Idempotency-Key"] = engine_request_id(exchange)
         session = self._pooled if exchange.idempotent else self._fresh
+        before, exchange.dispatched = exchange.dispatched, True
         try:
             async with session.request(
-                request.method, url, data=request.body or None, headers=headers
+                request.method,
+                _plain_url(exchange),
+                data=request.body or None,
+                headers=headers,
+                allow_redirects=False,
+                timeout=self._plain_timeout(exchange),
+                skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             ) as response:
-                exchange.dispatched = True
-                content = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            return _not_reached(exchange, error)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            exchange.used = exchange.reserved
-            return _unknown(exchange, str(error) or type(error).__name__)
-        exchange.used = exchange.service.price
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        exchange.reply_headers = {"Content-Type": content_type}
+                content = await self._read_bounded(response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            exchange.dispatched = before
+            return failures.not_reached(exchange, error)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return failures.plain_unknown(exchange, str(error) or type(error).__name__)
+        if exchange.idempotent and response.status in BUSY_STATUSES:
+            return failures.plain_busy(exchange, response)
+        exchange.used = (
+            0 if response.status in BUSY_STATUSES else exchange.service.price
+        )
+        exchange.reply_headers = {
+            k: v for k, v in response.headers.items() if k.lower() not in REPLY_ONLY
+        }
         exchange.held = [content]
-        return _answered(exchange, response.status)
-
-
-async def _next_data(
-    response: aiohttp.ClientResponse, gone: asyncio.Event
-) -> bytes | None:
-    if gone.is_set():
-        return None
-    return await response.content.readany() or None
-
-
-async def _refused(
-    exchange: exchanges.Exchange, response: aiohttp.ClientResponse
-) -> outcomes.NotRun:
-    text = (await response.text())[:200]
-    busy = response.status in NO_EFFECT_STATUS
-    return outcomes.refuse(
-        http.HTTPStatus.SERVICE_UNAVAILABLE if busy else http.HTTPStatus.BAD_GATEWAY,
-        "endpoint_busy" if busy else "endpoint_refused",
-        f"The endpoint answered {response.status}: {text}",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        retry_after=1.0 if busy else None,
-    )
-
-
-def _not_reached(exchange: exchanges.Exchange, error: Exception) -> outcomes.NotRun:
-    return outcomes.refuse(
-        http.HTTPStatus.BAD_GATEWAY,
-        "endpoint_unreachable",
-        f"The endpoint could not be reached ({error}); retry.",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        retry_after=1.0,
-    )
-
-
-def _cut(
-    exchange: exchanges.Exchange, splitter: sse.Splitter, reason: str
-) -> outcomes.Unknown:
-    exchange.used = sse.usage_tokens(splitter.last_event) or 0
-    return _unknown(exchange, reason)
-
-
-def _unknown(exchange: exchanges.Exchange, reason: str) -> outcomes.Unknown:
-    return outcomes.Unknown(
-        status=int(http.HTTPStatus.BAD_GATEWAY),
-        code="endpoint_failed",
-        message=f"The endpoint failed while it ran the request: {reason}.",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        tokens=exchange.used,
-    )
-
-
-def _answered(exchange: exchanges.Exchange, status: int) -> outcomes.Answered:
-    exchange.status = status
-    return outcomes.Answered(
-        status=status, tokens=exchange.used, endpoint=exchange.endpoint.name
-    )
-
-
-def _whole_answer(exchange: exchanges.Exchange, events: bytes) -> bytes:
-    """Join the events of a stream into the body of a whole answer."""
-    parts = []
-    finish = None
-    usage = None
-    for line in events.split(b"\n"):
-        if not line.startswith(b"data:"):
-            continue
-        event = json.loads(line[5:])
-        usage = event.get("usage") or usage
-        for choice in event.get("choices", []):
-            parts.append(choice.get("delta", {}).get("content") or "")
-            finish = choice.get("finish_reason") or finish
-    message = {"role": "assistant", "content": "".join(parts)}
-    answer = {
-        "id": exchange.request_key,
-        "object": "chat.completion",
-        "model": exchange.service.name,
-        "choices": [{"index": 0, "message": message, "finish_reason": finish}],
-        "usage": usage,
-    }
-    return json.dumps(answer).encode()
+        exchange.status = response.status
+        return outcomes.Answered(
+            status=response.status,
+            tokens=exchange.used,
+            endpoint=exchange.endpoint.name,
+        )
+
+    def resume_token(self, exchange: exchanges.Exchange) -> str:
+        """Return the token with which the caller may continue on another host."""
+        config = self._host.config
+        ticket = resume.Ticket(
+            account=exchange.account.name,
+            request_key=exchange.request_key,
+            endpoint=exchange.endpoint.name,
+            reserved=exchange.reserved,
+            fingerprint=hashlib.sha256(exchange.fingerprint).hexdigest(),
+            expires=int(clock.wall() + config.limits.resume_lifetime),
+        )
+        return resume.sign(ticket, fleet_key=config.keys.fleet_key)
+
+    def _session(self, connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self._host.config.limits.connect_timeout
+        )
+        # Cookies would pass from one caller's answer into another's request.
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            middlewares=(_send_once,),
+        )
+
+    def _pace(self, endpoint: str) -> streams.Pace:
+        pace = self._paces.get(endpoint)
+        if pace is None:
+            limits = self._host.config.limits
+            pace = self._paces[endpoint] = streams.Pace(
+                first=cadence.Cadence(
+                    floor=limits.first_event_floor, ceiling=limits.idle_timeout
+                ),
+                gap=cadence.Cadence(
+                    floor=limits.silence_floor, ceiling=limits.silence_ceiling
+                ),
+            )
+        return pace
+
+    async def _cancel(self, base: str, request_id: str) -> int | None:
+        """Cancel a stream at its engine; return the tokens used, None if not told."""
+        timeout = aiohttp.ClientTimeout(total=self._host.config.limits.connect_timeout)
+        try:
+            async with self._fresh.post(
+                base + CANCEL_PATH, json={"request_id": request_id}, timeout=timeout
+            ) as response:
+                if response.status != http.HTTPStatus.OK:
+                    return None
+                answer = await response.json()
+                tokens = answer["usage"]["total_tokens"]
+        except (aiohttp.ClientError, OSError, ValueError, LookupError, TypeError):
+            return None
+        return tokens if isinstance(tokens, int) and tokens >= 0 else None
+
+    def _later(self, work: abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _plain_timeout(self, exchange: exchanges.Exchange) -> aiohttp.ClientTimeout:
+        limits = self._host.config.limits
+        return aiohttp.ClientTimeout(
+            total=max(0.001, exchange.deadline - self._host.now()),
+            sock_connect=limits.connect_timeout,
+            sock_read=limits.idle_timeout,
+        )
+
+    async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
+        limit = self._host.config.limits.answer_bytes
+        parts = []
+        size = 0
+        async for data in response.content.iter_any():
+            parts.append(data)
+            size += len(data)
+            if size > limit:
+                raise aiohttp.ClientPayloadError(f"the answer exceeds {limit} bytes")
+        return b"".join(parts)
+
+
+def engine_request_id(exchange: exchanges.Exchange) -> str:
+    """Return the id of a request at its endpoint.
+
+    Two client accounts may use the same request key, so the account is a part of it.
+    """
+    text = f"{exchange.account.name}\n{exchange.request_key}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def _plain_url(exchange: exchanges.Exchange) -> yarl.URL:
+    request = exchange.request
+    url = f"http://{exchange.endpoint.address}{request.path}"
+    if request.query:
+        url += f"?{request.query}"
+    return yarl.URL(url, encoded=True)
--- a/dogwoodchute/outcomes.py
+++ b/dogwoodchute/outcomes.py
@@ -40,6 +40,8 @@
     step: str
     peer: str | None = None
     tokens: int = 0
+    retry_after: float | None = None  # seconds
+    may_rerun: bool = False  # idempotent, and the caller has seen none of an answer
 
 
 Outcome = Answered | NotRun | Unknown
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -119,6 +119,19 @@
     idle_timeout: Seconds = key("Seconds without a byte before a cut.", 60.0)
     total_timeout: Seconds = key("Seconds that one request may take.", 600.0)
     connect_timeout: Seconds = key("Seconds to connect to an endpoint.", 2.0)
+    silence_floor: Seconds = key(
+        "Least seconds without an event before a running stream counts as silent.", 2.0
+    )
+    silence_ceiling: Seconds = key(
+        "Most seconds without an event before a running stream counts as silent.", 30.0
+    )
+    first_event_floor: Seconds = key(
+        "Least seconds to wait for an answer's first event.", 10.0
+    )
+    resume_lifetime: Seconds = key(
+        "Seconds for which a caller may continue a stream on another host.", 900.0
+    )
+    answer_bytes: int = key("Largest answer of a plain service.", 16_000_000, gt=0)
     drain_timeout: Seconds = key("Seconds that a graceful shutdown may take.", 120.0)
 
 
--- a/dogwoodchute/standins/service.py
+++ b/dogwoodchute/standins/service.py
@@ -26,6 +26,7 @@
         self.garbage = 0
         self.half = 0
         self.status = 201
+        self.headers: dict[str, str] = {}  # of answers
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -56,4 +57,6 @@
             )
             await asyncio.sleep(0.05)
             self.links.reset(request)
-        return web.json_response({"order": len(self.calls)}, status=self.status)
+        return web.json_response(
+            {"order": len(self.calls)}, status=self.status, headers=self.headers
+        )
--- /dev/null
+++ b/dogwoodchute/tests/endpoints.py
@@ -0,0 +1,93 @@
+"""A forwarder and stand-in endpoints on loopback, without the rest of a host."""
+
+import contextlib
+import json
+
+from dogwoodchute import catalog, exchange as exchanges, forward, runtime, settings
+from dogwoodchute.standins import site
+from dogwoodchute.tools import demo
+
+PATIENT = 30.0  # seconds
+CHAT = catalog.Service("assistant-llm", catalog.CHAT)
+ORDERS = catalog.Service("order-api", catalog.PLAIN, price=10)
+ACCOUNT = catalog.ClientAccount("growers", (), (CHAT.name, ORDERS.name))
+
+
+def config(**limits):
+    """Return settings with `limits` set."""
+    text = demo.SETTINGS.format(caller_port=0, operator_port=0)
+    lines = "".join(f"{name} = {value}\n" for name, value in limits.items())
+    return settings.parse(f"{text}\n[limits]\n{lines}", source="test")
+
+
+class Caller:
+    """Collects what a request's caller is sent; `slow` blocks writes for ever."""
+
+    def __init__(self):
+        self.headers = None
+        self.data = b""
+        self.on_chunk = lambda: None
+
+    async def start(self, status, headers):
+        self.headers = dict(headers)
+
+    async def chunk(self, data):
+        self.data += data
+        self.on_chunk()
+
+
+@contextlib.asynccontextmanager
+async def running(standin, **limits):
+    """Run a stand-in and a forwarder; yields the forwarder and the endpoint."""
+    place = site.Site(app=standin.app())
+    await place.start()
+    forwarder = forward.Forwarder(host=runtime.embedded_state(config(**limits)))
+    await forwarder.start()
+    endpoint = catalog.Endpoint("e-1", CHAT.name, place.address, "dar", "dar-a")
+    yield forwarder, endpoint
+    await forwarder.stop()
+    await place.stop()
+
+
+def chat(endpoint, caller, *, tokens=8, stream=True, key="key-1", **fields):
+    """Return the exchange of a chat request."""
+    body = {"model": CHAT.name, "messages": [{"role": "user", "content": "a b c"}]}
+    exchange = _exchange(endpoint, caller, key, json.dumps(body).encode(), "POST")
+    exchange.service = CHAT
+    exchange.body = {**body, **fields}
+    exchange.stream = stream
+    exchange.output_limit = tokens
+    exchange.reserved = 500
+    return exchange
+
+
+def order(endpoint, caller, *, idempotent=False, method="POST", path="/orders"):
+    """Return the exchange of a plain call."""
+    exchange = _exchange(endpoint, caller, "key-1", b"{}", method, path)
+    exchange.service = ORDERS
+    exchange.idempotent = idempotent
+    exchange.reserved = ORDERS.price
+    return exchange
+
+
+def _exchange(endpoint, caller, key, body, method, path=""):
+    exchange = exchanges.Exchange(
+        request=exchanges.Request(
+            method=method,
+            path=path,
+            query="",
+            headers={"content-type": "application/json", "authorization": "Bearer k"},
+            body=body,
+            bearer="k",
+            service=None,
+            idempotency_key=key,
+            idempotent=None,
+        ),
+        reply=exchanges.Reply(start=caller.start, chunk=caller.chunk),
+        received=0.0,
+        request_key=key,
+    )
+    exchange.deadline = 1e12
+    exchange.account = ACCOUNT
+    exchange.endpoint = endpoint
+    return exchange
--- /dev/null
+++ b/dogwoodchute/tests/test_forward.py
@@ -0,0 +1,253 @@
+"""Forwarding: whole answers, and a truthful outcome for each way to fail."""
+
+import asyncio
+import json
+
+from dogwoodchute import clock, outcomes, sse
+from dogwoodchute.filters import dispatch
+from dogwoodchute.standins import engine, service
+from dogwoodchute.tests import endpoints, support
+
+QUICK = {"silence_floor": 0.15, "silence_ceiling": 0.3, "connect_timeout": 1}
+
+
+class ChatTest(support.TestCase):
+    def chat(self, model, limits=None, *, before=None, **fields):
+        """Run one chat; return its outcome, the caller and the exchange."""
+        caller = endpoints.Caller()
+
+        async def scenario():
+            async with endpoints.running(model, **(limits or {})) as (forwarder, place):
+                exchange = endpoints.chat(place, caller, **fields)
+                if before is not None:
+                    before(exchange, caller)
+                outcome = await forwarder.chat(exchange)
+                await asyncio.gather(*forwarder._background)
+            return outcome, exchange
+
+        outcome, exchange = self.run_async(scenario())
+        return outcome, caller, exchange
+
+    def assert_whole(self, caller, exchange, tokens=8):
+        events = sse.events(caller.data + b"".join(exchange.held))
+        ids = [sse.event_id(event) for event in events]
+        self.assertEqual([str(n) for n in range(tokens)] + [None], ids)
+        self.assertEqual(b"data: [DONE]", events[-1])
+
+    def test_a_stream_arrives_whole_and_holds_its_end(self):
+        outcome, caller, exchange = self.chat(engine.Engine())
+        self.assertEqual(
+            outcomes.Answered(status=200, tokens=11, endpoint="e-1"), outcome
+        )
+        self.assertNotIn(b"[DONE]", caller.data)
+        self.assertIn("X-Resume-Token", caller.headers)
+        self.assert_whole(caller, exchange)
+
+    def test_a_whole_answer_is_joined(self):
+        outcome, caller, exchange = self.chat(engine.Engine(), stream=False)
+        self.assertIsInstance(outcome, outcomes.Answered)
+        answer = json.loads(exchange.held[0])
+        message = answer["choices"][0]["message"]["content"]
+        self.assertEqual("the stove net is ready for the season ", message)
+        self.assertEqual(11, answer["usage"]["total_tokens"])
+
+    def test_a_cut_stream_is_resumed_without_gap_or_repeat(self):
+        model = engine.Engine(token_seconds=0.005)
+        model.cut_once = 3
+        outcome, caller, exchange = self.chat(model)
+        self.assertEqual(11, outcome.tokens)
+        self.assert_whole(caller, exchange)
+        self.assertEqual((1, 1), (len(model.runs), len(model.resumed)))
+
+    def test_a_silent_stream_is_resumed_on_a_new_connection(self):
+        model = engine.Engine(token_seconds=0.005)
+
+        def before(exchange, caller):
+            def silence():
+                caller.on_chunk = lambda: None
+                model.links.silence()
+
+            caller.on_chunk = silence
+
+        outcome, caller, exchange = self.chat(model, QUICK, before=before)
+        self.assertEqual(11, outcome.tokens)
+        self.assert_whole(caller, exchange)
+        self.assertEqual(1, len(model.resumed))
+
+    def test_what_cannot_be_resumed_is_unknown_and_bills_what_was_told(self):
+        model = engine.Engine(resumable=False)
+        model.cut_after = 3
+        outcome, caller, exchange = self.chat(model)
+        self.assertEqual("endpoint_failed", outcome.code)
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertFalse(outcome.may_rerun)
+        self.assertTrue(6 <= exchange.used <= 11)
+        self.assertEqual(3, len(sse.events(caller.data)))
+
+    def test_a_failure_that_the_caller_has_not_seen_may_rerun(self):
+        faults = (
+            {"garbage": 1},
+            {"bad_json": 1},
+            {"lose_answers": 1},
+            {"refuse_status": 500},
+        )
+        for fault in faults:
+            model = engine.Engine()
+            for name, value in fault.items():
+                setattr(model, name, value)
+            outcome, caller, exchange = self.chat(model, stream=False)
+            self.assertIsInstance(outcome, outcomes.Unknown, fault)
+            self.assertTrue(outcome.may_rerun, fault)
+            self.assertEqual((b"", 0), (caller.data, exchange.used), fault)
+
+    def test_an_engine_that_never_answers_is_cut_off(self):
+        model = engine.Engine()
+        model.silent = True
+        limits = {**QUICK, "first_event_floor": 0.1, "idle_timeout": 0.2}
+        outcome, _, _ = self.chat(model, limits)
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertTrue(outcome.may_rerun)
+
+    def test_refusals_are_not_run(self):
+        for status, told in ((429, 503), (503, 503), (400, 400)):
+            model = engine.Engine()
+            model.refuse_status = status
+            outcome, _, _ = self.chat(model)
+            self.assertIsInstance(outcome, outcomes.NotRun)
+            self.assertEqual(told, outcome.status)
+
+    def test_the_total_time_is_bounded(self):
+        model = engine.Engine(token_seconds=0.02)
+
+        def before(exchange, caller):
+            exchange.deadline = clock.monotonic() + 0.3
+
+        outcome, _, exchange = self.chat(model, before=before, tokens=500)
+        self.assertEqual("timed_out", outcome.code)
+        self.assertFalse(outcome.may_rerun)
+        self.assertTrue(0 < exchange.used < 100)
+        self.assertEqual(1, len(model.cancelled))
+
+    def test_a_caller_that_leaves_between_chunks_cancels_at_once(self):
+        model = engine.Engine(token_seconds=0.02)
+
+        def before(exchange, caller):
+            def leave():
+                model.batching.slow = 1e6
+                exchange.gone.set()
+
+            caller.on_chunk = leave
+
+        outcome, _, exchange = self.chat(model, before=before, tokens=500)
+        self.assertEqual("caller_gone", outcome.code)
+        self.assertEqual(1, len(model.cancelled))
+        self.assertTrue(4 <= exchange.used <= 6)
+
+    def test_a_caller_that_stops_reading_is_dropped(self):
+        model = engine.Engine(token_seconds=0.005)
+
+        def before(exchange, caller):
+            async def stall(data):
+                await asyncio.sleep(endpoints.PATIENT)
+
+            exchange.reply = exchange.reply._replace(chunk=stall)
+
+        outcome, _, _ = self.chat(model, {"idle_timeout": 0.2}, before=before)
+        self.assertEqual("caller_gone", outcome.code)
+
+    def test_request_ids_differ_between_accounts(self):
+        model = engine.Engine()
+
+        def other(exchange, caller):
+            exchange.account = exchange.account._replace(name="other")
+
+        self.chat(model)
+        self.chat(model, before=other)
+        self.assertEqual(2, len(set(model.runs)))
+
+
+class PlainTest(support.TestCase):
+    def call(self, target, limits=None, *, stopped=False, **fields):
+        """Run one plain call through dispatch; return its outcome and exchange."""
+
+        async def scenario():
+            async with endpoints.running(target, **(limits or {})) as (
+                forwarder,
+                place,
+            ):
+                if stopped:
+                    place = place._replace(address="127.0.0.1:1")
+                exchange = endpoints.order(place, endpoints.Caller(), **fields)
+                run = dispatch.make(forwarder=forwarder)
+                return await run(exchange, None), exchange
+
+        return self.run_async(scenario())
+
+    def test_an_answer_passes_whole_and_costs_its_price(self):
+        outcome, exchange = self.call(service.Service())
+        self.assertEqual(
+            outcomes.Answered(status=201, tokens=10, endpoint="e-1"), outcome
+        )
+        self.assertEqual([b'{"order": 1}'], exchange.held)
+        self.assertNotIn("Idempotency-Key", exchange.reply_headers)
+
+    def test_only_what_was_not_sent_is_not_run(self):
+        outcome, exchange = self.call(service.Service(), stopped=True)
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertFalse(exchange.dispatched)
+
+    def test_anything_after_connecting_is_unknown_and_runs_once(self):
+        limits = {"idle_timeout": 0.2}
+        for method in ("POST", "PUT", "GET", "DELETE"):
+            for fault in ("lose_answers", "garbage", "half", "silent"):
+                target = service.Service()
+                setattr(target, fault, 1)
+                outcome, exchange = self.call(target, limits, method=method)
+                self.assertIsInstance(outcome, outcomes.Unknown, (method, fault))
+                self.assertFalse(outcome.may_rerun)
+                self.assertEqual(1, len(target.calls), (method, fault))
+                self.assertEqual(10, exchange.used)
+
+    def test_an_idempotent_call_may_rerun_and_costs_nothing(self):
+        target = service.Service()
+        target.lose_answers = 1
+        outcome, exchange = self.call(target, idempotent=True)
+        self.assertTrue(outcome.may_rerun)
+        self.assertEqual(0, exchange.used)
+
+    def test_a_busy_answer_is_never_not_run(self):
+        for status in (429, 503):
+            target = service.Service()
+            target.status = status
+            outcome, _ = self.call(target)
+            self.assertEqual(
+                outcomes.Answered(status=status, tokens=0, endpoint="e-1"), outcome
+            )
+            outcome, _ = self.call(target, idempotent=True)
+            self.assertIsInstance(outcome, outcomes.Unknown)
+
+    def test_an_earlier_unknown_outcome_is_not_forgotten(self):
+        async def scenario():
+            target = service.Service()
+            target.lose_answers = 1
+            async with endpoints.running(target) as (forwarder, place):
+                exchange = endpoints.order(place, endpoints.Caller(), idempotent=True)
+                run = dispatch.make(forwarder=forwarder)
+                await run(exchange, None)
+                exchange.endpoint = place._replace(address="127.0.0.1:1")
+                return await run(exchange, None)
+
+        self.assertIsInstance(self.run_async(scenario()), outcomes.Unknown)
+
+    def test_an_oversize_answer_is_refused(self):
+        outcome, _ = self.call(service.Service(), {"answer_bytes": 5})
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertIn("exceeds 5 bytes", outcome.message)
+
+    def test_a_redirect_is_passed_on_and_not_followed(self):
+        target = service.Service()
+        target.status = 307
+        target.headers = {"Location": "/elsewhere"}
+        outcome, exchange = self.call(target)
+        self.assertEqual((307, 1), (outcome.status, len(target.calls)))
+        self.assertEqual("/elsewhere", exchange.reply_headers["Location"])
