--- a/dogwoodchute/failures.py
+++ b/dogwoodchute/failures.py
@@ -6,6 +6,7 @@
 costs nothing.
 """
 
+import dataclasses
 import http
 
 import aiohttp
@@ -22,6 +23,8 @@
     GONE: (CALLER_GONE, "caller_gone"),
     LATE: (http.HTTPStatus.GATEWAY_TIMEOUT, "timed_out"),
 }
+FAILED = (http.HTTPStatus.BAD_GATEWAY, "endpoint_failed")
+BUSY_RETRY_AFTER = 1.0  # seconds
 RETRY = "Retry with the same Idempotency-Key to run it again."
 NO_RETRY = "It will not be run again under this Idempotency-Key; check its effect."
 BUSY_STATUSES = frozenset({429, 503})
@@ -33,16 +36,12 @@
     exchange: exchanges.Exchange, reason: str, *, seen: bool
 ) -> outcomes.Unknown:
     """Return the outcome of a chat that broke off; `seen` if the caller saw a part."""
-    status, code = STATUS_OF.get(
-        reason, (http.HTTPStatus.BAD_GATEWAY, "endpoint_failed")
-    )
-    return outcomes.Unknown(
+    status, code = STATUS_OF.get(reason, FAILED)
+    outcome = _unknown(exchange, f"The answer is not whole: {reason}.")
+    return dataclasses.replace(
+        outcome,
         status=int(status),
         code=code,
-        message=f"The answer is not whole: {reason}. {_advice(exchange)}",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        tokens=exchange.used,
         may_rerun=exchange.idempotent and not seen and reason != LATE,
     )
 
@@ -55,7 +54,7 @@
         f"The endpoint could not be reached ({error}); retry.",
         step="dispatch",
         peer=exchange.endpoint.name,
-        retry_after=1.0,
+        retry_after=BUSY_RETRY_AFTER,
     )
 
 
@@ -73,34 +72,19 @@
             message,
             step="dispatch",
             peer=peer,
-            retry_after=1.0,
+            retry_after=BUSY_RETRY_AFTER,
         )
     if response.status in BAD_REQUEST_STATUSES:
         status = http.HTTPStatus(response.status)
         code = "endpoint_refused"
         return outcomes.refuse(status, code, message, step="dispatch", peer=peer)
-    return outcomes.Unknown(
-        status=int(http.HTTPStatus.BAD_GATEWAY),
-        code="endpoint_failed",
-        message=f"{message} {_advice(exchange)}",
-        step="dispatch",
-        peer=peer,
-        may_rerun=exchange.idempotent,
-    )
+    return _unknown(exchange, message)
 
 
 def plain_unknown(exchange: exchanges.Exchange, reason: str) -> outcomes.Unknown:
     """Return the outcome of a plain call that may have run; sets what it costs."""
     exchange.used = 0 if exchange.idempotent else exchange.service.price
-    return outcomes.Unknown(
-        status=int(http.HTTPStatus.BAD_GATEWAY),
-        code="endpoint_failed",
-        message=f"The endpoint failed in the call: {reason}. {_advice(exchange)}",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        tokens=exchange.used,
-        may_rerun=exchange.idempotent,
-    )
+    return _unknown(exchange, f"The endpoint failed in the call: {reason}.")
 
 
 def plain_busy(
@@ -108,16 +92,23 @@
 ) -> outcomes.Unknown:
     """Return the outcome of an idempotent plain call that the endpoint put off."""
     exchange.used = 0
-    return outcomes.Unknown(
+    outcome = _unknown(exchange, f"The endpoint answered {response.status}.")
+    return dataclasses.replace(
+        outcome,
         status=int(http.HTTPStatus.SERVICE_UNAVAILABLE),
         code="endpoint_busy",
-        message=f"The endpoint answered {response.status}. {RETRY}",
-        step="dispatch",
-        peer=exchange.endpoint.name,
-        retry_after=1.0,
-        may_rerun=True,
+        retry_after=BUSY_RETRY_AFTER,
     )
 
 
-def _advice(exchange: exchanges.Exchange) -> str:
-    return RETRY if exchange.idempotent else NO_RETRY
+def _unknown(exchange: exchanges.Exchange, message: str) -> outcomes.Unknown:
+    status, code = FAILED
+    return outcomes.Unknown(
+        status=int(status),
+        code=code,
+        message=f"{message} {RETRY if exchange.idempotent else NO_RETRY}",
+        step="dispatch",
+        peer=exchange.endpoint.name,
+        tokens=exchange.used,
+        may_rerun=exchange.idempotent,
+    )
