Continue a killed host's stream on another host

Cause: a caller whose router died had to run its request again and pay for two runs at the engine. Change: a signed token at the stream's head; sent to any host with the last event's id, it continues the engine's stream with one bill under the same key. Tests kill one of two daemons in the middle of a stream: all 40 events arrive once, one bill of 41 tokens, one run at the engine.

--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -31,6 +31,7 @@
     dispatch,
     reserve,
     resolve,
+    resume,
 )
 from dogwoodchute.platform import table_client
 
@@ -68,12 +69,14 @@
             [
                 authenticate.make(host=host),
                 resolve.make(host=host),
+                resume.make_check(host=host),
                 deduplicate.make(
                     runs=deduplicate.Runs(), known=lookups.Lookups(host=host)
                 ),
                 reserve.make(granted=self.grants),
                 claim.make(host=host, claiming=self.claims),
                 bill.make(host=host, granted=self.grants, billing=self.bills),
+                resume.make_continue(host=host, forwarder=self.forwarder),
                 choose.make(host=host, rng=host.rng),
                 dispatch.make(forwarder=self.forwarder),
             ]
--- a/dogwoodchute/failures.py
+++ b/dogwoodchute/failures.py
@@ -17,15 +17,17 @@
 SILENT = "the stream went silent"
 LATE = "the request took too long"
 CUT = "the answer ended early"
+LOST = "the engine no longer has the stream"
 REASON_LABELS = {GONE: "caller_gone", SILENT: "silent", LATE: "timed_out"}
 CALLER_GONE = 499  # seen in logs only
 STATUS_OF = {
     GONE: (CALLER_GONE, "caller_gone"),
+    LOST: (http.HTTPStatus.GONE, "stream_lost"),
     LATE: (http.HTTPStatus.GATEWAY_TIMEOUT, "timed_out"),
 }
 FAILED = (http.HTTPStatus.BAD_GATEWAY, "endpoint_failed")
 BUSY_RETRY_AFTER = 1.0  # seconds
-RETRY = "Retry with the same Idempotency-Key to run it again."
+RETRY = "Retry with the same Idempotency-Key, without X-Resume-Token, to run it again."
 NO_RETRY = "It will not be run again under this Idempotency-Key; check its effect."
 BUSY_STATUSES = frozenset({429, 503})
 BAD_REQUEST_STATUSES = frozenset({400, 404, 405, 413, 415, 422})
@@ -46,6 +48,11 @@
     )
 
 
+def lost(exchange: exchanges.Exchange) -> outcomes.Unknown:
+    """Return the outcome of a stream that can't be continued."""
+    return incomplete(exchange, LOST, seen=True)
+
+
 def not_reached(exchange: exchanges.Exchange, error: Exception) -> outcomes.NotRun:
     """Return the outcome of a request of which no byte was sent."""
     return outcomes.refuse(
@@ -108,7 +115,7 @@
         code=code,
         message=f"{message} {RETRY if exchange.idempotent else NO_RETRY}",
         step="dispatch",
-        peer=exchange.endpoint.name,
+        peer=exchange.endpoint.name if exchange.endpoint else None,
         tokens=exchange.used,
         may_rerun=exchange.idempotent,
     )
--- /dev/null
+++ b/dogwoodchute/filters/resume.py
@@ -0,0 +1,114 @@
+"""Continues a stream whose router died, from a token and the last event seen."""
+
+import hashlib
+import http
+
+from dogwoodchute import (
+    clock,
+    exchange as exchanges,
+    failures,
+    forward,
+    outcomes,
+    sse,
+    state,
+)
+from dogwoodchute.coordination import resume
+
+TOKEN_HEADER = forward.RESUME_TOKEN.lower()
+EVENT_HEADER = "last-event-id"
+MAX_EVENT_ID = 128  # characters
+
+REFUSALS = {
+    "bad_resume_token": "The X-Resume-Token is not one of this fleet.",
+    "resume_token_expired": "The X-Resume-Token has expired.",
+}
+
+
+def make_check(*, host: state.HostState) -> exchanges.Filter:
+    """Return the filter that checks the token, before repeats are recognised.
+
+    Without a `Last-Event-ID` the caller has seen nothing, and the request is an
+    ordinary repeat of its key.
+    """
+
+    async def check_resume(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        headers = exchange.request.headers
+        token = headers.get(TOKEN_HEADER)
+        last_event_id = headers.get(EVENT_HEADER)
+        if token is None or last_event_id is None:
+            return await proceed()
+        fleet_key = host.config.keys.fleet_key
+        ticket = resume.verify(token, fleet_key=fleet_key, now=clock.wall())
+        if isinstance(ticket, resume.Invalid):
+            return _refuse(ticket.code, REFUSALS[ticket.code])
+        fault = _mismatch(exchange, ticket, last_event_id)
+        if fault is not None:
+            return _refuse("resume_mismatch", fault)
+        exchange.resume = exchanges.Resume(ticket.endpoint, last_event_id)
+        outcome = await proceed()
+        if isinstance(outcome, outcomes.Answered) and not exchange.started:
+            return _trim(exchange, outcome)
+        return outcome
+
+    return check_resume
+
+
+def make_continue(
+    *, host: state.HostState, forwarder: forward.Forwarder
+) -> exchanges.Filter:
+    """Return the filter that continues at the stream's engine, before the choice."""
+
+    async def continue_stream(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        if exchange.resume is None:
+            return await proceed()
+        endpoint = host.current.endpoints.get(exchange.resume.endpoint)
+        if endpoint is None:
+            return failures.lost(exchange)
+        exchange.endpoint = endpoint
+        return await forwarder.chat(exchange)
+
+    return continue_stream
+
+
+def digest(exchange: exchanges.Exchange) -> str:
+    """Return the digest of the request by which a token knows it."""
+    return hashlib.sha256(exchange.fingerprint).hexdigest()
+
+
+def _mismatch(
+    exchange: exchanges.Exchange, ticket: resume.Ticket, last_event_id: str
+) -> str | None:
+    if not exchange.stream:
+        return "Send the request unchanged, with 'stream' true."
+    if ticket.account != exchange.account.name:
+        return "Use a key of the client account that began the stream."
+    if ticket.request_key != exchange.request_key:
+        return "Send the Idempotency-Key that the first reply's head told."
+    if ticket.fingerprint != digest(exchange):
+        return "Send the request unchanged."
+    if len(last_event_id) > MAX_EVENT_ID or not last_event_id.isprintable():
+        return "Send the id of the last whole event as Last-Event-ID."
+    return None
+
+
+def _refuse(code: str, message: str) -> outcomes.NotRun:
+    status = http.HTTPStatus.BAD_REQUEST
+    return outcomes.refuse(status, code, message, step="resume")
+
+
+def _trim(
+    exchange: exchanges.Exchange, outcome: outcomes.Answered
+) -> outcomes.Answered | outcomes.Unknown:
+    """Leave out of a kept answer what the caller has seen."""
+    held = b"".join(exchange.held)
+    if held == sse.DONE:
+        return outcome
+    rest = sse.after(held, exchange.resume.last_event_id)
+    if rest is None:
+        return failures.lost(exchange)
+    exchange.held = [rest]
+    return outcome
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -128,13 +128,13 @@
     return tokens
 
 
-def after(data: bytes, last_id: str) -> bytes:
-    """Return `data` without the events up to the one with `last_id`, if it has it."""
+def after(data: bytes, last_id: str) -> bytes | None:
+    """Return what follows the event with `last_id`, None if there is no such event."""
     position = 0
     while True:
         end = data.find(BOUNDARY, position)
         if end < 0:
-            return data
+            return None
         if event_id(data[position:end]) == last_id:
             return data[end + 2 :]
         position = end + 2
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -208,13 +208,13 @@
     ) -> _Ended | _Refused | _Broken:
         if response.status != http.HTTPStatus.OK:
             if last_id is not None:
-                return _Broken(reason="the engine lost the stream", resumable=False)
+                return _Broken(reason=failures.LOST, resumable=False)
             return _Refused(outcome=await failures.refusal(self._exchange, response))
         if response.content_type != EVENT_STREAM:
             raise sse.FormatError("the answer is not an event stream")
         if last_id is not None:
             if response.headers.get(RESUMED_AFTER) != last_id:
-                return _Broken(reason="the engine can't resume", resumable=False)
+                return _Broken(reason=failures.LOST, resumable=False)
             RESUMES.inc()
         content = response.content
         splitter = self._splitter
@@ -319,6 +319,8 @@
         exchange.used = tokens
         if exchange.stream:
             exchange.held = [sse.DONE]
+            if not exchange.started:
+                exchange.reply_headers = {"Content-Type": EVENT_STREAM}
         else:
             exchange.held = [
                 answers.join(
@@ -335,7 +337,8 @@
 
     async def _give_up(self, reason: str) -> outcomes.Unknown:
         exchange = self._exchange
-        seen = exchange.started or reason == failures.GONE
+        resumed = exchange.resume is not None
+        seen = exchange.started or resumed or reason == failures.GONE
         if exchange.idempotent and not seen:
             self._links.cancel_later()
             exchange.used = 0
--- a/dogwoodchute/tests/test_forward.py
+++ b/dogwoodchute/tests/test_forward.py
@@ -78,7 +78,7 @@
         model = engine.Engine(resumable=False)
         model.cut_after = 3
         outcome, caller, exchange = self.chat(model)
-        self.assertEqual("endpoint_failed", outcome.code)
+        self.assertEqual("stream_lost", outcome.code)
         self.assertIsInstance(outcome, outcomes.Unknown)
         self.assertFalse(outcome.may_rerun)
         self.assertTrue(6 <= exchange.used <= 11)
--- /dev/null
+++ b/dogwoodchute/tests/test_resume.py
@@ -0,0 +1,182 @@
+"""Streams that are continued on another host."""
+
+import asyncio
+import json
+
+import aiohttp
+import hypothesis
+from hypothesis import strategies as st
+
+from dogwoodchute import catalog, clock, daemon, outcomes, runtime, sse
+from dogwoodchute.coordination import resume, rows
+from dogwoodchute.filters import resume as filters
+from dogwoodchute.platform import table
+from dogwoodchute.standins import engine, site, table as standin_table
+from dogwoodchute.tests import endpoints, support
+
+FLEET_KEY = "demo-fleet-secret-not-for-use"
+TICKET = resume.Ticket("growers", "key-1", "e-1", 500, "f" * 64, 1000)
+CLIENT_KEY = "client-key"
+TOKENS = 40
+
+
+class TokenTest(support.TestCase):
+    def test_a_token_tells_what_was_signed_until_it_expires(self):
+        token = resume.sign(TICKET, fleet_key=FLEET_KEY)
+        self.assertEqual(TICKET, resume.verify(token, fleet_key=FLEET_KEY, now=999))
+        late = resume.verify(token, fleet_key=FLEET_KEY, now=1000)
+        self.assertEqual("resume_token_expired", late.code)
+        other = resume.verify(token, fleet_key="another-fleet-secret", now=0)
+        self.assertEqual("bad_resume_token", other.code)
+
+    @support.fuzz_settings(300)
+    @hypothesis.given(position=st.integers(0, 400), letter=st.characters(codec="utf-8"))
+    def test_no_changed_token_passes(self, position, letter):
+        token = resume.sign(TICKET, fleet_key=FLEET_KEY)
+        position %= len(token)
+        changed = token[:position] + letter + token[position + 1 :]
+        result = resume.verify(changed, fleet_key=FLEET_KEY, now=0)
+        self.assertTrue(isinstance(result, resume.Invalid) or result == TICKET)
+
+    @support.fuzz_settings(200)
+    @hypothesis.given(text=st.text(max_size=80))
+    def test_garbage_is_refused(self, text):
+        result = resume.verify(text, fleet_key=FLEET_KEY, now=0)
+        self.assertIsInstance(result, resume.Invalid)
+
+
+class CheckTest(support.TestCase):
+    def check(self, change=lambda exchange: None, *, held=None, last="2"):
+        """Pass a resumed request through the check; `held` is a kept answer."""
+        host = runtime.embedded_state(endpoints.config())
+        exchange = endpoints.chat(None, endpoints.Caller())
+        ticket = TICKET._replace(
+            expires=clock.wall() + 60, fingerprint=filters.digest(exchange)
+        )
+        token = resume.sign(ticket, fleet_key=FLEET_KEY)
+        exchange.request.headers.update(
+            {"x-resume-token": token, "last-event-id": last}
+        )
+        change(exchange)
+
+        async def proceed():
+            exchange.held = [held]
+            return outcomes.Answered(status=200, tokens=0, endpoint="", replayed=True)
+
+        run = filters.make_check(host=host)
+        return self.run_async(run(exchange, proceed)), exchange
+
+    def test_a_kept_answer_goes_on_after_the_last_event_seen(self):
+        events = [b"id: %d\ndata: {}\n\n" % n for n in range(4)]
+        outcome, exchange = self.check(held=b"".join(events) + sse.DONE)
+        self.assertIsInstance(outcome, outcomes.Answered)
+        self.assertEqual([events[3] + sse.DONE], exchange.held)
+
+    def test_a_kept_answer_without_that_event_is_not_sent(self):
+        outcome, _ = self.check(held=b"id: 9\ndata: {}\n\n" + sse.DONE)
+        self.assertEqual("stream_lost", outcome.code)
+
+    def test_a_token_of_another_request_is_refused(self):
+        def other_account(exchange):
+            exchange.account = exchange.account._replace(name="other")
+
+        def other_body(exchange):
+            exchange.request = exchange.request._replace(body=b"{}")
+
+        def other_key(exchange):
+            exchange.request_key = "key-2"
+
+        def whole(exchange):
+            exchange.stream = False
+
+        for change in (other_account, other_body, other_key, whole):
+            outcome, _ = self.check(change)
+            self.assertIsInstance(outcome, outcomes.NotRun)
+            self.assertEqual("resume_mismatch", outcome.code)
+
+
+class TwoHostsTest(support.TestCase):
+    """Two daemons in one loop share a table and an engine."""
+
+    def test_a_killed_hosts_stream_goes_on_at_another_with_one_bill(self):
+        text, bills, model = self.run_async(self.kill_and_continue(engine.Engine()))
+        events = sse.events(text)
+        ids = [sse.event_id(event) for event in events]
+        self.assertEqual([str(n) for n in range(TOKENS)] + [None], ids)
+        self.assertEqual(b"data: [DONE]", events[-1])
+        self.assertEqual([TOKENS + 1], bills)
+        self.assertEqual((1, 1), (len(model.runs), len(model.resumed)))
+
+    def test_a_stream_that_the_engine_lost_is_unknown_and_bills_what_it_used(self):
+        model = engine.Engine(resumable=False)
+        text, bills, _ = self.run_async(self.kill_and_continue(model))
+        self.assertIn(b'"code":"stream_lost"', text.replace(b": ", b":"))
+        self.assertIn(b'"outcome":"unknown"', text.replace(b": ", b":"))
+        (sequence,) = model.batching.kept.values()
+        self.assertEqual([sequence.usage["total_tokens"]], bills)
+        self.assertTrue(bills[0] < TOKENS)
+
+    async def kill_and_continue(self, model):
+        """Return all that the caller saw, the bills and the engine."""
+        model.batching.token_seconds = 0.01
+        memory = standin_table.MemoryTable()
+        place = site.Site(app=model.app())
+        await place.start()
+        second = await self.start_host(memory, place)
+        others = asyncio.all_tasks()
+        first = await self.start_host(memory, place)
+        async with aiohttp.ClientSession() as session:
+            broken, seen, headers = await self.begin(session, first)
+            await self.kill(first, others)
+            broken.close()
+            headers["Last-Event-ID"] = sse.event_id(sse.events(seen)[-1])
+            async with self.post(session, second, headers) as response:
+                seen += await response.read()
+        bills = [r.value["tokens"] for k, r in memory.rows.items() if "bill/" in k]
+        await second.stop()
+        await place.stop()
+        return seen, bills, model
+
+    async def start_host(self, memory, place):
+        host = runtime.embedded_state(endpoints.config(), memory=memory)
+        account = endpoints.ACCOUNT._replace(keys=(catalog.hash_key(CLIENT_KEY),))
+        model = catalog.Endpoint("e-1", endpoints.CHAT.name, place.address, "dar", "a")
+        accounts, services = {"growers": account}, {endpoints.CHAT.name: endpoints.CHAT}
+        host.adopt(catalog.Catalog(1, accounts, services, {"e-1": model}))
+        budget = table.Write(rows.budget("growers"), {"paid": 10_000, "drawn": 0})
+        memory.apply("top-up", [table.Check(budget.key, 0)], [budget])
+        each = daemon.Daemon(host=host)
+        await each.start()
+        return each
+
+    def post(self, session, host, headers):
+        body = {
+            "model": endpoints.CHAT.name,
+            "stream": True,
+            "max_tokens": TOKENS,
+            "messages": [{"role": "user", "content": "plan"}],
+        }
+        url = f"http://127.0.0.1:{host.callers.port}/v1/chat/completions"
+        headers = {**headers, "Authorization": f"Bearer {CLIENT_KEY}"}
+        return session.post(url, data=json.dumps(body).encode(), headers=headers)
+
+    async def begin(self, session, host):
+        """Read a few events; return the reply, them and the headers to go on with."""
+        response = await self.post(session, host, {})
+        seen = b""
+        while seen.count(b"\n\n") < 3:
+            seen += await response.content.readany()
+        names = ("X-Resume-Token", "Idempotency-Key")
+        headers = {name: response.headers[name] for name in names}
+        return response, seen[: seen.rfind(b"\n\n") + 2], headers
+
+    async def kill(self, host, others):
+        """Stop a host abruptly: none of its code runs any more."""
+        for task in asyncio.all_tasks() - others - {asyncio.current_task()}:
+            source = task.get_coro().cr_code.co_filename
+            if "aiohttp/web" not in source and "standins" not in source:
+                task.cancel()
+        await host.forwarder.stop()
+        host.callers._server.close()
+        for connection in list(host.callers._server.connections):
+            connection.transport.abort()
