Connect hosts by authenticated streams; add membership, locate and drain

Cause: a host ran alone. Peers could not be called, nobody knew which hosts were alive, callers had nobody to ask for a host, and SIGTERM did not wait for answers.

Change: - Peer streams: length-prefixed msgpack over TCP, opened by a two-sided HMAC proof over both identities and fresh nonces, optionally inside mutual TLS. Calls end in Answer, NotSent or NoAnswer; a call still in our own queue is NotSent. Heartbeats both ways; a silent stream is cut and dialled anew. Sending to other regions is paced, heartbeats first, calls before hints. - Membership: a register row with a generation for each host, a sparse graph of streams that stays connected without any one data centre, link-state liveness, hints by version within a byte bound. - Host list controller, which keeps the newest list seen. - GET /v1/locate by weighted rendezvous hashing; GET /ops/v1/hosts, POST /ops/v1/drain, dogwoodctl host list|drain. - Drain: out of locate answers at once, callers served for the linger time, listener closed, answers under way finished, bills written, grants returned, what is left handed to peers.

Tests: state machine of members over a fake link layer with three planted faults that it must catch; any-fleet properties of topology and ranking; streams over loopback with a forwarder that goes silent; three daemons in one process; chat streams open through a drain.

Conclusion: several hosts form a fleet.

--- /dev/null
+++ b/dogwoodchute/controllers/membership.py
@@ -0,0 +1,314 @@
+"""Keeps the streams to neighbours, passes on what hosts say, and tells who is alive."""
+
+import asyncio
+from collections import abc
+
+import prometheus_client
+
+from dogwoodchute import controller, log, peer_streams, peer_wire, peers, state
+from dogwoodchute.controllers import register
+from dogwoodchute.coordination import membership, pacing, topology
+
+STEP = 0.25  # seconds
+HINT_INTERVAL = 1.0  # seconds between changes of own hints
+STORE_INTERVAL = 10.0  # seconds between looks at the store
+CORES_PER_FRAME = 32
+HINTS_PER_FRAME = 8
+HINT_BURST = 4_096  # bytes
+NEAR_SHARE = 0.75  # of the hint bytes, for hosts of the own region
+MAX_HINT_BYTES = 4_096  # one host's hints
+
+KNOWN = prometheus_client.Gauge("dogwoodchute_hosts_known", "Hosts in the register.")
+ALIVE = prometheus_client.Gauge("dogwoodchute_hosts_alive", "Hosts that are heard.")
+STORE_AGE = prometheus_client.Gauge(
+    "dogwoodchute_store_age_seconds", "Seconds since the store last answered."
+)
+
+
+class Membership:
+    """What this host knows of the fleet, and its part in spreading it."""
+
+    def __init__(
+        self,
+        *,
+        host: state.HostState,
+        streams: peer_streams.Streams,
+        superseded: abc.Callable[[str], None],
+    ) -> None:
+        place = host.config.host
+        self.register = register.Register(host=host)
+        self.members = membership.Members(
+            own=membership.Core(
+                place.id,
+                0,
+                host.incarnation,
+                1,
+                place.region,
+                place.data_centre,
+                "",
+                "",
+                leaving=False,
+                stale=False,
+                hears=(),
+            )
+        )
+        self._host = host
+        self._streams = streams
+        self._superseded = superseded
+        self._raised = False
+        self._waking: asyncio.Task | None = None
+        self._digest_due: set[str] = set()
+        self._linked: list[str] = []  # peers that get gossip, in turn
+        self._places: frozenset = frozenset()
+        self._last_hint = float("-inf")
+        self._last_store = host.now()
+        self._renewed = float("-inf")
+        self._known: tuple[object, list[peers.Peer]] = (None, [])
+        rate = host.config.peers.hint_bytes_per_second
+        self._buckets = {
+            True: pacing.Bucket(rate=rate * NEAR_SHARE, burst=HINT_BURST),
+            False: pacing.Bucket(rate=rate * (1 - NEAR_SHARE), burst=HINT_BURST),
+        }
+        streams.known = self.known
+        streams.find = self.address_of
+
+    def known(self) -> list[peers.Peer]:
+        """Return all other hosts of the fleet."""
+        listed = self._host.host_list
+        key = (self.members.revision, listed.revision if listed is not None else -1)
+        if self._known[0] != key:
+            alive = self.members.alive()
+            cores = self.members.cores.values()
+            found = [self._peer(core, core.host in alive) for core in cores]
+            self._known = (key, [p for p in found if p.host != self._own_name])
+        return list(self._known[1])
+
+    @property
+    def _own_name(self) -> str:
+        return self._host.config.host.id
+
+    def _peer(self, core: membership.Core, alive: bool) -> peers.Peer:
+        hints = self.members.hints.get(core.host)
+        values = dict(hints.values) if hints is not None else {}
+        values["stale"] = core.stale
+        return peers.Peer(
+            core.host,
+            core.incarnation,
+            core.region,
+            core.data_centre,
+            core.address,
+            core.caller_address,
+            alive=alive,
+            leaving=core.leaving or self._host.listed_leaving(core.host),
+            hints=values,
+        )
+
+    def address_of(self, name: str) -> str | None:
+        """Return the peer address of a host, None if it is unknown."""
+        core = self.members.cores.get(name)
+        return core.address or None if core is not None else None
+
+    async def start(self) -> None:
+        """Listen for peers, and register where the store answers."""
+        listeners = peer_streams.Listeners(
+            self._opened, self._closed, self._received, self._woke
+        )
+        await self._streams.start(self._host.incarnation, listeners)
+        address = peer_streams.join(self._host.config.host.address, self._streams.port)
+        self.members.change_own(address=address)
+        await self.look_at_store()
+
+    def announce(self) -> None:
+        """Write the row anew at the next look: callers are served now."""
+        self._renewed = float("-inf")
+
+    async def step(self) -> None:
+        """Refresh this host's own record, the wanted streams, and gossip."""
+        self._refresh()
+        now = self._host.now()
+        if now - self._last_hint >= HINT_INTERVAL:
+            self._last_hint = now
+            self._say()
+        self._flush()
+        KNOWN.set(len(self.members.cores))
+        ALIVE.set(len(self.members.alive()))
+
+    def _refresh(self) -> None:
+        host = self._host
+        age = host.now() - self._last_store
+        STORE_AGE.set(age)
+        host.stale = age > host.config.peers.stale_after
+        self._want()
+        hears = [h for h in self._streams.heard_hosts if h in self._streams.wanted]
+        self.members.change_own(
+            caller_address=host.caller_address if host.ready else "",
+            leaving=host.leaving,
+            stale=host.stale,
+            hears=tuple(sorted(hears)),
+        )
+        self._meet_rival()
+
+    def _want(self) -> None:
+        """Choose the streams to keep anew if hosts came, went or moved."""
+        cores = self.members.cores.values()
+        places = frozenset(
+            (topology.Place(c.host, c.region, c.data_centre), c.address)
+            for c in cores
+            if c.address
+        )
+        if places == self._places:
+            return
+        self._places = places
+        addresses = {place.host: address for place, address in places}
+        near = topology.neighbours((place for place, _ in places), self._own_name)
+        self._streams.wanted = {name: addresses[name] for name in near}
+
+    def _meet_rival(self) -> None:
+        rival, self.members.rival = self.members.rival, None
+        if rival is None:
+            return
+        if self.register.generation > 0 or self._raised:
+            log.error("host_superseded", incarnation=rival.incarnation)
+            self._superseded(rival.incarnation)
+            return
+        # The store has not been reached since the start: the other incarnation is
+        # most likely the one before this.
+        self._raised = True
+        self.members.change_own(generation=rival.generation + 1)
+
+    def _say(self) -> None:
+        capacity = self._host.config.locate.capacity
+        load = round(self._host.in_flight / capacity, 1)
+        values = {**self._streams.hints, "load": load}
+        size = len(peer_wire.encode(peer_wire.Gossip([], [values])))
+        if size > MAX_HINT_BYTES:
+            log.warning("hints_too_large", bytes=size, limit=MAX_HINT_BYTES)
+            values = {"load": load}
+        self.members.say(values)
+
+    def _flush(self) -> None:
+        """Send each neighbour what it lacks, as far as the bounds allow."""
+        self._linked = self._linked[1:] + self._linked[:1]
+        for peer in self._linked:
+            if not self._streams.may_gossip(peer):
+                continue
+            if peer in self._digest_due:
+                self._digest_due.discard(peer)
+                digest = peer_wire.Digest(self.members.digest())
+                self._streams.gossip(peer, digest)
+                continue
+            cores = self.members.take_cores(peer, CORES_PER_FRAME)
+            if cores:
+                self._streams.gossip(peer, peer_wire.Gossip(cores, []))
+                continue
+            for near, bucket in self._buckets.items():
+                self._send_hints(peer, near, bucket)
+
+    def _send_hints(self, peer: str, near: bool, bucket: pacing.Bucket) -> None:
+        now = self._host.now()
+        if bucket.wait(now) > 0 or not self._streams.may_gossip(peer):
+            return
+        hints = self.members.take_hints(peer, HINTS_PER_FRAME, near=near)
+        if hints:
+            size = self._streams.gossip(peer, peer_wire.Gossip([], hints))
+            bucket.take(size, now)
+
+    def _opened(self, peer: peer_wire.Identity) -> None:
+        if peer.host in self._streams.wanted:
+            self._link(peer.host)
+        self._refresh()
+        self._flush()
+
+    def _link(self, name: str) -> None:
+        self.members.connect(name)
+        self._digest_due.add(name)
+        if name not in self._linked:
+            self._linked.append(name)
+
+    def _closed(self, peer: peer_wire.Identity, reason: str) -> None:
+        if peer.host in self._streams.open_hosts:
+            return
+        self.members.disconnect(peer.host)
+        if peer.host in self._linked:
+            self._linked.remove(peer.host)
+        self._refresh()
+        self._flush()
+
+    def _received(self, peer: peer_wire.Identity, message: peer_wire.Message) -> None:
+        name = peer.host
+        try:
+            if isinstance(message, peer_wire.Digest):
+                if name not in self._linked:
+                    self._link(name)
+                self.members.compare(name, message.states)
+                self._flush()
+                return
+            cores = [membership.core_from_plain(fields) for fields in message.cores]
+            hints = [membership.hints_from_plain(fields) for fields in message.hints]
+        except (TypeError, ValueError) as error:
+            raise peer_wire.FrameError(f"bad gossip: {error}") from error
+        self.members.receive(name, cores, hints)
+        if cores:
+            self._refresh()
+            self._flush()
+
+    def _woke(self, seconds: float) -> None:
+        """After a pause, see at once whether another incarnation took over."""
+        self._waking = asyncio.create_task(self.look_at_store())
+
+    async def look_at_store(self) -> None:
+        """Look at this host's row; renew it and read all rows when that is due."""
+        now = self._host.now()
+        if now - self._renewed < self._host.config.peers.register_interval:
+            self._take(await self.register.check())
+            return
+        outcome = await self.register.write(
+            self.members.own, at_least=self.members.own.generation
+        )
+        if not self._take(outcome):
+            return
+        self._renewed = now
+        self.members.change_own(generation=outcome.generation)
+        cores = await self.register.scan(self.members.alive())
+        if cores is not None:
+            self._adopt(cores)
+
+    def _take(self, outcome: register.Outcome) -> bool:
+        """Note what the register answered; return whether it names this process."""
+        if isinstance(outcome, register.NotReached):
+            log.warning("register_failed", reason=outcome.reason, peer=outcome.peer)
+            return False
+        self._last_store = self._host.now()
+        if isinstance(outcome, register.Superseded):
+            log.error("host_superseded", incarnation=outcome.incarnation)
+            self._superseded(outcome.incarnation)
+            return False
+        return True
+
+    def _adopt(self, cores: list[membership.Core]) -> None:
+        for core in cores:
+            self.members.learn(core)
+        registered = {core.host for core in cores}
+        for name in list(self.members.cores):
+            if name not in registered and name not in self.members.alive():
+                log.info("host_forgotten", peer=name)
+                self.members.forget(name)
+
+    async def stop(self) -> None:
+        """Say that this process exits, and close the streams."""
+        if self._waking is not None:
+            self._waking.cancel()
+        outcome = await self.register.write(self.members.own, left=True)
+        if isinstance(outcome, register.NotReached):
+            log.warning("register_failed", reason=outcome.reason, peer=outcome.peer)
+        await self._streams.stop()
+
+    def controllers(self) -> list[controller.Controller]:
+        """Return the controllers: streams and gossip, and the register."""
+        return [
+            controller.Controller("peer_streams", self.start, self.stop),
+            controller.periodic("membership", self.step, interval=STEP),
+            controller.periodic(
+                "register", self.look_at_store, interval=STORE_INTERVAL
+            ),
+        ]
--- /dev/null
+++ b/dogwoodchute/coordination/topology.py
@@ -0,0 +1,77 @@
+"""Which hosts of a fleet keep streams to one another: a sparse, symmetric graph.
+
+Inside a data centre the hosts lie on two rings, each ordered by a hash of its own.
+Data centres lie on two rings too, one by region and name and one by hash; neighbours
+on a ring are joined by a few streams between hosts that rendezvous hashing picks. A
+ring without one of its members is a path, so the graph stays connected with a whole
+data centre lost. Every host computes the same graph from the same members.
+"""
+
+from collections import abc
+from typing import NamedTuple
+
+import xxhash
+
+RINGS = 2  # inside a data centre, and among data centres
+PAIR_LINKS = 3  # streams between two neighbouring data centres
+MAX_DEGREE = 2 * RINGS + 2 * RINGS  # inside, plus one for each neighbour elsewhere
+
+
+class Place(NamedTuple):
+    """A host and where it is."""
+
+    host: str
+    region: str
+    data_centre: str
+
+
+def edges(places: abc.Iterable[Place]) -> set[tuple[str, str]]:
+    """Return the graph's edges, each as a sorted pair of hosts."""
+    centres: dict[tuple[str, str], list[str]] = {}
+    for place in sorted(set(places)):
+        centre = (place.region, place.data_centre)
+        centres.setdefault(centre, []).append(place.host)
+    found: set[tuple[str, str]] = set()
+    for hosts in centres.values():
+        for ring in range(RINGS):
+            found.update(_ring(_shuffled(hosts, str(ring))))
+    for one, other in _centre_pairs(list(centres)):
+        salt = f"{one}|{other}"
+        near = _shuffled(centres[one], salt)[:PAIR_LINKS]
+        far = _shuffled(centres[other], salt)[:PAIR_LINKS]
+        found.update(_edge(a, b) for a, b in zip(near, far, strict=False))
+    return found
+
+
+def neighbours(places: abc.Iterable[Place], host: str) -> set[str]:
+    """Return the hosts that `host` keeps streams to."""
+    found = set()
+    for one, other in edges(places):
+        if one == host:
+            found.add(other)
+        elif other == host:
+            found.add(one)
+    return found
+
+
+def _centre_pairs(centres: list[tuple[str, str]]) -> set[tuple]:
+    by_hash = sorted(centres, key=lambda c: (_digest("/".join(c), "centres"), c))
+    return _ring(sorted(centres)) | _ring(by_hash)
+
+
+def _ring(items: list) -> set[tuple]:
+    if len(items) < 2:
+        return set()
+    return {_edge(items[i - 1], items[i]) for i in range(len(items))}
+
+
+def _edge(one: object, other: object) -> tuple:
+    return (one, other) if one < other else (other, one)
+
+
+def _shuffled(hosts: list[str], salt: str) -> list[str]:
+    return sorted(hosts, key=lambda host: (_digest(host, salt), host))
+
+
+def _digest(text: str, salt: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{salt}|{text}".encode())
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -3,12 +3,16 @@
 from dogwoodchute import (
     callers,
     callers_errors,
+    callers_locate,
     controller,
+    drain,
     exchange,
     forward,
     log,
     operators,
+    operators_fleet,
     operators_money,
+    peer_streams,
     server,
     state,
 )
@@ -18,7 +22,9 @@
     claims,
     copies,
     grants,
+    hostlist,
     lookups,
+    membership,
     reclaim,
     releases,
 )
@@ -37,9 +43,14 @@
 
 
 class Daemon:
-    """One host's listeners, filter chain and controllers."""
+    """One host's listeners, filter chain and controllers.
 
-    def __init__(self, *, host: state.HostState) -> None:
+    `streams` is what `host.peers` was made from, None for a host that runs alone.
+    """
+
+    def __init__(
+        self, *, host: state.HostState, streams: peer_streams.Streams | None = None
+    ) -> None:
         self.host = host
         config = host.config
         host.store = table_client.guard(host.store, now=host.now, rng=host.rng)
@@ -55,7 +66,15 @@
         self.forwarder = forward.Forwarder(host=host)
         self.callers = _server("callers", host)
         self.operators = _server("operators", host)
+        self.drain = drain.Drain(host=host, steps=self._drain_steps())
+        self.membership: membership.Membership | None = None
+        if streams is not None:
+            self.membership = membership.Membership(
+                host=host, streams=streams, superseded=self._superseded
+            )
         self._controllers = [
+            *(self.membership.controllers() if self.membership is not None else []),
+            hostlist.make(host),
             controller.Controller(
                 "forwarder", self.forwarder.start, self.forwarder.stop
             ),
@@ -83,11 +102,13 @@
         )
         callers_errors.add_handlers(self.callers.app)
         callers.add_routes(self.callers.app, host=host, run=chain)
+        callers_locate.add_routes(self.callers.app, host=host)
         operators.add_routes(self.operators.app, host=host, releasing=self.releases)
         operators_money.add_routes(self.operators.app, host=host, budget=self.budgets)
         operators_money.add_caller_routes(
             self.callers.app, host=host, budget=self.budgets
         )
+        operators_fleet.add_routes(self.operators.app, host=host, drains=self.drain)
         self._config = config
 
     async def start(self) -> None:
@@ -105,6 +126,9 @@
             place.caller_port,
             tls=server.tls_context(tls.caller_certificate, tls.caller_key),
         )
+        self.host.caller_address = peer_streams.join(place.address, self.callers.port)
+        if self.membership is not None:
+            self.membership.announce()
         log.info(
             "host_started",
             host=place.id,
@@ -113,8 +137,27 @@
             operator_port=self.operators.port,
         )
 
+    def _drain_steps(self) -> drain.Steps:
+        return drain.Steps(
+            leave=self._leave,
+            close=self.callers.close,
+            busy=lambda: self.host.in_flight + self.callers.busy,
+            settle={"bills": self.bills.flush, "grants": self.grants.return_all},
+            hand_over={"copies": self.copies.hand_over},
+        )
+
+    async def _leave(self) -> None:
+        if self.membership is not None:
+            await self.membership.step()
+
+    def _superseded(self, incarnation: str) -> None:
+        self.drain.begin(f"superseded by {incarnation}")
+
     async def stop(self) -> None:
-        """Stop listening, then stop controllers, which flush what must last."""
+        """Stop listening, then stop controllers, which flush what must last.
+
+        Does not wait for what is in flight; `drain` does.
+        """
         self.host.draining = True
         await self.callers.stop()
         await controller.stop_all(self._controllers)
--- /dev/null
+++ b/dogwoodchute/peer_tls.py
@@ -0,0 +1,34 @@
+"""Mutual TLS between hosts, from the settings' PEM files."""
+
+import ssl
+from typing import NamedTuple
+
+from dogwoodchute import settings
+
+
+class Contexts(NamedTuple):
+    """The contexts of both directions."""
+
+    listen: ssl.SSLContext
+    dial: ssl.SSLContext
+
+
+def contexts(tls: settings.TLS) -> Contexts | None:
+    """Return the contexts of peer streams, None where no files are set.
+
+    Both ends show a certificate of the fleet's own authority. Hosts are reached by IP
+    number and name themselves in the handshake, so names in certificates are not
+    checked. Raises `OSError` or `ssl.SSLError` if a file can't be used.
+    """
+    if not tls.peer_certificate:
+        return None
+    both = []
+    for protocol in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT):
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.load_cert_chain(tls.peer_certificate, tls.peer_key)
+        context.load_verify_locations(tls.peer_authority)
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        both.append(context)
+    return Contexts(*both)
--- /dev/null
+++ b/dogwoodchute/peer_wire.py
@@ -0,0 +1,170 @@
+"""Frames between the fleet's hosts, and the proofs that open a stream.
+
+A frame is a big-endian 32-bit length and that many bytes of msgpack: a list of the
+message's tag and its fields. A stream opens with `Hello` from the side that dialled,
+`Challenge` back, `Proof` and `Opened`.
+"""
+
+import struct
+from typing import NamedTuple
+
+import msgpack
+
+PROTOCOL = 1
+HANDSHAKE_BYTES = 2_048  # largest frame before both sides are proven
+LENGTH = struct.Struct(">I")
+
+
+class FrameError(Exception):
+    """Bytes that are no frame of this protocol."""
+
+
+class Identity(NamedTuple):
+    """Who one end of a stream is."""
+
+    host: str
+    incarnation: str
+    region: str
+    data_centre: str
+
+
+class Hello(NamedTuple):
+    """Opens a stream; `target` is the host that is meant, empty for any."""
+
+    protocol: int
+    host: str
+    incarnation: str
+    region: str
+    data_centre: str
+    target: str
+    nonce: bytes
+
+
+class Challenge(NamedTuple):
+    """Answers `Hello` and proves that the sender holds the fleet key."""
+
+    host: str
+    incarnation: str
+    region: str
+    data_centre: str
+    nonce: bytes
+    proof: bytes
+
+
+class Proof(NamedTuple):
+    """Proves that the side that dialled holds the fleet key."""
+
+    proof: bytes
+
+
+class Opened(NamedTuple):
+    """Tells the side that dialled that the stream is open."""
+
+    protocol: int
+
+
+class Call(NamedTuple):
+    """A call; `number` is unique among the sender's calls on the stream."""
+
+    number: int
+    kind: str
+    body: dict
+
+
+class Reply(NamedTuple):
+    """The answer to a call."""
+
+    number: int
+    body: dict
+
+
+class Failure(NamedTuple):
+    """A call without an answer; `refused` if its handler certainly never ran."""
+
+    number: int
+    reason: str
+    refused: bool
+
+
+class Beat(NamedTuple):
+    """A heartbeat."""
+
+    sequence: int
+
+
+class Digest(NamedTuple):
+    """Which state the sender has: generation and versions by host."""
+
+    states: dict
+
+
+class Gossip(NamedTuple):
+    """States of hosts that the receiver may not have."""
+
+    cores: list
+    hints: list
+
+
+Message = (
+    Hello | Challenge | Proof | Opened | Call | Reply | Failure | Beat | Digest | Gossip
+)
+KINDS = Message.__args__
+TAGS = {kind: tag for tag, kind in enumerate(KINDS)}
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message.
+
+    Raises `FrameError` if a field can't be carried by msgpack.
+    """
+    try:
+        content = msgpack.packb([TAGS[type(message)], *message])
+    except (TypeError, ValueError, OverflowError) as error:
+        raise FrameError(f"not encodable: {error}") from error
+    return LENGTH.pack(len(content)) + content
+
+
+def decode(content: bytes) -> Message:
+    """Return the message in a frame's content; raises `FrameError`."""
+    try:
+        fields = msgpack.unpackb(content, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"not msgpack: {error}") from error
+    if not isinstance(fields, list) or not fields or type(fields[0]) is not int:
+        raise FrameError("not a message")
+    if not 0 <= fields[0] < len(KINDS):
+        raise FrameError(f"unknown tag {fields[0]}")
+    kind = KINDS[fields[0]]
+    expected = list(kind.__annotations__.values())
+    if [type(value) for value in fields[1:]] != expected:
+        raise FrameError(f"wrong fields of {kind.__name__}")
+    return kind(*fields[1:])
+
+
+class Decoder:
+    """Cuts a stream of bytes into frames of at most `max_bytes`."""
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._buffer += data
+
+    def next(self) -> Message | None:
+        """Return the next whole message, None if there is none yet.
+
+        Raises `FrameError` at a frame that is too large or no message.
+        """
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > self.max_bytes:
+            raise FrameError(f"frame of {length} bytes")
+        end = LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        content = bytes(memoryview(self._buffer)[LENGTH.size : end])
+        del self._buffer[:end]
+        return decode(content)
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -19,6 +19,8 @@
         self.app.config.KEEP_ALIVE_TIMEOUT = int(idle_timeout)
         self.app.config.REQUEST_TIMEOUT = int(idle_timeout)
         self.app.config.RESPONSE_TIMEOUT = 86_400
+        # The end of an answer may still be on its way to a slow caller.
+        self.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT = idle_timeout
         # Touch-up rewrites shared classes, which fails for a second application.
         self.app.config.TOUCHUP = False
         self.app.config.MOTD = False
@@ -44,14 +46,30 @@
         await self._server.start_serving()
         await self._server.after_start()
 
+    @property
+    def busy(self) -> int:
+        """Connections that are open; after `close`, those with answers under way."""
+        return len(self._server.connections) if self._server is not None else 0
+
+    async def close(self) -> None:
+        """Take no new connections or requests; answers under way go on.
+
+        A repeat also closes connections whose answers have ended since.
+        """
+        if self._server is None:
+            return
+        if self._server.is_serving():
+            self._server.close()
+        for connection in list(self._server.connections):
+            if not connection.close_if_idle():
+                connection.http.keep_alive = False
+
     async def stop(self) -> None:
         """Close the listener and all idle connections."""
         if self._server is None:
             return
         await self._server.before_stop()
-        self._server.close()
-        for connection in list(self._server.connections):
-            connection.close_if_idle()
+        await self.close()
         await self._server.after_stop()
         sanic.Sanic.unregister_app(self.app)
         self._server = None
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -101,13 +101,18 @@
     caller_key: str = key("PEM file of the key of `caller_certificate`.", "")
     operator_certificate: str = key("PEM file of the operators' side.", "")
     operator_key: str = key("PEM file of the key of `operator_certificate`.", "")
+    peer_certificate: str = key("PEM file of this host towards peers.", "")
+    peer_key: str = key("PEM file of the key of `peer_certificate`.", "")
+    peer_authority: str = key("PEM file of the authority that signs peers.", "")
 
     @pydantic.model_validator(mode="after")
     def _keys_are_paired(self) -> "TLS":
-        for side in ("caller", "operator"):
+        for side in ("caller", "operator", "peer"):
             certificate = getattr(self, f"{side}_certificate")
             if bool(certificate) != bool(getattr(self, f"{side}_key")):
                 raise ValueError(f"set {side}_certificate and {side}_key, or neither")
+        if bool(self.peer_certificate) != bool(self.peer_authority):
+            raise ValueError("set peer_certificate and peer_authority, or neither")
         return self
 
 
@@ -164,6 +169,42 @@
     )
 
 
+class Peers(Section):
+    """Streams to the other hosts, and membership."""
+
+    heartbeat_interval: Seconds = key("Seconds between heartbeats.", 0.5)
+    silent_after: Seconds = key("Seconds without a byte before a stream is cut.", 1.6)
+    frame_bytes: int = key("Largest frame of a call or answer.", 4_000_000, ge=4096)
+    queue_bytes: int = key("Most bytes that wait on one stream.", 16_000_000, ge=4096)
+    region_bytes_per_second: float = key(
+        "Most bytes a second that this host sends to other regions.", 250_000.0, gt=0
+    )
+    hint_bytes_per_second: float = key(
+        "Most bytes a second of hints that this host sends.", 4_000.0, gt=0
+    )
+    register_interval: Seconds = key("Seconds between renewals in the store.", 60.0)
+    stale_after: Seconds = key(
+        "Seconds without the store before the host leaves locate answers.", 300.0
+    )
+
+
+class Locate(Section):
+    """Which hosts callers are sent to."""
+
+    lifetime: Seconds = key("Seconds that callers may keep an answer.", 30.0)
+    near: int = key("Hosts of the own region in an answer.", 3, ge=1)
+    far: int = key("Hosts of other regions in an answer.", 1, ge=0)
+    capacity: int = key("Requests in flight at which a host is full.", 256, ge=1)
+
+
+class Drain(Section):
+    """Graceful shutdown; `limits.drain_timeout` bounds all of it."""
+
+    linger: Seconds = key(
+        "Seconds that callers are served after the host left locate answers.", 35.0
+    )
+
+
 class Log(Section):
     """What is logged."""
 
@@ -181,6 +222,9 @@
     tls: TLS = TLS()
     limits: Limits = Limits()
     budget: Budget = Budget()
+    peers: Peers = Peers()
+    locate: Locate = Locate()
+    drain: Drain = Drain()
     log: Log = Log()
 
 
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -32,7 +32,9 @@
         self.incarnation = f"{config.host.id}-{self.rng.getrandbits(48):012x}"
         self.draining = False
         self.ready = False
+        self.stale = False  # without the store for too long
         self.in_flight = 0
+        self.caller_address = ""  # IP number and port, once callers are served
         self.host_list: hostlist.HostList | None = None
         self._current = catalog.EMPTY
         self._key_index: dict[str, str] = {}
@@ -42,6 +44,16 @@
         """The state in force on this host."""
         return self._current
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this host drains or the host list says that it leaves."""
+        return self.draining or self.listed_leaving(self.config.host.id)
+
+    def listed_leaving(self, name: str) -> bool:
+        """Return whether the host list says that a host leaves."""
+        entry = self.host_list.hosts.get(name) if self.host_list is not None else None
+        return entry is not None and entry.leaving
+
     def adopt(self, newer: catalog.Catalog) -> bool:
         """Put a catalog in force if its revision is higher; return whether it was."""
         if newer.revision <= self._current.revision:
--- /dev/null
+++ b/dogwoodchute/tests/test_drain.py
@@ -0,0 +1,177 @@
+"""Graceful shutdown, with real streams open through it and with its bounds."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from dogwoodchute import drain
+from dogwoodchute.tests import support, support_fleet
+from dogwoodchute.tools import demo
+
+CHAT = {
+    "model": "assistant-llm",
+    "stream": True,
+    "max_tokens": 30,
+    "messages": [{"role": "user", "content": "Draft a quote"}],
+}
+HEADERS = {"Authorization": f"Bearer {demo.CLIENT_KEY}"}
+
+
+@contextlib.asynccontextmanager
+async def serving(*, linger=0.2, token_seconds=0.03, timeout=60.0):
+    """Run the demo's host and a session to it."""
+    running = demo.Demo()
+    running.engine.token_seconds = token_seconds
+    host = running.daemon.host
+    config = host.config
+    host.config = config.model_copy(
+        update={
+            "drain": config.drain.model_copy(update={"linger": linger}),
+            "limits": config.limits.model_copy(update={"drain_timeout": timeout}),
+        }
+    )
+    await running.start()
+    base = f"http://127.0.0.1:{running.daemon.callers.port}"
+    async with aiohttp.ClientSession(base_url=base, headers=HEADERS) as session:
+        yield running, session
+    await running.stop()
+
+
+async def chat(session, **changes):
+    async with session.post("/v1/chat/completions", json={**CHAT, **changes}) as answer:
+        return answer.status, await answer.read()
+
+
+def whole(answer, tokens=30):
+    status, content = answer
+    events = [e for e in content.split(b"\n\n") if e]
+    return status == 200 and len(events) == tokens + 1 and b"[DONE]" in events[-1]
+
+
+class DrainTest(support.TestCase):
+    def test_open_streams_end_whole_and_billed(self):
+        async def run():
+            async with serving() as (running, session):
+                daemon = running.daemon
+                asked = [asyncio.create_task(chat(session)) for _ in range(5)]
+                await support_fleet.until(lambda: len(running.engine.runs) == 5)
+                daemon.drain.begin("test")
+                self.assertTrue(daemon.host.leaving)
+                late = await chat(session, max_tokens=2)
+                self.assertTrue(whole(late, tokens=2), late)
+                await asyncio.wait_for(daemon.drain.done.wait(), 30)
+                answers = await asyncio.gather(*asked)
+                self.assertTrue(all(whole(answer) for answer in answers))
+                self.assertEqual([], running.engine.cancelled)
+                bills = [k for k in running.table.rows if k.startswith("bill/")]
+                self.assertEqual(6, len(bills))
+                self.assertEqual(0, daemon.callers.busy)
+                with self.assertRaises(aiohttp.ClientError):
+                    await chat(session)
+
+        self.run_async(run())
+
+    def test_a_slow_reader_still_gets_the_end(self):
+        async def run():
+            async with serving(token_seconds=0.0) as (running, session):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", running.daemon.callers.port, limit=1024
+                )
+                body = b'{"model": "assistant-llm", "stream": true, "max_tokens": 500, '
+                body += b'"messages": [{"role": "user", "content": "x"}]}'
+                head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                head += f"Authorization: {HEADERS['Authorization']}\r\n"
+                head += f"Content-Length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
+                await support_fleet.until(lambda: running.engine.runs)
+                running.daemon.drain.begin("test")
+                content = b""
+                while data := await reader.read(4096):
+                    content += data
+                    await asyncio.sleep(0.002)
+                writer.close()
+                self.assertIn(b"[DONE]", content)
+                await asyncio.wait_for(running.daemon.drain.done.wait(), 30)
+
+        self.run_async(run())
+
+    def test_a_second_signal_ends_the_wait(self):
+        async def run():
+            async with serving(linger=60.0, token_seconds=1.0) as (running, session):
+                asked = asyncio.create_task(chat(session))
+                await support_fleet.until(lambda: running.engine.runs)
+                running.daemon.drain.begin("SIGTERM")
+                await asyncio.sleep(0.1)
+                self.assertEqual("draining", running.daemon.drain.phase)
+                running.daemon.drain.hurry("SIGTERM")
+                await asyncio.wait_for(running.daemon.drain.done.wait(), 5)
+                asked.cancel()
+
+        self.run_async(run())
+
+
+class OrderTest(support.TestCase):
+    """The order of steps on passed-in time."""
+
+    def drain(self, *, busy, linger=35.0, timeout=120.0, hurry_at=None, stuck=False):
+        config = support_fleet.config_of(
+            "dar-1", drain={"linger": linger}, limits={"drain_timeout": timeout}
+        )
+        seen = []
+        host = type("Host", (), {"config": config, "in_flight": 0, "draining": False})()
+        host.time = 0.0
+        host.now = lambda: host.time
+
+        async def sleep(seconds):
+            host.time += seconds
+            if hurry_at is not None and host.time >= hurry_at:
+                draining.hurry("test")
+            await asyncio.sleep(0)
+
+        def step(name):
+            async def run():
+                if name not in seen:
+                    seen.append(name)
+                if stuck and name == "bills":
+                    await asyncio.Event().wait()
+
+            return run
+
+        steps = drain.Steps(
+            leave=step("leave"),
+            close=step("close"),
+            busy=lambda: host.time < busy,
+            settle={"bills": step("bills"), "grants": step("grants")},
+            hand_over={"copies": step("copies")},
+        )
+        draining = drain.Drain(host=host, steps=steps, sleep=sleep)
+
+        async def run():
+            draining.begin("test")
+            draining.begin("again")
+            await draining.done.wait()
+
+        self.run_async(run())
+        return seen, host.time
+
+    def test_callers_are_served_for_the_linger_time(self):
+        order = ["leave", "close", "bills", "grants", "copies"]
+        seen, ended = self.drain(busy=0.0)
+        self.assertEqual(order, seen)
+        self.assertTrue(35 <= ended < 36, ended)
+        seen, ended = self.drain(busy=80.0)
+        self.assertEqual(order, seen)
+        self.assertTrue(80 <= ended < 81, ended)
+
+    def test_the_bound_and_a_second_signal_end_it(self):
+        seen, ended = self.drain(busy=1e9)
+        self.assertTrue(108 <= ended < 109, ended)  # a tenth is left to settle
+        self.assertEqual(["leave", "close", "bills", "grants", "copies"], seen)
+        seen, ended = self.drain(busy=1e9, hurry_at=3.0)
+        self.assertTrue(3 <= ended < 4, ended)
+        self.assertEqual(["leave", "copies"], seen)
+
+    def test_a_stuck_store_does_not_hold_the_host(self):
+        seen, _ = self.drain(busy=0.0, linger=0.1, timeout=0.5, stuck=True)
+        self.assertEqual(["leave", "close", "bills", "copies"], seen)
--- /dev/null
+++ b/dogwoodchute/tests/test_membership.py
@@ -0,0 +1,259 @@
+"""Members on a fake link layer and passed-in time, under faults."""
+
+import contextlib
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from dogwoodchute.coordination import membership, topology
+from dogwoodchute.tests import support, support_fleet
+
+PLACES = [
+    topology.Place(f"{centre}-{n}", centre[0], centre)
+    for centre in ("a1", "a2", "b1", "b2")
+    for n in range(2)
+]
+NAMES = [place.host for place in PLACES]
+EDGES = topology.edges(PLACES)
+TICK = 0.25  # seconds
+SILENT = 1.6  # seconds
+BOUND = 3.0  # seconds until a dead host is known to be dead
+
+
+class Net:
+    """Hosts whose streams break in silence and are dialled anew each tick."""
+
+    def __init__(self, make=membership.Members):
+        self.make = make
+        self.now = 0.0
+        self.calm_since = 0.0
+        self.up = {}
+        self.paused = set()
+        self.cut = set()
+        self.generations = dict.fromkeys(NAMES, 0)
+        self.heard = {}  # by (host, peer): when a byte last came
+        self.highest = {}
+        for name in NAMES:
+            self.start(name)
+
+    def fault(self):
+        self.calm_since = self.now
+
+    def start(self, name):
+        self.generations[name] += 1
+        place = PLACES[NAMES.index(name)]
+        self.up[name] = self.make(
+            own=support_fleet.core_of(place, self.generations[name])
+        )
+        self.highest = {k: v for k, v in self.highest.items() if k[0] != name}
+        self.fault()
+
+    def kill(self, name):
+        self.up.pop(name, None)
+        self.paused.discard(name)
+        for pair in list(self.heard):
+            if name in pair:
+                self.lose(*pair, gone=name)
+        self.fault()
+
+    def lose(self, name, peer, gone=None):
+        self.heard.pop((name, peer), None)
+        if name in self.up and name != gone:
+            self.up[name].disconnect(peer)
+
+    def passes(self, one, other):
+        both = one in self.up and other in self.up
+        stuck = {one, other} & self.paused
+        return both and not stuck and frozenset((one, other)) not in self.cut
+
+    def tick(self):
+        self.now += TICK
+        for one, other in EDGES:
+            self.keep_stream(one, other)
+        for name, members in self.up.items():
+            if name in self.paused:
+                continue
+            hears = sorted(peer for mine, peer in self.heard if mine == name)
+            members.change_own(hears=tuple(hears))
+        while self.exchange():
+            pass
+
+    def keep_stream(self, one, other):
+        if self.passes(one, other):
+            fresh = (one, other) not in self.heard or (other, one) not in self.heard
+            for name, peer in ((one, other), (other, one)):
+                if fresh:
+                    self.up[name].connect(peer)
+                self.heard[name, peer] = self.now
+            if fresh:
+                for name, peer in ((one, other), (other, one)):
+                    self.up[name].compare(peer, self.up[peer].digest())
+            return
+        for name, peer in ((one, other), (other, one)):
+            since = self.heard.get((name, peer))
+            if name in self.paused or since is None:
+                continue
+            if self.now - since > SILENT:
+                self.lose(name, peer)
+
+    def exchange(self):
+        moved = 0
+        for name, peer in list(self.heard):
+            if not self.passes(name, peer) or (peer, name) not in self.heard:
+                continue
+            cores = self.up[name].take_cores(peer, 100)
+            hints = self.up[name].take_hints(peer, 100, near=True)
+            hints += self.up[name].take_hints(peer, 100, near=False)
+            self.up[peer].receive(name, cores, hints)
+            moved += len(cores) + len(hints)
+        return moved
+
+    def reachable(self, name):
+        """Return the hosts that a chain of passing edges leads to."""
+        found = {name}
+        edge = [name]
+        while edge:
+            at = edge.pop()
+            for one, other in EDGES:
+                if at not in (one, other):
+                    continue
+                peer = other if at == one else one
+                if peer not in found and self.passes(at, peer):
+                    found.add(peer)
+                    edge.append(peer)
+        return found
+
+    def check(self, case):
+        for name, members in self.up.items():
+            for host, known in members.cores.items():
+                seen = self.highest.get((name, host), (0, "", 0))
+                case.assertGreaterEqual(known.age_key, seen)
+                self.highest[name, host] = known.age_key
+        if self.now - self.calm_since < BOUND:
+            return
+        for name, members in self.up.items():
+            if name in self.paused:
+                continue
+            case.assertEqual(self.reachable(name), set(members.alive()))
+            for host in self.reachable(name):
+                case.assertEqual(self.up[host].own, members.cores[host])
+                case.assertEqual(self.up[host].hints, members.hints)
+
+
+class MembersMachine(stateful.RuleBasedStateMachine):
+    make = membership.Members
+
+    def __init__(self):
+        super().__init__()
+        self.net = Net(self.make)
+        self.case = support.TestCase("run_async")
+        self.said = 0
+
+    @stateful.rule(ticks=strategies.integers(1, 16))
+    def wait(self, ticks):
+        for _ in range(ticks):
+            self.net.tick()
+            self.net.check(self.case)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def kill(self, name):
+        self.net.kill(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def restart(self, name):
+        self.net.kill(name)
+        self.net.start(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def pause_or_resume(self, name):
+        if name in self.net.up:
+            self.net.paused ^= {name}
+            self.net.fault()
+
+    @stateful.rule(
+        one=strategies.sampled_from(NAMES), other=strategies.sampled_from(NAMES)
+    )
+    def cut_or_mend(self, one, other):
+        self.net.cut ^= {frozenset((one, other))}
+        self.net.fault()
+
+    @stateful.rule()
+    def cut_regions(self):
+        self.net.cut |= {frozenset(e) for e in EDGES if e[0][0] != e[1][0]}
+        self.net.fault()
+
+    @stateful.rule()
+    def mend_all(self):
+        self.net.cut.clear()
+        self.net.fault()
+
+    @stateful.rule(name=strategies.sampled_from(NAMES), leaving=strategies.booleans())
+    def speak(self, name, leaving):
+        if name in self.net.up and name not in self.net.paused:
+            self.said += 1
+            self.net.up[name].say({"load": self.said})
+            self.net.up[name].change_own(leaving=leaving)
+            self.net.fault()
+
+
+class AcceptsOlder(membership.Members):
+    """A planted fault: any core replaces the one that is known."""
+
+    def _take_core(self, core, *, source):
+        if core.host != self._host:
+            self.cores[core.host] = core
+        return False
+
+
+class HoldsAllAlive(membership.Members):
+    """A planted fault: a host once known is held to be alive."""
+
+    def _reach(self):
+        return frozenset(self.cores)
+
+
+class PassesNothingOn(membership.Members):
+    """A planted fault: what one peer said is not passed on to others."""
+
+    def _store_core(self, core, *, source):
+        super()._store_core(core, source=source)
+        if source:
+            for dirty in self._dirty.values():
+                dirty.cores.pop(core.host, None)
+
+
+class MachineTest(support.TestCase):
+    def run_machine(self, members, examples):
+        machine = type("Machine", (MembersMachine,), {"make": members})
+        settings = support.fuzz_settings(examples, steps=30)
+        if members is not membership.Members:
+            phases = [hypothesis.Phase.generate]  # a smallest example is not needed
+            settings = hypothesis.settings(settings, phases=phases)
+        stateful.run_state_machine_as_test(machine, settings=settings)
+
+    def test_members_machine(self):
+        self.run_machine(membership.Members, 150)
+
+    def test_machine_sees_planted_faults(self):
+        for planted in (AcceptsOlder, HoldsAllAlive, PassesNothingOn):
+            with contextlib.redirect_stdout(None):
+                self.assertRaises(AssertionError, self.run_machine, planted, 60)
+
+
+class MembersTest(support.TestCase):
+    def test_a_rival_of_this_host_is_noted_and_never_adopted(self):
+        members = membership.Members(own=support_fleet.core_of(PLACES[0], 3))
+        members.receive("a2-0", [support_fleet.core_of(PLACES[0], 2)], [])
+        self.assertIsNone(members.rival)
+        members.receive("a2-0", [support_fleet.core_of(PLACES[0], 4)], [])
+        self.assertEqual(4, members.rival.generation)
+        self.assertEqual(3, members.own.generation)
+
+    def test_bad_records_are_refused(self):
+        good = list(support_fleet.core_of(PLACES[0], 3))
+        self.assertEqual(
+            support_fleet.core_of(PLACES[0], 3), membership.core_from_plain(good)
+        )
+        for bad in (good[:-1], ["x", "y", *good[2:]], [*good[:-1], [1]], 7):
+            self.assertRaises((TypeError, ValueError), membership.core_from_plain, bad)
+        self.assertRaises(ValueError, membership.hints_from_plain, ["h", 1, 1, []])
--- /dev/null
+++ b/dogwoodchute/tests/test_pacing.py
@@ -0,0 +1,55 @@
+"""The token bucket and the bounded queue."""
+
+import hypothesis
+from hypothesis import strategies
+
+from dogwoodchute.coordination import pacing
+from dogwoodchute.tests import support
+
+SENDS = strategies.lists(
+    strategies.tuples(strategies.floats(0, 3), strategies.integers(1, 900)),
+    max_size=60,
+)
+
+
+class BucketTest(support.TestCase):
+    @support.fuzz_settings(100)
+    @hypothesis.given(sends=SENDS)
+    def test_bytes_in_any_window_are_bounded(self, sends):
+        bucket = pacing.Bucket(rate=100, burst=300)
+        now = 0.0
+        passed = []
+        for pause, size in sends:
+            now += pause
+            now += bucket.wait(now)
+            self.assertEqual(0.0, bucket.wait(now))
+            bucket.take(size, now)
+            passed.append((now, size))
+        for first, (start, _) in enumerate(passed):
+            total = 0
+            for end, size in passed[first:]:
+                # The last item may go into debt, so it is not counted.
+                self.assertLessEqual(total, 300 + 100 * (end - start) + 1)
+                total += size
+
+    def test_time_that_goes_back_gains_nothing(self):
+        bucket = pacing.Bucket(rate=100, burst=100)
+        bucket.take(200, 10.0)
+        self.assertGreater(bucket.wait(9.0), 0.9)
+        self.assertGreater(bucket.wait(10.0), 0.9)
+
+
+class OutboxTest(support.TestCase):
+    def test_order_bound_and_discard(self):
+        outbox = pacing.Outbox(max_bytes=10)
+        first = outbox.push(pacing.GOSSIP, b"aaaa")
+        second = outbox.push(pacing.GOSSIP, b"bbbb")
+        self.assertIsNone(outbox.push(pacing.URGENT, b"ccc"))
+        self.assertTrue(outbox.discard(first))
+        self.assertFalse(outbox.discard(first))
+        self.assertIsNotNone(outbox.push(pacing.URGENT, b"ccc"))
+        self.assertEqual(b"bbbb", outbox.pop(pacing.GOSSIP))
+        self.assertFalse(outbox.discard(second))
+        self.assertEqual(3, outbox.bytes)
+        self.assertFalse(outbox.waiting(pacing.GOSSIP))
+        self.assertTrue(outbox.waiting(pacing.URGENT))
--- a/dogwoodchute/tools/dogwoodchuted.py
+++ b/dogwoodchute/tools/dogwoodchuted.py
@@ -26,13 +26,22 @@
 
 
 async def run(config: settings.Settings) -> None:
-    """Run one host until SIGTERM or SIGINT, then shut it down gracefully."""
-    stop = asyncio.Event()
+    """Run one host until it has drained.
+
+    SIGTERM or SIGINT begins the drain and a second one hurries it.
+    """
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    async with runtime.running(config):
-        await stop.wait()
+    async with runtime.running(config) as host:
+
+        def on_signal(name: str) -> None:
+            if host.drain.phase == "serving":
+                host.drain.begin(name)
+            else:
+                host.drain.hurry(name)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, on_signal, number.name)
+        await host.drain.done.wait()
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/dogwoodchute/tools/dogwoodctl.py
+++ b/dogwoodchute/tools/dogwoodctl.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from dogwoodchute.tools import ctl_accounts, ctl_releases
+from dogwoodchute.tools import ctl_accounts, ctl_hosts, ctl_releases
 
 
 @cappa.command(name="dogwoodctl")
@@ -17,7 +17,9 @@
     DOGWOODCTL_AT. Exit codes: 0 done, 1 refused, 2 wrong usage, 3 no host answered.
     """
 
-    command: cappa.Subcommands[ctl_accounts.Account | ctl_releases.Release]
+    command: cappa.Subcommands[
+        ctl_accounts.Account | ctl_hosts.Host | ctl_releases.Release
+    ]
 
 
 def main(argv: list[str] | None = None) -> int:
