--- /dev/null
+++ b/dogwoodchute/tests/processes.py
@@ -0,0 +1,232 @@
+"""A trial fleet of real processes on loopback, for tests of the whole."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+import aiohttp
+
+from dogwoodchute import catalog
+from dogwoodchute.platform import http_client, table
+
+CLIENT_KEY = "process-client-key"
+OPERATOR_KEY = "process-operator-key"
+START_BOUND = 30.0  # seconds
+STOP_BOUND = 30.0  # seconds
+
+SETTINGS = """
+[host]
+id = {name}
+region = {region}
+data_centre = {data_centre}
+address = 127.0.0.1
+caller_port = {ports[0]}
+operator_port = {ports[1]}
+peer_port = {ports[2]}
+[platform]
+mode = http
+table_address = {platform}
+objects_address = {platform}
+hostlist_address = {platform}
+[keys]
+operator_sha256 = {operator}
+fleet_key = process-fleet-secret
+[drain]
+linger = 1
+"""
+
+NOTE = """
+[note]
+base = 0
+[added service assistant-llm]
+kind = chat
+max_output = 512
+[added service order-api]
+kind = plain
+price = 10
+[added endpoint llm-1]
+service = assistant-llm
+address = {engine}
+region = dar
+data_centre = dar-a
+[added endpoint orders-1]
+service = order-api
+address = {orders}
+region = dar
+data_centre = dar-a
+[added account growers]
+keys = {key}
+services = assistant-llm order-api
+budget = {budget}
+"""
+
+PLACES = (("dar", "dar-a"), ("dar", "dar-b"), ("arusha", "arusha-a"))
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports of loopback that were free just now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Fleet:
+    """Stand-ins in one process and one process for each host."""
+
+    def __init__(self, *, hosts: int = 3, budget: int = 100_000) -> None:
+        self.hosts = hosts
+        self.budget = budget
+        self.addresses: dict[str, str] = {}  # of stand-ins
+        self.callers: list[str] = []
+        self.operators: list[str] = []
+        self.processes: list[subprocess.Popen] = []
+        self._folder = tempfile.TemporaryDirectory()
+        self._standins: subprocess.Popen | None = None
+        self._settings: list[pathlib.Path] = []
+
+    async def start(self, *, token_ms: float = 5.0) -> None:
+        """Start everything and put the note in force on all hosts."""
+        await asyncio.to_thread(self._start_standins, token_ms)
+        for number in range(self.hosts):
+            self._write_settings(number)
+            self.processes.append(self._run_daemon(number))
+        note = NOTE.format(
+            engine=self.addresses["engine-1"],
+            orders=self.addresses["service-1"],
+            key=catalog.hash_key(CLIENT_KEY),
+            budget=self.budget,
+        )
+        for number in range(self.hosts):
+            await self.until(lambda n=number: self.answers(n))
+        async with self.operator_session() as session:
+            url = f"http://{self.operators[0]}/ops/v1/releases"
+            async with session.post(url, data=note.encode()) as response:
+                text = await response.text()
+            if response.status != 200:
+                raise AssertionError(text)
+        for number in range(self.hosts):
+            await self.until(lambda n=number: self.serves(n))
+
+    def stop(self) -> None:
+        """End all processes that this fleet started."""
+        for process in [*self.processes, self._standins]:
+            if process is not None and process.poll() is None:
+                process.kill()
+        for process in [*self.processes, self._standins]:
+            if process is not None:
+                process.wait(STOP_BOUND)
+        self._folder.cleanup()
+
+    def signal(self, number: int, kind: signal.Signals) -> None:
+        """Send a signal to one host's daemon."""
+        self.processes[number].send_signal(kind)
+
+    def restart(self, number: int) -> None:
+        """Start the daemon of a host that has ended, with the same settings."""
+        self.processes[number].wait(STOP_BOUND)
+        self.processes[number] = self._run_daemon(number)
+
+    async def until(self, holds, bound: float = START_BOUND) -> None:
+        """Wait until the coroutine function `holds` returns true."""
+        deadline = asyncio.get_running_loop().time() + bound
+        while not await holds():
+            if asyncio.get_running_loop().time() > deadline:
+                raise AssertionError(f"not within {bound} s")
+            await asyncio.sleep(0.1)
+
+    async def answers(self, number: int) -> bool:
+        """Return whether a host's operators' side answers."""
+        return await self._status(f"http://{self.operators[number]}/healthz") == 200
+
+    async def serves(self, number: int) -> bool:
+        """Return whether a host serves the note's client account."""
+        url = f"http://{self.callers[number]}/v1/models"
+        return await self._status(url) == 200
+
+    async def _status(self, url: str) -> int:
+        try:
+            async with self.caller_session() as session, session.get(url) as response:
+                return response.status
+        except (aiohttp.ClientError, OSError):
+            return 0
+
+    def caller_session(self) -> aiohttp.ClientSession:
+        """Return a session with the client account's key."""
+        headers = {"Authorization": f"Bearer {CLIENT_KEY}"}
+        return aiohttp.ClientSession(headers=headers)
+
+    def operator_session(self) -> aiohttp.ClientSession:
+        """Return a session with the operators' key."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        return aiohttp.ClientSession(headers=headers)
+
+    async def rows(self, prefix: str) -> dict[str, dict]:
+        """Return the table's rows under `prefix`."""
+        connection = http_client.Connection(
+            address=self.addresses["platform"], timeout=5
+        )
+        found = await http_client.table_client(connection).scan(prefix)
+        await connection.close()
+        if isinstance(found, table.Unavailable):
+            raise AssertionError(found.reason)
+        return {key: row.value for key, row in found.rows.items()}
+
+    def _start_standins(self, token_ms: float) -> None:
+        base = free_ports(1)[0]
+        words = ["--port", str(base), "--token-ms", str(token_ms)]
+        self._standins = subprocess.Popen(
+            [sys.executable, "-m", "dogwoodchute.tools.dogwoodstandins", *words],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for line in self._standins.stdout:
+            name, _, address = line.strip().partition("=")
+            if name == "ready":
+                return
+            self.addresses[name] = address
+        raise AssertionError("stand-ins did not start")
+
+    def _write_settings(self, number: int) -> None:
+        ports = free_ports(3)
+        region, data_centre = PLACES[number % len(PLACES)]
+        path = pathlib.Path(self._folder.name) / f"host-{number}.ini"
+        path.write_text(
+            SETTINGS.format(
+                name=f"host-{number}",
+                region=region,
+                data_centre=data_centre,
+                ports=ports,
+                platform=self.addresses["platform"],
+                operator=catalog.hash_key(OPERATOR_KEY),
+            ),
+            encoding="utf-8",
+        )
+        self._settings.append(path)
+        self.callers.append(f"127.0.0.1:{ports[0]}")
+        self.operators.append(f"127.0.0.1:{ports[1]}")
+
+    def _run_daemon(self, number: int) -> subprocess.Popen:
+        log_path = pathlib.Path(self._folder.name) / f"host-{number}.log"
+        with log_path.open("ab") as log_file:
+            return subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "dogwoodchute.tools.dogwoodchuted",
+                    str(self._settings[number]),
+                ],
+                stderr=log_file,
+                env=dict(os.environ),
+            )
+
+    def logs(self, number: int) -> str:
+        """Return what a host has logged."""
+        path = pathlib.Path(self._folder.name) / f"host-{number}.log"
+        return path.read_text(encoding="utf-8")
