--- a/dogwoodchute/tests/processes.py
+++ b/dogwoodchute/tests/processes.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -25,9 +24,9 @@
 region = {region}
 data_centre = {data_centre}
 address = 127.0.0.1
-caller_port = {ports[0]}
-operator_port = {ports[1]}
-peer_port = {ports[2]}
+caller_port = 0
+operator_port = 0
+peer_port = 0
 [platform]
 mode = http
 table_address = {platform}
@@ -68,15 +67,6 @@
 PLACES = (("dar", "dar-a"), ("dar", "dar-b"), ("arusha", "arusha-a"))
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports of loopback that were free just now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Fleet:
     """Stand-ins in one process and one process for each host."""
 
@@ -104,7 +94,7 @@
             budget=self.budget,
         )
         for number in range(self.hosts):
-            await self.until(lambda n=number: self.answers(n))
+            await self._learn_ports(number)
         async with self.operator_session() as session:
             url = f"http://{self.operators[0]}/ops/v1/releases"
             async with session.post(url, data=note.encode()) as response:
@@ -128,11 +118,6 @@
         """Send a signal to one host's daemon."""
         self.processes[number].send_signal(kind)
 
-    def restart(self, number: int) -> None:
-        """Start the daemon of a host that has ended, with the same settings."""
-        self.processes[number].wait(STOP_BOUND)
-        self.processes[number] = self._run_daemon(number)
-
     async def until(self, holds, bound: float = START_BOUND) -> None:
         """Wait until the coroutine function `holds` returns true."""
         deadline = asyncio.get_running_loop().time() + bound
@@ -141,15 +126,21 @@
                 raise AssertionError(f"not within {bound} s")
             await asyncio.sleep(0.1)
 
-    async def answers(self, number: int) -> bool:
-        """Return whether a host's operators' side answers."""
-        return await self._status(f"http://{self.operators[number]}/healthz") == 200
-
     async def serves(self, number: int) -> bool:
         """Return whether a host serves the note's client account."""
         url = f"http://{self.callers[number]}/v1/models"
         return await self._status(url) == 200
 
+    async def _learn_ports(self, number: int) -> None:
+        async def started() -> bool:
+            return "event=host_started" in self.logs(number)
+
+        await self.until(started)
+        lines = self.logs(number).split("event=host_started")[-1]
+        fields = dict(word.split("=", 1) for word in lines.split() if "=" in word)
+        self.callers.append(f"127.0.0.1:{fields['caller_port']}")
+        self.operators.append(f"127.0.0.1:{fields['operator_port']}")
+
     async def _status(self, url: str) -> int:
         try:
             async with self.caller_session() as session, session.get(url) as response:
@@ -179,8 +170,7 @@
         return {key: row.value for key, row in found.rows.items()}
 
     def _start_standins(self, token_ms: float) -> None:
-        base = free_ports(1)[0]
-        words = ["--port", str(base), "--token-ms", str(token_ms)]
+        words = ["--port", "0", "--token-ms", str(token_ms)]
         self._standins = subprocess.Popen(
             [sys.executable, "-m", "dogwoodchute.tools.dogwoodstandins", *words],
             stdout=subprocess.PIPE,
@@ -194,7 +184,6 @@
         raise AssertionError("stand-ins did not start")
 
     def _write_settings(self, number: int) -> None:
-        ports = free_ports(3)
         region, data_centre = PLACES[number % len(PLACES)]
         path = pathlib.Path(self._folder.name) / f"host-{number}.ini"
         path.write_text(
@@ -202,15 +191,12 @@
                 name=f"host-{number}",
                 region=region,
                 data_centre=data_centre,
-                ports=ports,
                 platform=self.addresses["platform"],
                 operator=catalog.hash_key(OPERATOR_KEY),
             ),
             encoding="utf-8",
         )
         self._settings.append(path)
-        self.callers.append(f"127.0.0.1:{ports[0]}")
-        self.operators.append(f"127.0.0.1:{ports[1]}")
 
     def _run_daemon(self, number: int) -> subprocess.Popen:
         log_path = pathlib.Path(self._folder.name) / f"host-{number}.log"
--- a/dogwoodchute/tools/dogwoodstandins.py
+++ b/dogwoodchute/tools/dogwoodstandins.py
@@ -19,7 +19,7 @@
     """Serve an in-memory platform, toy engines and toy services on loopback.
 
     Ports count up from --port: the platform first, then the engines, then the plain
-    services. Everything is lost on exit.
+    services. With --port 0 each takes a free one. Everything is lost on exit.
 
     Example: dogwoodstandins --port 7000 --engines 2 --services 1
     """
@@ -48,7 +48,7 @@
     sites = []
     for offset, (name, app) in enumerate(parts):
         listener = site.Site(app=app)
-        await listener.start(options.port + offset)
+        await listener.start(options.port + offset if options.port else 0)
         sites.append(listener)
         print(f"{name}={listener.address}", flush=True)
     print("ready", flush=True)
