--- /dev/null
+++ b/dogwoodchute/coordination/admission.py
@@ -0,0 +1,326 @@
+"""Admits the requests of one service to its endpoints, queues them or sheds them.
+
+Joins the endpoint limits, the fair queue, the choice, the ejection and the retry budget
+of one host. All decisions are made at the time that the caller passes in, in monotonic
+seconds.
+"""
+
+import dataclasses
+import random
+from collections import abc
+from typing import NamedTuple
+
+from dogwoodchute.coordination import (
+    choice,
+    ejection,
+    limits,
+    prefix_index,
+    queues,
+    retry_budget,
+)
+
+SMOOTHING = 0.1  # weight of the newest sample in a mean
+WAIT_SHARE = 0.7  # of the time left, above which an expected wait is refused
+MIN_RETRY_AFTER = 1.0  # seconds
+MAX_RETRY_AFTER = 30.0  # seconds
+JITTER = 0.25  # share by which Retry-After varies either way
+
+
+class Site(NamedTuple):
+    """An endpoint of the service."""
+
+    name: str
+    region: str
+    capacity: int  # requests
+
+
+class Ticket(NamedTuple):
+    """What admission needs to know of a request."""
+
+    id: str
+    account: str
+    weight: int
+    cost: int  # estimated tokens
+    deadline: float  # when the first token is due
+    priority: int = 0  # lower goes first among the account's own
+    blocks: tuple[int, ...] = ()  # hashes of the prompt's blocks
+    prompt_seconds: float = 0.0  # to process the prompt uncached
+    link_seconds: float = 0.1  # cost of using another region's endpoint
+
+
+class Dispatch(NamedTuple):
+    """Send the request to the endpoint; `release` must follow."""
+
+    ticket: Ticket
+    endpoint: str
+
+
+class Shed(NamedTuple):
+    """Refuse the request; it was not sent anywhere."""
+
+    ticket: Ticket
+    code: str
+    retry_after: float  # seconds
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Permit:
+    ticket: Ticket
+    endpoint: str
+    at: float
+    judged: bool = False
+
+
+class Admission:
+    """The requests of one service on this host, waiting and in flight.
+
+    `leaving` tells whether an endpoint must get nothing new.
+    """
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        rng: random.Random,
+        leaving: abc.Callable[[str], bool],
+        index: prefix_index.PrefixIndex,
+        targets: limits.Targets = limits.Targets(),  # noqa: B008
+    ) -> None:
+        self.hosts = 1  # hosts that share the endpoints
+        self.retries = retry_budget.RetryBudget()
+        self.ejector = ejection.Ejector(
+            floors=ejection.Floors(targets.first_token, targets.token_gap)
+        )
+        self._region = region
+        self._rng = rng
+        self._leaving = leaving
+        self._index = index
+        self._targets = targets
+        self._sites: dict[str, Site] = {}
+        self._limits: dict[str, limits.Limit] = {}
+        self._queue = queues.FairQueue()
+        self._waiting: dict[str, Ticket] = {}
+        self._permits: dict[str, _Permit] = {}
+        self._first_token = 0.0  # mean seconds from dispatch, without the prompt
+        self._duration: float | None = None  # mean seconds from dispatch to the end
+        self._refused_until = 0.0  # when the callers refused so far could be served
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this host at endpoints."""
+        return len(self._permits)
+
+    @property
+    def sites(self) -> dict[str, Site]:
+        """The endpoints by name."""
+        return self._sites
+
+    def limit(self, endpoint: str) -> limits.Limit:
+        """Return the limit of an endpoint."""
+        return self._limits[endpoint]
+
+    def configure(self, sites: abc.Iterable[Site]) -> None:
+        """Set the endpoints; requests in flight at those that go are kept."""
+        self._sites = {site.name: site for site in sites}
+        self.ejector.configure(list(self._sites))
+        for site in self._sites.values():
+            if site.name not in self._limits:
+                self._limits[site.name] = limits.Limit(
+                    capacity=site.capacity, targets=self._targets
+                )
+        self._drop_unused_limits()
+
+    def take_report(self, endpoint: str, load: limits.Load) -> None:
+        """Take a load report of an endpoint."""
+        if endpoint in self._sites:
+            self._limits[endpoint].take_report(
+                load, hosts=self.hosts, draw=self._rng.random()
+            )
+
+    def offer(self, ticket: Ticket, now: float) -> Dispatch | Shed | None:
+        """Decide on a new request; None means that it waits for `pump`."""
+        self.retries.count_request()
+        if not self._queue:
+            endpoint = self._choose(ticket, now, self._expected_wait(ticket))
+            if endpoint is not None:
+                return self._dispatch(ticket, endpoint, now)
+        if not any(not self._leaving(name) for name in self._sites):
+            return self._shed(ticket, now, "no_endpoint")
+        latest = ticket.deadline - self._first_token
+        wait = self._expected_wait(ticket)
+        if wait > WAIT_SHARE * (latest - now):
+            return self._shed(ticket, now, "overloaded")
+        entry = queues.Entry(
+            ticket.id,
+            ticket.account,
+            ticket.weight,
+            ticket.cost,
+            latest,
+            ticket.priority,
+        )
+        if not self._queue.push(entry):
+            return self._shed(ticket, now, "queue_full")
+        self._waiting[ticket.id] = ticket
+        return None
+
+    def pump(self, now: float) -> list[Dispatch | Shed]:
+        """Return what becomes of waiting requests now."""
+        decisions: list[Dispatch | Shed] = []
+        for entry in self._queue.expire(now):
+            ticket = self._waiting.pop(entry.id)
+            decisions.append(self._shed(ticket, now, "overloaded"))
+        while True:
+            entry = self._queue.peek()
+            if entry is None:
+                return decisions
+            ticket = self._waiting[entry.id]
+            endpoint = self._choose(ticket, now, self._expected_wait(ticket))
+            if endpoint is None:
+                return decisions
+            self._queue.pop()
+            del self._waiting[entry.id]
+            decisions.append(self._dispatch(ticket, endpoint, now))
+
+    def cancel(self, request_id: str) -> bool:
+        """Take a waiting request out; return whether it waited."""
+        self._waiting.pop(request_id, None)
+        return self._queue.remove(request_id)
+
+    def release(
+        self,
+        request_id: str,
+        now: float,
+        *,
+        first_token: float | None = None,
+        token_gap: float | None = None,
+        failed: bool = False,
+    ) -> None:
+        """End a request's stay at its endpoint; a second call changes nothing.
+
+        `first_token` is in seconds since dispatch, `token_gap` the mean seconds between
+        tokens; `failed` says that the endpoint could not be used.
+        """
+        permit = self._permits.pop(request_id, None)
+        if permit is None:
+            return
+        limit = self._limits[permit.endpoint]
+        limit.release()
+        if failed:
+            self.ejector.fail(permit.endpoint, now)
+        elif first_token is not None:
+            self._learn(permit, now, first_token, token_gap)
+        self._drop_unused_limits()
+
+    def retry(self, ticket: Ticket, tried: set[str], now: float) -> str | None:
+        """Return another endpoint for a request that certainly did not run.
+
+        None if the retry budget is spent or no other endpoint has room.
+        """
+        endpoint = self._choose(ticket, now, float("inf"), tried)
+        if endpoint is None or not self.retries.take():
+            return None
+        return self._dispatch(ticket, endpoint, now).endpoint
+
+    def tick(self, now: float, started: abc.Callable[[str], bool]) -> None:
+        """Judge the requests whose first token is long overdue.
+
+        `started` tells whether a request's first token has come.
+        """
+        overdue = ejection.SLOW_RATIO * max(
+            self._targets.first_token, self._first_token
+        )
+        for permit in self._permits.values():
+            age = now - permit.at - permit.ticket.prompt_seconds
+            if permit.judged or age < overdue or started(permit.ticket.id):
+                continue
+            permit.judged = True
+            self._judge(permit.endpoint, now, age, None)
+
+    def _choose(
+        self, ticket: Ticket, now: float, wait: float, tried: abc.Set[str] = frozenset()
+    ) -> str | None:
+        near: list[choice.Candidate] = []
+        far: list[choice.Candidate] = []
+        near_usable = False
+        for site in self._sites.values():
+            if site.name in tried or self._leaving(site.name):
+                continue
+            weight = self.ejector.weight(site.name, now)
+            if weight == 0.0:
+                continue
+            near_usable = near_usable or site.region == self._region
+            limit = self._limits[site.name]
+            if not limit.has_room(now, self.hosts):
+                continue
+            load = limit.estimate(now, self.hosts) / limit.value
+            if weight < 1.0 and load >= weight and limit.own > 0:
+                continue
+            held = self._index.match(site.name, ticket.blocks)
+            candidate = choice.Candidate(site.name, load, weight, held)
+            (near if site.region == self._region else far).append(candidate)
+        if not near and (not near_usable or wait > ticket.link_seconds):
+            return choice.choose(far, ticket.blocks, self._rng)
+        return choice.choose(near, ticket.blocks, self._rng)
+
+    def _expected_wait(self, ticket: Ticket) -> float:
+        """Return the seconds until a new request of the ticket's account is sent.
+
+        By Little's law the host's own requests in flight over their mean duration are
+        the rate at which room comes free.
+        """
+        if self._duration is None or not self._permits:
+            return 0.0
+        rate = len(self._permits) / self._duration
+        weights = self._queue.weights
+        ahead = self._queue.waiting(ticket.account)
+        if ahead == 0:
+            weights += ticket.weight
+        turn = (ahead + 1) * weights / ticket.weight
+        return min(len(self._queue) + 1, turn) / rate
+
+    def _dispatch(self, ticket: Ticket, endpoint: str, now: float) -> Dispatch:
+        self._limits[endpoint].acquire()
+        self._permits[ticket.id] = _Permit(ticket=ticket, endpoint=endpoint, at=now)
+        return Dispatch(ticket, endpoint)
+
+    def _shed(self, ticket: Ticket, now: float, code: str) -> Shed:
+        """Refuse a request, giving it a turn in a virtual queue of those refused."""
+        rate = 1.0
+        if self._duration and self._permits:
+            rate = len(self._permits) / self._duration
+        self._refused_until = max(now, self._refused_until) + 1.0 / rate
+        self._refused_until = min(self._refused_until, now + MAX_RETRY_AFTER)
+        turn = max(MIN_RETRY_AFTER, self._refused_until - now)
+        return Shed(ticket, code, turn * self._rng.uniform(1 - JITTER, 1 + JITTER))
+
+    def _learn(
+        self, permit: _Permit, now: float, first_token: float, token_gap: float | None
+    ) -> None:
+        first_token = max(0.0, first_token - permit.ticket.prompt_seconds)
+        self._first_token += SMOOTHING * (first_token - self._first_token)
+        duration = now - permit.at
+        if self._duration is None:
+            self._duration = duration
+        self._duration += SMOOTHING * (duration - self._duration)
+        if not permit.judged:
+            self._judge(permit.endpoint, now, first_token, token_gap)
+
+    def _judge(
+        self, endpoint: str, now: float, first_token: float, token_gap: float | None
+    ) -> None:
+        self._limits[endpoint].observe(
+            now, first_token=first_token, token_gap=token_gap
+        )
+        self.ejector.observe(
+            endpoint, now, first_token=first_token, token_gap=token_gap
+        )
+
+    def _drop_unused_limits(self) -> None:
+        for name in [n for n in self._limits if n not in self._sites]:
+            if self._limits[name].own == 0:
+                del self._limits[name]
--- /dev/null
+++ b/dogwoodchute/coordination/ejection.py
@@ -0,0 +1,128 @@
+"""Ejects endpoints that fail or are far slower than the others, and returns them.
+
+After the outlier detection of Envoy: consecutive failures or an outlying latency eject
+an endpoint for a time that grows with each ejection, never more than a set share of a
+service's endpoints at once, and a returned endpoint starts slowly.
+"""
+
+import math
+import statistics
+from typing import NamedTuple
+
+FAILURES = 5  # consecutive
+MIN_SAMPLES = 5
+SLOW_RATIO = 3.0  # times the median of the service's endpoints
+SMOOTHING = 0.3  # weight of the newest sample
+BASE_TIME = 5.0  # seconds of a first ejection
+MAX_TIME = 60.0  # seconds
+FORGET_TIME = 120.0  # seconds in service after which an ejection no longer counts
+MAX_SHARE = 0.34  # of a service's endpoints
+SLOW_START = 10.0  # seconds
+MIN_WEIGHT = 0.1
+
+
+class Floors(NamedTuple):
+    """Figures, in seconds, below which an endpoint is never called slow."""
+
+    first_token: float = 0.6
+    token_gap: float = 0.026
+
+
+class _Record:
+    def __init__(self) -> None:
+        self.failures = 0
+        self.samples = 0
+        self.first_token = 0.0
+        self.token_gap = 0.0
+        self.times = 0
+        self.until = -math.inf  # end of the ejection
+        self.reason = ""
+
+    def reset(self) -> None:
+        self.failures = 0
+        self.samples = 0
+        self.first_token = 0.0
+        self.token_gap = 0.0
+
+
+class Ejector:
+    """The endpoints of one service and which of them are ejected."""
+
+    def __init__(self, *, floors: Floors) -> None:
+        self.ejections = 0
+        self._floors = floors
+        self._records: dict[str, _Record] = {}
+
+    def configure(self, endpoints: list[str]) -> None:
+        """Set which endpoints there are, keeping what is known of those that stay."""
+        self._records = {n: self._records.get(n) or _Record() for n in endpoints}
+
+    def weight(self, endpoint: str, now: float) -> float:
+        """Return the share of its usual load to give: 0 if ejected, up to 1."""
+        record = self._records.get(endpoint)
+        if record is None or record.times == 0:
+            return 1.0
+        if now < record.until:
+            return 0.0
+        return min(1.0, max(MIN_WEIGHT, (now - record.until) / SLOW_START))
+
+    def reason(self, endpoint: str, now: float) -> str:
+        """Return why an endpoint is ejected, "" if it is not."""
+        record = self._records.get(endpoint)
+        return record.reason if record is not None and now < record.until else ""
+
+    def fail(self, endpoint: str, now: float) -> bool:
+        """Count a failed connection or call; return whether that ejected it."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return False
+        record.failures += 1
+        if record.failures < FAILURES:
+            return False
+        return self._eject(record, now, "failures")
+
+    def observe(
+        self, endpoint: str, now: float, *, first_token: float, token_gap: float | None
+    ) -> bool:
+        """Take one sample in seconds; return whether that ejected the endpoint."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return False
+        record.failures = 0
+        record.samples += 1
+        weight = 1.0 if record.samples == 1 else SMOOTHING
+        record.first_token += weight * (first_token - record.first_token)
+        if token_gap is not None:
+            record.token_gap += weight * (token_gap - record.token_gap)
+        if now - record.until > FORGET_TIME:
+            record.times = 0
+        if record.samples < MIN_SAMPLES or not self._is_slow(record):
+            return False
+        return self._eject(record, now, "slow")
+
+    def _is_slow(self, record: _Record) -> bool:
+        others = [
+            other
+            for other in self._records.values()
+            if other is not record and other.samples >= MIN_SAMPLES
+        ]
+        if not others:
+            return False
+        first = statistics.median(other.first_token for other in others)
+        gap = statistics.median(other.token_gap for other in others)
+        if record.first_token > max(self._floors.first_token, SLOW_RATIO * first):
+            return True
+        return record.token_gap > max(self._floors.token_gap, SLOW_RATIO * gap)
+
+    def _eject(self, record: _Record, now: float, reason: str) -> bool:
+        if now < record.until:
+            return False
+        ejected = sum(now < other.until for other in self._records.values())
+        if ejected + 1 > MAX_SHARE * len(self._records):
+            return False
+        record.times += 1
+        record.until = now + min(MAX_TIME, BASE_TIME * 2 ** (record.times - 1))
+        record.reason = reason
+        record.reset()
+        self.ejections += 1
+        return True
