Admit requests to endpoints through limits, fair queues and choice

Cause: requests were sent to any endpoint of the service with no bound. Change: the limit filter waits for room by account's fair share and deadline, the choose filter moves what certainly did not run within a retry budget, and one host of a region asks each endpoint for its load and tells the others. An endpoint that leaves by host list, release note or its own word gets nothing new.

--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections import abc
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 WAIT_SHARE = 0.7  # of the time left, above which an expected wait is refused
 MIN_RETRY_AFTER = 1.0  # seconds
 MAX_RETRY_AFTER = 30.0  # seconds
+MIN_DURATION = 0.001  # seconds
 JITTER = 0.25  # share by which Retry-After varies either way
 
 
@@ -103,6 +105,7 @@
         self._permits: dict[str, _Permit] = {}
         self._first_token = 0.0  # mean seconds from dispatch, without the prompt
         self._duration: float | None = None  # mean seconds from dispatch to the end
+        self.pressed_at = -math.inf  # when a request last had to wait
         self._refused_until = 0.0  # when the callers refused so far could be served
 
     @property
@@ -115,6 +118,16 @@
         """Requests of this host at endpoints."""
         return len(self._permits)
 
+    @property
+    def _rate(self) -> float | None:
+        """Requests a second that end, None if unknown.
+
+        By Little's law these are the requests in flight over their mean duration.
+        """
+        if self._duration is None or not self._permits:
+            return None
+        return len(self._permits) / self._duration
+
     @property
     def sites(self) -> dict[str, Site]:
         """The endpoints by name."""
@@ -124,6 +137,11 @@
         """Return the limit of an endpoint."""
         return self._limits[endpoint]
 
+    def dispatched_at(self, request_id: str) -> float | None:
+        """Return when a request in flight was sent, None if it is not in flight."""
+        permit = self._permits.get(request_id)
+        return permit.at if permit is not None else None
+
     def configure(self, sites: abc.Iterable[Site]) -> None:
         """Set the endpoints; requests in flight at those that go are kept."""
         self._sites = {site.name: site for site in sites}
@@ -149,6 +167,7 @@
             endpoint = self._choose(ticket, now, self._expected_wait(ticket))
             if endpoint is not None:
                 return self._dispatch(ticket, endpoint, now)
+        self.pressed_at = now
         if not any(not self._leaving(name) for name in self._sites):
             return self._shed(ticket, now, "no_endpoint")
         latest = ticket.deadline - self._first_token
@@ -268,14 +287,10 @@
         return choice.choose(near, ticket.blocks, self._rng)
 
     def _expected_wait(self, ticket: Ticket) -> float:
-        """Return the seconds until a new request of the ticket's account is sent.
-
-        By Little's law the host's own requests in flight over their mean duration are
-        the rate at which room comes free.
-        """
-        if self._duration is None or not self._permits:
+        """Return the seconds until a new request of the ticket's account is sent."""
+        rate = self._rate
+        if rate is None:
             return 0.0
-        rate = len(self._permits) / self._duration
         weights = self._queue.weights
         ahead = self._queue.waiting(ticket.account)
         if ahead == 0:
@@ -284,26 +299,32 @@
         return min(len(self._queue) + 1, turn) / rate
 
     def _dispatch(self, ticket: Ticket, endpoint: str, now: float) -> Dispatch:
+        self._index.note(endpoint, ticket.blocks)
         self._limits[endpoint].acquire()
         self._permits[ticket.id] = _Permit(ticket=ticket, endpoint=endpoint, at=now)
         return Dispatch(ticket, endpoint)
 
-    def _shed(self, ticket: Ticket, now: float, code: str) -> Shed:
-        """Refuse a request, giving it a turn in a virtual queue of those refused."""
-        rate = 1.0
-        if self._duration and self._permits:
-            rate = len(self._permits) / self._duration
+    def retry_after(self, now: float) -> float:
+        """Return the seconds after which a refused caller should come back.
+
+        Each refusal takes a turn in a virtual queue, so that the callers refused come
+        back no faster than they can be served.
+        """
+        rate = self._rate or 1.0
         self._refused_until = max(now, self._refused_until) + 1.0 / rate
         self._refused_until = min(self._refused_until, now + MAX_RETRY_AFTER)
         turn = max(MIN_RETRY_AFTER, self._refused_until - now)
-        return Shed(ticket, code, turn * self._rng.uniform(1 - JITTER, 1 + JITTER))
+        return turn * self._rng.uniform(1 - JITTER, 1 + JITTER)
+
+    def _shed(self, ticket: Ticket, now: float, code: str) -> Shed:
+        return Shed(ticket, code, self.retry_after(now))
 
     def _learn(
         self, permit: _Permit, now: float, first_token: float, token_gap: float | None
     ) -> None:
         first_token = max(0.0, first_token - permit.ticket.prompt_seconds)
         self._first_token += SMOOTHING * (first_token - self._first_token)
-        duration = now - permit.at
+        duration = max(MIN_DURATION, now - permit.at)
         if self._duration is None:
             self._duration = duration
         self._duration += SMOOTHING * (duration - self._duration)
--- a/dogwoodchute/coordination/choice.py
+++ b/dogwoodchute/coordination/choice.py
@@ -32,7 +32,7 @@
     best = None
     top = -1
     for name in names:
-        rank = xxhash.xxh64_intdigest(f"{key}/{name}")
+        rank = xxhash.xxh64_intdigest(f"{key}/{name}".encode())
         if rank > top:
             best, top = name, rank
     return best
--- a/dogwoodchute/coordination/ejection.py
+++ b/dogwoodchute/coordination/ejection.py
@@ -12,6 +12,7 @@
 FAILURES = 5  # consecutive
 MIN_SAMPLES = 5
 SLOW_RATIO = 3.0  # times the median of the service's endpoints
+SLOW_STREAK = 3  # samples in a row that find an endpoint slow
 SMOOTHING = 0.3  # weight of the newest sample
 BASE_TIME = 5.0  # seconds of a first ejection
 MAX_TIME = 60.0  # seconds
@@ -32,6 +33,7 @@
     def __init__(self) -> None:
         self.failures = 0
         self.samples = 0
+        self.slow = 0  # samples in a row that found it slow
         self.first_token = 0.0
         self.token_gap = 0.0
         self.times = 0
@@ -41,6 +43,7 @@
     def reset(self) -> None:
         self.failures = 0
         self.samples = 0
+        self.slow = 0  # samples in a row that found it slow
         self.first_token = 0.0
         self.token_gap = 0.0
 
@@ -81,6 +84,12 @@
             return False
         return self._eject(record, now, "failures")
 
+    def succeed(self, endpoint: str) -> None:
+        """Count a connection that came about, which ends a run of failures."""
+        record = self._records.get(endpoint)
+        if record is not None:
+            record.failures = 0
+
     def observe(
         self, endpoint: str, now: float, *, first_token: float, token_gap: float | None
     ) -> bool:
@@ -97,6 +106,11 @@
         if now - record.until > FORGET_TIME:
             record.times = 0
         if record.samples < MIN_SAMPLES or not self._is_slow(record):
+            record.slow = 0
+            return False
+        # When all endpoints slow down at once, the median follows within a few samples.
+        record.slow += 1
+        if record.slow < SLOW_STREAK:
             return False
         return self._eject(record, now, "slow")
 
--- a/dogwoodchute/coordination/leaving.py
+++ b/dogwoodchute/coordination/leaving.py
@@ -7,6 +7,7 @@
 HOST_LIST = "host_list"
 ENDPOINT = "endpoint"
 HOLD = 60.0  # seconds that an endpoint's own signal stands without being repeated
+SETTLE = 5.0  # seconds after a signal for which an endpoint's load report may be older
 
 
 class Leaving:
@@ -31,6 +32,15 @@
         self._signals.setdefault(endpoint, {})[source] = now
         return fresh
 
+    def recant(self, endpoint: str, at: float) -> None:
+        """Take a load report of time `at` that says that the endpoint stays.
+
+        Load reports lag, so one that may be older than the signal changes nothing.
+        """
+        marked = self._signals.get(endpoint, {}).get(ENDPOINT)
+        if marked is not None and at - marked > SETTLE:
+            self.clear(endpoint, ENDPOINT)
+
     def clear(self, endpoint: str, source: str) -> None:
         """Clear one source's signal."""
         signals = self._signals.get(endpoint)
@@ -46,9 +56,9 @@
         """Take the host list's leaving flags; return endpoints that began to leave.
 
         An endpoint of `known` that was listed once and no longer is has left. A list
-        that is not newer than the last one changes nothing.
+        that is older than the last one changes nothing.
         """
-        if revision <= self._revision:
+        if revision < self._revision:
             return []
         self._revision = revision
         began = []
--- a/dogwoodchute/coordination/polling.py
+++ b/dogwoodchute/coordination/polling.py
@@ -34,4 +34,8 @@
 
 def rank(shard: str, hosts: abc.Iterable[str]) -> list[str]:
     """Return the hosts in the order in which they report a shard."""
-    return sorted(hosts, key=lambda host: -xxhash.xxh64_intdigest(f"{shard}/{host}"))
+
+    def weight(host: str) -> int:
+        return xxhash.xxh64_intdigest(f"{shard}/{host}".encode())
+
+    return sorted(hosts, key=weight, reverse=True)
--- a/dogwoodchute/coordination/prefix_index.py
+++ b/dogwoodchute/coordination/prefix_index.py
@@ -10,25 +10,25 @@
 
 import xxhash
 
-BLOCK = 256  # bytes of prompt text
-MAX_BLOCKS = 64
+BLOCK = 64  # bytes of prompt text
+MAX_BLOCKS = 128
 GAP_WORTH = 0.5  # belief in entries from before a gap in the events
 
 
 def block_hashes(text: bytes) -> tuple[int, ...]:
     """Return the chained hashes of the whole blocks at the head of `text`."""
     hashes = []
-    previous = 0
+    previous = b""
     for start in range(0, min(len(text), BLOCK * MAX_BLOCKS) - BLOCK + 1, BLOCK):
-        previous = xxhash.xxh64_intdigest(text[start : start + BLOCK], seed=previous)
-        hashes.append(previous)
+        previous = xxhash.xxh64_digest(previous + text[start : start + BLOCK])
+        hashes.append(int.from_bytes(previous, "big"))
     return tuple(hashes)
 
 
 class PrefixIndex:
     """Bounded maps from block hashes to the endpoints that hold them."""
 
-    def __init__(self, *, max_entries: int = 100_000) -> None:
+    def __init__(self, *, max_entries: int = 50_000) -> None:
         self._max_entries = max_entries
         self._holders: collections.OrderedDict[tuple[str, int], int]
         self._holders = collections.OrderedDict()  # value: the endpoint's generation
@@ -52,14 +52,13 @@
         if seq != last + 1 and last:
             self.mark_gap(endpoint)
         self._last[endpoint] = seq
-        generation = self._generation.get(endpoint, 0)
         for block in remove:
             self._holders.pop((endpoint, block), None)
-        for block in add:
-            self._holders[endpoint, block] = generation
-            self._holders.move_to_end((endpoint, block))
-        while len(self._holders) > self._max_entries:
-            self._holders.popitem(last=False)
+        self._add(endpoint, add)
+
+    def note(self, endpoint: str, blocks: abc.Iterable[int]) -> None:
+        """Expect an endpoint to hold the blocks of a prompt that it is given."""
+        self._add(endpoint, blocks)
 
     def mark_gap(self, endpoint: str) -> None:
         """Halve the belief in all that is known of an endpoint."""
@@ -70,12 +69,13 @@
         self.mark_gap(endpoint)
         self._last[endpoint] = 0
 
-    def forget(self, endpoint: str) -> None:
-        """Drop all that is known of an endpoint."""
-        for key in [key for key in self._holders if key[0] == endpoint]:
+    def keep(self, endpoints: set[str]) -> None:
+        """Drop all that is known of endpoints that are not in `endpoints`."""
+        for key in [key for key in self._holders if key[0] not in endpoints]:
             del self._holders[key]
-        self._generation.pop(endpoint, None)
-        self._last.pop(endpoint, None)
+        for known in (self._generation, self._last):
+            for name in set(known) - endpoints:
+                del known[name]
 
     def match(self, endpoint: str, blocks: tuple[int, ...]) -> float:
         """Return how many leading blocks an endpoint likely holds."""
@@ -87,3 +87,11 @@
                 break
             held += 1.0 if found == generation else GAP_WORTH
         return held
+
+    def _add(self, endpoint: str, blocks: abc.Iterable[int]) -> None:
+        generation = self._generation.get(endpoint, 0)
+        for block in blocks:
+            self._holders[endpoint, block] = generation
+            self._holders.move_to_end((endpoint, block))
+        while len(self._holders) > self._max_entries:
+            self._holders.popitem(last=False)
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -10,6 +10,7 @@
     forward,
     log,
     operators,
+    operators_endpoints,
     operators_fleet,
     operators_money,
     peer_streams,
@@ -21,6 +22,8 @@
     budgets,
     claims,
     copies,
+    endpoint_loads,
+    endpoints,
     grants,
     hostlist,
     lookups,
@@ -35,6 +38,7 @@
     claim,
     deduplicate,
     dispatch,
+    limit,
     reserve,
     resolve,
     resume,
@@ -63,6 +67,8 @@
         self.claims = claims.Claims(host=host)
         self.budgets = budgets.Budgets(host=host)
         self.releases = releases.Releases(host=host)
+        self.endpoints = endpoints.Endpoints(host=host)
+        self.loads = endpoint_loads.Loads(host=host, endpoints=self.endpoints)
         self.forwarder = forward.Forwarder(host=host)
         self.callers = _server("callers", host)
         self.operators = _server("operators", host)
@@ -83,6 +89,8 @@
             self.copies.controller(),
             self.bills.controller(),
             self.reclaim.controller(),
+            self.endpoints.controller(),
+            self.loads.controller(),
         ]
         chain = exchange.chain(
             [
@@ -96,7 +104,8 @@
                 claim.make(host=host, claiming=self.claims),
                 bill.make(host=host, granted=self.grants, billing=self.bills),
                 resume.make_continue(host=host, forwarder=self.forwarder),
-                choose.make(host=host, rng=host.rng),
+                limit.make(host=host, endpoints=self.endpoints),
+                choose.make(endpoints=self.endpoints),
                 dispatch.make(forwarder=self.forwarder),
             ]
         )
@@ -109,6 +118,9 @@
             self.callers.app, host=host, budget=self.budgets
         )
         operators_fleet.add_routes(self.operators.app, host=host, drains=self.drain)
+        operators_endpoints.add_routes(
+            self.operators.app, host=host, endpoints=self.endpoints
+        )
         self._config = config
 
     async def start(self) -> None:
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from dogwoodchute import catalog, outcomes
+from dogwoodchute.coordination import admission
 from dogwoodchute.platform import table
 
 CHAT_PATH = "/v1/chat/completions"
@@ -59,6 +60,7 @@
         self.reply = reply
         self.received = received  # monotonic seconds
         self.deadline = received  # monotonic seconds
+        self.first_token_due = received  # monotonic seconds
         self.request_key = request_key
         self.account: catalog.ClientAccount | None = None
         self.service: catalog.Service | None = None
@@ -68,7 +70,9 @@
         self.output_limit = 0  # tokens
         self.reserved = 0  # tokens
         self.used = 0  # tokens that the endpoint reported
+        self.answer_tokens = 0  # events of a stream, about one for each token
         self.endpoint: catalog.Endpoint | None = None
+        self.ticket: admission.Ticket | None = None  # set while admitted
         self.dispatched = False  # a byte may have reached an endpoint
         self.settle: Settle | None = None  # set for a claimed call
         self.settled = False  # the reservation has become a bill
--- a/dogwoodchute/failures.py
+++ b/dogwoodchute/failures.py
@@ -73,9 +73,11 @@
     message = f"The endpoint answered {response.status}: {text}"
     peer = exchange.endpoint.name
     if response.status in BUSY_STATUSES:
+        # An engine that is about to stop says so by closing the connection.
+        closing = response.headers.get("Connection", "").lower() == "close"
         return outcomes.refuse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
-            "endpoint_busy",
+            "endpoint_leaving" if closing else "endpoint_busy",
             message,
             step="dispatch",
             peer=peer,
--- a/dogwoodchute/filters/choose.py
+++ b/dogwoodchute/filters/choose.py
@@ -1,38 +1,65 @@
-"""Chooses the endpoint of a request."""
+"""Moves a request to another endpoint where a second run can do no harm.
 
-import http
-import random
+That is one that certainly did not run, or an idempotent one of which the caller has
+seen nothing.
+"""
 
-from dogwoodchute import catalog, exchange as exchanges, outcomes, state
+import dataclasses
+
+from dogwoodchute import exchange as exchanges, outcomes
+from dogwoodchute.controllers import endpoints as endpoint_state
 
 MAX_TRIES = 3
+UNREACHABLE = "endpoint_unreachable"
+BUSY = "endpoint_busy"
+LEAVING = "endpoint_leaving"
+FAILED = "endpoint_failed"
+FAILURES = frozenset({UNREACHABLE, FAILED})
+MOVABLE = frozenset({UNREACHABLE, BUSY, LEAVING})
 
 
-def make(*, host: state.HostState, rng: random.Random) -> exchanges.Filter:
-    """Return the filter."""
+def make(*, endpoints: endpoint_state.Endpoints) -> exchanges.Filter:
+    """Return the filter; the `limit` filter has set the first endpoint."""
 
     async def choose(
         exchange: exchanges.Exchange, proceed: exchanges.Proceed
     ) -> outcomes.Outcome:
-        candidates = catalog.endpoints_of(host.current, exchange.service.name)
-        rng.shuffle(candidates)
-        candidates.sort(key=lambda e: e.region != host.config.host.region)
-        outcome = outcomes.refuse(
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            "no_endpoint",
-            "No endpoint serves this now; retry later.",
-            step="choose",
-            retry_after=1.0,
-        )
-        for endpoint in candidates[:MAX_TRIES]:
+        tried = {exchange.endpoint.name}
+        outcome = await proceed()
+        while _may_move(exchange, outcome) and len(tried) < MAX_TRIES:
+            _note_failure(exchange, outcome, endpoints)
+            endpoint = endpoints.retry(exchange, tried)
+            if endpoint is None:
+                break
+            tried.add(endpoint.name)
             exchange.endpoint = endpoint
             outcome = await proceed()
-            if not (isinstance(outcome, outcomes.NotRun) or _may_rerun(outcome)):
-                return outcome
-        return outcome
+        if isinstance(outcome, outcomes.Answered):
+            return outcome
+        _note_failure(exchange, outcome, endpoints)
+        if outcome.retry_after is None:
+            return outcome
+        retry_after = endpoints.retry_after(exchange.service.name)
+        return dataclasses.replace(outcome, retry_after=retry_after)
 
     return choose
 
 
-def _may_rerun(outcome: outcomes.Outcome) -> bool:
-    return isinstance(outcome, outcomes.Unknown) and outcome.may_rerun
+def _may_move(exchange: exchanges.Exchange, outcome: outcomes.Outcome) -> bool:
+    if exchange.started or exchange.gone.is_set():
+        return False
+    if isinstance(outcome, outcomes.Unknown):
+        return outcome.may_rerun
+    if isinstance(outcome, outcomes.Answered) or outcome.code not in MOVABLE:
+        return False
+    return exchange.idempotent or not exchange.dispatched
+
+
+def _note_failure(
+    exchange: exchanges.Exchange,
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    endpoints: endpoint_state.Endpoints,
+) -> None:
+    if outcome.code == LEAVING:
+        endpoints.mark_leaving(exchange.endpoint.name)
+    endpoints.finish(exchange, failed=outcome.code in FAILURES)
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -205,6 +205,15 @@
     )
 
 
+class Endpoints(Section):
+    """How requests are admitted to endpoints."""
+
+    first_token_target: Seconds = key("Seconds to a chat answer's first token.", 1.2)
+    token_gap_target: Seconds = key("Seconds between tokens of an answer.", 0.026)
+    plain_wait: Seconds = key("Seconds that a plain call may wait for room.", 5.0)
+    poll_interval: Seconds = key("Seconds between an endpoint's load reports.", 1.0)
+
+
 class Log(Section):
     """What is logged."""
 
@@ -225,6 +234,7 @@
     peers: Peers = Peers()
     locate: Locate = Locate()
     drain: Drain = Drain()
+    endpoints: Endpoints = Endpoints()
     log: Log = Log()
 
 
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -246,6 +246,7 @@
         exchange = self._exchange
         self._events += 1
         exchange.last_token = clock.monotonic()
+        exchange.answer_tokens += whole.count(b"\n\n")
         if exchange.first_token is None:
             exchange.first_token = exchange.last_token
         if not exchange.stream:
--- a/dogwoodchute/tools/dogwoodctl.py
+++ b/dogwoodchute/tools/dogwoodctl.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from dogwoodchute.tools import ctl_accounts, ctl_hosts, ctl_releases
+from dogwoodchute.tools import ctl_accounts, ctl_endpoints, ctl_hosts, ctl_releases
 
 
 @cappa.command(name="dogwoodctl")
@@ -18,7 +18,10 @@
     """
 
     command: cappa.Subcommands[
-        ctl_accounts.Account | ctl_hosts.Host | ctl_releases.Release
+        ctl_accounts.Account
+        | ctl_endpoints.Endpoint
+        | ctl_hosts.Host
+        | ctl_releases.Release
     ]
 
 
