--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -100,8 +100,8 @@
                 deduplicate.make(
                     runs=deduplicate.Runs(), known=lookups.Lookups(host=host)
                 ),
-                reserve.make(granted=self.grants),
                 claim.make(host=host, claiming=self.claims),
+                reserve.make(granted=self.grants),
                 bill.make(host=host, granted=self.grants, billing=self.bills),
                 resume.make_continue(host=host, forwarder=self.forwarder),
                 limit.make(host=host, endpoints=self.endpoints),
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -9,6 +9,7 @@
 from dogwoodchute.platform import table
 
 CHAT_PATH = "/v1/chat/completions"
+ATTEMPT_HEADER = "x-attempt"  # the number of times that the caller sent the request
 
 
 class Request(NamedTuple):
@@ -24,6 +25,13 @@
     idempotency_key: str | None
     idempotent: bool | None  # the caller's own mark, None if it made none
 
+    @property
+    def first_attempt(self) -> bool:
+        """Whether the caller certainly never sent this request before."""
+        if self.idempotency_key is None:
+            return True
+        return self.headers.get(ATTEMPT_HEADER) == "1"
+
 
 class Reply(NamedTuple):
     """How the chain writes to the caller while the request runs."""
@@ -92,6 +100,7 @@
     def fingerprint(self) -> bytes:
         """What a repeat under the same key must equal."""
         parts = [self.request.method, self.request.path, self.request.query]
+        parts.append("idempotent" if self.idempotent else "non-idempotent")
         return "\n".join(parts).encode() + b"\n" + self.request.body
 
 
--- a/dogwoodchute/filters/claim.py
+++ b/dogwoodchute/filters/claim.py
@@ -65,7 +65,7 @@
         if isinstance(found, claims.Claimed):
             return found.version
         if isinstance(found, claims.NotCertain):
-            return _uncertain(found)
+            return _uncertain(exchange, found)
         held = pure_claims.claim_of(found.row.value) if found.row is not None else None
         decision = pure_claims.decide(
             held, billed=found.billed, fingerprint=exchange.digest
@@ -163,8 +163,16 @@
     )
 
 
-def _uncertain(found: claims.NotCertain) -> outcomes.NotRun:
+def _uncertain(
+    exchange: exchanges.Exchange, found: claims.NotCertain
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return what to tell of an attempt that was not run for want of a claim.
+
+    Without the store this host can't tell whether an earlier attempt ran elsewhere.
+    """
     metrics.REFUSALS.labels("claim_uncertain").inc()
+    if not exchange.request.first_attempt:
+        return _unknown("This attempt was not run; an earlier one may have been.")
     return outcomes.refuse(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
         "claim_uncertain",
--- /dev/null
+++ b/dogwoodchute/tests/money_fleet.py
@@ -0,0 +1,366 @@
+"""Several hosts' money core over one table and peer network, on virtual time."""
+
+import asyncio
+import collections
+import random
+from typing import NamedTuple
+
+from dogwoodchute import (
+    catalog,
+    exchange as exchanges,
+    outcomes,
+    peers,
+    settings,
+    state,
+)
+from dogwoodchute.controllers import (
+    bills,
+    budgets,
+    claims,
+    copies,
+    grants,
+    lookups,
+    reclaim,
+)
+from dogwoodchute.coordination import rows
+from dogwoodchute.filters import bill, claim, deduplicate, reserve
+from dogwoodchute.platform import hostlist, table, table_client
+from dogwoodchute.standins import (
+    hostlist as memory_hostlist,
+    objects as memory_objects,
+    peers as memory_peers,
+    table as memory_table,
+)
+from dogwoodchute.tools import demo
+
+PLACES = {"h1": "dar-a", "h2": "dar-b", "h3": "arusha-a"}
+ACCOUNTS = {"growers": 400, "nursery": 150}  # tokens paid at first
+LIST_INTERVAL = 1.0  # seconds
+SERVICE = catalog.Service("order-api", catalog.PLAIN)
+
+
+class Run(NamedTuple):
+    """One request that reached the endpoint."""
+
+    host: str
+    account: str
+    key: str
+    digest: str
+    idempotent: bool
+    tokens: int
+
+
+class Attempt:
+    """One request as its caller sees it."""
+
+    def __init__(self, *, host, incarnation, exchange):
+        self.host = host
+        self.incarnation = incarnation
+        self.exchange = exchange
+        self.outcome = None  # None until the caller was told
+        self.kept = None
+        self.answer = b""
+        self.ran = False
+        self.ran_before = False  # the key reached the endpoint before it was told
+
+    @property
+    def id(self):
+        return self.exchange.account.name, self.exchange.request_key
+
+
+class Gate:
+    """What a host's every word to the outside passes."""
+
+    def __init__(self):
+        self.dead = False
+        self._open = asyncio.Event()
+        self._open.set()
+
+    @property
+    def paused(self):
+        return not self._open.is_set()
+
+    def pause(self):
+        self._open.clear()
+
+    def resume(self):
+        self._open.set()
+
+    async def passed(self):
+        await self._open.wait()
+        if self.dead:
+            await asyncio.Event().wait()
+
+    def guard(self, operation):
+        async def gated(*arguments):
+            await self.passed()
+            result = await operation(*arguments)
+            await self.passed()
+            return result
+
+        return gated
+
+
+class Host:
+    """One incarnation of a host."""
+
+    def __init__(self, *, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.gate = Gate()
+        rng = random.Random(fleet.rng.getrandbits(64))
+        text = demo.SETTINGS.format(caller_port=0, operator_port=0)
+        text = text.replace("demo-1", name).replace("dar-a", PLACES[name])
+        inner = fleet.table.client(reachable=lambda: name not in fleet.store_cut)
+        loop = fleet.loop
+        self.state = state.HostState(
+            config=settings.parse(text, source="test"),
+            store=table.Table(*(self.gate.guard(each) for each in inner)),
+            objects_store=fleet.objects.client(),
+            hosts=fleet.list.client(),
+            peer_layer=peers.alone(),
+            now=loop.time,
+            rng=rng,
+        )
+        self.state.store = table_client.guard(
+            self.state.store, now=loop.time, rng=self.state.rng
+        )
+        self.state.peers = self._join()
+        self.grants = grants.Grants(host=self.state)
+        self.bills = bills.Bills(host=self.state, granted=self.grants)
+        self.bills.wait = self._wait
+        self.kept = {}
+        self.copies = copies.Copies(
+            host=self.state, granted=self.grants, billing=self.bills
+        )
+        self.reclaim = reclaim.Reclaim(
+            host=self.state,
+            granted=self.grants,
+            copying=self.copies,
+            wall=lambda: loop.time() * fleet.wall_speed,
+        )
+        self.claims = claims.Claims(host=self.state)
+        self.budgets = budgets.Budgets(host=self.state)
+        self.runs = deduplicate.Runs(max_bytes=3_000)
+        self.chain = exchanges.chain(
+            [
+                deduplicate.make(
+                    runs=self.runs, known=lookups.Lookups(host=self.state)
+                ),
+                claim.make(host=self.state, claiming=self.claims),
+                reserve.make(granted=self.grants),
+                bill.make(host=self.state, granted=self.grants, billing=self.bills),
+                self._dispatch,
+            ]
+        )
+        self.controllers = [
+            self.grants.controller(),
+            self.copies.controller(),
+            self.bills.controller(),
+            self.reclaim.controller(),
+        ]
+        self.tasks = [asyncio.create_task(self._register())]
+        self.tasks.append(asyncio.create_task(self._follow_list()))
+
+    async def _wait(self, submitted):
+        """Note how each bill is kept when its request goes on."""
+        kept = await bills.Bills.wait(self.bills, submitted)
+        self.kept[submitted.entry.account, submitted.entry.request_key] = kept
+        return kept
+
+    def _join(self):
+        peer = peers.Peer(
+            self.name, self.state.incarnation, "", PLACES[self.name], "", "", True,
+            False, {},
+        )  # fmt: skip
+        layer = self.fleet.net.join(peer)
+
+        async def call(host, kind, body, timeout):
+            await self.gate.passed()
+            try:
+                async with asyncio.timeout(timeout):
+                    outcome = await layer.call(host, kind, body, timeout)
+            except TimeoutError:
+                outcome = peers.NoAnswer(reason="timeout", peer=host)
+            await self.gate.passed()
+            return outcome
+
+        def handle(kind, handler):
+            layer.handle(kind, self.gate.guard(handler))
+
+        return layer._replace(call=call, handle=handle)
+
+    async def _register(self):
+        key = rows.host(self.name)
+        while True:
+            found = await self.state.store.read([key])
+            if isinstance(found, table.Rows):
+                row = found.rows.get(key)
+                check = table.Check(key, row.version if row is not None else 0)
+                write = table.Write(key, {"incarnation": self.state.incarnation})
+                commit_id = table.commit_id(self.state.rng)
+                outcome = await self.state.store.commit(commit_id, [check], [write])
+                if isinstance(outcome, table.Committed):
+                    return
+            await asyncio.sleep(1.0)
+
+    async def _follow_list(self):
+        while True:
+            found = await self.state.hosts.fetch()
+            await self.gate.passed()
+            if isinstance(found, hostlist.HostList):
+                self.state.host_list = found
+            await asyncio.sleep(LIST_INTERVAL)
+
+    async def start(self):
+        for each in self.controllers:
+            await each.start()
+
+    async def _dispatch(self, exchange, proceed):
+        attempt, mode, delay, tokens = self.fleet.asked[exchange]
+        await self.gate.passed()
+        if mode == "refuse":
+            return outcomes.refuse(502, "endpoint_unreachable", "", step="dispatch")
+        exchange.dispatched = True
+        attempt.ran = True
+        run = Run(self.name, *attempt.id, exchange.digest, exchange.idempotent, tokens)
+        self.fleet.runs.append(run)
+        number = len(self.fleet.runs)
+        await asyncio.sleep(delay)
+        await self.gate.passed()
+        exchange.used = tokens
+        if mode == "cut":
+            exchange.used = tokens // 2
+            return outcomes.Unknown(
+                status=502, code="endpoint_failed", message="", step="dispatch"
+            )
+        if mode == "raise":
+            raise RuntimeError("fault of the router")
+        exchange.held = [identity(exchange), b"|%d" % number, b"|end"]
+        return outcomes.Answered(status=200, tokens=tokens, endpoint="e")
+
+
+def identity(exchange):
+    """Return the part of an answer that names its own request."""
+    parts = [exchange.account.name, exchange.request_key, exchange.request.body.hex()]
+    return "|".join(parts).encode()
+
+
+class Fleet:
+    """The hosts, the platform, and all that was asked and told."""
+
+    def __init__(self, *, seed, loop):
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.table = memory_table.MemoryTable()
+        self.objects = memory_objects.MemoryObjects()
+        self.list = memory_hostlist.MemoryHostList()
+        self.net = memory_peers.PeerNet()
+        self.store_cut = set()
+        self.wall_speed = 1.0
+        self.hosts = {}
+        self.killed = set()  # incarnations
+        self.runs = []
+        self.attempts = []
+        self.asked = {}
+        self.top_ups = collections.defaultdict(dict)  # account: id: acknowledged
+        self.tasks = set()
+        self.errors = []
+
+    async def start(self):
+        for account, paid in ACCOUNTS.items():
+            value = {"paid": paid, "drawn": 0}
+            self.table.apply("start", [], [table.Write(rows.budget(account), value)])
+        for name in PLACES:
+            self.list.set(name, "127.0.0.1")
+            await self.boot(name)
+
+    async def boot(self, name):
+        """Start a new incarnation of a host, after its last one was killed."""
+        self.net.down.discard(name)
+        self.hosts[name] = Host(fleet=self, name=name)
+        await self.hosts[name].start()
+
+    def kill(self, name):
+        host = self.hosts[name]
+        host.gate.dead = True
+        self.net.down.add(name)
+        self.killed.add(host.state.incarnation)
+        for task in host.tasks:
+            task.cancel()
+
+    async def restart(self, name):
+        if not self.hosts[name].gate.dead:
+            self.kill(name)
+        await self.boot(name)
+
+    def ask(
+        self, name, *, account, key, body=b"b", idempotent=True, tokens=10,
+        reserved=20, delay=0.0, mode="answer", first=False,
+    ):  # fmt: skip
+        """Send a request to a host; return its attempt."""
+        host = self.hosts[name]
+        headers = {exchanges.ATTEMPT_HEADER: "1"} if first else {}
+
+        async def start(status, headers):
+            raise AssertionError("nothing is streamed here")
+
+        async def chunk(data):
+            raise AssertionError("nothing is streamed here")
+
+        exchange = exchanges.Exchange(
+            request=exchanges.Request(
+                "POST", "/", "", headers, body, None, SERVICE.name, key, idempotent
+            ),
+            reply=exchanges.Reply(start=start, chunk=chunk),
+            received=host.state.now(),
+            request_key=key,
+        )
+        exchange.deadline = exchange.received + 60.0
+        exchange.account = catalog.ClientAccount(account, (), ())
+        exchange.service = SERVICE
+        exchange.idempotent = idempotent
+        exchange.reserved = reserved
+        attempt = Attempt(
+            host=name, incarnation=host.state.incarnation, exchange=exchange
+        )
+        self.asked[exchange] = (attempt, mode, delay, tokens)
+        self.attempts.append(attempt)
+        self.keep(self._serve(host, attempt))
+        return attempt
+
+    def top_up(self, name, account, top_up_id, tokens):
+        """Send a top-up to a host."""
+        self.top_ups[account].setdefault((top_up_id, tokens), False)
+
+        async def send():
+            host = self.hosts[name]
+            outcome = await host.budgets.top_up(account, top_up_id, tokens)
+            await host.gate.passed()
+            if isinstance(outcome, budgets.ToppedUp):
+                self.top_ups[account][top_up_id, tokens] = True
+
+        self.keep(send())
+
+    async def _serve(self, host, attempt):
+        outcome = await host.chain(attempt.exchange)
+        await host.gate.passed()
+        if attempt.ran:
+            attempt.kept = host.kept.pop(attempt.id, None)
+        attempt.answer = b"".join(attempt.exchange.held)
+        attempt.ran_before = any(
+            (run.account, run.key, run.digest) == (*attempt.id, attempt.exchange.digest)
+            for run in self.runs
+        )
+        attempt.outcome = outcome
+
+    def keep(self, coroutine):
+        """Run a coroutine whose failure is an error of the fleet."""
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.errors.append(task.exception())
