--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -34,7 +34,7 @@
 from dogwoodchute.tools import demo
 
 PLACES = {"h1": "dar-a", "h2": "dar-b", "h3": "arusha-a"}
-ACCOUNTS = {"growers": 400, "nursery": 150}  # tokens paid at first
+ACCOUNTS = {"growers": 150, "nursery": 45}  # tokens paid at first
 LIST_INTERVAL = 1.0  # seconds
 SERVICE = catalog.Service("order-api", catalog.PLAIN)
 
@@ -127,6 +127,7 @@
         )
         self.state.peers = self._join()
         self.grants = grants.Grants(host=self.state)
+        self.grants.lost = self._lost
         self.bills = bills.Bills(host=self.state, granted=self.grants)
         self.bills.wait = self._wait
         self.kept = {}
@@ -162,6 +163,10 @@
         self.tasks = [asyncio.create_task(self._register())]
         self.tasks.append(asyncio.create_task(self._follow_list()))
 
+    def _lost(self, account, row):
+        self.fleet.lost_grants.add(self.state.incarnation)
+        grants.Grants.lost(self.grants, account, row)
+
     async def _wait(self, submitted):
         """Note how each bill is kept when its request goes on."""
         kept = await bills.Bills.wait(self.bills, submitted)
@@ -260,6 +265,7 @@
         self.wall_speed = 1.0
         self.hosts = {}
         self.killed = set()  # incarnations
+        self.lost_grants = set()  # incarnations
         self.runs = []
         self.attempts = []
         self.asked = {}
--- a/dogwoodchute/tests/money_oracle.py
+++ b/dogwoodchute/tests/money_oracle.py
@@ -54,6 +54,9 @@
     for key, value in values(fleet, "bill/").items():
         tokens = value["tokens"] + value.get("uncovered", 0)
         expect(tokens in used[key], "bill of a run", key, value)
+        if value.get("uncovered"):
+            lost = value["incarnation"] in fleet.lost_grants
+            expect(lost, "uncovered only after a lost grant", key, value)
 
 
 def check_claims(fleet):
--- a/dogwoodchute/tests/test_money_machine.py
+++ b/dogwoodchute/tests/test_money_machine.py
@@ -1,6 +1,7 @@
 """The money core of three hosts under every failure, against a simple oracle."""
 
 import asyncio
+import sys
 from unittest import mock
 
 from hypothesis import stateful, strategies as st
@@ -31,7 +32,7 @@
 
     def note_exception(self, event, **fields):
         if event != "request_failed":
-            self.fleet.errors.append((event, fields))
+            self.fleet.errors.append((event, fields, repr(sys.exception())))
 
     def pass_time(self, seconds):
         self.loop.run_for(seconds)
@@ -39,26 +40,27 @@
     @stateful.rule(
         host=HOSTS,
         account=ACCOUNTS,
-        key=KEYS,
+        keys=st.lists(KEYS, min_size=1, max_size=4),
         body=st.sampled_from([b"x", b"x", b"x", b"y"]),
         idempotent=st.booleans(),
         tokens=st.integers(min_value=1, max_value=60),
         delay=DELAYS,
         mode=MODES,
     )
-    def ask(self, host, account, key, body, idempotent, tokens, delay, mode):
+    def ask(self, host, account, keys, body, idempotent, tokens, delay, mode):
         kind = "get" if idempotent else "order"
-        self.fleet.ask(
-            host,
-            account=account,
-            key=f"{kind}-{key}",
-            body=body,
-            idempotent=idempotent,
-            tokens=tokens,
-            reserved=tokens + 10,
-            delay=delay,
-            mode=mode,
-        )
+        for key in keys:
+            self.fleet.ask(
+                host,
+                account=account,
+                key=f"{kind}-{key}",
+                body=body,
+                idempotent=idempotent,
+                tokens=tokens,
+                reserved=tokens + 10,
+                delay=delay,
+                mode=mode,
+            )
         self.pass_time(0.01)
 
     @stateful.rule(
@@ -159,7 +161,7 @@
 
     @stateful.rule(host=HOSTS, account=ACCOUNTS, number=st.integers(0, 3))
     def top_up(self, host, account, number):
-        self.fleet.top_up(host, account, f"invoice-{number}", 50 + number % 2)
+        self.fleet.top_up(host, account, f"invoice-{number}", 20 + number % 2)
         self.pass_time(0.05)
 
     @stateful.rule(host=HOSTS)
--- /dev/null
+++ b/dogwoodchute/tests/test_money_plants.py
@@ -0,0 +1,126 @@
+"""Planted faults, each of which the machine's checks must catch."""
+
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+
+from dogwoodchute import log
+from dogwoodchute.controllers import bills
+from dogwoodchute.coordination import grants
+from dogwoodchute.filters import claim, deduplicate
+from dogwoodchute.platform import table, table_client
+from dogwoodchute.tests import money_oracle, support, test_money_machine
+
+EXAMPLES = 60
+STEPS = 30
+
+
+def skip_reserve(ledger, tokens):
+    ledger.reserved += tokens
+    return True
+
+
+def bill_unchecked(real):
+    def rows_of(self, ready):
+        checks, writes = real(self, ready)
+        return [check for check in checks if not check.key.startswith("bill/")], writes
+
+    return rows_of
+
+
+def return_twice(real):
+    def draw(balance, grant, tokens):
+        balance, grant = real(balance, grant, tokens)
+        if tokens < 0:
+            balance = balance._replace(drawn=balance.drawn + tokens)
+        return balance, grant
+
+    return draw
+
+
+def claim_after_dispatch(real):
+    def make(*, host, claiming):
+        async def claim_late(exchange, proceed):
+            outcome = await proceed()
+            if not exchange.idempotent:
+                key = exchange.request_key
+                account = exchange.account.name
+                await claiming.insert(account, key, exchange.digest)
+                claiming.end(account, key)
+            return outcome
+
+        return claim_late
+
+    return make
+
+
+def take_unknown_for_done(real):
+    async def commit(self, commit_id, checks, writes):
+        outcome = await self._inner.commit(commit_id, checks, writes)
+        if isinstance(outcome, table.Unknown):
+            return table.Committed(versions={write.key: 0 for write in writes})
+        return outcome
+
+    return commit
+
+
+def forget_account(real):
+    def get(self, account, request_key):
+        for (_, key), run in {**self._kept, **self._running}.items():
+            if key == request_key:
+                return run
+        return None
+
+    return get
+
+
+class PlantedFaultTest(support.TestCase):
+    def assert_caught(self, where, name, planted, *promises):
+        settings = hypothesis.settings(
+            support.fuzz_settings(EXAMPLES, STEPS),
+            max_examples=EXAMPLES,
+            phases=[hypothesis.Phase.generate],
+            report_multiple_bugs=False,
+        )
+        with (
+            mock.patch.object(log, "error"),
+            mock.patch.object(where, name, planted),
+        ):
+            violation = self.assertRaises(
+                money_oracle.Violation,
+                stateful.run_state_machine_as_test,
+                test_money_machine.MoneyMachine,
+                settings=settings,
+            )
+        self.assertTrue(any(p in str(violation) for p in promises), violation)
+
+    def test_reserve_skipped(self):
+        self.assert_caught(grants.Ledger, "reserve", skip_reserve, "uncovered")
+
+    def test_bill_without_its_check(self):
+        planted = bill_unchecked(bills.Bills._rows)
+        self.assert_caught(bills.Bills, "_rows", planted, "grants tell the bills")
+
+    def test_grant_returned_twice(self):
+        planted = return_twice(grants.draw)
+        self.assert_caught(grants, "draw", planted, "is drawn", "InvariantError")
+
+    def test_claim_after_dispatch(self):
+        planted = claim_after_dispatch(claim.make)
+        self.assert_caught(claim, "make", planted, "runs once", "never ran")
+
+    def test_unknown_commit_taken_for_done(self):
+        planted = take_unknown_for_done(table_client.Client.commit)
+        self.assert_caught(
+            table_client.Client,
+            "commit",
+            planted,
+            "durable bill",
+            "acknowledged",
+            "told",
+        )
+
+    def test_answer_of_another_account(self):
+        planted = forget_account(deduplicate.Runs.get)
+        self.assert_caught(deduplicate.Runs, "get", planted, "whole answer of its own")
