--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SEED ?= 0
-STEPS ?= 400
+EXAMPLES ?= 400
 
 .PHONY: install test lint format demo serve bench fuzz clean
 
@@ -35,8 +35,9 @@
 	$(BIN)/python -m bench
 
 fuzz: install
-	DOGWOODCHUTE_FUZZ_SEED=$(SEED) DOGWOODCHUTE_FUZZ_EXAMPLES=$(STEPS) \
-		$(BIN)/python -m pytest -n 4 -k machine
+	@echo "fuzzing with SEED=$(SEED) EXAMPLES=$(EXAMPLES)"
+	DOGWOODCHUTE_FUZZ_SEED=$(SEED) DOGWOODCHUTE_FUZZ_EXAMPLES=$(EXAMPLES) \
+		$(BIN)/python -m pytest -n 4 -k machine --hypothesis-seed=$(SEED)
 
 clean:
 	rm -rf $(VENV)
