Raise the bill of a run that broke off; read budget and grant as of one moment

A caller could break off a chat and repeat it under the same key: the part was billed, the whole then ran unbilled. A part's bill now gives way to that of a whole answer, which costs the difference.

A refusal now tells a spent budget from tokens that other hosts hold.

--- a/dogwoodchute/controllers/bills.py
+++ b/dogwoodchute/controllers/bills.py
@@ -58,6 +58,7 @@
         self.checks = list(checks)
         self.writes = list(writes)
         self.copied = copied  # another host's bill
+        self.replaced: table.Row | None = None  # the bill of a run that broke off
         self.holders: set[str] = set()  # peers that keep a copy
         self.kept: asyncio.Future[Kept] = loop.create_future()
         self.durable: asyncio.Future[Durable | Elsewhere] = loop.create_future()
@@ -67,6 +68,18 @@
         """The key of the bill's row."""
         return rows.bill(self.entry.account, self.entry.request_key)
 
+    @property
+    def charge(self) -> int:
+        """Tokens that the bill adds to the grant's billed ones."""
+        replaced = self.replaced.value if self.replaced is not None else None
+        return bills.charge(self.entry, replaced)
+
+    @property
+    def value(self) -> dict:
+        """The value of the bill's row."""
+        replaced = self.replaced.value if self.replaced is not None else None
+        return bills.value(self.entry, replaced)
+
     def finish(self, kept: Durable | Elsewhere) -> None:
         """Record that the store has the bill."""
         self.durable.set_result(kept)
@@ -200,7 +213,7 @@
         ledger = self._grants.ledger(account)
 
         def lacking() -> int:
-            return sum(bill.entry.tokens for bill in batch) - ledger.grant.unspent
+            return sum(bill.charge for bill in batch) - ledger.grant.unspent
 
         if lacking() <= 0:
             return True
@@ -212,10 +225,14 @@
             return False
         if failure is None or lacking() <= 0:
             return True
-        covered = bills.cover([bill.entry for bill in batch], ledger.grant.unspent)
-        for bill, entry in zip(batch, covered, strict=True):
-            ledger.drop(bill.entry.tokens - entry.tokens)
-            bill.entry = entry
+        charges = [bill.charge for bill in batch]
+        beyond = bills.uncovered(charges, ledger.grant.unspent)
+        for bill, tokens in zip(batch, beyond, strict=True):
+            ledger.drop(tokens)
+            bill.entry = bill.entry._replace(
+                tokens=bill.entry.tokens - tokens,
+                uncovered=bill.entry.uncovered + tokens,
+            )
         return True
 
     def _rows(
@@ -225,14 +242,15 @@
         for account, batch in ready.items():
             key = self._grants.row_key(account)
             state_ = self._grants.account(account)
-            tokens = sum(bill.entry.tokens for bill in batch)
+            tokens = sum(bill.charge for bill in batch)
             grant = state_.ledger.grant
             grant = grant._replace(billed=grant.billed + tokens)
             checks.append(table.Check(key, state_.version))
             writes.append(table.Write(key, self._grants.row_value(grant)))
             for bill in batch:
-                checks += [table.Check(bill.key, 0), *bill.checks]
-                writes += [table.Write(bill.key, bills.value(bill.entry))]
+                version = bill.replaced.version if bill.replaced is not None else 0
+                checks += [table.Check(bill.key, version), *bill.checks]
+                writes.append(table.Write(bill.key, bill.value))
                 writes += bill.writes
         return checks, writes
 
@@ -243,8 +261,8 @@
         key = self._grants.row_key(account)
         state_.version = outcome.versions.get(key, state_.version)
         for bill in batch:
-            state_.ledger.confirm(bill.entry.tokens)
-            metrics.BILLED.inc(bill.entry.tokens)
+            state_.ledger.confirm(bill.charge)
+            metrics.BILLED.inc(bill.charge)
             if bill.entry.uncovered:
                 metrics.UNCOVERED.inc(bill.entry.uncovered)
                 log.error("bill_uncovered", **bill.entry._asdict())
@@ -259,9 +277,14 @@
             self._grants.lost(account, conflict.rows[key])
         for bill in list(batch):
             row = conflict.rows.get(bill.key)
+            if row is not None and bills.may_replace(bill.entry, row.value):
+                before = bill.charge
+                bill.replaced = row
+                self._grants.ledger(account).drop(before - bill.charge)
+                continue
             if row is not None:
                 batch.remove(bill)
-                self._grants.ledger(account).drop(bill.entry.tokens)
+                self._grants.ledger(account).drop(bill.charge)
                 self._finish(bill, Elsewhere(row=row))
                 continue
             if any(check.key in conflict.rows for check in bill.checks):
--- a/dogwoodchute/controllers/copies.py
+++ b/dogwoodchute/controllers/copies.py
@@ -165,7 +165,8 @@
         if isinstance(found, table.Unavailable):
             return
         for copy in due:
-            if copy.key in found.rows:
+            row = found.rows.get(copy.key)
+            if row is not None and not pure_bills.may_replace(copy.entry, row.value):
                 self._drop(copy.key)
                 continue
             await self._write(copy)
--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -40,6 +40,13 @@
 Reservation = Reserved | Spent | OutOfReach
 
 
+class Search(NamedTuple):
+    """What a look at the grants of other hosts found, in tokens."""
+
+    returned: int  # to the budget, from grants of lost hosts
+    held: int  # unspent by other hosts
+
+
 class Waiter(NamedTuple):
     """A request that waits for a draw."""
 
@@ -68,7 +75,7 @@
         self._host = host
         self._accounts: dict[str, Account] = {}
         self._listed: int | None = None
-        self.find_lost: abc.Callable[[str], abc.Awaitable[int]] | None = None
+        self.find_lost: abc.Callable[[str], abc.Awaitable[Search]] | None = None
 
     @property
     def accounts(self) -> list[str]:
@@ -174,6 +181,7 @@
         )
         state_.version = row.version if row is not None else 0
         state_.ledger.replace(left)
+        state_.budget = None
 
     async def return_idle(self) -> None:
         """Give back the tokens that the expected use leaves over."""
@@ -217,7 +225,7 @@
 
     async def _draw_for_waiters(self, account: str) -> None:
         state_ = self.account(account)
-        searched = False
+        search = None
         while state_.waiters:
             async with state_.lock:
                 _hand_out(state_)
@@ -230,16 +238,12 @@
                 continue
             if failure is None:
                 continue
-            if not searched and self.find_lost is not None:
-                searched = True
-                if await self.find_lost(account) > 0:
-                    continue
-            room = failure.remaining + state_.ledger.available
-            for waiter in list(state_.waiters):
-                if waiter.tokens <= room:
-                    room -= waiter.tokens
+            if search is None and self.find_lost is not None:
+                search = await self.find_lost(account)
+                if search.returned > 0:
                     continue
-                _refuse(state_, [waiter], Spent(remaining=max(0, room)))
+            held = search.held if search is not None else 0
+            _refuse_beyond(state_, failure.remaining, held)
 
     async def _give_back(self, account: str, tokens: int | None) -> None:
         state_ = self.account(account)
@@ -327,6 +331,21 @@
             waiter.result.set_result(Reserved(tokens=waiter.tokens))
 
 
+def _refuse_beyond(state_: Account, remaining: int, held: int) -> None:
+    """Refuse the waiters that `remaining` tokens of the budget do not cover.
+
+    Those that other hosts' `held` tokens would cover may try again later.
+    """
+    room = remaining + state_.ledger.available
+    for waiter in list(state_.waiters):
+        if waiter.tokens <= room:
+            room -= waiter.tokens
+        elif waiter.tokens <= room + held:
+            _refuse(state_, [waiter], OutOfReach(reason="other hosts hold the tokens"))
+        else:
+            _refuse(state_, [waiter], Spent(remaining=max(0, room + held)))
+
+
 def _refuse(state_: Account, waiters: list[Waiter], reason: Spent | OutOfReach) -> None:
     for waiter in waiters:
         state_.waiters.remove(waiter)
--- a/dogwoodchute/controllers/reclaim.py
+++ b/dogwoodchute/controllers/reclaim.py
@@ -35,13 +35,14 @@
         self._copies = copying
         self._wall = wall
         self._checked: dict[str, float] = {}
+        self._held: dict[str, int] = {}
         granted.find_lost = self.search
 
-    async def search(self, account: str) -> int:
+    async def search(self, account: str) -> grants.Search:
         """Look for lost grants now, unless that was done within some seconds."""
         last = self._checked.get(account)
         if last is not None and self._host.now() - last < SPENT_INTERVAL:
-            return 0
+            return grants.Search(0, self._held.get(account, 0))
         return await self.check(account)
 
     async def step(self) -> None:
@@ -55,27 +56,30 @@
         if oldest is not None:
             await self.check(oldest[1])
 
-    async def check(self, account: str) -> int:
-        """Close the account's lost grants; return how many tokens came back."""
+    async def check(self, account: str) -> grants.Search:
+        """Close the account's lost grants, and look at what other hosts hold."""
         self._checked[account] = self._host.now()
         prefix = rows.grant(account, "")
         found = await self._host.store.scan(prefix)
         if isinstance(found, table.Unavailable):
-            return 0
+            return grants.Search(0, self._held.get(account, 0))
         others = {}
         for key, row in found.rows.items():
             incarnation = key.removeprefix(prefix)
             if incarnation != self._host.incarnation:
                 others[incarnation] = row
         evidence = await self._evidence(others)
-        returned = 0
+        returned = held = 0
         for incarnation, row in others.items():
             if row.value.get("closed"):
                 await self._purge(account, row)
                 continue
             if reclaim.is_gone(incarnation, row.value.get("listed"), evidence):
                 returned += await self._close(account, incarnation, row)
-        return returned
+                continue
+            held += pure_grants.grant_of(row.value).unspent
+        self._held[account] = held
+        return grants.Search(returned, held)
 
     def controller(self) -> controller.Controller:
         """Return the controller that looks for lost grants."""
@@ -85,13 +89,14 @@
     async def _evidence(self, incarnations: abc.Iterable[str]) -> reclaim.Evidence:
         listed = self._host.host_list
         hosts = sorted({reclaim.host_of(name) for name in incarnations})
-        registered = {}
+        registered = None
         found = await self._host.store.read([rows.host(name) for name in hosts])
         if isinstance(found, table.Rows):
-            for name in hosts:
-                row = found.rows.get(rows.host(name))
-                if row is not None and "incarnation" in row.value:
-                    registered[name] = row.value["incarnation"]
+            prefix = rows.host("")
+            registered = {
+                key.removeprefix(prefix): row.value["incarnation"]
+                for key, row in found.rows.items()
+            }
         known = self._host.peers.known()
         return reclaim.Evidence(
             revision=listed.revision if listed is not None else 0,
@@ -104,13 +109,10 @@
         budget_key = rows.budget(account)
         held = await self._copies.of_incarnation(incarnation)
         pending = [copy for copy in held if copy.entry.account == account]
-        budget = None
+        budget = await self._budget_with(account, row)
         for _ in range(MAX_TRIES):
             if budget is None:
-                found = await self._host.store.read([budget_key])
-                if isinstance(found, table.Unavailable) or not found.rows:
-                    return 0
-                budget = found.rows[budget_key]
+                return 0
             grant = pure_grants.grant_of(row.value)
             chosen = _fitting(pending, grant.unspent)
             checks, writes = self._closing(row, grant, budget, chosen)
@@ -135,6 +137,17 @@
             pending = [copy for copy in pending if not _met(copy, outcome)]
         return 0
 
+    async def _budget_with(self, account: str, row: table.Row) -> table.Row | None:
+        """Return the budget row as of a moment at which a grant row was `row`."""
+        key = rows.budget(account)
+        found = await self._host.store.read([key, row.key])
+        if isinstance(found, table.Unavailable):
+            return None
+        now = found.rows.get(row.key)
+        if now is None or now.version != row.version:
+            return None
+        return found.rows.get(key)
+
     def _closing(
         self,
         row: table.Row,
@@ -166,11 +179,9 @@
         """Delete a closed grant's row once no writer can still need it."""
         if self._wall() - row.value["closed_at"] < KEEP_CLOSED:
             return
-        budget_key = rows.budget(account)
-        found = await self._host.store.read([budget_key])
-        if isinstance(found, table.Unavailable) or not found.rows:
+        budget = await self._budget_with(account, row)
+        if budget is None:
             return
-        budget = found.rows[budget_key]
         balance = pure_grants.retire(
             pure_grants.balance_of(budget.value), pure_grants.grant_of(row.value)
         )
@@ -178,11 +189,11 @@
             table.commit_id(self._host.rng),
             [
                 table.Check(row.key, row.version),
-                table.Check(budget_key, budget.version),
+                table.Check(budget.key, budget.version),
             ],
             [
                 table.Write(row.key, None),
-                table.Write(budget_key, pure_grants.balance_value(balance)),
+                table.Write(budget.key, pure_grants.balance_value(balance)),
             ],
         )
 
--- a/dogwoodchute/coordination/bills.py
+++ b/dogwoodchute/coordination/bills.py
@@ -13,29 +13,45 @@
     fingerprint: str  # hex digest of the request
     incarnation: str  # the host process that served the request
     uncovered: int = 0  # tokens that the budget did not cover
+    whole: bool = True  # the answer was whole; another run may raise a bill otherwise
 
 
-def value(entry: Entry) -> dict:
-    """Return the value of a bill row."""
+def value(entry: Entry, replaced: dict | None = None) -> dict:
+    """Return the value of a bill row, in place of the `replaced` one of a part run."""
     kept = {
-        "tokens": entry.tokens,
+        "tokens": max(entry.tokens, replaced["tokens"] if replaced else 0),
         "fingerprint": entry.fingerprint,
         "incarnation": entry.incarnation,
     }
     if entry.uncovered:
         kept["uncovered"] = entry.uncovered
+    if not entry.whole:
+        kept["whole"] = False
     return kept
 
 
-def cover(entries: abc.Iterable[Entry], room: int) -> list[Entry]:
-    """Return the entries with what exceeds `room` tokens in all marked uncovered."""
-    covered = []
-    for entry in entries:
-        tokens = min(entry.tokens, room)
-        room -= tokens
-        uncovered = entry.uncovered + entry.tokens - tokens
-        covered.append(entry._replace(tokens=tokens, uncovered=uncovered))
-    return covered
+def charge(entry: Entry, replaced: dict | None) -> int:
+    """Return the tokens that a bill adds to what was billed under its key before."""
+    return max(0, entry.tokens - (replaced["tokens"] if replaced else 0))
+
+
+def may_replace(entry: Entry, row: dict) -> bool:
+    """Return whether a bill takes the place of one that is in the store.
+
+    Only the bill of a whole answer does, and only that of a run that broke off.
+    """
+    same = row.get("fingerprint") == entry.fingerprint
+    return same and entry.whole and not row.get("whole", True)
+
+
+def uncovered(charges: abc.Iterable[int], room: int) -> list[int]:
+    """Return what of each charge is beyond `room` tokens in all, in order."""
+    beyond = []
+    for tokens in charges:
+        covered = min(tokens, room)
+        room -= covered
+        beyond.append(tokens - covered)
+    return beyond
 
 
 class Candidate(NamedTuple):
--- a/dogwoodchute/filters/bill.py
+++ b/dogwoodchute/filters/bill.py
@@ -30,7 +30,8 @@
         settlement = None
         if exchange.settle is not None:
             settlement = await exchange.settle(outcome)
-        entry = _settle(exchange, host=host, granted=granted)
+        whole = not failed or exchange.settle is not None
+        entry = _settle(exchange, host=host, granted=granted)._replace(whole=whole)
         if settlement is None:
             submitted = billing.submit(entry)
         else:
--- a/dogwoodchute/filters/deduplicate.py
+++ b/dogwoodchute/filters/deduplicate.py
@@ -124,9 +124,11 @@
             row = await known.bill(exchange.account.name, exchange.request_key)
             if row is None:
                 return None
-            if row.value.get("fingerprint") not in (None, exchange.digest):
+            if row.value["fingerprint"] != exchange.digest:
                 metrics.REFUSALS.labels("key_reused").inc()
                 return outcomes.key_reused(step="deduplicate")
+            if not row.value.get("whole", True):
+                return None
             run.reruns = 1
         else:
             return None
--- a/dogwoodchute/filters/reserve.py
+++ b/dogwoodchute/filters/reserve.py
@@ -45,7 +45,7 @@
     return outcomes.refuse(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
         "budget_out_of_reach",
-        "The budget can't be reached now; retry later.",
+        f"The budget can't be reached now ({result.reason}); retry later.",
         step="reserve",
         peer=result.peer,
         retry_after=OUT_OF_REACH_RETRY_AFTER,
