--- /dev/null
+++ b/bench/money_world.py
@@ -0,0 +1,248 @@
+"""A small account of the truth about budgets, against which policies are measured.
+
+Requests, faults and ticks are played in the order of passed-in time. The store is a
+pair of numbers for each client account; commits are counted, not delayed.
+"""
+
+import heapq
+import itertools
+from collections import abc
+from typing import NamedTuple
+
+BILL_INTERVAL = 0.25  # seconds
+TICK = 5.0  # seconds
+
+
+class Place(NamedTuple):
+    """A host of the world."""
+
+    name: str
+    region: str
+
+
+class Call(NamedTuple):
+    """One request, the same for every policy."""
+
+    at: float  # seconds
+    account: str
+    hosts: tuple[str, ...]  # in the order in which its caller tries them
+    reserved: int  # tokens
+    used: int  # tokens
+    seconds: float
+
+
+class Fault(NamedTuple):
+    """One event that is not a request."""
+
+    at: float  # seconds
+    kind: (
+        str  # "cut", "heal", "store_down", "store_up", "stop", "crash", "start", "pay"
+    )
+    target: str = ""  # a host or a client account
+    tokens: int = 0
+
+
+class Figures(NamedTuple):
+    """What one run of one policy came to."""
+
+    requests: int
+    overspend: int  # tokens
+    false_refusals: int
+    true_refusals: int
+    idle: float  # tokens held by live hosts beyond reservations, over time
+    stranded: float  # tokens held for hosts that are gone, over time
+    draws: int  # commits of draws and returns
+    bill_commits: int
+    messages: int  # to peers
+
+    @property
+    def commits_per_request(self) -> float:
+        """Store commits for each request."""
+        return (self.draws + self.bill_commits) / max(1, self.requests)
+
+
+class World:
+    """Who is alive, who reaches whom, and what was truly paid and billed."""
+
+    def __init__(self, *, places: list[Place], store_region: str) -> None:
+        self.now = 0.0
+        self.places = {place.name: place for place in places}
+        self.alive = set(self.places)
+        self.cut = False
+        self.store_down = False
+        self.store_region = store_region
+        self.paid: dict[str, int] = {}
+        self.billed: dict[str, int] = {}
+        self.in_flight: dict[str, int] = {}
+        self.draws = 0
+        self.messages = 0
+
+    def reaches_store(self, host: str) -> bool:
+        """Return whether a host can commit."""
+        if self.store_down:
+            return False
+        return not self.cut or self.places[host].region == self.store_region
+
+    def peers(self, host: str) -> list[str]:
+        """Return the live hosts that a host reaches."""
+        region = self.places[host].region
+        found = []
+        for name in self.places:
+            if name == host or name not in self.alive:
+                continue
+            if self.cut and self.places[name].region != region:
+                continue
+            found.append(name)
+        return found
+
+    def truly_left(self, account: str) -> int:
+        """Tokens of a budget that are neither billed nor set aside."""
+        left = self.paid[account] - self.billed.get(account, 0)
+        return left - self.in_flight.get(account, 0)
+
+
+class Policy(NamedTuple):
+    """How hosts get the tokens that they lend to requests.
+
+    `reserve` and `settle` take host, client account and tokens; `settle` also takes
+    what was used. Both are told only what their host could know, through `World`.
+    """
+
+    reserve: abc.Callable[[str, str, int], str | None]  # the host that holds, or None
+    settle: abc.Callable[[str, str, int, int], None]
+    paid: abc.Callable[[str, int], None]
+    stop: abc.Callable[[str], None]  # gracefully
+    crash: abc.Callable[[str], None]
+    start: abc.Callable[[str], None]
+    tick: abc.Callable[[], None]
+    idle: abc.Callable[[], int]
+    stranded: abc.Callable[[], int]
+
+
+class _Run:
+    """One play of calls and faults under one policy."""
+
+    def __init__(self, *, world: World, policy: Policy) -> None:
+        self.world = world
+        self.policy = policy
+        self.requests = 0
+        self.overspend = 0
+        self.false_refusals = 0
+        self.true_refusals = 0
+        self.bill_commits = 0
+        self._order = itertools.count()
+        self._queue: list[tuple] = []
+        self._dirty: dict[str, float] = {}  # by host, when it commits next
+        self._epoch: dict[str, int] = {}  # crashes by host
+
+    def push(self, at: float, action: abc.Callable, *arguments: object) -> None:
+        """Do `action` at a time."""
+        heapq.heappush(self._queue, (at, next(self._order), action, arguments))
+
+    def play(self) -> None:
+        """Do everything in the order of time."""
+        while self._queue:
+            at, _, action, arguments = heapq.heappop(self._queue)
+            self.world.now = at
+            action(*arguments)
+
+    def call(self, call: Call) -> None:
+        """Let a request arrive."""
+        world = self.world
+        host = next((h for h in call.hosts if h in world.alive), None)
+        if host is None:
+            return
+        self.requests += 1
+        covered = call.reserved <= world.truly_left(call.account)
+        holder = self.policy.reserve(host, call.account, call.reserved)
+        if holder is None:
+            self.false_refusals += covered
+            self.true_refusals += not covered
+            return
+        held = world.in_flight.get(call.account, 0) + call.reserved
+        world.in_flight[call.account] = held
+        epoch = self._epoch.get(holder, 0)
+        self.push(world.now + call.seconds, self._finish, call, holder, epoch)
+
+    def fault(self, fault: Fault) -> None:
+        """Let a fault happen."""
+        world = self.world
+        kind = fault.kind
+        if kind == "pay":
+            world.paid[fault.target] = world.paid.get(fault.target, 0) + fault.tokens
+            self.policy.paid(fault.target, fault.tokens)
+        elif kind in ("cut", "heal"):
+            world.cut = kind == "cut"
+        elif kind in ("store_down", "store_up"):
+            world.store_down = kind == "store_down"
+        elif kind == "start":
+            world.alive.add(fault.target)
+            self.policy.start(fault.target)
+        else:
+            world.alive.discard(fault.target)
+            if kind == "crash":
+                crashes = self._epoch.get(fault.target, 0)
+                self._epoch[fault.target] = crashes + 1
+                self.policy.crash(fault.target)
+            else:
+                self.policy.stop(fault.target)
+
+    def _finish(self, call: Call, holder: str, epoch: int) -> None:
+        world = self.world
+        world.in_flight[call.account] -= call.reserved
+        if self._epoch.get(holder, 0) != epoch:
+            return
+        world.billed[call.account] = world.billed.get(call.account, 0) + call.used
+        over = world.billed[call.account] - world.paid[call.account]
+        self.overspend = max(self.overspend, over)
+        self.policy.settle(holder, call.account, call.reserved, call.used)
+        if holder not in self._dirty:
+            due = world.now + BILL_INTERVAL
+            self._dirty[holder] = due
+            self.push(due, self._commit_bills, holder)
+
+    def _commit_bills(self, host: str) -> None:
+        if not self.world.reaches_store(host):
+            self.push(self.world.now + TICK, self._commit_bills, host)
+            return
+        del self._dirty[host]
+        self.bill_commits += 1
+
+
+def play(
+    *,
+    world: World,
+    policy: Policy,
+    calls: list[Call],
+    faults: list[Fault],
+    until: float,
+) -> Figures:
+    """Play calls and faults up to `until` seconds and return the figures."""
+    run = _Run(world=world, policy=policy)
+    idle = []
+    stranded = []
+
+    def tick() -> None:
+        policy.tick()
+        idle.append(policy.idle())
+        stranded.append(policy.stranded())
+        if world.now + TICK <= until:
+            run.push(world.now + TICK, tick)
+
+    for fault in faults:
+        run.push(fault.at, run.fault, fault)
+    for call in calls:
+        run.push(call.at, run.call, call)
+    run.push(TICK, tick)
+    run.play()
+    return Figures(
+        requests=run.requests,
+        overspend=run.overspend,
+        false_refusals=run.false_refusals,
+        true_refusals=run.true_refusals,
+        idle=sum(idle) / len(idle),
+        stranded=sum(stranded) / len(stranded),
+        draws=world.draws,
+        bill_commits=run.bill_commits,
+        messages=world.messages,
+    )
