Measure each constant of the money policy, and test its targets

Change: horizons of 600 s near the store and 1,200 s elsewhere, a demand window of 300 s, draws ahead of need below half a horizon, peers asked to give back when a budget seems spent, and requests passed to a peer, all as constants of the bench's policy.

--- a/bench/money.py
+++ b/bench/money.py
@@ -61,6 +61,7 @@
         requests=found.requests,
         overspend_tokens=found.overspend,
         false_refusals=found.false_refusals,
+        false_in_fault=found.false_in_fault,
         true_refusals=found.true_refusals,
         idle_tokens=found.idle,
         stranded_tokens=found.stranded,
@@ -77,6 +78,13 @@
         for scenario in scenarios.all_of(deployment, SEED):
             for name, build in builders(OURS).items():
                 show(deployment, scenario, name, measure(deployment, scenario, build))
+            if scenario.name.startswith("cut"):
+                floor = scenarios.floor_of_cut(deployment, scenario)
+                figures.show(
+                    f"money_{scenario.name}_floor",
+                    deployment=deployment.name,
+                    false_refusals_estimated=floor,
+                )
     points = []
     for part in (0.25, 0.5, 1.0, 2.0):
         rate = BUSY_HOSTS * HOST_RATE * part
--- a/bench/money_policies.py
+++ b/bench/money_policies.py
@@ -10,13 +10,15 @@
 class Constants(NamedTuple):
     """The constants of the policy of grants by demand."""
 
-    near_horizon: float = 30.0  # seconds, for hosts in the store's region
-    far_horizon: float = 30.0  # seconds
-    share: float = 0.125
+    near_horizon: float = 600.0  # seconds, for hosts in the store's region
+    far_horizon: float = 1200.0  # seconds
+    share: float = 0.25
     window: float = sizing.DEMAND_WINDOW
     returns: bool = True  # idle tokens go back
-    recall: bool = False  # a spent budget asks the peers for what they hold
-    relay: bool = False  # a host out of tokens passes a request to a peer
+    recall: bool = True  # a spent budget asks the peers for what they hold
+    refill: bool = True  # grants are drawn ahead of need
+    scarce: float = sizing.SCARCE_SECONDS  # without refills after a recall
+    relay: bool = True  # a host out of tokens passes a request to a peer
 
 
 class ByDemand:
@@ -29,6 +31,7 @@
         self._ledgers: dict[tuple[str, str], grants.Ledger] = {}
         self._demands: dict[tuple[str, str], sizing.Demand] = {}
         self._lost: dict[str, list[tuple[str, int]]] = collections.defaultdict(list)
+        self._scarce_until: dict[tuple[str, str], float] = {}
 
     def policy(self) -> worlds.Policy:
         """Return the policy's operations."""
@@ -89,9 +92,7 @@
             self._world.draws += 1
 
     def tick(self) -> None:
-        """Give back what the expected use leaves over."""
-        if not self._constants.returns:
-            return
+        """Give back what the expected use leaves over, and draw ahead of need."""
         now = self._world.now
         for (host, account), ledger in self._ledgers.items():
             if host not in self._world.alive or not self._world.reaches_store(host):
@@ -104,7 +105,34 @@
                 horizon=self._horizon(host),
                 idle=demand.idle(now),
             )
-            self._give_back(host, account, size)
+            if self._constants.returns:
+                self._give_back(host, account, size)
+            if size == 0 and self._constants.refill:
+                self._refill(host, account)
+
+    def _refill(self, host: str, account: str) -> None:
+        if self._world.now < self._scarce_until.get((host, account), 0.0):
+            return
+        ledger = self._ledgers[host, account]
+        size = sizing.refill_size(
+            balance=self._balance(account),
+            available=ledger.available,
+            reserved=ledger.reserved,
+            rate=self._demands[host, account].rate(self._world.now),
+            horizon=self._horizon(host),
+            share=self._constants.share,
+        )
+        self._draw(host, account, size)
+
+    def _balance(self, account: str) -> grants.Balance:
+        return grants.Balance(self._world.paid[account], self._drawn.get(account, 0))
+
+    def _draw(self, host: str, account: str, tokens: int) -> None:
+        if tokens <= 0:
+            return
+        self._world.draws += 1
+        self._drawn[account] = self._drawn.get(account, 0) + tokens
+        self._ledgers[host, account].granted += tokens
 
     def _take(self, host: str, account: str, tokens: int) -> bool:
         key = host, account
@@ -116,23 +144,21 @@
             return True
         if not self._world.reaches_store(host):
             return False
-        drawn = self._drawn.get(account, 0)
         size = sizing.draw_size(
-            balance=grants.Balance(self._world.paid[account], drawn),
+            balance=self._balance(account),
             needed=tokens - ledger.available,
             rate=self._demands[key].rate(self._world.now),
             horizon=self._horizon(host),
             share=self._constants.share,
         )
-        if size == 0:
-            return False
-        self._world.draws += 1
-        self._drawn[account] = drawn + size
-        ledger.granted += size
+        self._draw(host, account, size)
         return ledger.reserve(tokens)
 
     def _recall(self, host: str, account: str) -> None:
+        until = self._world.now + self._constants.scarce
+        self._scarce_until[host, account] = until
         for peer in self._world.peers(host):
+            self._scarce_until[peer, account] = until
             ledger = self._ledgers.get((peer, account))
             if ledger is None or ledger.available <= 0:
                 continue
--- a/bench/money_scenarios.py
+++ b/bench/money_scenarios.py
@@ -151,6 +151,30 @@
     return Scenario(name, calls, faults, begin + seconds + HOUR)
 
 
+def floor_of_cut(deployment: Deployment, scenario: Scenario) -> int:
+    """Estimate the false refusals of a cut that no division of the budget avoids.
+
+    Until the top-up, the store's side and, until the heal, the other side can only use
+    what was left when the cut began.
+    """
+    times = {fault.kind: fault.at for fault in scenario.faults if not fault.target}
+    region_of = {place.name: place.region for place in deployment.places}
+    refused = 0.0
+    for account in deployment.rates:
+        pays = [f for f in scenario.faults if f.target == account]
+        calls = [call for call in scenario.calls if call.account == account]
+        left = pays[0].tokens - sum(c.used for c in calls if c.at < times["cut"])
+        needed = 0
+        for call in calls:
+            near = region_of[call.hosts[0]] == deployment.store_region
+            end = pays[1].at if near else times["heal"]
+            if times["cut"] <= call.at < end:
+                needed += call.used
+        mean = sum(call.used for call in calls) / len(calls)
+        refused += max(0, needed - left) / mean
+    return round(refused)
+
+
 def store_down(deployment: Deployment, seed: int) -> Scenario:
     """The store away for ten minutes in the middle of two hours."""
     calls = requests(deployment, seconds=2 * HOUR, seed=seed)
--- a/bench/money_world.py
+++ b/bench/money_world.py
@@ -48,6 +48,7 @@
     requests: int
     overspend: int  # tokens
     false_refusals: int
+    false_in_fault: int  # of them, while the regions were cut or the store was down
     true_refusals: int
     idle: float  # tokens held by live hosts beyond reservations, over time
     stranded: float  # tokens held for hosts that are gone, over time
@@ -128,6 +129,7 @@
         self.requests = 0
         self.overspend = 0
         self.false_refusals = 0
+        self.false_in_fault = 0
         self.true_refusals = 0
         self.bill_commits = 0
         self._order = itertools.count()
@@ -157,6 +159,7 @@
         holder = self.policy.reserve(host, call.account, call.reserved)
         if holder is None:
             self.false_refusals += covered
+            self.false_in_fault += covered and (world.cut or world.store_down)
             self.true_refusals += not covered
             return
         held = world.in_flight.get(call.account, 0) + call.reserved
@@ -239,6 +242,7 @@
         requests=run.requests,
         overspend=run.overspend,
         false_refusals=run.false_refusals,
+        false_in_fault=run.false_in_fault,
         true_refusals=run.true_refusals,
         idle=sum(idle) / len(idle),
         stranded=sum(stranded) / len(stranded),
--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -4,7 +4,8 @@
 
 from dogwoodchute.coordination import grants
 
-DEMAND_WINDOW = 60.0  # seconds
+DEMAND_WINDOW = 300.0  # seconds
+SCARCE_SECONDS = 60.0  # without refills after peers gave back what they held
 
 
 class Demand:
@@ -52,13 +53,33 @@
     fraction `share` of what remains. As the budget runs out the cap falls below
     `needed`, and draws become exact.
     """
-    remaining = balance.paid - balance.drawn
+    remaining = balance.remaining
     if needed > remaining:
         return 0
     wanted = needed + math.ceil(rate * horizon)
     return max(needed, min(wanted, int(remaining * share)))
 
 
+def refill_size(
+    *,
+    balance: grants.Balance,
+    available: int,
+    reserved: int,
+    rate: float,
+    horizon: float,
+    share: float,
+) -> int:
+    """Return how many tokens to draw ahead of need, 0 while the grant lasts.
+
+    Below half the use of one horizon, the draw goes up to the use of one horizon. So a
+    host that is cut off has at least half a horizon, and few requests wait for a draw.
+    """
+    wanted = math.ceil(rate * horizon)
+    if 2 * (available + reserved) >= wanted:
+        return 0
+    return max(0, min(wanted - available - reserved, int(balance.remaining * share)))
+
+
 def return_size(
     *, available: int, reserved: int, rate: float, horizon: float, idle: float
 ) -> int:
