--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -4,6 +4,7 @@
 
 from dogwoodchute.coordination import grants
 
+IDLE_HORIZONS = 2.0
 DEMAND_WINDOW = 300.0  # seconds
 SCARCE_SECONDS = 60.0  # without refills after peers gave back what they held
 
@@ -85,13 +86,13 @@
 ) -> int:
     """Return how many of the `available` tokens to give back to the budget.
 
-    After `horizon` idle seconds with nothing `reserved`, everything goes back. Before
+    After two idle horizons with nothing `reserved`, everything goes back. Before
     that, what exceeds twice the use of one horizon goes back down to that use, so that
     a return is not followed at once by a draw.
     """
     if available <= 0:
         return 0
-    if idle >= horizon and reserved == 0:
+    if idle >= IDLE_HORIZONS * horizon and reserved == 0:
         return available
     keep = math.ceil(rate * horizon)
     if available + reserved <= 2 * keep:
