--- a/bench/money_world.py
+++ b/bench/money_world.py
@@ -4,6 +4,7 @@
 pair of numbers for each client account; commits are counted, not delayed.
 """
 
+import collections
 import heapq
 import itertools
 from collections import abc
@@ -126,12 +127,7 @@
     def __init__(self, *, world: World, policy: Policy) -> None:
         self.world = world
         self.policy = policy
-        self.requests = 0
-        self.overspend = 0
-        self.false_refusals = 0
-        self.false_in_fault = 0
-        self.true_refusals = 0
-        self.bill_commits = 0
+        self.counts: collections.Counter[str] = collections.Counter()
         self._order = itertools.count()
         self._queue: list[tuple] = []
         self._dirty: dict[str, float] = {}  # by host, when it commits next
@@ -154,13 +150,13 @@
         host = next((h for h in call.hosts if h in world.alive), None)
         if host is None:
             return
-        self.requests += 1
+        self.counts["requests"] += 1
         covered = call.reserved <= world.truly_left(call.account)
         holder = self.policy.reserve(host, call.account, call.reserved)
         if holder is None:
-            self.false_refusals += covered
-            self.false_in_fault += covered and (world.cut or world.store_down)
-            self.true_refusals += not covered
+            self.counts["false_refusals"] += covered
+            self.counts["false_in_fault"] += covered and (world.cut or world.store_down)
+            self.counts["true_refusals"] += not covered
             return
         held = world.in_flight.get(call.account, 0) + call.reserved
         world.in_flight[call.account] = held
@@ -197,7 +193,7 @@
             return
         world.billed[call.account] = world.billed.get(call.account, 0) + call.used
         over = world.billed[call.account] - world.paid[call.account]
-        self.overspend = max(self.overspend, over)
+        self.counts["overspend"] = max(self.counts["overspend"], over)
         self.policy.settle(holder, call.account, call.reserved, call.used)
         if holder not in self._dirty:
             due = world.now + BILL_INTERVAL
@@ -209,7 +205,7 @@
             self.push(self.world.now + TICK, self._commit_bills, host)
             return
         del self._dirty[host]
-        self.bill_commits += 1
+        self.counts["bill_commits"] += 1
 
 
 def play(
@@ -239,14 +235,14 @@
     run.push(TICK, tick)
     run.play()
     return Figures(
-        requests=run.requests,
-        overspend=run.overspend,
-        false_refusals=run.false_refusals,
-        false_in_fault=run.false_in_fault,
-        true_refusals=run.true_refusals,
+        requests=run.counts["requests"],
+        overspend=run.counts["overspend"],
+        false_refusals=run.counts["false_refusals"],
+        false_in_fault=run.counts["false_in_fault"],
+        true_refusals=run.counts["true_refusals"],
         idle=sum(idle) / len(idle),
         stranded=sum(stranded) / len(stranded),
         draws=world.draws,
-        bill_commits=run.bill_commits,
+        bill_commits=run.counts["bill_commits"],
         messages=world.messages,
     )
