--- /dev/null
+++ b/dogwoodchute/controllers/table_path.py
@@ -0,0 +1,44 @@
+"""Guards a host's way to the table service, and shares it with peers."""
+
+import prometheus_client
+
+from dogwoodchute import controller, state
+from dogwoodchute.platform import table_client, table_relay
+
+HINT_INTERVAL = 1.0  # seconds
+PEERS_SHARE = 0.5  # of the rate budget, on top of it, for calls of peers
+REACHABLE = prometheus_client.Gauge(
+    "dogwoodchute_table_reachable", "1 while the direct path to the table answers"
+)
+
+
+def make(host: state.HostState) -> controller.Controller:
+    """Guard `host.store`; return the controller that tells peers how it fares."""
+    inner = host.store
+    limits = table_client.Limits(
+        rate=host.config.platform.table_rate,
+        burst=2 * host.config.platform.table_rate,
+    )
+    client = table_client.Client(
+        inner=inner,
+        now=host.now,
+        rng=host.rng,
+        limits=limits,
+        relay=table_relay.through_peers(host.peers, rng=host.rng),
+    )
+    for_peers = table_client.Client(
+        inner=inner,
+        now=host.now,
+        rng=host.rng,
+        limits=limits._replace(
+            rate=PEERS_SHARE * limits.rate, burst=PEERS_SHARE * limits.burst
+        ),
+    )
+    host.store = client.guarded
+    host.peers.handle(table_relay.KIND, table_relay.handler(for_peers.direct))
+
+    async def tell() -> None:
+        REACHABLE.set(client.reachable)
+        host.peers.hint(table_relay.HINT, client.reachable)
+
+    return controller.periodic("table_path", tell, interval=HINT_INTERVAL)
--- a/dogwoodchute/coordination/throttle.py
+++ b/dogwoodchute/coordination/throttle.py
@@ -1,30 +1,8 @@
-"""Rate budgets, jittered back-off and circuit breaking, with time passed in."""
+"""Jittered back-off and circuit breaking, with time passed in."""
 
 import random
 
 
-class TokenBucket:
-    """A rate budget of `rate` calls a second and `burst` calls at once."""
-
-    def __init__(self, *, rate: float, burst: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self._level = burst
-        self._updated = float("-inf")
-
-    def take(self, now: float) -> float:
-        """Take one call and return the seconds to wait before making it."""
-        elapsed = max(0.0, now - self._updated)
-        self._level = min(self.burst, self._level + elapsed * self.rate)
-        self._updated = now
-        self._level -= 1.0
-        return max(0.0, -self._level / self.rate)
-
-    def give_back(self) -> None:
-        """Undo one `take` whose call was not made."""
-        self._level = min(self.burst, self._level + 1.0)
-
-
 def backoff(attempt: int, *, base: float, limit: float, rng: random.Random) -> float:
     """Return the seconds to wait after failed attempt number `attempt`, from 1 on.
 
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -30,6 +30,7 @@
     membership,
     reclaim,
     releases,
+    table_path,
 )
 from dogwoodchute.filters import (
     authenticate,
@@ -43,7 +44,6 @@
     resolve,
     resume,
 )
-from dogwoodchute.platform import table_client
 
 
 class Daemon:
@@ -57,7 +57,7 @@
     ) -> None:
         self.host = host
         config = host.config
-        host.store = table_client.guard(host.store, now=host.now, rng=host.rng)
+        table_path_controller = table_path.make(host)
         self.grants = grants.Grants(host=host)
         self.bills = bills.Bills(host=host, granted=self.grants)
         self.copies = copies.Copies(host=host, granted=self.grants, billing=self.bills)
@@ -81,6 +81,7 @@
         self._controllers = [
             *(self.membership.controllers() if self.membership is not None else []),
             hostlist.make(host),
+            table_path_controller,
             controller.Controller(
                 "forwarder", self.forwarder.start, self.forwarder.stop
             ),
--- a/dogwoodchute/platform/table_client.py
+++ b/dogwoodchute/platform/table_client.py
@@ -21,7 +21,7 @@
 from typing import NamedTuple
 
 from dogwoodchute import log, metrics_money as metrics
-from dogwoodchute.coordination import throttle
+from dogwoodchute.coordination import pacing, throttle
 from dogwoodchute.platform import table
 
 AFTER = "after"  # key in a row's value: the id of the commit that it replaced
@@ -40,6 +40,9 @@
     breaker_threshold: int = 5  # failures in a row
 
 
+DEFAULT_LIMITS = Limits()
+
+
 class Client:
     """The state of a guarded table: its rate budget and circuit breaker."""
 
@@ -49,9 +52,9 @@
         inner: table.Table,
         now: abc.Callable[[], float],
         rng: random.Random,
-        sleep: abc.Callable[[float], abc.Awaitable[None]],
-        limits: Limits,
-        relay: table.Table | None,
+        sleep: abc.Callable[[float], abc.Awaitable[None]] = asyncio.sleep,
+        limits: Limits = DEFAULT_LIMITS,
+        relay: table.Table | None = None,
     ) -> None:
         self._inner = inner
         self._now = now
@@ -59,7 +62,7 @@
         self._sleep = sleep
         self._limits = limits
         self._relay = relay
-        self._bucket = throttle.TokenBucket(rate=limits.rate, burst=limits.burst)
+        self._bucket = pacing.Bucket(rate=limits.rate, burst=limits.burst)
         self._breaker = throttle.Breaker(
             threshold=limits.breaker_threshold,
             base=limits.backoff_base,
@@ -72,6 +75,24 @@
         """Whether the direct path answered of late."""
         return self._breaker.closed
 
+    @property
+    def guarded(self) -> table.Table:
+        """The guarded table."""
+        return table.Table(read=self.read, scan=self.scan, commit=self.commit)
+
+    @property
+    def direct(self) -> table.Table:
+        """One try of each call, within the rate budget; a commit may be `Unknown`."""
+
+        async def commit(
+            commit_id: str, checks: list[table.Check], writes: list[table.Write]
+        ) -> table.CommitOutcome:
+            return await self._send(
+                lambda target: target.commit(commit_id, checks, writes), table.Unknown
+            )
+
+        return table.Table(read=self.read, scan=self.scan, commit=commit)
+
     async def read(self, keys: list[str]) -> table.ReadOutcome:
         """Read rows; `Unavailable` after a timeout."""
         return await self._send(lambda target: target.read(keys), table.Unavailable)
@@ -158,11 +179,11 @@
     async def _send(
         self, call: abc.Callable, timed_out: type[table.Unavailable | table.Unknown]
     ) -> table.ReadOutcome | table.CommitOutcome:
-        wait = self._bucket.take(self._now())
+        wait = self._bucket.wait(self._now())
         if wait > self._limits.longest_wait:
-            self._bucket.give_back()
             metrics.TABLE_CALLS.labels("over_rate").inc()
             return table.Unavailable(reason="over this host's rate budget")
+        self._bucket.take(1, self._now())
         if wait > 0:
             await self._sleep(wait)
         outcome = await self._send_direct(call, timed_out)
@@ -203,7 +224,7 @@
     now: abc.Callable[[], float],
     rng: random.Random,
     sleep: abc.Callable[[float], abc.Awaitable[None]] = asyncio.sleep,
-    limits: Limits = Limits(),  # noqa: B008
+    limits: Limits = DEFAULT_LIMITS,
     relay: table.Table | None = None,
 ) -> table.Table:
     """Return a table whose commits never end in `Unknown`.
@@ -214,4 +235,4 @@
     client = Client(
         inner=inner, now=now, rng=rng, sleep=sleep, limits=limits, relay=relay
     )
-    return table.Table(read=client.read, scan=client.scan, commit=client.commit)
+    return client.guarded
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -67,6 +67,9 @@
         "`embedded` keeps everything in this process and loses it on exit.", "http"
     )
     table_address: Address = key("IP number and port of the table service.", "")
+    table_rate: float = key(
+        "Calls a second that this host may make of the table service.", 50.0, gt=0
+    )
     objects_address: Address = key("IP number and port of the object store.", "")
     hostlist_address: Address = key("IP number and port of the host list.", "")
     weights_address: Address = key("IP number and port of the weight store.", "")
--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -21,10 +21,11 @@
     grants,
     lookups,
     reclaim,
+    table_path,
 )
 from dogwoodchute.coordination import rows
 from dogwoodchute.filters import bill, claim, deduplicate, reserve
-from dogwoodchute.platform import hostlist, table, table_client
+from dogwoodchute.platform import hostlist, table
 from dogwoodchute.standins import (
     hostlist as memory_hostlist,
     objects as memory_objects,
@@ -122,10 +123,8 @@
             now=loop.time,
             rng=rng,
         )
-        self.state.store = table_client.guard(
-            self.state.store, now=loop.time, rng=self.state.rng
-        )
         self.state.peers = self._join()
+        relaying = table_path.make(self.state)
         self.grants = grants.Grants(host=self.state)
         self.grants.lost = self._lost
         self.bills = bills.Bills(host=self.state, granted=self.grants)
@@ -155,6 +154,7 @@
             ]
         )
         self.controllers = [
+            relaying,
             self.grants.controller(),
             self.copies.controller(),
             self.bills.controller(),
--- a/dogwoodchute/tests/test_money_machine.py
+++ b/dogwoodchute/tests/test_money_machine.py
@@ -37,6 +37,13 @@
     def pass_time(self, seconds):
         self.loop.run_for(seconds)
 
+    def send(self, what, **options):
+        host, account, key, idempotent = what
+        name = f"{'get' if idempotent else 'order'}-{key}"
+        self.fleet.ask(
+            host, account=account, key=name, idempotent=idempotent, **options
+        )
+
     @stateful.rule(
         host=HOSTS,
         account=ACCOUNTS,
@@ -48,14 +55,10 @@
         mode=MODES,
     )
     def ask(self, host, account, keys, body, idempotent, tokens, delay, mode):
-        kind = "get" if idempotent else "order"
         for key in keys:
-            self.fleet.ask(
-                host,
-                account=account,
-                key=f"{kind}-{key}",
+            self.send(
+                (host, account, key, idempotent),
                 body=body,
-                idempotent=idempotent,
                 tokens=tokens,
                 reserved=tokens + 10,
                 delay=delay,
@@ -71,15 +74,8 @@
         delay=DELAYS,
     )
     def ask_at_several(self, hosts, account, key, idempotent, delay):
-        kind = "get" if idempotent else "order"
         for host in hosts:
-            self.fleet.ask(
-                host,
-                account=account,
-                key=f"{kind}-{key}",
-                idempotent=idempotent,
-                delay=delay,
-            )
+            self.send((host, account, key, idempotent), delay=delay)
         self.pass_time(0.02)
 
     @stateful.rule(seconds=SPANS)
