--- a/dogwoodchute/coordination/choice.py
+++ b/dogwoodchute/coordination/choice.py
@@ -3,14 +3,14 @@
 Two candidates at random and the better of them, the power of two choices (Mitzenmacher,
 2001), since choosing the least loaded of all herds on late reports. The likely holder
 of the prompt's prefix is weighed as a further candidate; where nothing is known of the
-prefix, rendezvous hashing (Thaler and Ravishankar, 1998) names one.
+prefix, rendezvous hashing names one.
 """
 
 import random
 from collections import abc
 from typing import NamedTuple
 
-import xxhash
+from dogwoodchute.coordination import ranking
 
 CANDIDATES = 2
 PREFIX_WORTH = 0.5  # load ratio that a full prompt's cached blocks outweigh
@@ -29,13 +29,7 @@
 
 def rendezvous(names: abc.Iterable[str], key: int | str) -> str | None:
     """Return the name with the highest hash together with `key`."""
-    best = None
-    top = -1
-    for name in names:
-        rank = xxhash.xxh64_intdigest(f"{key}/{name}".encode())
-        if rank > top:
-            best, top = name, rank
-    return best
+    return max(names, key=lambda name: ranking.score(str(key), name, 1.0), default=None)
 
 
 def score(candidate: Candidate, blocks: int, *, guess: bool) -> float:
--- a/dogwoodchute/coordination/polling.py
+++ b/dogwoodchute/coordination/polling.py
@@ -9,7 +9,7 @@
 from collections import abc
 from typing import NamedTuple
 
-import xxhash
+from dogwoodchute.coordination import ranking
 
 SHARD_SIZE = 32  # endpoints
 
@@ -34,8 +34,4 @@
 
 def rank(shard: str, hosts: abc.Iterable[str]) -> list[str]:
     """Return the hosts in the order in which they report a shard."""
-
-    def weight(host: str) -> int:
-        return xxhash.xxh64_intdigest(f"{shard}/{host}".encode())
-
-    return sorted(hosts, key=weight, reverse=True)
+    return sorted(hosts, key=lambda host: ranking.score(shard, host, 1.0), reverse=True)
