Judge endpoints twice a second and shrink limits in proportion

Cause: whole requests were judged at their end, five seconds late, one breach at a time; ends above the limit were made up for by new work; and reports were read as if they told of now. Change: sample requests in flight every 0.5 s, shrink the limit by how far the gap misses its target, let the room be negative, and count own dispatches from before a report's lag.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -61,6 +61,7 @@
         self.tries = 0
         self.tried_at = arrived
         self.sent_at = 0.0
+        self.began_at = 0.0  # the engine's progress at the first token
         self.first_token: float | None = None
         self.ended: float | None = None
         self.good = False
@@ -141,6 +142,14 @@
             heapq.heapify(self._decoding)
             self._free()
 
+    def progress(self, request: Request) -> admission.Progress:
+        """Return how far a request's answer has come."""
+        if request.first_token is None:
+            return admission.Progress()
+        self._advance()
+        tokens = max(1, int(self._progress - request.began_at) + 1)
+        return admission.Progress(request.first_token, self._clock.now, tokens)
+
     def set_slow(self, factor: float) -> None:
         """Make everything take `factor` times as long."""
         self._advance()
@@ -187,6 +196,7 @@
             return
         request.first_token = self._clock.now
         self._advance()
+        request.began_at = self._progress
         end = self._progress + request.output
         heapq.heappush(self._decoding, (end, request.number, request))
         self._schedule()
@@ -270,7 +280,7 @@
         """Judge late requests and move the queue."""
         self.admission.tick(
             self.model.clock.now,
-            lambda key: self._held[key].first_token is not None,
+            lambda key: self._held[key].engine.progress(self._held[key]),
         )
         self.pump()
 
@@ -284,8 +294,6 @@
             load = limits.Load(*known[-1], now)
             if load.leaving:
                 self.left[engine.name] = True
-            if self.model.setup.policy == "no_limit":
-                load = load._replace(capacity=0)
             self.admission.take_report(engine.name, load)
         self._take_events(now)
         self.pump()
@@ -334,8 +342,9 @@
         self.admission.release(
             key,
             self.model.clock.now,
-            first_token=request.first_token - request.sent_at,
-            token_gap=request.gap,
+            progress=admission.Progress(
+                request.first_token, request.ended, request.output + 1
+            ),
         )
         self.model.answered(request)
         self.pump()
@@ -410,8 +419,10 @@
         leaving=lambda name: name in left,
         index=index,
     )
-    capacity = 1_000_000 if policy == "no_limit" else SLOTS
-    made.configure([admission.Site(name, "dar", capacity) for name in names])
+    made.configure([admission.Site(name, "dar", SLOTS) for name in names])
+    if policy == "no_limit":
+        for name in names:
+            made.limit(name).has_room = lambda now, hosts: True
     made.hosts = model.setup.routers
     if policy == "no_retry_budget":
         made.retries.take = lambda: True
--- a/dogwoodchute/controllers/endpoints.py
+++ b/dogwoodchute/controllers/endpoints.py
@@ -99,13 +99,8 @@
         service = self._admissions.get(exchange.service.name)
         if service is None:
             return
-        first, gap = _latencies(exchange, service.dispatched_at(ticket.id))
         service.release(
-            ticket.id,
-            self._host.now(),
-            first_token=first,
-            token_gap=gap,
-            failed=failed,
+            ticket.id, self._host.now(), progress=_progress(exchange), failed=failed
         )
         self._pump(service)
 
@@ -167,7 +162,7 @@
         hosts = 1 + sum(p.alive and p.region == place.region for p in known)
         for service in self._admissions.values():
             service.hosts = hosts
-            service.tick(now, self._has_started)
+            service.tick(now, self._progress)
             self._pump(service)
         services = self._admissions.values()
         EJECTIONS.set(sum(service.ejector.ejections for service in services))
@@ -275,11 +270,8 @@
             link_seconds=LINK_SECONDS + (size + answer) / LINK_RATE,
         )
 
-    def _has_started(self, ticket_id: str) -> bool:
-        exchange = self._running.get(ticket_id)
-        if exchange is None or exchange.service.kind != catalog.CHAT:
-            return True
-        return exchange.first_token is not None
+    def _progress(self, ticket_id: str) -> admission.Progress:
+        return _progress(self._running[ticket_id])
 
 
 def prompt_blocks(body: dict) -> tuple[int, ...]:
@@ -295,13 +287,8 @@
     return prefix_index.block_hashes("".join(parts).encode())
 
 
-def _latencies(
-    exchange: exchanges.Exchange, dispatched: float | None
-) -> tuple[float | None, float | None]:
-    first = exchange.first_token
-    if dispatched is None or first is None:
-        return None, None
-    gap = None
-    if exchange.answer_tokens > 1:
-        gap = (exchange.last_token - first) / (exchange.answer_tokens - 1)
-    return first - dispatched, gap
+def _progress(exchange: exchanges.Exchange) -> admission.Progress:
+    """Return how far an answer has come; plain calls are not judged by it."""
+    return admission.Progress(
+        exchange.first_token, exchange.last_token, exchange.answer_tokens
+    )
--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 import random
+import statistics
 from collections import abc
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
     retry_budget,
 )
 
+JUDGE_INTERVAL = 0.5  # seconds
 SMOOTHING = 0.1  # weight of the newest sample in a mean
 WAIT_SHARE = 0.7  # of the time left, above which an expected wait is refused
 MIN_RETRY_AFTER = 1.0  # seconds
@@ -65,12 +67,29 @@
     retry_after: float  # seconds
 
 
+class Progress(NamedTuple):
+    """How far an answer has come; times in monotonic seconds."""
+
+    first_token: float | None = None
+    last_token: float | None = None
+    tokens: int = 0
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Permit:
     ticket: Ticket
     endpoint: str
     at: float
-    judged: bool = False
+    seen: Progress = Progress()
+    overdue: bool = False
+
+
+class _Samples:
+    """What the requests at one endpoint showed since it was last judged."""
+
+    def __init__(self) -> None:
+        self.first_tokens: list[float] = []
+        self.token_gaps: list[float] = []
 
 
 class Admission:
@@ -103,6 +122,8 @@
         self._queue = queues.FairQueue()
         self._waiting: dict[str, Ticket] = {}
         self._permits: dict[str, _Permit] = {}
+        self._samples: dict[str, _Samples] = {}
+        self._judged_at = -math.inf
         self._first_token = 0.0  # mean seconds from dispatch, without the prompt
         self._duration: float | None = None  # mean seconds from dispatch to the end
         self.pressed_at = -math.inf  # when a request last had to wait
@@ -137,11 +158,6 @@
         """Return the limit of an endpoint."""
         return self._limits[endpoint]
 
-    def dispatched_at(self, request_id: str) -> float | None:
-        """Return when a request in flight was sent, None if it is not in flight."""
-        permit = self._permits.get(request_id)
-        return permit.at if permit is not None else None
-
     def configure(self, sites: abc.Iterable[Site]) -> None:
         """Set the endpoints; requests in flight at those that go are kept."""
         self._sites = {site.name: site for site in sites}
@@ -215,24 +231,22 @@
         request_id: str,
         now: float,
         *,
-        first_token: float | None = None,
-        token_gap: float | None = None,
+        progress: Progress = Progress(),  # noqa: B008
         failed: bool = False,
     ) -> None:
         """End a request's stay at its endpoint; a second call changes nothing.
 
-        `first_token` is in seconds since dispatch, `token_gap` the mean seconds between
-        tokens; `failed` says that the endpoint could not be used.
+        `failed` says that the endpoint could not be used.
         """
         permit = self._permits.pop(request_id, None)
         if permit is None:
             return
-        limit = self._limits[permit.endpoint]
-        limit.release()
+        self._limits[permit.endpoint].release(now)
         if failed:
             self.ejector.fail(permit.endpoint, now)
-        elif first_token is not None:
-            self._learn(permit, now, first_token, token_gap)
+        elif progress.first_token is not None:
+            self._sample(permit, progress, now)
+            self._learn(permit, progress.first_token, now)
         self._drop_unused_limits()
 
     def retry(self, ticket: Ticket, tried: set[str], now: float) -> str | None:
@@ -245,20 +259,20 @@
             return None
         return self._dispatch(ticket, endpoint, now).endpoint
 
-    def tick(self, now: float, started: abc.Callable[[str], bool]) -> None:
-        """Judge the requests whose first token is long overdue.
+    def tick(self, now: float, progress: abc.Callable[[str], Progress]) -> None:
+        """Judge the endpoints by the requests in flight, every `JUDGE_INTERVAL`.
 
-        `started` tells whether a request's first token has come.
+        `progress` tells how far a request's answer has come.
         """
-        overdue = ejection.SLOW_RATIO * max(
-            self._targets.first_token, self._first_token
-        )
+        if now - self._judged_at < JUDGE_INTERVAL:
+            return
+        self._judged_at = now
         for permit in self._permits.values():
-            age = now - permit.at - permit.ticket.prompt_seconds
-            if permit.judged or age < overdue or started(permit.ticket.id):
-                continue
-            permit.judged = True
-            self._judge(permit.endpoint, now, age, None)
+            self._sample(permit, progress(permit.ticket.id), now)
+        for name, samples in self._samples.items():
+            if name in self._sites:
+                self._judge(name, samples, now)
+        self._samples.clear()
 
     def _choose(
         self, ticket: Ticket, now: float, wait: float, tried: abc.Set[str] = frozenset()
@@ -300,7 +314,7 @@
 
     def _dispatch(self, ticket: Ticket, endpoint: str, now: float) -> Dispatch:
         self._index.note(endpoint, ticket.blocks)
-        self._limits[endpoint].acquire()
+        self._limits[endpoint].acquire(now)
         self._permits[ticket.id] = _Permit(ticket=ticket, endpoint=endpoint, at=now)
         return Dispatch(ticket, endpoint)
 
@@ -319,27 +333,44 @@
     def _shed(self, ticket: Ticket, now: float, code: str) -> Shed:
         return Shed(ticket, code, self.retry_after(now))
 
-    def _learn(
-        self, permit: _Permit, now: float, first_token: float, token_gap: float | None
-    ) -> None:
-        first_token = max(0.0, first_token - permit.ticket.prompt_seconds)
+    def _learn(self, permit: _Permit, first_token: float, now: float) -> None:
+        first_token = max(0.0, first_token - permit.at - permit.ticket.prompt_seconds)
         self._first_token += SMOOTHING * (first_token - self._first_token)
         duration = max(MIN_DURATION, now - permit.at)
         if self._duration is None:
             self._duration = duration
         self._duration += SMOOTHING * (duration - self._duration)
-        if not permit.judged:
-            self._judge(permit.endpoint, now, first_token, token_gap)
 
-    def _judge(
-        self, endpoint: str, now: float, first_token: float, token_gap: float | None
-    ) -> None:
-        self._limits[endpoint].observe(
-            now, first_token=first_token, token_gap=token_gap
-        )
-        self.ejector.observe(
-            endpoint, now, first_token=first_token, token_gap=token_gap
-        )
+    def _sample(self, permit: _Permit, progress: Progress, now: float) -> None:
+        samples = self._samples.setdefault(permit.endpoint, _Samples())
+        seen = permit.seen
+        begin = permit.at + permit.ticket.prompt_seconds
+        if progress.first_token is None:
+            overdue = ejection.SLOW_RATIO * self._targets.first_token
+            if not permit.overdue and now - begin > overdue:
+                permit.overdue = True
+                samples.first_tokens.append(now - begin)
+            return
+        permit.seen = progress
+        if seen.first_token is None and not permit.overdue:
+            samples.first_tokens.append(max(0.0, progress.first_token - begin))
+        since = seen.last_token or progress.first_token
+        tokens = progress.tokens - max(1, seen.tokens)
+        if tokens > 0:
+            samples.token_gaps.append((progress.last_token - since) / tokens)
+        elif now - since > ejection.SLOW_RATIO * self._targets.token_gap:
+            samples.token_gaps.append(now - since)
+
+    def _judge(self, endpoint: str, samples: _Samples, now: float) -> None:
+        first = gap = None
+        if samples.first_tokens:
+            first = statistics.fmean(samples.first_tokens)
+        if samples.token_gaps:
+            gap = statistics.fmean(samples.token_gaps)
+        if first is None and gap is None:
+            return
+        self._limits[endpoint].observe(now, first_token=first, token_gap=gap)
+        self.ejector.observe(endpoint, now, first_token=first, token_gap=gap)
 
     def _drop_unused_limits(self) -> None:
         for name in [n for n in self._limits if n not in self._sites]:
--- a/dogwoodchute/coordination/ejection.py
+++ b/dogwoodchute/coordination/ejection.py
@@ -34,8 +34,8 @@
         self.failures = 0
         self.samples = 0
         self.slow = 0  # samples in a row that found it slow
-        self.first_token = 0.0
-        self.token_gap = 0.0
+        self.first_token: float | None = None  # smoothed seconds
+        self.token_gap: float | None = None  # smoothed seconds
         self.times = 0
         self.until = -math.inf  # end of the ejection
         self.reason = ""
@@ -43,9 +43,9 @@
     def reset(self) -> None:
         self.failures = 0
         self.samples = 0
-        self.slow = 0  # samples in a row that found it slow
-        self.first_token = 0.0
-        self.token_gap = 0.0
+        self.slow = 0
+        self.first_token = None
+        self.token_gap = None
 
 
 class Ejector:
@@ -91,18 +91,24 @@
             record.failures = 0
 
     def observe(
-        self, endpoint: str, now: float, *, first_token: float, token_gap: float | None
+        self,
+        endpoint: str,
+        now: float,
+        *,
+        first_token: float | None,
+        token_gap: float | None,
     ) -> bool:
-        """Take one sample in seconds; return whether that ejected the endpoint."""
+        """Take the means of a short interval; return whether that ejected it.
+
+        They are in seconds, None where there is none.
+        """
         record = self._records.get(endpoint)
         if record is None:
             return False
         record.failures = 0
         record.samples += 1
-        weight = 1.0 if record.samples == 1 else SMOOTHING
-        record.first_token += weight * (first_token - record.first_token)
-        if token_gap is not None:
-            record.token_gap += weight * (token_gap - record.token_gap)
+        record.first_token = _smooth(record.first_token, first_token)
+        record.token_gap = _smooth(record.token_gap, token_gap)
         if now - record.until > FORGET_TIME:
             record.times = 0
         if record.samples < MIN_SAMPLES or not self._is_slow(record):
@@ -115,19 +121,26 @@
         return self._eject(record, now, "slow")
 
     def _is_slow(self, record: _Record) -> bool:
-        others = [
-            other
-            for other in self._records.values()
-            if other is not record and other.samples >= MIN_SAMPLES
-        ]
-        if not others:
+        first = self._median(record, "first_token")
+        if first is not None and record.first_token is not None:
+            bound = max(self._floors.first_token, SLOW_RATIO * first)
+            if record.first_token > bound:
+                return True
+        gap = self._median(record, "token_gap")
+        if gap is None or record.token_gap is None:
             return False
-        first = statistics.median(other.first_token for other in others)
-        gap = statistics.median(other.token_gap for other in others)
-        if record.first_token > max(self._floors.first_token, SLOW_RATIO * first):
-            return True
         return record.token_gap > max(self._floors.token_gap, SLOW_RATIO * gap)
 
+    def _median(self, record: _Record, field: str) -> float | None:
+        """Return the median of the other endpoints, None if too little is known."""
+        known = []
+        for other in self._records.values():
+            value = getattr(other, field)
+            if other is record or other.samples < MIN_SAMPLES or value is None:
+                continue
+            known.append(value)
+        return statistics.median(known) if known else None
+
     def _eject(self, record: _Record, now: float, reason: str) -> bool:
         if now < record.until:
             return False
@@ -140,3 +153,9 @@
         record.reset()
         self.ejections += 1
         return True
+
+
+def _smooth(mean: float | None, sample: float | None) -> float | None:
+    if sample is None or mean is None:
+        return mean if sample is None else sample
+    return mean + SMOOTHING * (sample - mean)
--- a/dogwoodchute/coordination/limits.py
+++ b/dogwoodchute/coordination/limits.py
@@ -1,20 +1,25 @@
 """An adaptive limit on the requests at one endpoint, shared without coordination.
 
-The limit stands for the whole endpoint. It follows additive increase, multiplicative
-decrease (Chiu and Jain, 1989) on whether requests keep their latency targets. Of the
+The limit stands for the whole endpoint. It grows additively while the targets are kept
+and shrinks in proportion to how far they are missed, after the gradient of Netflix's
+concurrency-limits (2018), itself after TCP Vegas (Brakmo and Peterson, 1995). Of the
 room that a load report shows below the limit, each host fills only its own share until
 the next report, so that many hosts that see the same report do not overfill it.
 """
 
+import collections
 import math
 from typing import NamedTuple
 
-WINDOW = 1.0  # seconds over which samples are judged
-BREACH_SHARE = 0.1  # share of breaching samples above which the limit shrinks
-DECREASE = 0.85
-INCREASE = 1.0  # requests per window
+SHRINK_INTERVAL = 2.0  # seconds, in which a smaller limit takes effect
+GROW_INTERVAL = 1.0  # seconds
+INCREASE = 1.0  # requests
+MAX_DECREASE = 0.7  # the factor of one decrease at most
+QUEUE_DECREASE = 0.9  # the factor when first tokens are late
+MARGIN = 0.97  # of the targets, that is aimed at
 HEADROOM = 1.5  # the limit's ceiling, as a multiple of the reported capacity
 REPORT_LIFETIME = 5.0  # seconds
+REPORT_LAG = 0.5  # seconds by which endpoints' reports are taken to be late
 
 
 class Targets(NamedTuple):
@@ -43,11 +48,11 @@
         self._targets = targets
         self._capacity = max(1, capacity)
         self._value = float(self._capacity)
+        self._history: collections.deque[tuple[float, int]] = collections.deque()
         self._own_at_report = 0
         self._slots = 0
-        self._window_start = -math.inf
-        self._samples = 0
-        self._breaches = 0
+        self._grown_at = -math.inf
+        self._shrunk_at = -math.inf
         self._saturated = False
 
     @property
@@ -78,14 +83,16 @@
             return self.own < max(1, self.value // hosts)
         return self.own - self._own_at_report < self._slots
 
-    def acquire(self) -> None:
+    def acquire(self, now: float) -> None:
         """Count a request of this host that is being sent."""
+        self._remember(now)
         self.own += 1
 
-    def release(self) -> None:
+    def release(self, now: float) -> None:
         """Count the end of a request of this host."""
         if self.own == 0:
             raise ValueError("release without acquire")
+        self._remember(now)
         self.own -= 1
 
     def take_report(self, report: Load, *, hosts: int, draw: float) -> None:
@@ -97,42 +104,58 @@
         if self.report is not None and report.at < self.report.at:
             return
         self.report = report
-        self._own_at_report = self.own
+        self._own_at_report = self._own_at(report.at - REPORT_LAG)
         if report.capacity > 0 and report.capacity != self._capacity:
             self._value *= report.capacity / self._capacity
             self._capacity = report.capacity
         total = report.running + report.waiting
-        share = max(1.0 / max(1, hosts), min(1.0, self.own / max(1, total)))
-        room = max(0.0, self.value - total)
+        share = self._own_at_report / max(1, total)
+        share = max(1.0 / max(1, hosts), min(1.0, share))
+        room = self.value - total  # below 0 when ends must not be made up for
         self._slots = math.floor(room * share + draw)
-        if total >= self.value or self._slots == 0:
-            self._saturated = True
+        self._saturated = self._saturated or total >= self.value
 
     def observe(
         self, now: float, *, first_token: float | None, token_gap: float | None
     ) -> None:
-        """Take one sample, in seconds; None where a request had no such figure.
+        """Take the means of a short interval, in seconds; None where there is none.
 
         `first_token` runs from dispatch, less the prompt's own processing time.
         """
-        breach = first_token is not None and first_token > self._targets.first_token
+        late = first_token is not None and first_token > self._targets.first_token
+        factor = QUEUE_DECREASE if late else 1.0
         if token_gap is not None and token_gap > self._targets.token_gap:
-            breach = True
-        self._samples += 1
-        self._breaches += breach
+            factor = min(factor, MARGIN * self._targets.token_gap / token_gap)
+        if factor < 1.0:
+            self._shrink(now, factor)
+            return
+        near = token_gap is not None and token_gap > MARGIN * self._targets.token_gap
         if self.own >= self.value or not self.has_room(now, 1):
             self._saturated = True
-        if now - self._window_start >= WINDOW:
-            self._close_window(now)
-
-    def _close_window(self, now: float) -> None:
-        waiting = self.report.waiting if self.report is not None else 0
-        if self._breaches > BREACH_SHARE * self._samples:
-            self._value = max(1.0, self._value * DECREASE)
-        elif self._saturated and waiting <= self._capacity * (HEADROOM - 1.0):
-            ceiling = self._capacity * HEADROOM
-            self._value = min(ceiling, self._value + INCREASE)
-        self._window_start = now
-        self._samples = 0
-        self._breaches = 0
+        if near or not self._saturated or now - self._grown_at < GROW_INTERVAL:
+            return
+        self._value = min(self._capacity * HEADROOM, self._value + INCREASE)
+        self._grown_at = now
         self._saturated = False
+
+    def _shrink(self, now: float, factor: float) -> None:
+        if now - self._shrunk_at < SHRINK_INTERVAL:
+            return
+        held = self._value
+        if self.report is not None and now - self.report.at <= REPORT_LIFETIME:
+            # What was missed is owed to the requests there, be they above the limit.
+            held = max(self.own, self.report.running + self.report.waiting)
+        wanted = max(held * factor, self._value * MAX_DECREASE)
+        self._value = max(1.0, min(self._value, wanted))
+        self._shrunk_at = now
+
+    def _remember(self, now: float) -> None:
+        self._history.append((now, self.own))
+        while self._history[0][0] < now - 2 * REPORT_LAG:
+            self._history.popleft()
+
+    def _own_at(self, time: float) -> int:
+        for changed, before in self._history:
+            if changed > time:
+                return before
+        return self.own
--- a/dogwoodchute/tests/test_admission.py
+++ b/dogwoodchute/tests/test_admission.py
@@ -16,6 +16,7 @@
 from dogwoodchute.tests import support
 
 NAMES = ("a", "b", "c", "far")
+DONE = admission.Progress(0.1, 4.0, 200)
 ACCOUNTS = {"growers": 1, "desk": 3, "lab": 1}
 
 
@@ -57,6 +58,11 @@
         self.offers = 0
         self.retries = 0
 
+    def progress(self, late):
+        if late is None:
+            return admission.Progress()
+        return admission.Progress(self.now - late, self.now, 1 + int(late * 20))
+
     def settle(self, decision):
         request = decision.ticket.id
         assert request not in self.ended, "a request ended twice"
@@ -113,7 +119,9 @@
         request = data.draw(strategies.sampled_from(sorted(self.running)))
         del self.running[request]
         for _ in range(1 + twice):
-            self.admission.release(request, self.now, first_token=first_token)
+            self.admission.release(
+                request, self.now, progress=self.progress(first_token)
+            )
         self.ended.add(request)
 
     @stateful.precondition(lambda self: self.running)
@@ -161,11 +169,12 @@
     @stateful.rule(
         seconds=strategies.sampled_from((0.05, 0.5, 2.0, 20.0)),
         hosts=strategies.integers(1, 4),
+        late=strategies.sampled_from((None, 0.1, 5.0)),
     )
-    def advance(self, seconds, hosts):
+    def advance(self, seconds, hosts, late):
         self.now += seconds
         self.admission.hosts = hosts
-        self.admission.tick(self.now, lambda request: False)
+        self.admission.tick(self.now, lambda request: self.progress(late))
         self.pump()
 
     @stateful.invariant()
@@ -271,7 +280,7 @@
         for kind, message in FAULTS.items():
             machine = type("Planted", (AdmissionMachine,), {"kind": kind})
             options = hypothesis.settings(
-                support.fuzz_settings(100),
+                support.fuzz_settings(400),
                 phases=(hypothesis.Phase.generate,),
                 report_multiple_bugs=False,
             )
@@ -296,7 +305,7 @@
     def test_hopeless_request_is_shed_at_once(self):
         admitted = self.filled("a")
         for number in range(2):
-            admitted.release(f"fill{number}", 4.0, first_token=0.1)
+            admitted.release(f"fill{number}", 4.0, progress=DONE)
             admitted.offer(ticket(f"more{number}"), 4.0)
         # Two at a time of four seconds each: room comes every two seconds.
         late = admitted.offer(ticket("x", deadline=5.2), 4.0)
@@ -316,7 +325,7 @@
         admitted = make()
         admitted.configure([site("a", 1), site("far", 1)])
         admitted.offer(ticket("first"), 0.0)
-        admitted.release("first", 4.0, first_token=0.1)
+        admitted.release("first", 4.0, progress=DONE)
         near = admitted.offer(ticket("x", link_seconds=0.2), 4.0)
         self.assertEqual("a", near.endpoint)
         far = admitted.offer(ticket("y", link_seconds=60.0, deadline=900.0), 4.0)
