Eject an endpoint after three failed connections, at once on its return

Cause: with three of nine engines refusing connections each router had to fail five times at each, again after each return. Change: three failures in a row eject; one does within the slow start.

--- a/bench/load.py
+++ b/bench/load.py
@@ -26,6 +26,7 @@
         show_storm(policy)
     for policy in ("full", "round_robin", "least_load"):
         show_slow(policy)
+    show_down()
     show_leaving()
     show_calm()
 
@@ -134,6 +135,28 @@
     figures.show("storm", policy=policy, **storm(policy))
 
 
+def down(count: int, policy: str = "full", seed: int = 1) -> float:
+    """Return the share of good answers while engines take no connections."""
+    names = [f"engine-{number}" for number in range(count)]
+    setup = load_model.Setup(load=0.4, policy=policy, seed=seed)
+    model = with_fault(setup, names, "down", True)
+    during = [r for r in model.requests if CAUSE[0] <= r.arrived < CAUSE[1]]
+    return sum(r.good for r in during) / len(during)
+
+
+def show_down() -> None:
+    """Print the good answers while engines take no connections."""
+    for policy in ("full", "round_robin"):
+        for count in (1, 3):
+            shares = [down(count, policy, seed) for seed in range(1, 4)]
+            figures.show(
+                "down_engines",
+                policy=policy,
+                count=count,
+                good_share=sum(shares) / len(shares),
+            )
+
+
 def slow(policy: str, seed: int = 1) -> dict[str, float]:
     """Return the figures of one engine that slows down tenfold."""
     setup = load_model.Setup(load=0.7, policy=policy, seed=seed)
--- a/dogwoodchute/coordination/ejection.py
+++ b/dogwoodchute/coordination/ejection.py
@@ -9,7 +9,7 @@
 import statistics
 from typing import NamedTuple
 
-FAILURES = 5  # consecutive
+FAILURES = 3  # consecutive
 MIN_SAMPLES = 5
 SLOW_RATIO = 3.0  # times the median of the service's endpoints
 SLOW_STREAK = 3  # samples in a row that find an endpoint slow
@@ -80,7 +80,9 @@
         if record is None:
             return False
         record.failures += 1
-        if record.failures < FAILURES:
+        # An endpoint that has just returned has to prove itself.
+        returning = record.times > 0 and now - record.until < SLOW_START
+        if record.failures < FAILURES and not returning:
             return False
         return self._eject(record, now, "failures")
 
