Tell all hosts of endpoints that their reporter can't reach

Cause: each router had to find out by failed requests which engine was down. Change: a reporter's digest names the endpoints that it did not reach, which counts as a failure at each host; an answer there ends the run of failures.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -289,6 +289,8 @@
         now = self.model.clock.now
         for engine in self.model.engines.values():
             known = [load for at, load in engine.snapshots if at <= now - REPORT_LAG]
+            if engine.down:
+                self.admission.note_unreachable(engine.name, now)
             if not known or engine.down:
                 continue
             load = limits.Load(*known[-1], now)
@@ -368,6 +370,9 @@
         """Take a load report."""
         self._loads[name] = load.running + load.waiting
 
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Do nothing."""
+
     def offer(self, ticket: admission.Ticket, now: float) -> admission.Dispatch:
         """Choose an endpoint, whatever its load."""
         self._next += 1
--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -64,6 +64,7 @@
         self._catalog = catalog.EMPTY
         self._shards: dict[str, polling.Shard] = {}
         self._seen: dict[str, _Seen] = {}
+        self._lost: set[str] = set()  # not reached when last asked
         self._round = 0
         self._asked: dict[str, float] = {}
         self._since: dict[tuple[str, str], int] = {}  # by shard and reporter
@@ -118,6 +119,7 @@
             for shard in polling.shards(service, region, names):
                 self._shards[shard.name] = shard
         self._seen = {n: s for n, s in self._seen.items() if n in newest.endpoints}
+        self._lost &= set(newest.endpoints)
         self._since.clear()
 
     def _is_due(self, shard: polling.Shard, now: float) -> bool:
@@ -154,12 +156,14 @@
         if load is not None:
             POLLS.labels("ok").inc()
             self._endpoints.note_poll(name, reached=True)
+            self._lost.discard(name)
             self._take(name, load)
             return
         if fetched.status == 0:
             POLLS.labels("unreachable").inc()
             self._endpoints.note_poll(name, reached=False)
             self._seen.pop(name, None)
+            self._lost.add(name)
             return
         POLLS.labels("unsupported").inc()
         self._unsupported[name] = now + UNSUPPORTED_INTERVAL
@@ -174,7 +178,7 @@
         """Answer a peer with the loads of a shard that changed since its last call.
 
         Each entry is position, running, waiting, capacity, leaving; `fresh` are the
-        positions whose load is the same as before.
+        positions whose load is the same as before, `lost` of those not reached.
         """
         now = self._host.now()
         self._refresh()
@@ -184,8 +188,11 @@
         self._asked[shard.name] = now
         changed = []
         fresh = []
+        lost = []
         oldest = 0.0
         for position, name in enumerate(shard.endpoints):
+            if name in self._lost:
+                lost.append(position)
             seen = self._seen.get(name)
             if seen is None or now - seen.load.at > limits.REPORT_LIFETIME:
                 continue
@@ -200,6 +207,7 @@
             "age": int(oldest * 1000),
             "changed": changed,
             "fresh": fresh,
+            "lost": lost,
         }
 
     async def _ask(self, shard: polling.Shard, reporter: str) -> None:
@@ -217,6 +225,8 @@
         for position, running, waiting, capacity, leaving in told["changed"]:
             load = limits.Load(running, waiting, capacity, bool(leaving), at)
             self._take(shard.endpoints[position], load)
+        for position in told["lost"]:
+            self._endpoints.note_poll(shard.endpoints[position], reached=False)
         for position in told["fresh"]:
             seen = self._seen.get(shard.endpoints[position])
             if seen is None:
--- a/dogwoodchute/controllers/endpoints.py
+++ b/dogwoodchute/controllers/endpoints.py
@@ -142,15 +142,15 @@
         self._pump(service)
 
     def note_poll(self, endpoint: str, *, reached: bool) -> None:
-        """Count whether this host reached an endpoint to ask for its load."""
+        """Count whether a host reached an endpoint to ask for its load."""
         found = self._catalog.endpoints.get(endpoint)
         if found is None:
             return
-        ejector = self._admissions[found.service].ejector
+        service = self._admissions[found.service]
         if reached:
-            ejector.succeed(endpoint)
+            service.ejector.succeed(endpoint)
             return
-        ejector.fail(endpoint, self._host.now())
+        service.note_unreachable(endpoint, self._host.now())
 
     def tick(self) -> None:
         """Take what changed in the catalog and the host list, and move the queues."""
--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -176,6 +176,10 @@
                 load, hosts=self.hosts, draw=self._rng.random()
             )
 
+    def note_unreachable(self, endpoint: str, now: float) -> None:
+        """Take the word of a host that could not ask an endpoint for its load."""
+        self.ejector.fail(endpoint, now)
+
     def offer(self, ticket: Ticket, now: float) -> Dispatch | Shed | None:
         """Decide on a new request; None means that it waits for `pump`."""
         self.retries.count_request()
--- a/dogwoodchute/tests/test_endpoints.py
+++ b/dogwoodchute/tests/test_endpoints.py
@@ -145,6 +145,19 @@
 
         self.run_async(check())
 
+    def test_all_hosts_learn_of_an_unreachable_endpoint(self):
+        async def check():
+            fleet = Fleet(hosts=4)
+            await fleet.run(3.0)
+            fleet.down.add("two")
+            await fleet.run(5.0)
+            for name, (_, own, _) in fleet.hosts.items():
+                ejector = own.admissions["llm"].ejector
+                self.assertEqual("failures", ejector.reason("two", fleet.time), name)
+                self.assertNotIn("two", await fleet.targets(name))
+
+        self.run_async(check())
+
     def test_cache_events_reach_the_index(self):
         async def check():
             fleet = Fleet()
