--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -295,6 +295,17 @@
         for task in host.tasks:
             task.cancel()
 
+    def pause(self, name):
+        """Stop a host as a frozen process: it neither sends nor answers."""
+        self.hosts[name].gate.pause()
+        self.net.down.add(name)
+
+    def resume(self, name):
+        host = self.hosts[name]
+        host.gate.resume()
+        if not host.gate.dead:
+            self.net.down.discard(name)
+
     async def restart(self, name):
         if not self.hosts[name].gate.dead:
             self.kill(name)
--- a/dogwoodchute/tests/test_dogwoodctl.py
+++ b/dogwoodchute/tests/test_dogwoodctl.py
@@ -49,6 +49,24 @@
         self.assertIn("growers", table[1])
         self.assertEqual(demo.BUDGET, json.loads(as_json[1])["paid"])
 
+    def test_tops_up_once_for_each_id(self):
+        words = ("account", "topup", "growers", "--id", "i-1", "--json", "--tokens")
+        first, again, other, unknown, listed = self.against_demo(
+            (*words, "50"),
+            (*words, "50"),
+            (*words, "60"),
+            ("account", "topup", "nobody", "--id", "i-1", "--tokens", "1"),
+            ("account", "list", "--json"),
+        )
+        paid = demo.BUDGET + 50
+        self.assertEqual((paid, False), _paid(first))
+        self.assertEqual((paid, True), _paid(again))
+        self.assertEqual(ctl.EXIT_REFUSED, other[0])
+        self.assertIn("id_reused", other[2])
+        self.assertIn("unknown_account", unknown[2])
+        [account] = json.loads(listed[1])["accounts"]
+        self.assertEqual(("growers", paid), (account["account"], account["paid"]))
+
     def test_refusals_and_wrong_usage_have_codes_of_their_own(self):
         unknown, usage = self.against_demo(("account", "show", "nobody"), ("nonsense",))
         self.assertEqual(ctl.EXIT_REFUSED, unknown[0])
@@ -64,3 +82,8 @@
         code, _, errors = command("127.0.0.1:1", "account", "show", "growers")
         self.assertEqual(ctl.EXIT_UNREACHABLE, code)
         self.assertIn("--at", errors)
+
+
+def _paid(result):
+    body = json.loads(result[1])
+    return body["paid"], body["repeated"]
--- a/dogwoodchute/tests/test_money_machine.py
+++ b/dogwoodchute/tests/test_money_machine.py
@@ -1,6 +1,5 @@
 """The money core of three hosts under every failure, against a simple oracle."""
 
-import asyncio
 import sys
 from unittest import mock
 
@@ -23,7 +22,6 @@
     def __init__(self):
         super().__init__()
         self.loop = virtual.Loop()
-        asyncio.set_event_loop(self.loop)
         self.fleet = money_fleet.Fleet(seed=7, loop=self.loop)
         self.patch = mock.patch.object(log, "exception", self.note_exception)
         self.patch.start()
@@ -136,8 +134,7 @@
 
     @stateful.rule(host=HOSTS, paused=st.booleans())
     def pause(self, host, paused):
-        gate = self.fleet.hosts[host].gate
-        (gate.pause if paused else gate.resume)()
+        (self.fleet.pause if paused else self.fleet.resume)(host)
 
     @stateful.rule(host=HOSTS, listed=st.booleans())
     def change_list(self, host, listed):
@@ -181,7 +178,6 @@
         finally:
             self.patch.stop()
             self.loop.finish()
-            asyncio.set_event_loop(None)
 
     def heal(self):
         fleet = self.fleet
@@ -192,8 +188,8 @@
         fleet.net.cut.clear()
         fleet.net.lose_calls = fleet.net.lose_answers = fleet.net.duplicate_calls = 0
         fleet.list.thaw()
-        for host in fleet.hosts.values():
-            host.gate.resume()
+        for host in fleet.hosts:
+            fleet.resume(host)
         self.pass_time(5.0)
         fleet.table.deliver_held()
 
--- a/dogwoodchute/tests/virtual.py
+++ b/dogwoodchute/tests/virtual.py
@@ -25,13 +25,16 @@
 
     def finish(self) -> None:
         """Cancel all tasks and close the loop."""
-        tasks = asyncio.all_tasks(self)
-        for task in tasks:
-            task.cancel()
-        self.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self.run_until_complete(_cancel(asyncio.all_tasks(self)))
         self.close()
 
 
+async def _cancel(tasks: set[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class _Selector(selectors.SelectSelector):
     def __init__(self, loop: Loop) -> None:
         super().__init__()
