Wait for both ends of a stream before it falls silent in the test

Under load the accepting end had opened while the dialling end still waited for the last step of the handshake, so the call met no stream and was told NotSent, rightly.

--- a/dogwoodchute/tests/test_peer_streams.py
+++ b/dogwoodchute/tests/test_peer_streams.py
@@ -181,7 +181,7 @@
                 address = await forwarder.start()
                 one.streams.find = {"x-2": address}.get
                 one.streams.wanted = {"x-2": address}
-                await support_fleet.until(lambda: two.opened)
+                await support_fleet.until(lambda: one.opened and two.opened)
                 forwarder.silence()
                 unanswered = await one.streams.call("x-2", "echo", {}, 5)
                 self.assertIsInstance(unanswered, peers.NoAnswer)
