Tell peers only of loads that changed by a twentieth of the capacity

Cause: loads change with nearly every request, so that digests carried nearly all entries each second; and a reporter that had started anew counted rounds from 0, so that peers asked it only for what came after its old rounds. Change: digests leave out small changes, and answers carry the start's epoch. With the epoch check taken out, the new test fails.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -25,6 +25,7 @@
 PRESSED_TIME = 30.0  # seconds after a wait for which other regions are looked at
 SUSPECT_TIME = 10.0  # seconds that a silent reporter is passed over
 UNSUPPORTED_INTERVAL = 10.0  # seconds between tries of an endpoint without reports
+CHANGE_SHARE = 0.05  # of the capacity, by which a load must change to be told
 EVENT_RATE = 1000.0  # bytes a second of cache events that a host takes
 
 POLLS = prometheus_client.Counter(
@@ -43,7 +44,7 @@
 
 
 class _Seen(NamedTuple):
-    load: limits.Load
+    load: limits.Load  # as last told to peers; `at` is when it was last confirmed
     changed: int  # number of the round in which it last changed
 
 
@@ -65,9 +66,11 @@
         self._shards: dict[str, polling.Shard] = {}
         self._seen: dict[str, _Seen] = {}
         self._lost: set[str] = set()  # not reached when last asked
+        self._epoch = host.rng.getrandbits(32)  # rounds of another start differ
         self._round = 0
         self._asked: dict[str, float] = {}
-        self._since: dict[tuple[str, str], int] = {}  # by shard and reporter
+        # Epoch and round of the last answer, by shard and reporter.
+        self._since: dict[tuple[str, str], tuple[int, int]] = {}
         self._suspect: dict[str, float] = {}
         self._far_at: dict[str, float] = {}
         self._unsupported: dict[str, float] = {}
@@ -170,15 +173,18 @@
 
     def _take(self, name: str, load: limits.Load) -> None:
         seen = self._seen.get(name)
-        changed = seen is None or seen.load[:4] != load[:4]
-        self._seen[name] = _Seen(load, self._round if changed else seen.changed)
+        if seen is None or _differs(load, seen.load):
+            self._seen[name] = _Seen(load, self._round)
+        else:
+            self._seen[name] = seen._replace(load=seen.load._replace(at=load.at))
         self._endpoints.take_load(name, load)
 
     async def _answer(self, sender: str, body: dict) -> dict:
         """Answer a peer with the loads of a shard that changed since its last call.
 
-        Each entry is position, running, waiting, capacity, leaving; `fresh` are the
-        positions whose load is the same as before, `lost` of those not reached.
+        Each entry is position, running, waiting, capacity, leaving. `lost` are the
+        positions of endpoints not reached, `missing` those of which nothing is known;
+        the load of all others is about the same as before.
         """
         now = self._host.now()
         self._refresh()
@@ -186,33 +192,34 @@
         if shard is None:
             return {"set": 0}
         self._asked[shard.name] = now
+        since = body["since"] if body["epoch"] == self._epoch else -1
         changed = []
-        fresh = []
         lost = []
+        missing = []
         oldest = 0.0
         for position, name in enumerate(shard.endpoints):
             if name in self._lost:
                 lost.append(position)
             seen = self._seen.get(name)
             if seen is None or now - seen.load.at > limits.REPORT_LIFETIME:
+                missing.append(position)
                 continue
             oldest = max(oldest, now - seen.load.at)
-            if seen.changed <= body["since"]:
-                fresh.append(position)
-                continue
-            changed.append([position, *seen.load[:3], int(seen.load.leaving)])
+            if seen.changed > since:
+                changed.append([position, *seen.load[:3], int(seen.load.leaving)])
         return {
             "set": _set_of(shard),
+            "epoch": self._epoch,
             "round": self._round,
             "age": int(oldest * 1000),
             "changed": changed,
-            "fresh": fresh,
             "lost": lost,
+            "missing": missing,
         }
 
     async def _ask(self, shard: polling.Shard, reporter: str) -> None:
-        since = self._since.get((shard.name, reporter), -1)
-        body = {"shard": shard.name, "since": since}
+        epoch, since = self._since.get((shard.name, reporter), (0, -1))
+        body = {"shard": shard.name, "epoch": epoch, "since": since}
         answer = await self._host.peers.call(reporter, CALL, body, CALL_TIMEOUT)
         if not isinstance(answer, peers.Answer):
             self._suspect[reporter] = self._host.now()
@@ -220,19 +227,24 @@
         told = answer.body
         if told["set"] != _set_of(shard):
             return
-        self._since[shard.name, reporter] = told["round"] - 1
+        self._since[shard.name, reporter] = told["epoch"], told["round"] - 1
         at = self._host.now() - told["age"] / 1000
-        for position, running, waiting, capacity, leaving in told["changed"]:
-            load = limits.Load(running, waiting, capacity, bool(leaving), at)
-            self._take(shard.endpoints[position], load)
+        changed = {entry[0]: entry for entry in told["changed"]}
         for position in told["lost"]:
             self._endpoints.note_poll(shard.endpoints[position], reached=False)
-        for position in told["fresh"]:
-            seen = self._seen.get(shard.endpoints[position])
+        for position, name in enumerate(shard.endpoints):
+            if position in told["missing"]:
+                continue
+            if position in changed:
+                _, running, waiting, capacity, leaving = changed[position]
+                load = limits.Load(running, waiting, capacity, bool(leaving), at)
+                self._take(name, load)
+                continue
+            seen = self._seen.get(name)
             if seen is None:
                 self._since.pop((shard.name, reporter), None)
                 continue
-            self._take(shard.endpoints[position], seen.load._replace(at=at))
+            self._take(name, seen.load._replace(at=at))
 
     async def _take_events(self) -> None:
         """Ask one endpoint for its cache events, within a rate of bytes."""
@@ -292,5 +304,13 @@
         return None
 
 
+def _differs(one: limits.Load, other: limits.Load) -> bool:
+    """Return whether a load has changed by so much that peers should know."""
+    if one[2:4] != other[2:4] or bool(one.waiting) != bool(other.waiting):
+        return True
+    change = abs(one.running + one.waiting - other.running - other.waiting)
+    return change >= max(1.0, CHANGE_SHARE * one.capacity)
+
+
 def _set_of(shard: polling.Shard) -> int:
     return xxhash.xxh32_intdigest(",".join(shard.endpoints).encode())
--- a/dogwoodchute/tests/test_endpoints.py
+++ b/dogwoodchute/tests/test_endpoints.py
@@ -131,9 +131,7 @@
         async def check():
             fleet = Fleet(hosts=4)
             await fleet.run(3.0)
-            reporter = fleet.hosts["host0"][2]._reporter(
-                next(iter(fleet.hosts["host0"][2]._shards.values())), fleet.time
-            )
+            reporter = self.reporter(fleet)
             fleet.net.down.add(reporter)
             fleet.loads["two"]["running"] = 4
             await fleet.run(4.0)
@@ -145,6 +143,28 @@
 
         self.run_async(check())
 
+    def test_a_restarted_reporter_tells_all_changes(self):
+        async def check():
+            fleet = Fleet(hosts=4)
+            await fleet.run(12.0)
+            reporter = self.reporter(fleet)
+            host, own, old = fleet.hosts[reporter]
+            new = endpoint_loads.Loads(host=host, endpoints=own, fetch=old._fetch)
+            fleet.hosts[reporter] = (host, own, new)
+            fleet.loads["one"]["running"] = 2
+            for _ in range(3):
+                await new.step()
+            await fleet.run(4.0)
+            for _, own, _ in fleet.hosts.values():
+                report = own.admissions["llm"].limit("one").report
+                self.assertEqual(2, report.running)
+
+        self.run_async(check())
+
+    def reporter(self, fleet):
+        loads = fleet.hosts["host0"][2]
+        return loads._reporter(next(iter(loads._shards.values())), fleet.time)
+
     def test_all_hosts_learn_of_an_unreachable_endpoint(self):
         async def check():
             fleet = Fleet(hosts=4)
