Split the sampling of requests in flight from admission

Change: samples.py holds the sampling; a request not yet under way has no progress. Conclusion: no change of behaviour but for the fault.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -11,7 +11,7 @@
 from collections import abc
 from typing import NamedTuple
 
-from dogwoodchute.coordination import admission, limits, prefix_index
+from dogwoodchute.coordination import admission, limits, prefix_index, samples
 
 FIRST_TOKEN = 1.2  # seconds, the users' target
 TOKEN_GAP = 0.026  # seconds, the users' target
@@ -142,13 +142,13 @@
             heapq.heapify(self._decoding)
             self._free()
 
-    def progress(self, request: Request) -> admission.Progress:
+    def progress(self, request: Request) -> samples.Progress:
         """Return how far a request's answer has come."""
         if request.first_token is None:
-            return admission.Progress()
+            return samples.Progress()
         self._advance()
         tokens = max(1, int(self._progress - request.began_at) + 1)
-        return admission.Progress(request.first_token, self._clock.now, tokens)
+        return samples.Progress(request.first_token, self._clock.now, tokens)
 
     def set_slow(self, factor: float) -> None:
         """Make everything take `factor` times as long."""
@@ -344,7 +344,7 @@
         self.admission.release(
             key,
             self.model.clock.now,
-            progress=admission.Progress(
+            progress=samples.Progress(
                 request.first_token, request.ended, request.output + 1
             ),
         )
--- a/dogwoodchute/controllers/endpoints.py
+++ b/dogwoodchute/controllers/endpoints.py
@@ -12,7 +12,13 @@
     log,
     state,
 )
-from dogwoodchute.coordination import admission, leaving, limits, prefix_index
+from dogwoodchute.coordination import (
+    admission,
+    leaving,
+    limits,
+    prefix_index,
+    samples,
+)
 
 TICK_INTERVAL = 0.1  # seconds
 PROMPT_RATE = 10_000.0  # tokens a second that an endpoint processes of a prompt
@@ -270,8 +276,10 @@
             link_seconds=LINK_SECONDS + (size + answer) / LINK_RATE,
         )
 
-    def _progress(self, ticket_id: str) -> admission.Progress:
-        return _progress(self._running[ticket_id])
+    def _progress(self, ticket_id: str) -> samples.Progress:
+        exchange = self._running.get(ticket_id)
+        # A request that has just been let in may not be under way yet.
+        return _progress(exchange) if exchange is not None else samples.Progress()
 
 
 def prompt_blocks(body: dict) -> tuple[int, ...]:
@@ -287,8 +295,8 @@
     return prefix_index.block_hashes("".join(parts).encode())
 
 
-def _progress(exchange: exchanges.Exchange) -> admission.Progress:
+def _progress(exchange: exchanges.Exchange) -> samples.Progress:
     """Return how far an answer has come; plain calls are not judged by it."""
-    return admission.Progress(
+    return samples.Progress(
         exchange.first_token, exchange.last_token, exchange.answer_tokens
     )
--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -8,7 +8,6 @@
 import dataclasses
 import math
 import random
-import statistics
 from collections import abc
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
     prefix_index,
     queues,
     retry_budget,
+    samples,
 )
 
 JUDGE_INTERVAL = 0.5  # seconds
@@ -67,29 +67,12 @@
     retry_after: float  # seconds
 
 
-class Progress(NamedTuple):
-    """How far an answer has come; times in monotonic seconds."""
-
-    first_token: float | None = None
-    last_token: float | None = None
-    tokens: int = 0
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Permit:
     ticket: Ticket
     endpoint: str
     at: float
-    seen: Progress = Progress()
-    overdue: bool = False
-
-
-class _Samples:
-    """What the requests at one endpoint showed since it was last judged."""
-
-    def __init__(self) -> None:
-        self.first_tokens: list[float] = []
-        self.token_gaps: list[float] = []
+    watch: samples.Watch
 
 
 class Admission:
@@ -122,7 +105,7 @@
         self._queue = queues.FairQueue()
         self._waiting: dict[str, Ticket] = {}
         self._permits: dict[str, _Permit] = {}
-        self._samples: dict[str, _Samples] = {}
+        self._samples: dict[str, samples.Samples] = {}
         self._judged_at = -math.inf
         self._first_token = 0.0  # mean seconds from dispatch, without the prompt
         self._duration: float | None = None  # mean seconds from dispatch to the end
@@ -235,7 +218,7 @@
         request_id: str,
         now: float,
         *,
-        progress: Progress = Progress(),  # noqa: B008
+        progress: samples.Progress = samples.Progress(),  # noqa: B008
         failed: bool = False,
     ) -> None:
         """End a request's stay at its endpoint; a second call changes nothing.
@@ -263,7 +246,7 @@
             return None
         return self._dispatch(ticket, endpoint, now).endpoint
 
-    def tick(self, now: float, progress: abc.Callable[[str], Progress]) -> None:
+    def tick(self, now: float, progress: abc.Callable[[str], samples.Progress]) -> None:
         """Judge the endpoints by the requests in flight, every `JUDGE_INTERVAL`.
 
         `progress` tells how far a request's answer has come.
@@ -273,9 +256,9 @@
         self._judged_at = now
         for permit in self._permits.values():
             self._sample(permit, progress(permit.ticket.id), now)
-        for name, samples in self._samples.items():
+        for name, found in self._samples.items():
             if name in self._sites:
-                self._judge(name, samples, now)
+                self._judge(name, found.means(), now)
         self._samples.clear()
 
     def _choose(
@@ -319,7 +302,10 @@
     def _dispatch(self, ticket: Ticket, endpoint: str, now: float) -> Dispatch:
         self._index.note(endpoint, ticket.blocks)
         self._limits[endpoint].acquire(now)
-        self._permits[ticket.id] = _Permit(ticket=ticket, endpoint=endpoint, at=now)
+        watch = samples.Watch(begin=now + ticket.prompt_seconds)
+        self._permits[ticket.id] = _Permit(
+            ticket=ticket, endpoint=endpoint, at=now, watch=watch
+        )
         return Dispatch(ticket, endpoint)
 
     def retry_after(self, now: float) -> float:
@@ -338,43 +324,22 @@
         return Shed(ticket, code, self.retry_after(now))
 
     def _learn(self, permit: _Permit, first_token: float, now: float) -> None:
-        first_token = max(0.0, first_token - permit.at - permit.ticket.prompt_seconds)
+        first_token = max(0.0, first_token - permit.watch.begin)
         self._first_token += SMOOTHING * (first_token - self._first_token)
         duration = max(MIN_DURATION, now - permit.at)
         if self._duration is None:
             self._duration = duration
         self._duration += SMOOTHING * (duration - self._duration)
 
-    def _sample(self, permit: _Permit, progress: Progress, now: float) -> None:
-        samples = self._samples.setdefault(permit.endpoint, _Samples())
-        seen = permit.seen
-        begin = permit.at + permit.ticket.prompt_seconds
-        if progress.first_token is None:
-            overdue = ejection.SLOW_RATIO * self._targets.first_token
-            if not permit.overdue and now - begin > overdue:
-                permit.overdue = True
-                samples.first_tokens.append(now - begin)
-            return
-        permit.seen = progress
-        if seen.first_token is None and not permit.overdue:
-            samples.first_tokens.append(max(0.0, progress.first_token - begin))
-        since = seen.last_token or progress.first_token
-        tokens = progress.tokens - max(1, seen.tokens)
-        if tokens > 0:
-            samples.token_gaps.append((progress.last_token - since) / tokens)
-        elif now - since > ejection.SLOW_RATIO * self._targets.token_gap:
-            samples.token_gaps.append(now - since)
-
-    def _judge(self, endpoint: str, samples: _Samples, now: float) -> None:
-        first = gap = None
-        if samples.first_tokens:
-            first = statistics.fmean(samples.first_tokens)
-        if samples.token_gaps:
-            gap = statistics.fmean(samples.token_gaps)
-        if first is None and gap is None:
+    def _sample(self, permit: _Permit, progress: samples.Progress, now: float) -> None:
+        found = self._samples.setdefault(permit.endpoint, samples.Samples())
+        found.add(permit.watch, progress, now, self._targets)
+
+    def _judge(self, endpoint: str, means: samples.Means, now: float) -> None:
+        if means == (None, None):
             return
-        self._limits[endpoint].observe(now, first_token=first, token_gap=gap)
-        self.ejector.observe(endpoint, now, first_token=first, token_gap=gap)
+        self._limits[endpoint].observe(now, **means._asdict())
+        self.ejector.observe(endpoint, now, **means._asdict())
 
     def _drop_unused_limits(self) -> None:
         for name in [n for n in self._limits if n not in self._sites]:
--- /dev/null
+++ b/dogwoodchute/coordination/samples.py
@@ -0,0 +1,68 @@
+"""What the requests in flight at one endpoint show of its latency."""
+
+import dataclasses
+import statistics
+from typing import NamedTuple
+
+from dogwoodchute.coordination import ejection, limits
+
+
+class Progress(NamedTuple):
+    """How far an answer has come; times in monotonic seconds."""
+
+    first_token: float | None = None
+    last_token: float | None = None
+    tokens: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Watch:
+    """One request in flight and what was last seen of it."""
+
+    begin: float  # dispatch, plus the time that the prompt takes by itself
+    seen: Progress = Progress()
+    overdue: bool = False
+
+
+class Means(NamedTuple):
+    """Mean seconds of an interval, None where there is no sample."""
+
+    first_token: float | None
+    token_gap: float | None
+
+
+class Samples:
+    """Samples of one endpoint since it was last judged."""
+
+    def __init__(self) -> None:
+        self._first_tokens: list[float] = []
+        self._token_gaps: list[float] = []
+
+    def add(
+        self, watch: Watch, progress: Progress, now: float, targets: limits.Targets
+    ) -> None:
+        """Sample one request, which may be late or silent."""
+        seen = watch.seen
+        if progress.first_token is None:
+            overdue = ejection.SLOW_RATIO * targets.first_token
+            if not watch.overdue and now - watch.begin > overdue:
+                watch.overdue = True
+                self._first_tokens.append(now - watch.begin)
+            return
+        watch.seen = progress
+        if seen.first_token is None and not watch.overdue:
+            self._first_tokens.append(max(0.0, progress.first_token - watch.begin))
+        since = seen.last_token or progress.first_token
+        tokens = progress.tokens - max(1, seen.tokens)
+        if tokens > 0:
+            self._token_gaps.append((progress.last_token - since) / tokens)
+        elif now - since > ejection.SLOW_RATIO * targets.token_gap:
+            self._token_gaps.append(now - since)
+
+    def means(self) -> Means:
+        """Return the means of all samples."""
+        return Means(_mean(self._first_tokens), _mean(self._token_gaps))
+
+
+def _mean(values: list[float]) -> float | None:
+    return statistics.fmean(values) if values else None
--- a/dogwoodchute/tests/test_admission.py
+++ b/dogwoodchute/tests/test_admission.py
@@ -12,11 +12,12 @@
     limits,
     prefix_index,
     retry_budget,
+    samples,
 )
 from dogwoodchute.tests import support
 
 NAMES = ("a", "b", "c", "far")
-DONE = admission.Progress(0.1, 4.0, 200)
+DONE = samples.Progress(0.1, 4.0, 200)
 ACCOUNTS = {"growers": 1, "desk": 3, "lab": 1}
 
 
@@ -60,8 +61,8 @@
 
     def progress(self, late):
         if late is None:
-            return admission.Progress()
-        return admission.Progress(self.now - late, self.now, 1 + int(late * 20))
+            return samples.Progress()
+        return samples.Progress(self.now - late, self.now, 1 + int(late * 20))
 
     def settle(self, decision):
         request = decision.ticket.id
--- a/dogwoodchute/tests/test_endpoints.py
+++ b/dogwoodchute/tests/test_endpoints.py
@@ -383,3 +383,18 @@
             self.assertIsInstance(await late, admission.Shed)
 
         self.run_async(check())
+
+    def test_tick_between_admission_and_dispatch(self):
+        async def check():
+            fleet = Fleet(names=("one",))
+            _, own, _ = fleet.hosts["host0"]
+            running = [fleet.exchange() for _ in range(8)]
+            for sent in running:
+                await own.admit(sent)
+            waiting = asyncio.create_task(own.admit(fleet.exchange()))
+            await asyncio.sleep(0)
+            own.finish(running[0])
+            own.tick()
+            self.assertEqual("one", (await waiting).name)
+
+        self.run_async(check())
