Bound commits that are not of money, and the stop of each controller

A table that never answers kept a guarded commit going for ever, so a host could hang on its registration at start and on the last flush at exit. Only commits of grants, bills and claims are now resolved without a bound; others end in Unknown after 8 s, and each controller has 5 s to stop.

--- a/dogwoodchute/controller.py
+++ b/dogwoodchute/controller.py
@@ -6,6 +6,8 @@
 
 from dogwoodchute import log
 
+STOP_BOUND = 5.0  # seconds for one controller
+
 
 class Controller(NamedTuple):
     """One controller. `stop` flushes what must last before the host exits."""
@@ -23,10 +25,11 @@
 
 
 async def stop_all(controllers: list[Controller]) -> None:
-    """Stop controllers in reverse order, going on past a failure."""
+    """Stop controllers in reverse order, going on past a failure or `STOP_BOUND`."""
     for controller in reversed(controllers):
         try:
-            await controller.stop()
+            async with asyncio.timeout(STOP_BOUND):
+                await controller.stop()
         except Exception:
             log.exception("controller_stop_failed", controller=controller.name)
 
--- a/dogwoodchute/controllers/bills.py
+++ b/dogwoodchute/controllers/bills.py
@@ -193,7 +193,7 @@
         if not ready:
             return False
         checks, writes = self._rows(ready)
-        outcome = await self._host.store.commit(
+        outcome = await self._host.definite.commit(
             table.commit_id(self._host.rng), checks, writes
         )
         if isinstance(outcome, table.Committed):
--- a/dogwoodchute/controllers/budgets.py
+++ b/dogwoodchute/controllers/budgets.py
@@ -63,7 +63,10 @@
     async def top_up(
         self, account: str, top_up_id: str, tokens: int
     ) -> ToppedUp | Mismatch | UnknownAccount | table.Unavailable:
-        """Add `tokens` to what is paid, once for each `top_up_id`."""
+        """Add `tokens` to what is paid, once for each `top_up_id`.
+
+        After `Unavailable` the top-up may count yet; sending it again tells.
+        """
         budget_key = rows.budget(account)
         key = rows.top_up(account, top_up_id)
         for _ in range(MAX_TRIES):
@@ -91,8 +94,8 @@
             if isinstance(outcome, table.Committed):
                 log.info("topped_up", account=account, id=top_up_id, tokens=tokens)
                 return ToppedUp(paid=raised.paid, repeated=False)
-            if isinstance(outcome, table.Unavailable):
-                return outcome
+            if isinstance(outcome, table.Unavailable | table.Unknown):
+                return table.Unavailable(reason=outcome.reason, peer=outcome.peer)
         return table.Unavailable(reason="too many racing draws; send it again")
 
     async def show(self, account: str) -> Budget | UnknownAccount | table.Unavailable:
--- a/dogwoodchute/controllers/claims.py
+++ b/dogwoodchute/controllers/claims.py
@@ -166,7 +166,7 @@
         if replaced is not None:
             plain[table_client.AFTER] = replaced.commit_id
         version = replaced.version if replaced is not None else 0
-        outcome = await self._host.store.commit(
+        outcome = await self._host.definite.commit(
             table.commit_id(self._host.rng),
             [table.Check(key, version), table.Check(bill_key, 0)],
             [table.Write(key, plain)],
@@ -199,7 +199,7 @@
                     break
                 abandoned = {**row.value, "state": claims.ABANDONED}
                 abandoned[table_client.AFTER] = row.commit_id
-                outcome = await self._host.store.commit(
+                outcome = await self._host.definite.commit(
                     table.commit_id(self._host.rng),
                     [table.Check(key, version)],
                     [table.Write(key, abandoned)],
--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -279,7 +279,7 @@
         balance, grant = grants.draw(
             grants.balance_of(seen.value), ledger.grant, tokens
         )
-        outcome = await self._host.store.commit(
+        outcome = await self._host.definite.commit(
             table.commit_id(self._host.rng),
             [table.Check(key, state_.version), table.Check(budget_key, seen.version)],
             [
--- a/dogwoodchute/controllers/reclaim.py
+++ b/dogwoodchute/controllers/reclaim.py
@@ -116,7 +116,7 @@
             grant = pure_grants.grant_of(row.value)
             chosen = _fitting(pending, grant.unspent)
             checks, writes = self._closing(row, grant, budget, chosen)
-            outcome = await self._host.store.commit(
+            outcome = await self._host.definite.commit(
                 table.commit_id(self._host.rng), checks, writes
             )
             if isinstance(outcome, table.Committed):
@@ -185,7 +185,7 @@
         balance = pure_grants.retire(
             pure_grants.balance_of(budget.value), pure_grants.grant_of(row.value)
         )
-        await self._host.store.commit(
+        await self._host.definite.commit(
             table.commit_id(self._host.rng),
             [
                 table.Check(row.key, row.version),
--- a/dogwoodchute/controllers/table_path.py
+++ b/dogwoodchute/controllers/table_path.py
@@ -13,7 +13,7 @@
 
 
 def make(host: state.HostState) -> controller.Controller:
-    """Guard `host.store`; return the controller that tells peers how it fares."""
+    """Guard the host's table; return the controller that tells peers how it fares."""
     inner = host.store
     limits = table_client.Limits(
         rate=host.config.platform.table_rate,
@@ -34,7 +34,8 @@
             rate=PEERS_SHARE * limits.rate, burst=PEERS_SHARE * limits.burst
         ),
     )
-    host.store = client.guarded
+    host.store = client.bounded
+    host.definite = client.definite
     host.peers.handle(table_relay.KIND, table_relay.handler(for_peers.direct))
 
     async def tell() -> None:
--- a/dogwoodchute/platform/table_client.py
+++ b/dogwoodchute/platform/table_client.py
@@ -1,6 +1,6 @@
 """A table client whose commits end in a definite outcome.
 
-`guard` adds timeouts, a rate budget, back-off and a circuit breaker to a table, and
+`Client` adds timeouts, a rate budget, back-off and a circuit breaker to a table, and
 resolves `Unknown` by sending the same commit again with the same id.
 
 The proof that a commit took effect rests on its witness, the first row that it writes:
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections import abc
 from typing import NamedTuple
@@ -34,6 +35,7 @@
     rate: float = 50.0  # calls a second
     burst: float = 100.0  # calls
     longest_wait: float = 1.0  # seconds that a call may wait for the rate budget
+    resolve_within: float = 8.0  # seconds, of commits that may end in `Unknown`
     tries: int = 3  # of a commit that certainly had no effect yet
     backoff_base: float = 0.05  # seconds
     backoff_limit: float = 5.0  # seconds
@@ -76,10 +78,22 @@
         return self._breaker.closed
 
     @property
-    def guarded(self) -> table.Table:
-        """The guarded table."""
+    def definite(self) -> table.Table:
+        """The table whose commits never end in `Unknown`, however long they take."""
         return table.Table(read=self.read, scan=self.scan, commit=self.commit)
 
+    @property
+    def bounded(self) -> table.Table:
+        """The table whose commits end in `Unknown` after `Limits.resolve_within`."""
+
+        async def commit(
+            commit_id: str, checks: list[table.Check], writes: list[table.Write]
+        ) -> table.CommitOutcome:
+            within = self._limits.resolve_within
+            return await self.commit(commit_id, checks, writes, within=within)
+
+        return table.Table(read=self.read, scan=self.scan, commit=commit)
+
     @property
     def direct(self) -> table.Table:
         """One try of each call, within the rate budget; a commit may be `Unknown`."""
@@ -102,13 +116,18 @@
         return await self._send(lambda target: target.scan(prefix), table.Unavailable)
 
     async def commit(
-        self, commit_id: str, checks: list[table.Check], writes: list[table.Write]
+        self,
+        commit_id: str,
+        checks: list[table.Check],
+        writes: list[table.Write],
+        *,
+        within: float = math.inf,
     ) -> table.CommitOutcome:
-        """Commit and return `Committed`, `Conflict` or `Unavailable`, never `Unknown`.
+        """Commit and return `Committed`, `Conflict` or `Unavailable`.
 
-        Takes as long as it takes once a copy may have reached the service. A commit
-        that was proved by its witness tells the versions of those rows only that
-        nobody has replaced since.
+        Once a copy may have reached the service it is sent again until its outcome is
+        definite, or `Unknown` after `within` seconds. A commit that was proved by its
+        witness tells the versions of those rows only that nobody has replaced since.
         """
 
         def call(target: table.Table) -> abc.Awaitable[table.CommitOutcome]:
@@ -116,6 +135,7 @@
 
         uncertain = False
         attempt = 0
+        give_up = self._now() + within
         try:
             while True:
                 outcome = await self._send(call, table.Unknown)
@@ -131,6 +151,8 @@
                 attempt += 1
                 if not uncertain and attempt >= self._limits.tries:
                     return outcome
+                if self._now() >= give_up:
+                    return table.Unknown(reason=outcome.reason, peer=outcome.peer)
                 await self._back_off(attempt)
         finally:
             if uncertain:
@@ -216,23 +238,3 @@
     if row is None:
         return False
     return row.commit_id == commit_id or row.value.get(AFTER) == commit_id
-
-
-def guard(
-    inner: table.Table,
-    *,
-    now: abc.Callable[[], float],
-    rng: random.Random,
-    sleep: abc.Callable[[float], abc.Awaitable[None]] = asyncio.sleep,
-    limits: Limits = DEFAULT_LIMITS,
-    relay: table.Table | None = None,
-) -> table.Table:
-    """Return a table whose commits never end in `Unknown`.
-
-    `now` gives monotonic seconds. `relay`, if given, is tried where `inner` was
-    certainly not reached.
-    """
-    client = Client(
-        inner=inner, now=now, rng=rng, sleep=sleep, limits=limits, relay=relay
-    )
-    return client.guarded
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -24,6 +24,7 @@
     ) -> None:
         self.config = config
         self.store = store
+        self.definite = store  # the same, once guarded: no commit ends in `Unknown`
         self.objects = objects_store
         self.hosts = hosts
         self.peers = peer_layer
--- a/dogwoodchute/tests/test_money_plants.py
+++ b/dogwoodchute/tests/test_money_plants.py
@@ -56,7 +56,7 @@
 
 
 def take_unknown_for_done(real):
-    async def commit(self, commit_id, checks, writes):
+    async def commit(self, commit_id, checks, writes, *, within=0):
         outcome = await self._inner.commit(commit_id, checks, writes)
         if isinstance(outcome, table.Unknown):
             return table.Committed(versions={write.key: 0 for write in writes})
--- a/dogwoodchute/tests/test_table_client.py
+++ b/dogwoodchute/tests/test_table_client.py
@@ -100,6 +100,15 @@
         self.memory.down = False
         self.assertIsInstance(self.run_(task), table.Committed)
 
+    def test_bounded_commit_ends_unknown(self):
+        self.memory.hold_commits = 100
+        check, write = table.Check("a", 0), table.Write("a", {})
+        before = self.loop.time()
+        outcome = self.run_(self.client.bounded.commit("c", [check], [write]))
+        self.assertIsInstance(outcome, table.Unknown)
+        most = LIMITS.resolve_within + LIMITS.timeout + LIMITS.backoff_limit
+        self.assertLessEqual(self.loop.time() - before, most)
+
     def test_relay_carries_every_call_and_outcome(self):
         net = memory_peers.PeerNet()
         near = net.join(_peer("near"))
