Bound membership's work a host; find peers without the store; obey early signals

A restarted host counted as alive under its older incarnation for up to a few steps. A host that started without the store knew nobody. SIGTERM between the start of the listeners and the installation of the handlers killed the process without a drain (seen by the new test with a real process: exit -15).

Change: gossip leaves once a step, streams to keep are chosen anew only when places change, hints wait in queues by region. A stream counts as hearing a host only in the incarnation that is known. With the store away a new host dials a few hosts of the host list. Signal handlers are installed before the host starts. Hint frames hold 16 hints within 3,000 B/s (8 and 4,000 before).

--- a/dogwoodchute/controllers/membership.py
+++ b/dogwoodchute/controllers/membership.py
@@ -1,6 +1,7 @@
 """Keeps the streams to neighbours, passes on what hosts say, and tells who is alive."""
 
 import asyncio
+import ipaddress
 from collections import abc
 
 import prometheus_client
@@ -9,13 +10,14 @@
 from dogwoodchute.controllers import register
 from dogwoodchute.coordination import membership, pacing, topology
 
-STEP = 0.25  # seconds
+STEP = 0.1  # seconds
 HINT_INTERVAL = 1.0  # seconds between changes of own hints
 STORE_INTERVAL = 10.0  # seconds between looks at the store
 CORES_PER_FRAME = 32
-HINTS_PER_FRAME = 8
+HINTS_PER_FRAME = 16
 HINT_BURST = 4_096  # bytes
 NEAR_SHARE = 0.75  # of the hint bytes, for hosts of the own region
+MAX_LISTED = 4  # hosts of the host list that are dialled at the start
 MAX_HINT_BYTES = 4_096  # one host's hints
 
 KNOWN = prometheus_client.Gauge("dogwoodchute_hosts_known", "Hosts in the register.")
@@ -58,8 +60,9 @@
         self._raised = False
         self._waking: asyncio.Task | None = None
         self._digest_due: set[str] = set()
+        self._heard: dict[str, str] = {}  # incarnations of the last streams, by host
         self._linked: list[str] = []  # peers that get gossip, in turn
-        self._places: frozenset = frozenset()
+        self._places = 0  # as of the choice of streams to keep
         self._last_hint = float("-inf")
         self._last_store = host.now()
         self._renewed = float("-inf")
@@ -75,7 +78,9 @@
     def known(self) -> list[peers.Peer]:
         """Return all other hosts of the fleet."""
         listed = self._host.host_list
-        key = (self.members.revision, listed.revision if listed is not None else -1)
+        listed_at = listed.revision if listed is not None else -1
+        # Hints are as of the last second, so that frequent calls stay cheap.
+        key = (self.members.revision, listed_at, int(self._host.now()))
         if self._known[0] != key:
             alive = self.members.alive()
             cores = self.members.cores.values()
@@ -129,17 +134,17 @@
         if now - self._last_hint >= HINT_INTERVAL:
             self._last_hint = now
             self._say()
+            KNOWN.set(len(self.members.cores))
+            ALIVE.set(len(self.members.alive()))
+            STORE_AGE.set(now - self._last_store)
         self._flush()
-        KNOWN.set(len(self.members.cores))
-        ALIVE.set(len(self.members.alive()))
 
     def _refresh(self) -> None:
         host = self._host
         age = host.now() - self._last_store
-        STORE_AGE.set(age)
         host.stale = age > host.config.peers.stale_after
         self._want()
-        hears = [h for h in self._streams.heard_hosts if h in self._streams.wanted]
+        hears = [name for name in self._streams.heard_hosts if self._counts(name)]
         self.members.change_own(
             caller_address=host.caller_address if host.ready else "",
             leaving=host.leaving,
@@ -148,21 +153,38 @@
         )
         self._meet_rival()
 
+    def _counts(self, name: str) -> bool:
+        """Return whether a heard host is a neighbour, in the incarnation we know."""
+        core = self.members.cores.get(name)
+        known = core is not None and core.incarnation == self._heard.get(name)
+        return known and name in self._streams.wanted
+
     def _want(self) -> None:
         """Choose the streams to keep anew if hosts came, went or moved."""
-        cores = self.members.cores.values()
-        places = frozenset(
-            (topology.Place(c.host, c.region, c.data_centre), c.address)
-            for c in cores
-            if c.address
-        )
-        if places == self._places:
+        if self.members.places == self._places:
+            if not self._streams.wanted:
+                self._streams.wanted = self._listed()
             return
-        self._places = places
-        addresses = {place.host: address for place, address in places}
-        near = topology.neighbours((place for place, _ in places), self._own_name)
+        self._places = self.members.places
+        cores = [core for core in self.members.cores.values() if core.address]
+        places = [topology.Place(c.host, c.region, c.data_centre) for c in cores]
+        addresses = {core.host: core.address for core in cores}
+        near = topology.neighbours(places, self._own_name)
         self._streams.wanted = {name: addresses[name] for name in near}
 
+    def _listed(self) -> dict[str, str]:
+        """Return a few hosts of the host list, to start from without the store."""
+        listed = self._host.host_list
+        place = self._host.config.host
+        if listed is None:
+            return {}
+        found = []
+        for name, entry in sorted(listed.hosts.items()):
+            if name == place.id or entry.leaving or not _is_number(entry.address):
+                continue
+            found.append((name, peer_streams.join(entry.address, place.peer_port)))
+        return dict(self._host.rng.sample(found, min(MAX_LISTED, len(found))))
+
     def _meet_rival(self) -> None:
         rival, self.members.rival = self.members.rival, None
         if rival is None:
@@ -214,10 +236,9 @@
             bucket.take(size, now)
 
     def _opened(self, peer: peer_wire.Identity) -> None:
+        self._heard[peer.host] = peer.incarnation
         if peer.host in self._streams.wanted:
             self._link(peer.host)
-        self._refresh()
-        self._flush()
 
     def _link(self, name: str) -> None:
         self.members.connect(name)
@@ -231,8 +252,6 @@
         self.members.disconnect(peer.host)
         if peer.host in self._linked:
             self._linked.remove(peer.host)
-        self._refresh()
-        self._flush()
 
     def _received(self, peer: peer_wire.Identity, message: peer_wire.Message) -> None:
         name = peer.host
@@ -241,16 +260,12 @@
                 if name not in self._linked:
                     self._link(name)
                 self.members.compare(name, message.states)
-                self._flush()
                 return
             cores = [membership.core_from_plain(fields) for fields in message.cores]
             hints = [membership.hints_from_plain(fields) for fields in message.hints]
         except (TypeError, ValueError) as error:
             raise peer_wire.FrameError(f"bad gossip: {error}") from error
         self.members.receive(name, cores, hints)
-        if cores:
-            self._refresh()
-            self._flush()
 
     def _woke(self, seconds: float) -> None:
         """After a pause, see at once whether another incarnation took over."""
@@ -259,6 +274,8 @@
     async def look_at_store(self) -> None:
         """Look at this host's row; renew it and read all rows when that is due."""
         now = self._host.now()
+        if len(self.members.cores) == 1:
+            self._streams.wanted = {}  # other hosts of the list may answer
         if now - self._renewed < self._host.config.peers.register_interval:
             self._take(await self.register.check())
             return
@@ -293,6 +310,7 @@
             if name not in registered and name not in self.members.alive():
                 log.info("host_forgotten", peer=name)
                 self.members.forget(name)
+                self._heard.pop(name, None)
 
     async def stop(self) -> None:
         """Say that this process exits, and close the streams."""
@@ -312,3 +330,12 @@
                 "register", self.look_at_store, interval=STORE_INTERVAL
             ),
         ]
+
+
+def _is_number(address: str) -> bool:
+    """Return whether an address is a host's: an IP number without a port."""
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return True
--- a/dogwoodchute/coordination/membership.py
+++ b/dogwoodchute/coordination/membership.py
@@ -10,6 +10,7 @@
 No neighbour hears a dead host; no host on this side hears a region that is cut off.
 """
 
+import itertools
 from collections import abc
 from typing import NamedTuple
 
@@ -68,14 +69,16 @@
     Raises `TypeError` or `ValueError` if they are not those of hints.
     """
     hints = Hints(*fields)
-    _check_types(hints)
+    numbers = type(hints.generation) is int and type(hints.version) is int
+    if not numbers or type(hints.host) is not str or type(hints.values) is not dict:
+        raise ValueError("hints must be host, generation, version and values")
     return hints
 
 
-def _check_types(record: Core | Hints) -> None:
-    for name, kind in type(record).__annotations__.items():
+def _check_types(core: Core) -> None:
+    for name, kind in Core.__annotations__.items():
         origin = getattr(kind, "__origin__", kind)
-        if type(getattr(record, name)) is not origin:
+        if type(getattr(core, name)) is not origin:
             raise ValueError(f"{name} must be {origin.__name__}")
 
 
@@ -86,7 +89,8 @@
         self.cores: dict[str, Core] = {own.host: own}
         self.hints: dict[str, Hints] = {}
         self.rival: Core | None = None  # another incarnation of this host
-        self.revision = 0  # counts changes of any record
+        self.revision = 0  # counts changes of cores
+        self.places = 0  # counts changes of who is where
         self._host = own.host
         self._dirty: dict[str, _Dirty] = {}
         self._alive: frozenset[str] | None = None
@@ -137,8 +141,9 @@
         self.hints.pop(host, None)
         for dirty in self._dirty.values():
             dirty.cores.pop(host, None)
-            dirty.hints.pop(host, None)
+            dirty.drop_hints(host)
         self.revision += 1
+        self.places += 1
         self._alive = None
 
     def alive(self) -> frozenset[str]:
@@ -186,31 +191,19 @@
             if has[:3] < core.age_key:
                 dirty.cores[host] = None
             if host in self.hints and has[3:] < self.hints[host].age_key:
-                dirty.hints[host] = None
-
-    def waiting(self, peer: str, *, near: bool | None = None) -> bool:
-        """Return whether `peer` lacks a core, or hints of the own region (`near`)."""
-        dirty = self._dirty.get(peer)
-        if dirty is None:
-            return False
-        if near is None:
-            return bool(dirty.cores)
-        return any(self._near(host) == near for host in dirty.hints)
+                dirty.hints[self._near(host)][host] = None
 
     def take_cores(self, peer: str, count: int) -> list[Core]:
         """Remove and return up to `count` cores that `peer` lacks."""
-        waiting = self._dirty[peer].cores
-        taken = list(waiting)[:count]
-        for host in taken:
-            del waiting[host]
+        taken = _take(self._dirty[peer].cores, count)
         return [self.cores[host] for host in taken]
 
     def take_hints(self, peer: str, count: int, *, near: bool) -> list[Hints]:
-        """Remove and return up to `count` hints of one kind, longest waiting first."""
-        waiting = self._dirty[peer].hints
-        taken = [host for host in waiting if self._near(host) == near][:count]
-        for host in taken:
-            del waiting[host]
+        """Remove and return up to `count` hints, longest waiting first.
+
+        They are of hosts in the own region if `near`, else of hosts in others.
+        """
+        taken = _take(self._dirty[peer].hints[near], count)
         return [self.hints[host] for host in taken]
 
     def _near(self, host: str) -> bool:
@@ -242,15 +235,18 @@
             self.rival = core
 
     def _store_core(self, core: Core, *, source: str) -> None:
+        before = self.cores.get(core.host)
         self.cores[core.host] = core
         self.revision += 1
         self._alive = None
+        if before is None or _place(before) != _place(core):
+            self.places += 1
         hints = self.hints.get(core.host)
         if hints is not None and hints.generation < core.generation:
             del self.hints[core.host]
         for peer, dirty in self._dirty.items():
             if core.host not in self.hints:
-                dirty.hints.pop(core.host, None)
+                dirty.drop_hints(core.host)
             if peer == source:
                 dirty.cores.pop(core.host, None)
             elif peer != core.host:
@@ -264,19 +260,19 @@
             return False
         if hints.age_key <= self._hint_key(hints.host):
             if source in self._dirty and hints.age_key == self._hint_key(hints.host):
-                self._dirty[source].hints.pop(hints.host, None)
+                self._dirty[source].drop_hints(hints.host)
             return False
         self._store_hints(hints, source=source)
         return True
 
     def _store_hints(self, hints: Hints, *, source: str) -> None:
         self.hints[hints.host] = hints
-        self.revision += 1
+        near = self._near(hints.host)
         for peer, dirty in self._dirty.items():
             if peer == source:
-                dirty.hints.pop(hints.host, None)
+                dirty.drop_hints(hints.host)
             elif peer != hints.host:
-                dirty.hints[hints.host] = None
+                dirty.hints[near][hints.host] = None
 
 
 class _Dirty:
@@ -284,4 +280,20 @@
 
     def __init__(self) -> None:
         self.cores: dict[str, None] = {}
-        self.hints: dict[str, None] = {}
+        self.hints: dict[bool, dict[str, None]] = {True: {}, False: {}}  # by near
+
+    def drop_hints(self, host: str) -> None:
+        """Hold the peer to have a host's hints."""
+        for hosts in self.hints.values():
+            hosts.pop(host, None)
+
+
+def _take(waiting: dict[str, None], count: int) -> list[str]:
+    taken = list(itertools.islice(waiting, count))
+    for host in taken:
+        del waiting[host]
+    return taken
+
+
+def _place(core: Core) -> tuple[str, str, str]:
+    return (core.region, core.data_centre, core.address)
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -183,7 +183,7 @@
         "Most bytes a second that this host sends to other regions.", 250_000.0, gt=0
     )
     hint_bytes_per_second: float = key(
-        "Most bytes a second of hints that this host sends.", 4_000.0, gt=0
+        "Most bytes a second of hints that this host sends.", 3_000.0, gt=0
     )
     register_interval: Seconds = key("Seconds between renewals in the store.", 60.0)
     stale_after: Seconds = key(
--- a/dogwoodchute/tests/test_drain.py
+++ b/dogwoodchute/tests/test_drain.py
@@ -2,6 +2,11 @@
 
 import asyncio
 import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
 
 import aiohttp
 
@@ -111,6 +116,31 @@
         self.run_async(run())
 
 
+class SignalTest(support.TestCase):
+    def test_sigterm_drains_a_real_process(self):
+        text = demo.SETTINGS.format(caller_port=0, operator_port=0)
+        text = text.replace("level = warning", "level = info")
+        text += "[drain]\nlinger = 0.2\n"
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "host.ini"
+            path.write_text(text, encoding="utf-8")
+            command = [sys.executable, "-m", "dogwoodchute.tools.dogwoodchuted"]
+            process = subprocess.Popen(
+                [*command, str(path)], stderr=subprocess.PIPE, text=True
+            )
+            self.addCleanup(process.kill)
+            for line in process.stderr:
+                if "event=host_started" in line:
+                    break
+            process.send_signal(signal.SIGTERM)
+            rest = process.stderr.read()
+            self.assertEqual(0, process.wait(timeout=30), rest)
+            process.stderr.close()
+        self.assertIn("event=drain_begun reason=SIGTERM", rest)
+        self.assertIn("event=drain_done", rest)
+        self.assertIn("event=host_stopped", rest)
+
+
 class OrderTest(support.TestCase):
     """The order of steps on passed-in time."""
 
--- a/dogwoodchute/tests/test_fleet.py
+++ b/dogwoodchute/tests/test_fleet.py
@@ -136,6 +136,24 @@
         self.run_async(run())
 
 
+class StoreDownTest(support.TestCase):
+    def test_a_host_that_starts_without_the_store_finds_the_fleet(self):
+        async def run():
+            async with running() as fleet:
+                fleet.table.down = True
+                # All hosts of this test share an address, so the port names the host.
+                port = fleet.daemons["dar-2"].membership._streams.port
+                fleet.hosts_listed.set("dar-2", "127.0.0.1")
+                await fleet.run("dar-3", "dar", "dar-a", peers=FAST)
+                streams = fleet.daemons["dar-3"].membership._streams
+                await support_fleet.until(lambda: "dar-2" in streams.wanted)
+                streams.wanted = {"dar-2": f"127.0.0.1:{port}"}
+                await support_fleet.until(lambda: len(fleet.alive("dar-3")) == 3)
+                await support_fleet.until(lambda: "dar-3" in fleet.alive("aru-1"))
+
+        self.run_async(run())
+
+
 class OperatorsTest(support.TestCase):
     def test_list_and_drain_through_another_host(self):
         async def run():
--- a/dogwoodchute/tests/test_peer_streams.py
+++ b/dogwoodchute/tests/test_peer_streams.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import socket
+import tempfile
 
-from dogwoodchute import peer_handshake, peer_streams, peer_wire, peers
-from dogwoodchute.tests import support, support_fleet
+from dogwoodchute import peer_handshake, peer_streams, peer_tls, peer_wire, peers
+from dogwoodchute.tests import support, support_fleet, test_server
 
 FAST = {"heartbeat_interval": 0.2, "silent_after": 0.8}
 
@@ -59,7 +60,9 @@
         self.config = support_fleet.config_of(name, region, **sections)
         self.name = name
         self.clock_ahead = 0.0
-        self.streams = peer_streams.Streams(config=self.config, now=self.now)
+        self.streams = peer_streams.Streams(
+            config=self.config, now=self.now, tls=peer_tls.contexts(self.config.tls)
+        )
         self.opened = []
         self.closed = []
         self.received = []
@@ -207,6 +210,21 @@
 
         self.run_async(run())
 
+    def test_tls_streams_and_no_plain_ones_beside_them(self):
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                certificate, key = test_server.write_certificate(folder)
+                tls = {"peer_certificate": certificate, "peer_key": key}
+                tls["peer_authority"] = certificate
+                async with pair(tls=tls) as (one, two), Node("dar-3") as plain:
+                    answer = await one.streams.call("x-2", "echo", {}, 5)
+                    self.assertIsInstance(answer, peers.Answer)
+                    plain.streams.find = {"x-2": two.address}.get
+                    outcome = await plain.streams.call("x-2", "echo", {}, 5)
+                    self.assertIsInstance(outcome, peers.NotSent)
+
+        self.run_async(run())
+
     def test_another_host_at_the_address_is_refused(self):
         async def run():
             async with Node("dar-1") as one, Node("x-2") as two:
--- a/dogwoodchute/tools/dogwoodchuted.py
+++ b/dogwoodchute/tools/dogwoodchuted.py
@@ -10,7 +10,7 @@
 import cappa
 import uvloop
 
-from dogwoodchute import log, runtime, settings
+from dogwoodchute import drain, log, runtime, settings
 
 
 @dataclasses.dataclass
@@ -31,17 +31,22 @@
     SIGTERM or SIGINT begins the drain and a second one hurries it.
     """
     loop = asyncio.get_running_loop()
+    signals: asyncio.Queue[str] = asyncio.Queue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number.name)
     async with runtime.running(config) as host:
+        watching = asyncio.create_task(_obey(signals, host.drain))
+        await host.drain.done.wait()
+        watching.cancel()
 
-        def on_signal(name: str) -> None:
-            if host.drain.phase == "serving":
-                host.drain.begin(name)
-            else:
-                host.drain.hurry(name)
 
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, on_signal, number.name)
-        await host.drain.done.wait()
+async def _obey(signals: asyncio.Queue[str], draining: drain.Drain) -> None:
+    while True:
+        name = await signals.get()
+        if draining.phase == "serving":
+            draining.begin(name)
+        else:
+            draining.hurry(name)
 
 
 def main(argv: list[str] | None = None) -> int:
