Accept release notes against a chain of deltas

Cause: the head row held the whole state, a note's faults came one kind at a time, budgets of re-added accounts were overwritten, and a host applied whatever head it read.

Change: a note is checked in full (form, references, bearer keys) and accepted by one commit of head, delta, note id and initial budgets. A lost answer is resolved by sending the same commit again; a note id gets the same answer twice.

--- a/dogwoodchute/catalog.py
+++ b/dogwoodchute/catalog.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from collections import abc
 from typing import NamedTuple
 
 CHAT = "chat"
@@ -19,17 +20,31 @@
 
 
 class Service(NamedTuple):
-    """A service; a chat service's name is the model's name in requests."""
+    """A service; a chat service's name is the model's name in requests.
+
+    Each objective is a target share, 0 for none; those on times also have a bound in
+    seconds, which that share of the requests must keep.
+    """
 
     name: str
     kind: str  # CHAT or PLAIN
     price: int = 0  # tokens billed for one call of a plain service
     idempotent: bool | None = None  # None: by HTTP method
     max_output: int = 4096  # tokens, upper bound of one chat answer
+    availability: float = 0.0  # share of requests that are answered
+    first_token_share: float = 0.0
+    first_token_seconds: float = 0.0
+    between_tokens_share: float = 0.0
+    between_tokens_seconds: float = 0.0
+    false_refusals: float = 0.0  # share of requests that are not refused by mistake
 
 
 class Endpoint(NamedTuple):
-    """An endpoint; `address` is an IP number and port."""
+    """An endpoint; `address` is an IP number and port.
+
+    `model`, `adapters`, `version` and `role` are the state that its engine is ordered
+    to have; empty ones are left to the engine.
+    """
 
     name: str
     service: str
@@ -38,6 +53,17 @@
     data_centre: str
     checks_fence: bool = False  # refuses orders with an old fencing number
     capacity: int = 8  # requests that it serves at once, as a first guess
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+    version: str = ""
+    role: str = ""
+
+
+class Index(NamedTuple):
+    """What is looked up for each request."""
+
+    accounts_by_key: dict[str, str]  # account name by digest of a bearer key
+    endpoints_by_service: dict[str, list[Endpoint]]  # sorted by name
 
 
 class Catalog(NamedTuple):
@@ -47,15 +73,19 @@
     accounts: dict[str, ClientAccount]
     services: dict[str, Service]
     endpoints: dict[str, Endpoint]
+    digest: str = ""  # of the chain of changes up to this revision
+    index: Index | None = None
 
 
 EMPTY = Catalog(0, {}, {}, {})
+KINDS = {"account": ClientAccount, "service": Service, "endpoint": Endpoint}
 
 
 def to_plain(catalog: Catalog) -> dict:
     """Return the catalog as maps, lists, strings and numbers."""
     return {
         "revision": catalog.revision,
+        "digest": catalog.digest,
         "accounts": [a._asdict() for a in catalog.accounts.values()],
         "services": [s._asdict() for s in catalog.services.values()],
         "endpoints": [e._asdict() for e in catalog.endpoints.values()],
@@ -63,15 +93,93 @@
 
 
 def from_plain(plain: dict) -> Catalog:
-    """Return the catalog that `to_plain` was given."""
-    accounts = {}
-    for fields in plain["accounts"]:
-        fields = {**fields, "keys": tuple(fields["keys"])}
-        fields["services"] = tuple(fields["services"])
-        accounts[fields["name"]] = ClientAccount(**fields)
-    services = {f["name"]: Service(**f) for f in plain["services"]}
-    endpoints = {f["name"]: Endpoint(**f) for f in plain["endpoints"]}
-    return Catalog(plain["revision"], accounts, services, endpoints)
+    """Return the indexed catalog that `to_plain` was given."""
+    accounts = {f["name"]: build("account", f) for f in plain["accounts"]}
+    services = {f["name"]: build("service", f) for f in plain["services"]}
+    endpoints = {f["name"]: build("endpoint", f) for f in plain["endpoints"]}
+    digest = plain.get("digest", "")
+    return indexed(Catalog(plain["revision"], accounts, services, endpoints, digest))
+
+
+def build(kind: str, fields: dict) -> ClientAccount | Service | Endpoint:
+    """Return the item of `kind` with these fields; lists become tuples.
+
+    Fields that this version of the daemon does not know are left out.
+    """
+    known = KINDS[kind]._fields
+    fixed = {}
+    for key, value in fields.items():
+        if key in known:
+            fixed[key] = tuple(value) if isinstance(value, list) else value
+    return KINDS[kind](**fixed)
+
+
+def items(catalog: Catalog, kind: str) -> dict:
+    """Return the catalog's items of one kind by name."""
+    if kind == "account":
+        return catalog.accounts
+    return catalog.services if kind == "service" else catalog.endpoints
+
+
+def changed(
+    catalog: Catalog,
+    *,
+    revision: int,
+    digest: str,
+    puts: abc.Iterable[tuple[str, dict]],
+    removes: abc.Iterable[tuple[str, str]],
+) -> Catalog:
+    """Return the catalog at a later revision.
+
+    `puts` holds the kind and all fields of items that are new or changed, `removes`
+    the kind and name of those withdrawn. The cost grows with the change, except for
+    copying the maps.
+    """
+    maps = {kind: dict(items(catalog, kind)) for kind in KINDS}
+    keys = dict(_index(catalog).accounts_by_key)
+    touched = set()
+    for kind, name in removes:
+        gone = maps[kind].pop(name, None)
+        _unlink(kind, gone, keys, touched)
+    for kind, fields in puts:
+        item = build(kind, fields)
+        _unlink(kind, maps[kind].get(item.name), keys, touched)
+        maps[kind][item.name] = item
+        if kind == "endpoint":
+            touched.add(item.service)
+    for kind, fields in puts:
+        if kind == "account":
+            keys.update((digest_, fields["name"]) for digest_ in fields["keys"])
+    by_service = dict(_index(catalog).endpoints_by_service)
+    for service in touched:
+        by_service[service] = _serving(maps["endpoint"], service)
+    return Catalog(revision, *maps.values(), digest, Index(keys, by_service))
+
+
+def _unlink(kind: str, old: tuple | None, keys: dict, touched: set[str]) -> None:
+    if old is None:
+        return
+    if kind == "account":
+        for digest in old.keys:
+            keys.pop(digest, None)
+    if kind == "endpoint":
+        touched.add(old.service)
+
+
+def _serving(endpoints: dict[str, Endpoint], service: str) -> list[Endpoint]:
+    return sorted(e for e in endpoints.values() if e.service == service)
+
+
+def _index(catalog: Catalog) -> Index:
+    return catalog.index or indexed(catalog).index
+
+
+def indexed(catalog: Catalog) -> Catalog:
+    """Return the catalog with its index."""
+    by_service: dict[str, list[Endpoint]] = {}
+    for endpoint in sorted(catalog.endpoints.values()):
+        by_service.setdefault(endpoint.service, []).append(endpoint)
+    return catalog._replace(index=Index(index_keys(catalog), by_service))
 
 
 def hash_key(key: str) -> str:
@@ -111,5 +219,6 @@
 
 def endpoints_of(catalog: Catalog, service: str) -> list[Endpoint]:
     """Return the endpoints that serve `service`, by name."""
-    found = [e for e in catalog.endpoints.values() if e.service == service]
-    return sorted(found)
+    if catalog.index is not None:
+        return list(catalog.index.endpoints_by_service.get(service, ()))
+    return _serving(catalog.endpoints, service)
--- a/dogwoodchute/controllers/membership.py
+++ b/dogwoodchute/controllers/membership.py
@@ -142,7 +142,8 @@
     def _refresh(self) -> None:
         host = self._host
         age = host.now() - self._last_store
-        host.stale = age > host.config.peers.stale_after
+        old_release = host.release_age > host.config.release.stale_after
+        host.stale = age > host.config.peers.stale_after or (host.ready and old_release)
         self._want()
         hears = [name for name in self._streams.heard_hosts if self._counts(name)]
         self.members.change_own(
--- a/dogwoodchute/controllers/releases.py
+++ b/dogwoodchute/controllers/releases.py
@@ -1,125 +1,179 @@
-"""Accepts release notes and puts the accepted state in force on this host."""
+"""Puts the accepted releases in force on this host, and never an older one."""
 
-import dataclasses
-import secrets
-
-from dogwoodchute import catalog, controller, log, state
-from dogwoodchute.coordination import releases, rows
-from dogwoodchute.platform import table
-
-POLL_INTERVAL = 1.0  # seconds
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Accepted:
-    """The note is in the store and will be in force everywhere."""
-
-    revision: int
+import asyncio
+from collections import abc
 
+import prometheus_client
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refused:
-    """Nothing of the note was applied."""
-
-    code: str
-    faults: list[str]
+from dogwoodchute import catalog, controller, log, state
+from dogwoodchute.controllers import release_peers, release_store, release_submit
+from dogwoodchute.coordination import releases
+
+TICK = 0.2  # seconds between looks at the peers' hints
+MIN_POLL_GAP = 0.5  # seconds
+JITTER = 0.1  # share of the poll interval
+START_PATIENCE = 3.0  # seconds without the store before peers' word is taken
+
+REVISION = prometheus_client.Gauge(
+    "dogwoodchute_release_revision", "Revision that is in force on this host"
+)
+AGE = prometheus_client.Gauge(
+    "dogwoodchute_release_age_seconds", "Seconds since the newest revision was read"
+)
+FAILURES = prometheus_client.Counter(
+    "dogwoodchute_release_poll_failures", "Polls that could not reach the store"
+)
+DIVERGED = prometheus_client.Counter(
+    "dogwoodchute_release_diverged", "Histories that did not fit the one in force"
+)
 
 
 class Releases:
     """The release state of this host."""
 
-    def __init__(self, *, host: state.HostState) -> None:
+    def __init__(
+        self, *, host: state.HostState, sleep: abc.Callable = asyncio.sleep
+    ) -> None:
         self._host = host
-
-    async def submit(self, text: str) -> Accepted | Refused:
-        """Check a note against the head and move the head to its state."""
-        note = releases.parse(text)
-        if isinstance(note, releases.Faults):
-            return Refused(code="bad_note", faults=note.faults)
-        found = await self._host.store.read([rows.RELEASE_HEAD])
-        if isinstance(found, table.Unavailable):
-            return Refused(code="store_unavailable", faults=[found.reason])
-        row = found.rows.get(rows.RELEASE_HEAD)
-        head = catalog.from_plain(row.value) if row is not None else catalog.EMPTY
-        if note.base != head.revision:
-            fault = f"[note] base = {note.base}: the head is at {head.revision}"
-            return Refused(code="stale_base", faults=[fault])
-        newer = _apply(head, note)
-        writes = [table.Write(rows.RELEASE_HEAD, catalog.to_plain(newer))]
-        for change in note.changes:
-            if change.kind != "account" or change.action != "added":
-                continue
-            budget = {"paid": newer.accounts[change.name].budget, "drawn": 0}
-            writes.append(table.Write(rows.budget(change.name), budget))
-        outcome = await self._host.store.commit(
-            secrets.token_hex(8),
-            [table.Check(rows.RELEASE_HEAD, row.version if row is not None else 0)],
-            writes,
+        self._exchange = release_peers.Exchange(host=host)
+        self._submitter = release_submit.Submitter(
+            host=host, adopt=self.adopt, sleep=sleep
         )
-        if not isinstance(outcome, table.Committed):
-            return Refused(code="not_accepted", faults=[str(outcome)])
-        self._host.adopt(newer)
-        return Accepted(revision=newer.revision)
+        self._next_poll = host.now()
+        self._last_poll = host.now() - MIN_POLL_GAP
+        self._failing_since: float | None = None
+        self._snapshot: asyncio.Task | None = None
+        self._snapshot_revision = 0
+        self.failure = ""  # why the newest revision is not known, empty if it is
+
+    async def submit(self, text: str) -> release_submit.Verdict:
+        """Check a note against the newest state and have it accepted or refused."""
+        verdict = await self._submitter.submit(text)
+        if isinstance(verdict, release_submit.Accepted):
+            self._snapshot_if_due()
+        return verdict
+
+    def adopt(self, newer: catalog.Catalog, deltas: list[releases.Delta]) -> bool:
+        """Put `newer` in force if its revision is higher; return whether it was."""
+        before = self._host.current
+        if not self._host.adopt(newer):
+            return False
+        if len(deltas) == newer.revision - before.revision:
+            self._exchange.adopted(before.digest, deltas)
+        self._host.peers.hint("revision", newer.revision)
+        REVISION.set(newer.revision)
+        log.info("release_in_force", revision=newer.revision, changes=len(deltas))
+        return True
+
+    async def tick(self) -> None:
+        """Poll if it is time, or if a peer holds a higher revision."""
+        now = self._host.now()
+        AGE.set(self._host.release_age)
+        best = self._exchange.highest()
+        hinted = (
+            best is not None
+            and release_peers.revision_of(best) > self._host.current.revision
+        )
+        hinted = hinted and now - self._last_poll >= MIN_POLL_GAP
+        if now < self._next_poll and not hinted:
+            return
+        await self.poll()
 
     async def poll(self) -> None:
-        """Read the head and put it in force if it is newer."""
-        found = await self._host.store.read([rows.RELEASE_HEAD])
-        if isinstance(found, table.Unavailable):
-            log.warning("release_poll_failed", reason=found.reason, peer=found.peer)
+        """Read the newest revision and put it in force; ask peers if that fails."""
+        began = self._host.now()
+        before = self._host.current
+        self._last_poll = began
+        self._next_poll = began + self._interval()
+        head = await release_store.read_head(self._host.store)
+        if not isinstance(head, release_store.Failed):
+            failure = await self._follow(head, before, began)
+        else:
+            failure = head
+        if failure is None:
+            self._failing_since = None
+            self._set_failure("")
             return
-        self._host.ready = True
-        row = found.rows.get(rows.RELEASE_HEAD)
-        if row is not None and self._host.adopt(catalog.from_plain(row.value)):
-            log.info("release_in_force", revision=self._host.current.revision)
+        FAILURES.inc()
+        if self._failing_since is None:
+            self._failing_since = began
+        self._set_failure(failure.reason)
+        log.warning("release_poll_failed", reason=failure.reason, peer=failure.peer)
+        await self._ask_peers()
 
     def controller(self) -> controller.Controller:
-        """Return the controller that polls the head."""
-        return controller.periodic("releases", self.poll, interval=POLL_INTERVAL)
-
-
-def _apply(head: catalog.Catalog, note: releases.Note) -> catalog.Catalog:
-    kinds = {
-        "account": (dict(head.accounts), _account),
-        "service": (dict(head.services), _service),
-        "endpoint": (dict(head.endpoints), _endpoint),
-    }
-    for change in note.changes:
-        items, build = kinds[change.kind]
-        if change.action == "withdrawn":
-            items.pop(change.name, None)
-            continue
-        items[change.name] = build(change.name, change.fields)
-    newer = [items for items, _ in kinds.values()]
-    return catalog.Catalog(head.revision + 1, *newer)
-
-
-def _words(text: str) -> tuple[str, ...]:
-    return tuple(text.replace(",", " ").split())
-
-
-def _account(name: str, fields: dict[str, str]) -> catalog.ClientAccount:
-    return catalog.ClientAccount(
-        name,
-        _words(fields["keys"]),
-        _words(fields.get("services", "")),
-        budget=int(fields.get("budget", "0")),
-    )
-
-
-def _service(name: str, fields: dict[str, str]) -> catalog.Service:
-    return catalog.Service(
-        name,
-        fields["kind"],
-        price=int(fields.get("price", "0")),
-        max_output=int(fields.get("max_output", "4096")),
-    )
-
-
-def _endpoint(name: str, fields: dict[str, str]) -> catalog.Endpoint:
-    return catalog.Endpoint(
-        name,
-        fields["service"],
-        fields["address"],
-        fields["region"],
-        fields["data_centre"],
-    )
+        """Return the controller that keeps this host up to date."""
+        return controller.periodic("releases", self.tick, interval=TICK)
+
+    def _interval(self) -> float:
+        listed = self._host.host_list
+        hosts = len(listed.hosts) if listed is not None else 1
+        hosts = max(hosts, len(self._host.peers.known()) + 1)
+        configured = self._host.config.release.poll_interval
+        interval = max(configured, releases.poll_interval(hosts))
+        return interval * self._host.rng.uniform(1 - JITTER, 1 + JITTER)
+
+    async def _follow(
+        self, head: release_store.Head, before: catalog.Catalog, began: float
+    ) -> release_store.Failed | None:
+        """Put `head` in force; `before` was in force when it was read."""
+        if head.revision < before.revision:
+            return self._diverged(f"the store is at revision {head.revision}")
+        if head.revision == before.revision and head.digest != before.digest:
+            return self._diverged("the store has another history")
+        if head.revision > self._host.current.revision:
+            found = await release_store.advance(self._host, head)
+            if isinstance(found, release_store.Failed):
+                return found
+            self.adopt(*found)
+        self._confirm(began)
+        return None
+
+    def _diverged(self, reason: str) -> release_store.Failed:
+        DIVERGED.inc()
+        log.error(
+            "release_diverged", revision=self._host.current.revision, reason=reason
+        )
+        return release_store.Failed(reason=reason)
+
+    def _confirm(self, when: float) -> None:
+        checked = self._host.release_checked
+        self._host.release_checked = when if checked is None else max(when, checked)
+        self._host.ready = True
+        self._host.peers.hint("revision", self._host.current.revision)
+
+    async def _ask_peers(self) -> None:
+        waited = self._host.now() - self._failing_since
+        best = self._exchange.highest()
+        if best is None or (not self._host.ready and waited < START_PATIENCE):
+            return
+        if release_peers.revision_of(best) < self._host.current.revision:
+            return
+        began = self._host.now()
+        found = await self._exchange.fetch(best.host)
+        if isinstance(found, release_store.Failed):
+            log.warning("release_fetch_failed", reason=found.reason, peer=found.peer)
+            return
+        newer, deltas, age = found
+        self.adopt(newer, deltas)
+        if self._host.current.digest == newer.digest:
+            self._confirm(began - age)
+
+    def _set_failure(self, reason: str) -> None:
+        if reason == self.failure:
+            return
+        self.failure = reason
+        self._host.peers.hint("release_failure", reason)
+
+    def _snapshot_if_due(self) -> None:
+        current = self._host.current
+        since = current.revision - self._snapshot_revision
+        if since < release_store.SNAPSHOT_EVERY:
+            return
+        if self._snapshot is None or self._snapshot.done():
+            self._snapshot = asyncio.create_task(self._write_snapshot(current))
+
+    async def _write_snapshot(self, current: catalog.Catalog) -> None:
+        revision = await release_store.write_snapshot(self._host, current)
+        self._snapshot_revision = max(revision, self._snapshot_revision)
+        log.info("release_snapshot", revision=revision)
--- a/dogwoodchute/coordination/rows.py
+++ b/dogwoodchute/coordination/rows.py
@@ -1,6 +1,8 @@
 """Keys of the rows that the fleet keeps in the table service."""
 
 RELEASE_HEAD = "release/head"
+RELEASE_SNAPSHOT = "release/snapshot"
+INITIAL_TOP_UP = "initial"  # id of the top-up made with a client account
 
 
 def budget(account: str) -> str:
@@ -34,5 +36,10 @@
 
 
 def release(revision: int) -> str:
-    """Key of the full state at one revision."""
+    """Key of the change that one accepted note made."""
     return f"release/{revision}"
+
+
+def release_note(note_id: str) -> str:
+    """Key of the row that says at which revision a note was accepted."""
+    return f"releasenote/{note_id}"
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -13,6 +13,7 @@
     operators_endpoints,
     operators_fleet,
     operators_money,
+    operators_releases,
     peer_streams,
     server,
     state,
@@ -33,6 +34,7 @@
     table_path,
 )
 from dogwoodchute.filters import (
+    admit,
     authenticate,
     bill,
     choose,
@@ -95,6 +97,7 @@
         ]
         chain = exchange.chain(
             [
+                admit.make(host=host),
                 authenticate.make(host=host),
                 resolve.make(host=host),
                 resume.make_check(host=host),
@@ -113,7 +116,6 @@
         callers_errors.add_handlers(self.callers.app)
         callers.add_routes(self.callers.app, host=host, run=chain)
         callers_locate.add_routes(self.callers.app, host=host)
-        operators.add_routes(self.operators.app, host=host, releasing=self.releases)
         operators_money.add_routes(self.operators.app, host=host, budget=self.budgets)
         operators_money.add_caller_routes(
             self.callers.app, host=host, budget=self.budgets
@@ -122,6 +124,10 @@
         operators_endpoints.add_routes(
             self.operators.app, host=host, endpoints=self.endpoints
         )
+        operators.add_routes(self.operators.app, host=host)
+        operators_releases.add_routes(
+            self.operators.app, host=host, releasing=self.releases
+        )
         self._config = config
 
     async def start(self) -> None:
--- a/dogwoodchute/operators.py
+++ b/dogwoodchute/operators.py
@@ -6,12 +6,9 @@
 import sanic
 
 from dogwoodchute import callers, catalog, state
-from dogwoodchute.controllers import releases
 
 
-def add_routes(
-    app: sanic.Sanic, *, host: state.HostState, releasing: releases.Releases
-) -> None:
+def add_routes(app: sanic.Sanic, *, host: state.HostState) -> None:
     """Register the operators' routes on `app`."""
 
     async def check_key(request: sanic.Request) -> sanic.HTTPResponse | None:
@@ -22,13 +19,6 @@
             return None
         return callers.unauthorized()
 
-    async def submit(request: sanic.Request) -> sanic.HTTPResponse:
-        outcome = await releasing.submit(request.body.decode("utf-8", "replace"))
-        if isinstance(outcome, releases.Accepted):
-            return sanic.json({"revision": outcome.revision})
-        body = {"error": {"code": outcome.code, "faults": outcome.faults}}
-        return sanic.json(body, status=409)
-
     async def healthy(request: sanic.Request) -> sanic.HTTPResponse:
         return sanic.json({"status": "ok"})
 
@@ -43,7 +33,6 @@
         )
 
     app.register_middleware(check_key, "request")
-    app.add_route(submit, "/ops/v1/releases", methods=["POST"], name="submit")
     app.add_route(healthy, "/healthz", name="healthz")
     app.add_route(ready, "/readyz", name="readyz")
     app.add_route(metrics, "/metrics", name="metrics")
--- /dev/null
+++ b/dogwoodchute/operators_releases.py
@@ -0,0 +1,124 @@
+"""The operators' routes on release notes."""
+
+import sanic
+
+from dogwoodchute import catalog, peers, state
+from dogwoodchute.controllers import (
+    release_peers,
+    release_store,
+    release_submit,
+    releases,
+)
+from dogwoodchute.coordination import releases as decisions
+
+SHOWN_DIGEST = 8  # characters
+MAX_DIFF = 1000  # revisions
+
+
+def add_routes(
+    app: sanic.Sanic, *, host: state.HostState, releasing: releases.Releases
+) -> None:
+    """Register the routes on `app`."""
+
+    async def submit(request: sanic.Request) -> sanic.HTTPResponse:
+        verdict = await releasing.submit(request.body.decode("utf-8", "replace"))
+        if isinstance(verdict, release_submit.Accepted):
+            return sanic.json({"revision": verdict.revision, "note": verdict.note})
+        if isinstance(verdict, release_submit.Refused):
+            error = {
+                "code": verdict.code,
+                "message": "nothing of the note was applied",
+                "faults": verdict.faults,
+            }
+            return sanic.json({"error": error}, status=409)
+        message = f"{verdict.reason}; submit the same note again to learn the outcome"
+        error = {"code": verdict.code, "message": message, "note": verdict.note}
+        return sanic.json({"error": error}, status=503)
+
+    async def current(request: sanic.Request) -> sanic.HTTPResponse:
+        return sanic.json(redact(catalog.to_plain(host.current)))
+
+    async def diff(request: sanic.Request) -> sanic.HTTPResponse:
+        newest = host.current.revision
+        try:
+            first = int(request.args.get("from", newest - 1))
+            last = int(request.args.get("to", newest))
+        except ValueError:
+            return _error(400, "bad_revision", "give whole numbers as from and to")
+        if not 0 <= first < last <= first + MAX_DIFF:
+            message = f"give 0 <= from < to, at most {MAX_DIFF} apart"
+            return _error(400, "bad_revision", message)
+        found = await release_store.read_deltas(host.store, first + 1, last)
+        if isinstance(found, release_store.Failed):
+            status = 404 if found.missing else 503
+            return _error(status, "no_history", found.reason)
+        deltas = [redact_delta(decisions.to_plain(delta)) for delta in found]
+        return sanic.json({"from": first, "to": last, "deltas": deltas})
+
+    async def status(request: sanic.Request) -> sanic.HTTPResponse:
+        head = await release_store.read_head(host.store)
+        failed = isinstance(head, release_store.Failed)
+        own = {
+            "host": host.config.host.id,
+            "revision": host.current.revision,
+            "why": releasing.failure,
+        }
+        return sanic.json(report(own, host.peers.known(), head, failed))
+
+    app.add_route(submit, "/ops/v1/releases", methods=["POST"], name="release_submit")
+    app.add_route(current, "/ops/v1/releases", name="release_current")
+    app.add_route(diff, "/ops/v1/releases/diff", name="release_diff")
+    app.add_route(status, "/ops/v1/releases/status", name="release_status")
+
+
+def report(
+    own: dict,
+    known: list[peers.Peer],
+    head: release_store.Head | release_store.Failed,
+    failed: bool,
+) -> dict:
+    """Return the accepted revision and where it is in force."""
+    hosts = [own]
+    for peer in known:
+        why = peer.hints.get("release_failure", "")
+        revision = release_peers.revision_of(peer)
+        if not peer.alive:
+            why = "no heartbeats"
+        elif revision is None:
+            why = why or "starting"
+        hosts.append({"host": peer.host, "revision": revision, "why": why})
+    told = [h["revision"] for h in hosts if h["revision"] is not None]
+    accepted = max(told) if failed else head.revision
+    lagging = [h for h in hosts if h["revision"] != accepted]
+    for each in lagging:
+        each["why"] = each["why"] or "not polled yet"
+    return {
+        "accepted": accepted,
+        "store": head.reason if failed else "ok",
+        "hosts": len(hosts),
+        "in_force": len(hosts) - len(lagging),
+        "lagging": lagging,
+    }
+
+
+def redact(plain: dict) -> dict:
+    """Return a plain state with the digests of bearer keys cut short."""
+    accounts = [_short_keys(fields) for fields in plain["accounts"]]
+    return {**plain, "accounts": accounts}
+
+
+def redact_delta(plain: dict) -> dict:
+    """Return a plain delta with the digests of bearer keys cut short."""
+    puts = []
+    for kind, fields in plain["puts"]:
+        puts.append([kind, _short_keys(fields) if kind == "account" else fields])
+    return {**plain, "puts": puts}
+
+
+def _short_keys(fields: dict) -> dict:
+    return {**fields, "keys": [key[:SHOWN_DIGEST] for key in fields["keys"]]}
+
+
+def _error(status: int, code: str, message: str) -> sanic.HTTPResponse:
+    body = {"error": {"code": code, "message": message}}
+    return sanic.json(body, status=status)
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -217,6 +217,22 @@
     poll_interval: Seconds = key("Seconds between an endpoint's load reports.", 1.0)
 
 
+class Release(Section):
+    """How release notes reach this host."""
+
+    poll_interval: Seconds = key("Seconds between reads of the newest revision.", 1.0)
+    stale_after: Seconds = key(
+        "Seconds without news of releases after which locate leaves the host out.",
+        60.0,
+    )
+    refuse_after: float = key(
+        "Seconds without news of releases after which requests are refused, 0 for "
+        "never.",
+        0.0,
+        ge=0,
+    )
+
+
 class Log(Section):
     """What is logged."""
 
@@ -238,6 +254,7 @@
     locate: Locate = Locate()
     drain: Drain = Drain()
     endpoints: Endpoints = Endpoints()
+    release: Release = Release()
     log: Log = Log()
 
 
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -1,5 +1,6 @@
 """What the parts of one daemon share."""
 
+import math
 import random
 import secrets
 from collections import abc
@@ -37,8 +38,8 @@
         self.in_flight = 0
         self.caller_address = ""  # IP number and port, once callers are served
         self.host_list: hostlist.HostList | None = None
-        self._current = catalog.EMPTY
-        self._key_index: dict[str, str] = {}
+        self.release_checked: float | None = None  # monotonic seconds
+        self._current = catalog.indexed(catalog.EMPTY)
 
     @property
     def current(self) -> catalog.Catalog:
@@ -59,10 +60,17 @@
         """Put a catalog in force if its revision is higher; return whether it was."""
         if newer.revision <= self._current.revision:
             return False
-        self._current = newer
-        self._key_index = catalog.index_keys(newer)
+        self._current = newer if newer.index is not None else catalog.indexed(newer)
         return True
 
+    @property
+    def release_age(self) -> float:
+        """Seconds since the state in force was last known to be the newest."""
+        if self.release_checked is None:
+            return math.inf
+        return max(0.0, self.now() - self.release_checked)
+
     def account_of_key(self, key: str) -> catalog.ClientAccount | None:
         """Return the client account of a bearer key."""
-        return catalog.account_of_key(self._current, self._key_index, key)
+        keys = self._current.index.accounts_by_key
+        return catalog.account_of_key(self._current, keys, key)
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -143,6 +143,7 @@
         model = catalog.Endpoint("e-1", endpoints.CHAT.name, place.address, "dar", "a")
         accounts, services = {"growers": account}, {endpoints.CHAT.name: endpoints.CHAT}
         host.adopt(catalog.Catalog(1, accounts, services, {"e-1": model}))
+        host.ready = True  # the state in force does not come from the store here
         budget = table.Write(rows.budget("growers"), {"paid": 10_000, "drawn": 0})
         memory.apply("top-up", [table.Check(budget.key, 0)], [budget])
         each = daemon.Daemon(host=host)
