Keep the streams of a restarted host; refuse those of a replaced incarnation

Cause: when a host's new incarnation dialled, closing its older stream dropped the list that the new stream was then added to, so the new stream was open but unknown and the next call dialled once more. The test only looked at the answer. And an older process that woke from a pause could end the newer one's streams for as long as it drained.

Change: the new stream is listed before older ones are closed. Members remember the last four replaced incarnations of each host, and streams of these are refused.

Conclusion: the test now counts the streams opened (2, not 3) and has the older process dial again, which must fail and leave the newer stream open.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -78,6 +78,7 @@
 
 def _listeners(closed: list[float]) -> peer_streams.Listeners:
     return peer_streams.Listeners(
+        replaced=lambda peer: False,
         opened=lambda peer: None,
         closed=lambda peer, reason: closed.append(time.monotonic()),
         received=lambda peer, message: None,
--- a/dogwoodchute/controllers/membership.py
+++ b/dogwoodchute/controllers/membership.py
@@ -116,7 +116,7 @@
     async def start(self) -> None:
         """Listen for peers, and register where the store answers."""
         listeners = peer_streams.Listeners(
-            self._opened, self._closed, self._received, self._woke
+            self._is_replaced, self._opened, self._closed, self._received, self._woke
         )
         await self._streams.start(self._host.incarnation, listeners)
         address = peer_streams.join(self._host.config.host.address, self._streams.port)
@@ -236,6 +236,9 @@
             size = self._streams.gossip(peer, peer_wire.Gossip([], hints))
             bucket.take(size, now)
 
+    def _is_replaced(self, peer: peer_wire.Identity) -> bool:
+        return self.members.replaced(peer.host, peer.incarnation)
+
     def _opened(self, peer: peer_wire.Identity) -> None:
         self._heard[peer.host] = peer.incarnation
         if peer.host in self._streams.wanted:
--- a/dogwoodchute/coordination/membership.py
+++ b/dogwoodchute/coordination/membership.py
@@ -14,6 +14,8 @@
 from collections import abc
 from typing import NamedTuple
 
+PAST_INCARNATIONS = 4  # remembered of each host
+
 
 class Core(NamedTuple):
     """What changes seldom of a host. Ordered by generation, incarnation, version."""
@@ -92,6 +94,7 @@
         self.revision = 0  # counts changes of cores
         self.places = 0  # counts changes of who is where
         self._host = own.host
+        self._replaced: dict[str, list[str]] = {}  # past incarnations by host
         self._dirty: dict[str, _Dirty] = {}
         self._alive: frozenset[str] | None = None
 
@@ -133,12 +136,17 @@
             taken += self._take_hints(each, source=peer)
         return taken
 
+    def replaced(self, host: str, incarnation: str) -> bool:
+        """Return whether a newer incarnation of `host` than this one is known."""
+        return incarnation in self._replaced.get(host, [])
+
     def forget(self, host: str) -> None:
         """Drop all that is known of a host that has gone for good."""
         if host == self._host:
             return
         self.cores.pop(host, None)
         self.hints.pop(host, None)
+        self._replaced.pop(host, None)
         for dirty in self._dirty.values():
             dirty.cores.pop(host, None)
             dirty.drop_hints(host)
@@ -241,6 +249,9 @@
         self._alive = None
         if before is None or _place(before) != _place(core):
             self.places += 1
+        if before is not None and before.incarnation != core.incarnation:
+            past = [*self._replaced.get(core.host, []), before.incarnation]
+            self._replaced[core.host] = past[-PAST_INCARNATIONS:]
         hints = self.hints.get(core.host)
         if hints is not None and hints.generation < core.generation:
             del self.hints[core.host]
--- a/dogwoodchute/peer_streams.py
+++ b/dogwoodchute/peer_streams.py
@@ -41,7 +41,9 @@
 
 
 class Listeners(NamedTuple):
-    """What the owner of the streams is told. `peer` is a proven identity."""
+    """What the owner of the streams is asked and told of proven identities."""
+
+    replaced: abc.Callable[[peer_wire.Identity], bool]  # a newer incarnation is known
 
     opened: abc.Callable[[peer_wire.Identity], None]
     closed: abc.Callable[[peer_wire.Identity, str], None]
@@ -249,13 +251,16 @@
 
     def _opened(self, link: peer_link.Link) -> None:
         self._unproven.discard(link)
+        if self._listeners.replaced(link.peer):
+            link.close("a newer incarnation is known")
+            return
         links = self._links.setdefault(link.peer.host, [])
-        for older in list(links):
+        links.append(link)
+        for older in links[:-1]:
             # A peer that dials again, or has restarted, has given up its older link.
             restarted = older.peer.incarnation != link.peer.incarnation
             if restarted or (not link.dialled and not older.dialled):
                 older.close("replaced")
-        links.append(link)
         OPENED.labels("dialled" if link.dialled else "accepted").inc()
         log.info(
             "peer_stream_opened",
@@ -275,8 +280,15 @@
                 )
             return
         links = self._links.get(link.peer.host, [])
-        if link in links:
-            links.remove(link)
+        if link not in links:
+            log.warning(
+                "peer_stream_refused",
+                peer=link.peer.host,
+                incarnation=link.peer.incarnation,
+                reason=link.reason,
+            )
+            return
+        links.remove(link)
         if not links:
             self._links.pop(link.peer.host, None)
             self._dials.lost(link.peer.host, link.reason)
--- a/dogwoodchute/tests/test_membership.py
+++ b/dogwoodchute/tests/test_membership.py
@@ -249,6 +249,15 @@
         self.assertEqual(4, members.rival.generation)
         self.assertEqual(3, members.own.generation)
 
+    def test_replaced_incarnations_are_remembered(self):
+        members = membership.Members(own=support_fleet.core_of(PLACES[0], 1))
+        for generation in (1, 2):
+            members.learn(support_fleet.core_of(PLACES[1], generation))
+        name = PLACES[1].host
+        self.assertTrue(members.replaced(name, f"{name}-1"))
+        self.assertFalse(members.replaced(name, f"{name}-2"))
+        self.assertFalse(members.replaced(name, f"{name}-3"))
+
     def test_bad_records_are_refused(self):
         good = list(support_fleet.core_of(PLACES[0], 3))
         self.assertEqual(
--- a/dogwoodchute/tests/test_peer_streams.py
+++ b/dogwoodchute/tests/test_peer_streams.py
@@ -64,6 +64,7 @@
             config=self.config, now=self.now, tls=peer_tls.contexts(self.config.tls)
         )
         self.opened = []
+        self.replaced = []
         self.closed = []
         self.received = []
         self.woke = []
@@ -75,6 +76,7 @@
         await self.streams.start(
             f"{self.name}-1",
             peer_streams.Listeners(
+                lambda peer: peer.incarnation in self.replaced,
                 self.opened.append,
                 lambda peer, reason: self.closed.append(reason),
                 lambda peer, message: self.received.append(message),
@@ -289,8 +291,15 @@
                     again.streams.find = {"dar-1": one.address}.get
                     await again.streams.call("dar-1", "echo", {}, 5)
                     self.assertEqual(["replaced"], one.closed)
+                    # The older process wakes: its streams must not end the newer's.
+                    one.replaced.append("x-2-1")
+                    await asyncio.sleep(0.3)
+                    outcome = await two.streams.call("dar-1", "echo", {}, 5)
+                    self.assertIsInstance(outcome, peers.NotSent)
+                    self.assertEqual(["replaced"], one.closed)
                     answer = await one.streams.call("x-2", "echo", {}, 5)
                     self.assertIsInstance(answer, peers.Answer)
+                    self.assertEqual(2, len(one.opened))
 
         self.run_async(run())
 
