Ask only engines for load reports and cache events

Cause: the loads controller asked every endpoint, so a plain service ran GET /load and GET /cache-events as if callers had sent them. Found by counting what a plain service ran in a trial of three processes with a killed and a frozen host: 414 calls for 400 orders, none of them an order twice. Change: only endpoints of chat services are asked. The new test failed before (two foreign calls) and passes after.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -63,6 +63,7 @@
         self._fetch = fetch or self._fetch_http
         self._session: aiohttp.ClientSession | None = None
         self._catalog = catalog.EMPTY
+        self._engines: list[catalog.Endpoint] = []
         self._shards: dict[str, polling.Shard] = {}
         self._seen: dict[str, _Seen] = {}
         self._lost: set[str] = set()  # not reached when last asked
@@ -113,8 +114,14 @@
         if newest is self._catalog:
             return
         self._catalog = newest
+        # A plain service would run what only an engine knows as a question.
+        self._engines = [
+            endpoint
+            for endpoint in newest.endpoints.values()
+            if newest.services[endpoint.service].kind == catalog.CHAT
+        ]
         groups: dict[tuple[str, str], list[str]] = {}
-        for endpoint in newest.endpoints.values():
+        for endpoint in self._engines:
             group = groups.setdefault((endpoint.service, endpoint.region), [])
             group.append(endpoint.name)
         self._shards = {}
@@ -250,7 +257,7 @@
         """Ask one endpoint for its cache events, within a rate of bytes."""
         now = self._host.now()
         region = self._host.config.host.region
-        names = [e.name for e in self._catalog.endpoints.values() if e.region == region]
+        names = [engine.name for engine in self._engines if engine.region == region]
         names = [n for n in sorted(names) if n not in self._unsupported]
         if now < self._events_at or not names:
             return
