--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -35,7 +35,7 @@
 from dogwoodchute.tools import demo
 
 PLACES = {"h1": "dar-a", "h2": "dar-b", "h3": "arusha-a"}
-ACCOUNTS = {"growers": 150, "nursery": 45}  # tokens paid at first
+ACCOUNTS = {"growers": 200, "nursery": 50}  # tokens paid at first
 LIST_INTERVAL = 1.0  # seconds
 SERVICE = catalog.Service("order-api", catalog.PLAIN)
 
@@ -111,6 +111,7 @@
         self.gate = Gate()
         rng = random.Random(fleet.rng.getrandbits(64))
         text = demo.SETTINGS.format(caller_port=0, operator_port=0)
+        text += "[budget]\nbill_interval = 0.25\n"
         text = text.replace("demo-1", name).replace("dar-a", PLACES[name])
         inner = fleet.table.client(reachable=lambda: name not in fleet.store_cut)
         loop = fleet.loop
--- a/dogwoodchute/tests/test_money_faults.py
+++ b/dogwoodchute/tests/test_money_faults.py
@@ -113,7 +113,7 @@
         self.fleet.pause("h1")
         self.fleet.list.remove("h1")
         self.loop.run_for(70.0)
-        self.ask("h2", "b", tokens=110, reserved=120)
+        self.ask("h2", "b", tokens=160, reserved=170)
         self.fleet.resume("h1")
         self.loop.run_for(5.0)
         self.assert_told(outcomes.Answered, late)
@@ -193,6 +193,7 @@
         self.fleet.store_cut |= {"h1"}
         self.fleet.net.cut |= {frozenset(("h1", "h2")), frozenset(("h1", "h3"))}
         top_up = self.fleet.hosts["h2"].budgets.top_up
+        paid = money_fleet.ACCOUNTS["growers"] + 50
         outcomes_ = []
         for tokens in (50, 50, 51):
             self.fleet.table.lose_answers = 1
@@ -200,8 +201,8 @@
             outcomes_.append(found)
         self.assertEqual(
             [
-                budgets.ToppedUp(paid=200, repeated=False),
-                budgets.ToppedUp(paid=200, repeated=True),
+                budgets.ToppedUp(paid=paid, repeated=False),
+                budgets.ToppedUp(paid=paid, repeated=True),
                 budgets.Mismatch(tokens=50),
             ],
             outcomes_,
