Read a budget together with this host's grant

A host whose grant had been closed by another while it was idle read the budget alone, found it lower than its own grant, and its return of tokens failed again and again (no money moved: the invariant's check refused to build the row). A directed test fails without the change and passes with it.

--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -142,10 +142,9 @@
         fresh = False
         for attempt in range(1, MAX_DRAW_TRIES + 1):
             if state_.budget is None:
-                found = await self._host.store.read([budget_key])
-                if isinstance(found, table.Unavailable):
-                    return OutOfReach(reason=found.reason, peer=found.peer)
-                state_.budget = found.rows.get(budget_key)
+                failure = await self._look(account)
+                if failure is not None:
+                    return OutOfReach(reason=failure.reason, peer=failure.peer)
                 fresh = True
             if state_.budget is None:
                 return Spent(remaining=0)
@@ -255,11 +254,10 @@
                 if size == 0:
                     return
                 if state_.budget is None:
-                    key = rows.budget(account)
-                    found = await self._host.store.read([key])
-                    if not isinstance(found, table.Rows) or key not in found.rows:
+                    await self._look(account)
+                    if state_.budget is None:
                         return
-                    state_.budget = found.rows[key]
+                    continue
                 # Set aside, so that no request reserves what is on its way back.
                 state_.ledger.reserved += size
                 try:
@@ -270,6 +268,22 @@
                     return
                 await self._pause(attempt)
 
+    async def _look(self, account: str) -> table.Unavailable | None:
+        """Read the budget and this host's grant as of one moment.
+
+        A budget read alone may be newer than what this host knows of its grant.
+        """
+        state_ = self.account(account)
+        key, budget_key = self.row_key(account), rows.budget(account)
+        found = await self._host.store.read([key, budget_key])
+        if isinstance(found, table.Unavailable):
+            return found
+        row = found.rows.get(key)
+        if (row.version if row is not None else 0) != state_.version:
+            self.lost(account, row)
+        state_.budget = found.rows.get(budget_key)
+        return None
+
     async def _move(self, account: str, tokens: int) -> table.CommitOutcome:
         """Commit a draw of `tokens`, or a return if it is negative."""
         state_ = self.account(account)
--- a/dogwoodchute/tests/test_money_faults.py
+++ b/dogwoodchute/tests/test_money_faults.py
@@ -108,6 +108,19 @@
         self.assertEqual(30, self.row(rows.bill("growers", "late"))["tokens"])
         self.quiet()
 
+    def test_idle_holder_learns_that_its_grant_was_closed(self):
+        self.ask("h1", "a", reserved=140)
+        self.fleet.pause("h1")
+        self.fleet.list.remove("h1")
+        self.loop.run_for(1.5)
+        self.loop.run_until_complete(self.fleet.hosts["h2"].reclaim.check("growers"))
+        self.fleet.resume("h1")
+        granted = self.fleet.hosts["h1"].grants
+        granted.account("growers").budget = None
+        self.loop.run_until_complete(granted.return_all())
+        self.assertEqual(0, granted.ledger("growers").available)
+        self.quiet()
+
     def test_uncovered_tokens_are_recorded_and_never_overspent(self):
         late = self.ask("h1", "late", tokens=100, reserved=120, delay=5.0)
         self.fleet.pause("h1")
