Give hints of other regions what the own region leaves over; split off gossip

Cause: with calm hosts three quarters of the hint bytes lay idle while hints of other regions waited for the last quarter; a rare but useful hint, such as a revision, was late. One part with a large hint kept all others of its host from being sent.

Change: hints of other regions may use both byte buckets, after the own region's. Of hints that don't fit together the largest are left out and named. Gossip is a module of its own. A host's own load in locate is rounded as its peers see it.

--- a/dogwoodchute/callers_locate.py
+++ b/dogwoodchute/callers_locate.py
@@ -42,11 +42,10 @@
 def candidates(host: state.HostState) -> list[ranking.Candidate]:
     """Return this host and all others that serve callers."""
     place = host.config.host
-    load = host.in_flight / host.config.locate.capacity
     own = ranking.Candidate(
         place.id,
         place.region,
-        load=load,
+        load=host.load,
         alive=host.ready,
         leaving=host.leaving,
         stale=host.stale,
--- a/dogwoodchute/controllers/membership.py
+++ b/dogwoodchute/controllers/membership.py
@@ -7,18 +7,13 @@
 import prometheus_client
 
 from dogwoodchute import controller, log, peer_streams, peer_wire, peers, state
-from dogwoodchute.controllers import register
-from dogwoodchute.coordination import membership, pacing, topology
+from dogwoodchute.controllers import gossip, register
+from dogwoodchute.coordination import membership, topology
 
 STEP = 0.1  # seconds
 HINT_INTERVAL = 1.0  # seconds between changes of own hints
 STORE_INTERVAL = 10.0  # seconds between looks at the store
-CORES_PER_FRAME = 32
-HINTS_PER_FRAME = 16
-HINT_BURST = 4_096  # bytes
-NEAR_SHARE = 0.75  # of the hint bytes, for hosts of the own region
 MAX_LISTED = 4  # hosts of the host list that are dialled at the start
-MAX_HINT_BYTES = 4_096  # one host's hints
 
 KNOWN = prometheus_client.Gauge("dogwoodchute_hosts_known", "Hosts in the register.")
 ALIVE = prometheus_client.Gauge("dogwoodchute_hosts_alive", "Hosts that are heard.")
@@ -59,19 +54,18 @@
         self._superseded = superseded
         self._raised = False
         self._waking: asyncio.Task | None = None
-        self._digest_due: set[str] = set()
         self._heard: dict[str, str] = {}  # incarnations of the last streams, by host
-        self._linked: list[str] = []  # peers that get gossip, in turn
         self._places = 0  # as of the choice of streams to keep
         self._last_hint = float("-inf")
         self._last_store = host.now()
         self._renewed = float("-inf")
         self._known: tuple[object, list[peers.Peer]] = (None, [])
-        rate = host.config.peers.hint_bytes_per_second
-        self._buckets = {
-            True: pacing.Bucket(rate=rate * NEAR_SHARE, burst=HINT_BURST),
-            False: pacing.Bucket(rate=rate * (1 - NEAR_SHARE), burst=HINT_BURST),
-        }
+        self._gossip = gossip.Gossip(
+            members=self.members,
+            streams=streams,
+            rate=host.config.peers.hint_bytes_per_second,
+            now=host.now,
+        )
         streams.known = self.known
         streams.find = self.address_of
 
@@ -133,11 +127,11 @@
         now = self._host.now()
         if now - self._last_hint >= HINT_INTERVAL:
             self._last_hint = now
-            self._say()
+            self._gossip.say({**self._streams.hints, "load": self._host.load})
             KNOWN.set(len(self.members.cores))
             ALIVE.set(len(self.members.alive()))
             STORE_AGE.set(now - self._last_store)
-        self._flush()
+        self._gossip.flush()
 
     def _refresh(self) -> None:
         host = self._host
@@ -199,77 +193,20 @@
         self._raised = True
         self.members.change_own(generation=rival.generation + 1)
 
-    def _say(self) -> None:
-        capacity = self._host.config.locate.capacity
-        load = round(self._host.in_flight / capacity, 1)
-        values = {**self._streams.hints, "load": load}
-        size = len(peer_wire.encode(peer_wire.Gossip([], [values])))
-        if size > MAX_HINT_BYTES:
-            log.warning("hints_too_large", bytes=size, limit=MAX_HINT_BYTES)
-            values = {"load": load}
-        self.members.say(values)
-
-    def _flush(self) -> None:
-        """Send each neighbour what it lacks, as far as the bounds allow."""
-        self._linked = self._linked[1:] + self._linked[:1]
-        for peer in self._linked:
-            if not self._streams.may_gossip(peer):
-                continue
-            if peer in self._digest_due:
-                self._digest_due.discard(peer)
-                digest = peer_wire.Digest(self.members.digest())
-                self._streams.gossip(peer, digest)
-                continue
-            cores = self.members.take_cores(peer, CORES_PER_FRAME)
-            if cores:
-                self._streams.gossip(peer, peer_wire.Gossip(cores, []))
-                continue
-            for near, bucket in self._buckets.items():
-                self._send_hints(peer, near, bucket)
-
-    def _send_hints(self, peer: str, near: bool, bucket: pacing.Bucket) -> None:
-        now = self._host.now()
-        if bucket.wait(now) > 0 or not self._streams.may_gossip(peer):
-            return
-        hints = self.members.take_hints(peer, HINTS_PER_FRAME, near=near)
-        if hints:
-            size = self._streams.gossip(peer, peer_wire.Gossip([], hints))
-            bucket.take(size, now)
-
     def _is_replaced(self, peer: peer_wire.Identity) -> bool:
         return self.members.replaced(peer.host, peer.incarnation)
 
     def _opened(self, peer: peer_wire.Identity) -> None:
         self._heard[peer.host] = peer.incarnation
         if peer.host in self._streams.wanted:
-            self._link(peer.host)
-
-    def _link(self, name: str) -> None:
-        self.members.connect(name)
-        self._digest_due.add(name)
-        if name not in self._linked:
-            self._linked.append(name)
+            self._gossip.link(peer.host)
 
     def _closed(self, peer: peer_wire.Identity, reason: str) -> None:
-        if peer.host in self._streams.open_hosts:
-            return
-        self.members.disconnect(peer.host)
-        if peer.host in self._linked:
-            self._linked.remove(peer.host)
+        if peer.host not in self._streams.open_hosts:
+            self._gossip.unlink(peer.host)
 
     def _received(self, peer: peer_wire.Identity, message: peer_wire.Message) -> None:
-        name = peer.host
-        try:
-            if isinstance(message, peer_wire.Digest):
-                if name not in self._linked:
-                    self._link(name)
-                self.members.compare(name, message.states)
-                return
-            cores = [membership.core_from_plain(fields) for fields in message.cores]
-            hints = [membership.hints_from_plain(fields) for fields in message.hints]
-        except (TypeError, ValueError) as error:
-            raise peer_wire.FrameError(f"bad gossip: {error}") from error
-        self.members.receive(name, cores, hints)
+        self._gossip.received(peer.host, message)
 
     def _woke(self, seconds: float) -> None:
         """After a pause, see at once whether another incarnation took over."""
--- a/dogwoodchute/operators_fleet.py
+++ b/dogwoodchute/operators_fleet.py
@@ -72,7 +72,7 @@
         "alive": True,
         "leaving": host.leaving,
         "stale": host.stale,
-        "load": round(host.in_flight / host.config.locate.capacity, 2),
+        "load": host.load,
     }
 
 
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -46,6 +46,11 @@
         """The state in force on this host."""
         return self._current
 
+    @property
+    def load(self) -> float:
+        """Requests in flight as a share of what fills this host, in tenths."""
+        return round(self.in_flight / self.config.locate.capacity, 1)
+
     @property
     def leaving(self) -> bool:
         """Whether this host drains or the host list says that it leaves."""
--- a/dogwoodchute/tests/test_fleet.py
+++ b/dogwoodchute/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from dogwoodchute.controllers import gossip
 from dogwoodchute.coordination import rows
 from dogwoodchute.tests import support, support_fleet
 from dogwoodchute.tools import demo, dogwoodctl
@@ -136,6 +137,16 @@
         self.run_async(run())
 
 
+class HintsTest(support.TestCase):
+    def test_a_large_hint_leaves_the_small_ones_in(self):
+        shared = {"a": [1]}
+        values = {"load": 0.5, "large": "x" * 5_000, "map": shared}
+        fitting, left_out = gossip.hints_that_fit(values)
+        self.assertEqual(({"load": 0.5, "map": shared}, ["large"]), (fitting, left_out))
+        shared["a"].append(2)
+        self.assertEqual({"a": [1]}, fitting["map"])
+
+
 class StoreDownTest(support.TestCase):
     def test_a_host_that_starts_without_the_store_finds_the_fleet(self):
         async def run():
