Refuse a reused key of a non-idempotent call by its claim alone

A repeat was told not_run with key_reused because another request under the same key was in progress on the host, although the repeated call had run on another host.

--- a/dogwoodchute/filters/deduplicate.py
+++ b/dogwoodchute/filters/deduplicate.py
@@ -90,6 +90,9 @@
         exchange.digest = hashlib.sha256(exchange.fingerprint).hexdigest()
         first = runs.get(account, key)
         while first is not None:
+            if first.digest != exchange.digest and not exchange.idempotent:
+                # Only the claim's row proves that this request did not run elsewhere.
+                return await proceed()
             if first.digest != exchange.digest:
                 metrics.REFUSALS.labels("key_reused").inc()
                 return outcomes.key_reused(step="deduplicate")
--- a/dogwoodchute/tests/test_money_faults.py
+++ b/dogwoodchute/tests/test_money_faults.py
@@ -181,6 +181,15 @@
             reused = self.ask(host, "a", body=b"other")
             self.assert_told(outcomes.NotRun, reused, "key_reused")
 
+    def test_reused_key_in_progress_does_not_hide_an_earlier_run(self):
+        self.order("h1", "o")
+        self.fleet.table.delay = 0.5
+        other = self.order("h2", "o", body=b"other", seconds=0.1)
+        repeat = self.order("h2", "o", seconds=10.0)
+        self.assert_told(outcomes.NotRun, other, "key_reused")
+        self.assert_told(outcomes.Answered, repeat)
+        self.assertEqual(1, len(self.fleet.runs))
+
     def test_unbilled_runs_are_bounded(self):
         self.ask("h1", "a")
         host = self.fleet.hosts["h2"]
