Bound what a host takes from other regions at once

Cause: with one region at one and a half times its capacity, work sent to the other saturated the link, so that its answers were late. Change: a host has at most far_bytes_per_second of answers under way from other regions, 250,000 by default, 21 streams.

--- a/bench/load.py
+++ b/bench/load.py
@@ -29,6 +29,7 @@
     show_down()
     show_leaving()
     show_calm()
+    show_regions()
 
 
 def percentile(values: list[float], share: float) -> float:
@@ -211,3 +212,37 @@
         figures.show(
             "calm", load=load, false_ejections=count, minutes=float(CALM_SEEDS)
         )
+
+
+def regions(load: float, seed: int = 1, **fields: object) -> dict[str, float]:
+    """Return the figures of two regions of which one has three quarters of the work.
+
+    Each has nine engines. `load` is of both regions' capacity together.
+    """
+    setup = load_model.Setup(
+        load=load, engines=18, far_engines=9, near_share=0.75, seed=seed, **fields
+    )
+    model = load_model.Model(setup).run()
+    asked = [r for r in model.requests if r.arrived >= WARM_UP]
+    return {
+        "good_share": sum(r.good for r in asked) / len(asked),
+        "crossed_share": sum(r.crossed for r in asked) / len(asked),
+        "link_bytes_per_second": model.crossed_bytes / setup.seconds,
+    }
+
+
+def show_regions() -> None:
+    """Print when work goes to another region, by the rule that decides it."""
+    rules = {
+        "by_cost_bounded": {"link_seconds": 0.165, "far_limit": 21},
+        "by_cost": {"link_seconds": 0.165},
+        "at_once_bounded": {"link_seconds": 0.0, "far_limit": 21},
+        "at_once": {"link_seconds": 0.0},
+        "never": {"policy": "no_spill"},
+        "no_preference": {"policy": "one_region"},
+    }
+    for load in (0.6, 0.8, 1.0):
+        for name, fields in rules.items():
+            runs = [regions(load, seed, **fields) for seed in (1, 2)]
+            means = {key: sum(run[key] for run in runs) / len(runs) for key in runs[0]}
+            figures.show("regions", load=load, rule=name, **means)
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -7,6 +7,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 from collections import abc
 from typing import NamedTuple
@@ -32,6 +33,10 @@
 EVENT_LAG = 2.0  # seconds
 EVENT_LOSS = 0.1  # share of cache events that are lost
 TICK = 0.1  # seconds
+NEAR, FAR = "dar", "arusha"
+LINK_SECONDS = 0.016  # round trip between the regions
+LINK_RATE = 15e6 / 8  # bytes a second each way
+ANSWER_BYTES = 300  # of one token, as an event
 
 
 class Setup(NamedTuple):
@@ -47,6 +52,10 @@
     polite: bool = True  # callers wait as long as Retry-After says
     patience: float = 5.0  # seconds to the first token
     seed: int = 1
+    near_share: float = 1.0  # of the callers, that are in the region NEAR
+    far_engines: int = 0  # of the engines, in the region FAR
+    far_limit: float = math.inf  # requests of one router in the other region
+    link_seconds: float = 0.1  # cost of the other region as routers reckon it
 
 
 class Request:
@@ -66,6 +75,8 @@
         self.ended: float | None = None
         self.good = False
         self.hit = False
+        self.near = True
+        self.crossed = False  # was sent to the other region
         self.engine: Engine | None = None
 
     @property
@@ -233,6 +244,7 @@
 
     def __init__(self, *, model: "Model", number: int) -> None:
         self.model = model
+        self.region = NEAR if number < model.near_routers else FAR
         self.left: dict[str, bool] = {}
         self.index = prefix_index.PrefixIndex()
         self.admission = make_admission(model, number, self.left, self.index)
@@ -250,6 +262,7 @@
             deadline=now + FIRST_TOKEN,
             blocks=prefix_blocks(request.prefix),
             prompt_seconds=OWN_TOKENS / PREFILL_RATE,
+            link_seconds=self.model.setup.link_seconds,
         )
         self._held[ticket.id] = request
         decision = self.admission.offer(ticket, now)
@@ -267,6 +280,7 @@
             return
         if self.admission.cancel(key):
             return
+        self.model.crossing -= request.crossed
         request.engine.cancel(request)
         self.admission.release(key, self.model.clock.now)
         self.pump()
@@ -337,10 +351,13 @@
             return
         request.engine = engine
         request.sent_at = now
+        request.crossed = self.model.region(name) != self.region
+        self.model.crossing += request.crossed
         engine.submit(request, lambda ended: self._ended(ended, ticket.id))
 
     def _ended(self, request: Request, key: str) -> None:
         del self._held[key]
+        self.model.crossing -= request.crossed
         self.admission.release(
             key,
             self.model.clock.now,
@@ -418,17 +435,27 @@
     names = list(model.engines)
     if policy in ("round_robin", "least_load"):
         return Baseline(policy=policy, engines=names, start=number * 5)
+    region = NEAR if number < model.near_routers else FAR
     made = admission.Admission(
-        region="dar",
+        region=region,
         rng=random.Random(model.setup.seed * 1000 + number),
         leaving=lambda name: name in left,
         index=index,
     )
-    made.configure([admission.Site(name, "dar", SLOTS) for name in names])
+    made.configure(
+        [
+            admission.Site(
+                name, region if policy == "one_region" else model.region(name), SLOTS
+            )
+            for name in names
+            if policy != "no_spill" or model.region(name) == region
+        ]
+    )
     if policy == "no_limit":
         for name in names:
             made.limit(name).has_room = lambda now, hosts: True
     made.hosts = model.setup.routers
+    made.far_limit = model.setup.far_limit
     if policy == "no_retry_budget":
         made.retries.take = lambda: True
     return made
@@ -443,6 +470,11 @@
         self.rng = random.Random(setup.seed)
         names = [f"engine-{number}" for number in range(setup.engines)]
         self.engines = {n: Engine(name=n, clock=self.clock) for n in names}
+        self.crossing = 0  # answers that now cross the link
+        self.crossed_bytes = 0
+        self.near_routers = setup.routers - (
+            setup.routers * setup.far_engines // setup.engines
+        )
         self.routers = [Router(model=self, number=n) for n in range(setup.routers)]
         self.requests: list[Request] = []
         self.tries = 0
@@ -461,6 +493,11 @@
         self.clock.run(self.setup.seconds + 15.0)
         return self
 
+    def region(self, engine: str) -> str:
+        """Return the region of an engine."""
+        number = int(engine.removeprefix("engine-"))
+        return NEAR if number < self.setup.engines - self.setup.far_engines else FAR
+
     def refused(self, request: Request, retry_after: float) -> None:
         """A try came to nothing; the caller may try again."""
         self.refusals += 1
@@ -471,14 +508,23 @@
 
     def answered(self, request: Request) -> None:
         """Judge a whole answer by the users' targets."""
-        in_time = request.first_token - request.tried_at <= FIRST_TOKEN
-        request.good = in_time and request.gap <= TOKEN_GAP
+        gap = request.gap
+        first = request.first_token - request.tried_at
+        if request.crossed:
+            first += LINK_SECONDS
+            wanted = self.crossing * ANSWER_BYTES / gap
+            gap *= max(1.0, wanted / LINK_RATE)
+            self.crossed_bytes += request.output * ANSWER_BYTES
+        request.good = first <= FIRST_TOKEN and gap <= TOKEN_GAP
 
     def _arrive(self) -> None:
         now = self.clock.now
         if now > self.setup.seconds:
             return
         request = Request(number=len(self.requests), arrived=now, rng=self.rng)
+        request.near = self.setup.near_share >= 1 or (
+            self.rng.random() < self.setup.near_share
+        )
         self.requests.append(request)
         self._try(request)
         self.clock.at(now + self.rng.expovariate(self._rate), self._arrive)
@@ -491,7 +537,10 @@
         self.tries_at[int(self.clock.now)] += 1
         spread = self.setup.account_routers
         number = request.account * spread + self.rng.randrange(spread)
-        router = self.routers[number % len(self.routers)]
+        here = self.routers[: self.near_routers]
+        if not request.near:
+            here = self.routers[self.near_routers :]
+        router = here[number % len(here)]
         router.offer(request)
         due = self.clock.now + self.setup.patience
         self.clock.at(due, self._lose_patience, request, request.tries, router)
--- a/dogwoodchute/controllers/endpoints.py
+++ b/dogwoodchute/controllers/endpoints.py
@@ -247,7 +247,7 @@
 
     def _admission(self) -> admission.Admission:
         config = self._host.config
-        return admission.Admission(
+        made = admission.Admission(
             region=config.host.region,
             rng=self._host.rng,
             leaving=self.leaving.is_leaving,
@@ -257,6 +257,9 @@
                 token_gap=config.endpoints.token_gap_target,
             ),
         )
+        stream = ANSWER_BYTES_PER_TOKEN / config.endpoints.token_gap_target
+        made.far_limit = config.endpoints.far_bytes_per_second / stream
+        return made
 
     def _ticket(self, exchange: exchanges.Exchange, now: float) -> admission.Ticket:
         chat = exchange.service.kind == catalog.CHAT
--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -73,6 +73,7 @@
     endpoint: str
     at: float
     watch: samples.Watch
+    far: bool  # in another region
 
 
 class Admission:
@@ -91,6 +92,7 @@
         targets: limits.Targets = limits.Targets(),  # noqa: B008
     ) -> None:
         self.hosts = 1  # hosts that share the endpoints
+        self.far_limit = math.inf  # own requests in flight in other regions
         self.retries = retry_budget.RetryBudget()
         self.ejector = ejection.Ejector(
             floors=ejection.Floors(targets.first_token, targets.token_gap)
@@ -107,6 +109,7 @@
         self._permits: dict[str, _Permit] = {}
         self._samples: dict[str, samples.Samples] = {}
         self._judged_at = -math.inf
+        self._far = 0  # own requests in flight in other regions
         self._first_token = 0.0  # mean seconds from dispatch, without the prompt
         self._duration: float | None = None  # mean seconds from dispatch to the end
         self.pressed_at = -math.inf  # when a request last had to wait
@@ -229,6 +232,7 @@
         if permit is None:
             return
         self._limits[permit.endpoint].release(now)
+        self._far -= permit.far
         if failed:
             self.ejector.fail(permit.endpoint, now)
         elif progress.first_token is not None:
@@ -283,9 +287,11 @@
             held = self._index.match(site.name, ticket.blocks)
             candidate = choice.Candidate(site.name, load, weight, held)
             (near if site.region == self._region else far).append(candidate)
-        if not near and (not near_usable or wait > ticket.link_seconds):
-            return choice.choose(far, ticket.blocks, self._rng)
-        return choice.choose(near, ticket.blocks, self._rng)
+        if near or (near_usable and wait <= ticket.link_seconds):
+            return choice.choose(near, ticket.blocks, self._rng)
+        if self._far >= self.far_limit:
+            return None
+        return choice.choose(far, ticket.blocks, self._rng)
 
     def _expected_wait(self, ticket: Ticket) -> float:
         """Return the seconds until a new request of the ticket's account is sent."""
@@ -303,8 +309,10 @@
         self._index.note(endpoint, ticket.blocks)
         self._limits[endpoint].acquire(now)
         watch = samples.Watch(begin=now + ticket.prompt_seconds)
+        far = self._sites[endpoint].region != self._region
+        self._far += far
         self._permits[ticket.id] = _Permit(
-            ticket=ticket, endpoint=endpoint, at=now, watch=watch
+            ticket=ticket, endpoint=endpoint, at=now, watch=watch, far=far
         )
         return Dispatch(ticket, endpoint)
 
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -215,6 +215,11 @@
     token_gap_target: Seconds = key("Seconds between tokens of an answer.", 0.026)
     plain_wait: Seconds = key("Seconds that a plain call may wait for room.", 5.0)
     poll_interval: Seconds = key("Seconds between an endpoint's load reports.", 1.0)
+    far_bytes_per_second: float = key(
+        "Most bytes a second of answers that this host takes from other regions.",
+        250_000.0,
+        ge=0,
+    )
 
 
 class Release(Section):
--- a/dogwoodchute/tests/test_admission.py
+++ b/dogwoodchute/tests/test_admission.py
@@ -17,12 +17,15 @@
 from dogwoodchute.tests import support
 
 NAMES = ("a", "b", "c", "far")
+FAR_LIMIT = 1  # requests in the other region
 DONE = samples.Progress(0.1, 4.0, 200)
 ACCOUNTS = {"growers": 1, "desk": 3, "lab": 1}
 
 
 def site(name, capacity=1):
-    return admission.Site(name, "arusha" if name == "far" else "dar", capacity)
+    if name == "far":
+        return admission.Site(name, "arusha", capacity + FAR_LIMIT)
+    return admission.Site(name, "dar", capacity)
 
 
 def ticket(number, account="growers", *, deadline=math.inf, **fields):
@@ -50,6 +53,7 @@
         self.now = 0.0
         self.leaving = set()
         self.admission = make(self.leaving, self.kind)
+        self.admission.far_limit = FAR_LIMIT
         self.admission.configure([site(name) for name in NAMES])
         self.names = set(NAMES)
         self.waiting = {}
@@ -81,6 +85,7 @@
         self.running[request] = endpoint
         held = list(self.running.values()).count(endpoint)
         assert held <= self.admission.limit(endpoint).value, "above the limit"
+        assert endpoint != "far" or held <= FAR_LIMIT, "too many in another region"
 
     def pump(self):
         for decision in self.admission.pump(self.now):
@@ -264,7 +269,15 @@
             limit.has_room = lambda now, hosts: True
 
 
+class CrossesFreely(admission.Admission):
+    def _dispatch(self, ticket, endpoint, now):
+        sent = super()._dispatch(ticket, endpoint, now)
+        self._far = 0
+        return sent
+
+
 FAULTS = {
+    CrossesFreely: "too many in another region",
     IgnoresLeaving: "new work for a leaving endpoint",
     ReleasesTwice: "permits were lost|release without acquire",
     KeepsPermit: "permits were lost",
