--- a/dogwoodchute/tests/test_endpoints.py
+++ b/dogwoodchute/tests/test_endpoints.py
@@ -4,6 +4,8 @@
 import collections
 import random
 
+import aiohttp
+
 from dogwoodchute import (
     catalog,
     exchange as exchanges,
@@ -17,7 +19,7 @@
 from dogwoodchute.coordination import admission
 from dogwoodchute.filters import choose, limit
 from dogwoodchute.platform import hostlist
-from dogwoodchute.standins import peers as standin_peers
+from dogwoodchute.standins import engine, peers as standin_peers, site
 from dogwoodchute.tests import support
 from dogwoodchute.tools import demo
 
@@ -398,3 +400,36 @@
             self.assertEqual("one", (await waiting).name)
 
         self.run_async(check())
+
+
+class EngineTest(support.TestCase):
+    def test_reports_and_cache_events_of_a_real_engine(self):
+        async def check():
+            model_engine = engine.Engine()
+            server = site.Site(app=model_engine.app())
+            await server.start()
+            fleet = Fleet(names=("one",))
+            host, own, _ = fleet.hosts["host0"]
+            endpoint = host.current.endpoints["one"]._replace(address=server.address)
+            newer = host.current._replace(revision=2, endpoints={"one": endpoint})
+            host.adopt(newer)
+            loads = endpoint_loads.Loads(host=host, endpoints=own)
+            own.tick()
+            body = {"model": "llm", "max_tokens": 4}
+            body["messages"] = [{"role": "user", "content": "a farm plan " * 30}]
+            url = f"http://{server.address}{exchanges.CHAT_PATH}"
+            async with aiohttp.ClientSession() as session:
+                await (await session.post(url, json=body)).read()
+            blocks = endpoints.prompt_blocks(body)
+            self.assertEqual(0.0, own.index.match("one", blocks))
+            await loads.step()
+            self.assertEqual(len(blocks), own.index.match("one", blocks))
+            report = own.admissions["llm"].limit("one").report
+            self.assertEqual((0, 0, 64, False), report[:4])
+            model_engine.leaving = True
+            await loads.step()
+            self.assertTrue(own.leaving.is_leaving("one"))
+            await server.stop()
+            await loads._session.close()
+
+        self.run_async(check())
