--- a/dogwoodchute/tests/test_dogwoodctl.py
+++ b/dogwoodchute/tests/test_dogwoodctl.py
@@ -49,6 +49,17 @@
         self.assertIn("growers", table[1])
         self.assertEqual(demo.BUDGET, json.loads(as_json[1])["paid"])
 
+    def test_lists_endpoints(self):
+        table, as_json = self.against_demo(
+            ("endpoint", "list"), ("endpoint", "list", "--json")
+        )
+        self.assertEqual(0, table[0], table)
+        self.assertIn("llm-1", table[1])
+        listed = {e["name"]: e for e in json.loads(as_json[1])["endpoints"]}
+        self.assertEqual({"llm-1", "orders-1"}, set(listed))
+        self.assertEqual([], listed["llm-1"]["leaving"])
+        self.assertEqual(1.0, listed["llm-1"]["weight"])
+
     def test_tops_up_once_for_each_id(self):
         words = ("account", "topup", "growers", "--id", "i-1", "--json", "--tokens")
         first, again, other, unknown, listed = self.against_demo(
--- a/dogwoodchute/tests/test_endpoints.py
+++ b/dogwoodchute/tests/test_endpoints.py
@@ -180,6 +180,18 @@
 
         self.run_async(check())
 
+    def test_plain_services_are_not_asked(self):
+        async def check():
+            fleet = Fleet()
+            host, _, _ = fleet.hosts["host0"]
+            plain = SERVICE._replace(kind=catalog.PLAIN)
+            host.adopt(host.current._replace(revision=2, services={"llm": plain}))
+            await fleet.run(3.0)
+            self.assertEqual({}, fleet.polls)
+            self.assertNotEqual(set(), await fleet.targets())
+
+        self.run_async(check())
+
     def test_cache_events_reach_the_index(self):
         async def check():
             fleet = Fleet()
