Report service-level burn; order engines under fenced leases

Cause: objectives had no report, and nothing put the models and roles that a release asks for on the engines.

Change: each request is counted against its service's objectives; hosts keep an hour's counts in one object, merged into one object for the fleet once the hour is over. Burn rates follow the multi-window, multi-burn-rate method, as a table, JSON and a page. Orders are given by one host for each endpoint under a lease with a fencing number, taken only while an engine differs from what is wanted; toward an engine that does not check it, a new holder waits until no earlier order can be under way. Loads are paced by the weight store, which gets a seam, a client and a stand-in.

--- /dev/null
+++ b/bench/releases.py
@@ -0,0 +1,252 @@
+"""Release notes and burn: bytes, processor time, memory, and time until in force."""
+
+import asyncio
+import json
+import statistics
+import time
+import tracemalloc
+from unittest import mock
+
+import msgpack
+
+from bench import figures
+from dogwoodchute import catalog, exchange as exchanges, outcomes
+from dogwoodchute.controllers import (
+    burn,
+    release_peers,
+    release_store,
+    release_submit,
+    releases,
+)
+from dogwoodchute.coordination import notes, releases as decisions
+from dogwoodchute.filters import observe
+from dogwoodchute.tests import release_support
+
+ACCOUNTS = (1_000, 4_000, 16_000, 32_000)
+CHANGES_PER_DAY = 11_000
+CHANGES = 20  # measured for each size
+FLEETS = (9, 40, 100)  # hosts
+TRIALS = 10
+REQUESTS = 300
+TOKENS = 245  # of one answer
+DAY = 86_400.0  # seconds
+
+
+def run() -> None:
+    """Print all figures of this area."""
+    measure_changes()
+    measure_memory()
+    measure_in_force()
+    measure_burn()
+
+
+def state_of(accounts: int) -> catalog.Catalog:
+    """Return a state with 22 services, 2,600 endpoints and that many accounts."""
+    services = {f"s{n}": catalog.Service(f"s{n}", catalog.CHAT) for n in range(22)}
+    endpoints = {}
+    for n in range(2_600):
+        place = (f"10.{n // 250}.0.{n % 250}:8000", f"r{n % 5}", f"d{n % 19}")
+        endpoints[f"e{n}"] = catalog.Endpoint(f"e{n}", f"s{n % 22}", *place)
+    found = {}
+    for n in range(accounts):
+        keys = (catalog.hash_key(f"key {n}"),)
+        allowed = (f"s{n % 22}", f"s{(n + 1) % 22}")
+        found[f"account-{n}"] = catalog.ClientAccount(f"account-{n}", keys, allowed)
+    return catalog.indexed(catalog.Catalog(1, found, services, endpoints, "start"))
+
+
+def timed(work: object) -> tuple[float, object]:
+    """Return the processor seconds that `work` took, and its result."""
+    began = time.process_time()
+    result = work()
+    return time.process_time() - began, result
+
+
+def one_change(current: catalog.Catalog, number: int) -> decisions.Delta:
+    """Return the delta of a note that changes one account."""
+    section = release_support.account("changed", f"account-{number}", weight=2 + number)
+    note = notes.parse(release_support.note(current.revision, section))
+    view = release_submit.view(current)
+    return decisions.build(view, note, current.revision + 1)
+
+
+def adopt(current: catalog.Catalog, delta: decisions.Delta) -> catalog.Catalog:
+    """Return the state after a delta, as a host that fetched it works it out."""
+    digest = decisions.chain_digest(current.digest, delta)
+    return release_store.apply(current, [delta], digest)
+
+
+def measure_changes() -> None:
+    """Compare a delta for each change with the full state for each change."""
+    points: dict[str, list] = {}
+    for accounts in ACCOUNTS:
+        current = state_of(accounts)
+        build, _ = timed(lambda c=current: [one_change(c, n) for n in range(CHANGES)])
+        delta = one_change(current, 1)
+        took, newer = timed(
+            lambda c=current, d=delta: [adopt(c, d) for _ in range(CHANGES)][-1]
+        )
+        content = msgpack.packb(decisions.to_plain(delta))
+        full_write, full = timed(lambda n=newer: msgpack.packb(catalog.to_plain(n)))
+        full_read, _ = timed(lambda f=full: catalog.from_plain(msgpack.unpackb(f)))
+        encode, packed = timed(lambda n=newer: asyncio.run(release_store.encode(n)))
+        sha256 = release_store.hashlib.sha256(packed).hexdigest()
+        decode, _ = timed(lambda p=packed, s=sha256: asyncio.run(load(p, s)))
+        found = {
+            "delta_build_seconds": build / CHANGES,
+            "delta_adopt_seconds": took / CHANGES,
+            "full_write_seconds": full_write,
+            "full_adopt_seconds": full_read,
+            "delta_bytes": float(len(content)),
+            "full_bytes": float(len(full)),
+            "snapshot_bytes": float(len(packed)),
+            "snapshot_encode_seconds": encode,
+            "snapshot_decode_seconds": decode,
+        }
+        for name, value in found.items():
+            points.setdefault(name, []).append((float(accounts), value))
+    rate = CHANGES_PER_DAY / DAY
+    for name, measured in points.items():
+        figures.show_slope(f"release_{name}", measured, unit="a_account")
+    for kind in ("delta", "full"):
+        cost = points[f"{kind}_adopt_seconds"][-1][1] * rate
+        size = points[f"{kind}_bytes"][-1][1] * rate
+        figures.show(
+            f"release_{kind}_at_32000_accounts_11000_changes_a_day",
+            core_share=cost,
+            bytes_per_second=size,
+        )
+
+
+async def load(content: bytes, sha256: str) -> catalog.Catalog:
+    """Decode a snapshot."""
+    return await release_store.decode(content, sha256)
+
+
+def measure_memory() -> None:
+    """Measure the memory of the state in force, and while a newer one is adopted."""
+    held = []
+    peaks = []
+    for accounts in ACCOUNTS:
+        tracemalloc.start()
+        current = state_of(accounts)
+        held.append((float(accounts), float(tracemalloc.get_traced_memory()[0])))
+        tracemalloc.reset_peak()
+        newer = adopt(current, one_change(current, 1))
+        peaks.append((float(accounts), float(tracemalloc.get_traced_memory()[1])))
+        tracemalloc.stop()
+        del newer
+    figures.show_slope("release_memory_bytes", held, unit="a_account")
+    figures.show_slope("release_memory_bytes_while_adopting", peaks, unit="a_account")
+
+
+def measure_in_force() -> None:
+    """Measure passed-in time from acceptance until all hosts have the note."""
+    for hosts in FLEETS:
+        for way in ("hints", "polls_only", "store_away"):
+            seconds = [asyncio.run(in_force(hosts, way, n)) for n in range(TRIALS)]
+            figures.show(
+                "release_in_force",
+                hosts=hosts,
+                way=way,
+                median_seconds=statistics.median(seconds),
+                worst_seconds=max(seconds),
+            )
+
+
+async def in_force(hosts: int, way: str, seed: int) -> float:
+    """Return the seconds until a note is in force on all hosts.
+
+    `way` is `hints` for the whole mechanism, `polls_only` without peers' hints, and
+    `store_away` where only the accepting host still reaches the store.
+    """
+    fleet = release_support.Fleet(seed=seed)
+    names = [f"h{n}" for n in range(hosts)]
+    for name in names:
+        fleet.start(name)
+    await fleet.wait(fleet.rng.uniform(4.0, 8.0))
+    if way == "store_away":
+        fleet.no_store.update(names[1:])
+        await fleet.wait(1.0)
+    text = release_support.note(0, release_support.account("added", "growers"))
+    verdict = await fleet.releases[names[0]].submit(text)
+    began = fleet.time
+    off = mock.patch.object(release_peers.Exchange, "highest", lambda exchange: None)
+    if way == "polls_only":
+        off.start()
+    while any(h.current.revision < verdict.revision for h in fleet.hosts.values()):
+        await fleet.wait(releases.TICK)
+    if way == "polls_only":
+        off.stop()
+    return fleet.time - began
+
+
+def measure_burn() -> None:
+    """Measure what recording costs a request and a chunk, and the summaries."""
+    recorder = burn.Recorder()
+    plain = asyncio.run(answer_all(None))
+    with_record = asyncio.run(answer_all(recorder))
+    figures.show(
+        "burn_cost",
+        request_seconds=(with_record - plain) / REQUESTS,
+        chunk_seconds=(with_record - plain) / REQUESTS / TOKENS,
+        baseline_request_seconds=plain / REQUESTS,
+    )
+    recorder = burn.Recorder()
+    for endpoint in range(200):
+        place = burn.Place(f"r{endpoint % 5}/d{endpoint % 19}", f"e{endpoint}")
+        for service in range(22):
+            recorder.add(f"s{service}", place, "availability", 1, 0)
+            recorder.time(f"s{service}", "first_token", 0.2)
+    took, content = timed(lambda: msgpack.packb(recorder.summary()))
+    figures.show(
+        "burn_summary",
+        endpoints=200,
+        services=22,
+        bytes=len(content),
+        json_bytes=len(json.dumps(recorder.summary(), default=str)),
+        seconds=took,
+        bytes_per_second=len(content) / burn.MINUTE,
+    )
+
+
+async def answer_all(recorder: burn.Recorder | None) -> float:
+    """Return the processor seconds of answering requests of `TOKENS` chunks."""
+    service = catalog.Service(
+        "s",
+        catalog.CHAT,
+        first_token_share=0.95,
+        first_token_seconds=1.2,
+        between_tokens_share=0.95,
+        between_tokens_seconds=0.026,
+    )
+    endpoint = catalog.Endpoint("e", "s", "10.0.0.1:1", "r", "d")
+    answered = outcomes.Answered(status=200, tokens=TOKENS, endpoint="e")
+
+    async def nothing(*arguments: object) -> None:
+        return None
+
+    async def dispatch(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        exchange.service = service
+        exchange.endpoint = endpoint
+        exchange.first_token = 0.1
+        for _ in range(TOKENS):
+            await exchange.reply.chunk(b"")
+        return answered
+
+    filters = [dispatch]
+    if recorder is not None:
+        filters.insert(0, observe.make(recorder=recorder))
+    chain = exchanges.chain(filters)
+    began = time.process_time()
+    for number in range(REQUESTS):
+        exchange = exchanges.Exchange(
+            request=None,
+            reply=exchanges.Reply(start=nothing, chunk=nothing),
+            received=0.0,
+            request_key=str(number),
+        )
+        await chain(exchange)
+    return time.process_time() - began
--- /dev/null
+++ b/dogwoodchute/controllers/order_client.py
@@ -0,0 +1,84 @@
+"""Sends orders to engines over HTTP."""
+
+import dataclasses
+from collections import abc
+from typing import NamedTuple
+
+import aiohttp
+
+from dogwoodchute.coordination import orders
+
+REPORT_TIMEOUT = 2.0  # seconds
+PATH = "/orders"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reported:
+    """The state of an engine after an order, or when it was asked."""
+
+    state: dict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Stale:
+    """The engine has had an order with a higher fencing number."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoAnswer:
+    """The engine gave no answer; an order may have taken effect."""
+
+    reason: str
+    peer: str
+    step: str = "order"
+
+
+Answer = Reported | Stale | NoAnswer
+
+
+class Engines(NamedTuple):
+    """The operations on engines, by address."""
+
+    report: abc.Callable[[str], abc.Awaitable[Answer]]
+    order: abc.Callable[[str, dict], abc.Awaitable[Answer]]
+    close: abc.Callable[[], abc.Awaitable[None]]
+
+
+def http_engines() -> Engines:
+    """Return the operations over HTTP; each call uses a fresh connection."""
+    sessions: list[aiohttp.ClientSession] = []
+
+    async def call(method: str, address: str, seconds: float, body: dict | None):
+        if not sessions:
+            connector = aiohttp.TCPConnector(force_close=True)
+            sessions.append(aiohttp.ClientSession(connector=connector))
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        url = f"http://{address}{PATH}"
+        try:
+            async with sessions[0].request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                if response.status == 409:
+                    return Stale()
+                if response.status != 200:
+                    reason = f"engine answered {response.status}"
+                    return NoAnswer(reason=reason, peer=address)
+                return Reported(state=(await response.json())["state"])
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            return NoAnswer(reason=reason, peer=address)
+        except (KeyError, TypeError) as error:
+            return NoAnswer(reason=f"bad answer: {error!r}", peer=address)
+
+    async def report(address: str) -> Answer:
+        return await call("GET", address, REPORT_TIMEOUT, None)
+
+    async def order(address: str, body: dict) -> Answer:
+        return await call("POST", address, orders.FLIGHT, body)
+
+    async def close() -> None:
+        for session in sessions:
+            await session.close()
+        sessions.clear()
+
+    return Engines(report=report, order=order, close=close)
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -10,9 +10,11 @@
     forward,
     log,
     operators,
+    operators_burn,
     operators_endpoints,
     operators_fleet,
     operators_money,
+    operators_orders,
     operators_releases,
     peer_streams,
     server,
@@ -21,6 +23,7 @@
 from dogwoodchute.controllers import (
     bills,
     budgets,
+    burn,
     claims,
     copies,
     endpoint_loads,
@@ -29,6 +32,8 @@
     hostlist,
     lookups,
     membership,
+    order_client,
+    orders,
     reclaim,
     releases,
     table_path,
@@ -42,6 +47,7 @@
     deduplicate,
     dispatch,
     limit,
+    observe,
     reserve,
     resolve,
     resume,
@@ -69,6 +75,9 @@
         self.claims = claims.Claims(host=host)
         self.budgets = budgets.Budgets(host=host)
         self.releases = releases.Releases(host=host)
+        recorder = burn.Recorder()
+        self.burn = burn.Burn(host=host, recorder=recorder)
+        self.orders = orders.Orders(host=host, engines=order_client.http_engines())
         self.endpoints = endpoints.Endpoints(host=host)
         self.loads = endpoint_loads.Loads(host=host, endpoints=self.endpoints)
         self.forwarder = forward.Forwarder(host=host)
@@ -88,6 +97,8 @@
                 "forwarder", self.forwarder.start, self.forwarder.stop
             ),
             self.releases.controller(),
+            self.burn.controller(),
+            self.orders.controller(),
             self.grants.controller(),
             self.copies.controller(),
             self.bills.controller(),
@@ -97,6 +108,7 @@
         ]
         chain = exchange.chain(
             [
+                observe.make(recorder=recorder),
                 admit.make(host=host),
                 authenticate.make(host=host),
                 resolve.make(host=host),
@@ -128,6 +140,8 @@
         operators_releases.add_routes(
             self.operators.app, host=host, releasing=self.releases
         )
+        operators_burn.add_routes(self.operators.app, host=host, burning=self.burn)
+        operators_orders.add_routes(self.operators.app, host=host, ordering=self.orders)
         self._config = config
 
     async def start(self) -> None:
--- a/dogwoodchute/platform/connect.py
+++ b/dogwoodchute/platform/connect.py
@@ -4,11 +4,12 @@
 from typing import NamedTuple
 
 from dogwoodchute import settings
-from dogwoodchute.platform import hostlist, http_client, objects, table
+from dogwoodchute.platform import hostlist, http_client, objects, table, weights
 from dogwoodchute.standins import (
     hostlist as memory_hostlist,
     objects as memory_objects,
     table as memory_table,
+    weights as memory_weights,
 )
 
 
@@ -19,6 +20,7 @@
     objects: objects.Objects
     hosts: hostlist.Hosts
     close: abc.Callable[[], abc.Awaitable[None]]
+    weight_store: weights.Weights = weights.unpaced()
 
 
 def embedded(
@@ -37,6 +39,7 @@
         objects=(contents or memory_objects.MemoryObjects()).client(),
         hosts=(hosts or memory_hostlist.MemoryHostList()).client(),
         close=close,
+        weight_store=memory_weights.MemoryWeights().client(),
     )
 
 
@@ -53,9 +56,17 @@
     hosts_connection = http_client.Connection(
         address=config.hostlist_address, timeout=config.table_timeout
     )
+    connections = [table_connection, objects_connection, hosts_connection]
+    paced = weights.unpaced()
+    if config.weights_address:
+        weights_connection = http_client.Connection(
+            address=config.weights_address, timeout=config.table_timeout
+        )
+        connections.append(weights_connection)
+        paced = http_client.weights_client(weights_connection)
 
     async def close() -> None:
-        for each in (table_connection, objects_connection, hosts_connection):
+        for each in connections:
             await each.close()
 
     return Platform(
@@ -63,4 +74,5 @@
         objects=http_client.objects_client(objects_connection),
         hosts=http_client.hosts_client(hosts_connection),
         close=close,
+        weight_store=paced,
     )
--- a/dogwoodchute/platform/http_client.py
+++ b/dogwoodchute/platform/http_client.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from dogwoodchute.platform import hostlist, objects, table, wire
+from dogwoodchute.platform import hostlist, objects, table, weights, wire
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -159,3 +159,20 @@
             return hostlist.Unavailable(reason=f"bad answer: {error}", peer=peer)
 
     return hostlist.Hosts(fetch=fetch)
+
+
+def weights_client(connection: Connection) -> weights.Weights:
+    """Return the weight store behind `connection`."""
+
+    async def permit(
+        name: str,
+    ) -> weights.Permitted | weights.Wait | weights.Unavailable:
+        answer = await connection.call(wire.WEIGHTS_PERMIT, {"name": name})
+        if isinstance(answer, NotSent | NoAnswer):
+            return weights.Unavailable(reason=answer.reason, peer=connection.address)
+        wait = answer.get("wait")
+        if not isinstance(wait, int | float):
+            return weights.Unavailable(reason="bad answer", peer=connection.address)
+        return weights.Wait(seconds=wait) if wait > 0 else weights.Permitted()
+
+    return weights.Weights(permit=permit)
--- a/dogwoodchute/platform/wire.py
+++ b/dogwoodchute/platform/wire.py
@@ -18,6 +18,7 @@
 OBJECT_LIST = "/objects/list"
 OBJECT_DELETE = "/objects/delete"
 HOST_LIST = "/hosts/list"
+WEIGHTS_PERMIT = "/weights/permit"
 
 
 class FormatError(Exception):
--- a/dogwoodchute/runtime.py
+++ b/dogwoodchute/runtime.py
@@ -46,6 +46,7 @@
         store=services.store,
         objects_store=services.objects,
         hosts=services.hosts,
+        weight_store=services.weight_store,
         peer_layer=peer_layer or peers.alone(),
     )
 
--- a/dogwoodchute/standins/platform_server.py
+++ b/dogwoodchute/standins/platform_server.py
@@ -5,18 +5,19 @@
 
 from aiohttp import web
 
-from dogwoodchute.platform import hostlist, objects, table, wire
+from dogwoodchute.platform import hostlist, objects, table, weights, wire
 from dogwoodchute.standins import (
     hostlist as standin_hostlist,
     objects as standin_objects,
     table as standin_table,
+    weights as standin_weights,
 )
 
 Answer = abc.Callable[[dict], abc.Awaitable[dict | None]]  # None stands for 503
 
 
 class PlatformServer:
-    """Table service, object store and host list behind one listener.
+    """Table service, object store, host list and weight store behind one listener.
 
     While `answering` is clear, calls run and their connections stay silent.
     `lose_answers` runs that many of the next calls and closes without an answer.
@@ -28,10 +29,12 @@
         tables: standin_table.MemoryTable | None = None,
         contents: standin_objects.MemoryObjects | None = None,
         hosts: standin_hostlist.MemoryHostList | None = None,
+        paced: standin_weights.MemoryWeights | None = None,
     ) -> None:
         self.table = tables or standin_table.MemoryTable()
         self.objects = contents or standin_objects.MemoryObjects()
         self.hosts = hosts or standin_hostlist.MemoryHostList()
+        self.weights = paced or standin_weights.MemoryWeights()
         self.answering = asyncio.Event()
         self.answering.set()
         self.lose_answers = 0
@@ -101,7 +104,14 @@
                 return None
             return wire.host_list_to_plain(listed)
 
+        async def permit(body: dict) -> dict | None:
+            permitted = await self.weights.client().permit(body["name"])
+            if isinstance(permitted, weights.Unavailable):
+                return None
+            return {"wait": getattr(permitted, "seconds", 0)}
+
         return {
+            wire.WEIGHTS_PERMIT: permit,
             wire.TABLE_READ: read,
             wire.TABLE_SCAN: scan,
             wire.TABLE_COMMIT: commit,
--- a/dogwoodchute/state.py
+++ b/dogwoodchute/state.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from dogwoodchute import catalog, clock, peers, settings
-from dogwoodchute.platform import hostlist, objects, table
+from dogwoodchute.platform import hostlist, objects, table, weights
 
 
 class HostState:
@@ -20,6 +20,7 @@
         objects_store: objects.Objects,
         hosts: hostlist.Hosts,
         peer_layer: peers.Peers,
+        weight_store: weights.Weights | None = None,
         now: abc.Callable[[], float] = clock.monotonic,
         rng: random.Random | None = None,
     ) -> None:
@@ -29,6 +30,7 @@
         self.objects = objects_store
         self.hosts = hosts
         self.peers = peer_layer
+        self.weights = weight_store or weights.unpaced()
         self.now = now  # monotonic seconds
         self.rng = rng or random.Random(secrets.randbits(64))
         self.incarnation = f"{config.host.id}-{self.rng.getrandbits(48):012x}"
--- a/dogwoodchute/tools/dogwoodctl.py
+++ b/dogwoodchute/tools/dogwoodctl.py
@@ -5,7 +5,14 @@
 
 import cappa
 
-from dogwoodchute.tools import ctl_accounts, ctl_endpoints, ctl_hosts, ctl_releases
+from dogwoodchute.tools import (
+    ctl_accounts,
+    ctl_endpoints,
+    ctl_hosts,
+    ctl_orders,
+    ctl_releases,
+    ctl_report,
+)
 
 
 @cappa.command(name="dogwoodctl")
@@ -21,7 +28,9 @@
         ctl_accounts.Account
         | ctl_endpoints.Endpoint
         | ctl_hosts.Host
+        | ctl_orders.Order
         | ctl_releases.Release
+        | ctl_report.Report
     ]
 
 
