--- a/dogwoodchute/operators_releases.py
+++ b/dogwoodchute/operators_releases.py
@@ -1,5 +1,7 @@
 """The operators' routes on release notes."""
 
+import asyncio
+
 import sanic
 
 from dogwoodchute import catalog, peers, state
@@ -13,15 +15,25 @@
 
 SHOWN_DIGEST = 8  # characters
 MAX_DIFF = 1000  # revisions
+SUBMIT_TIMEOUT = 20.0  # seconds until an answer; the submit itself goes on
 
 
 def add_routes(
     app: sanic.Sanic, *, host: state.HostState, releasing: releases.Releases
 ) -> None:
     """Register the routes on `app`."""
+    running: set[asyncio.Task] = set()
 
     async def submit(request: sanic.Request) -> sanic.HTTPResponse:
-        verdict = await releasing.submit(request.body.decode("utf-8", "replace"))
+        text = request.body.decode("utf-8", "replace")
+        task = asyncio.create_task(releasing.submit(text))
+        running.add(task)
+        task.add_done_callback(running.discard)
+        done, _ = await asyncio.wait({task}, timeout=SUBMIT_TIMEOUT)
+        if not done:
+            message = "no answer yet; submit the same note again to learn the outcome"
+            return _error(503, "answer_lost", message)
+        verdict = task.result()
         if isinstance(verdict, release_submit.Accepted):
             return sanic.json({"revision": verdict.revision, "note": verdict.note})
         if isinstance(verdict, release_submit.Refused):
