Recall grants from peers, draw ahead of need, and set the measured constants

Cause: a budget that ran out was refused while peers held parts of it, and a cut met hosts with whatever their last draw had left. The money machine runs with recall on.

--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -66,6 +66,7 @@
         self.waiters: list[Waiter] = []
         self.drawing: asyncio.Task | None = None
         self.last_used = 0.0  # monotonic seconds
+        self.scarce_until = 0.0  # monotonic seconds; no draws ahead of need
 
 
 class Grants:
@@ -76,6 +77,7 @@
         self._accounts: dict[str, Account] = {}
         self._listed: int | None = None
         self.find_lost: abc.Callable[[str], abc.Awaitable[Search]] | None = None
+        self.recall: abc.Callable[[str], abc.Awaitable[int]] | None = None
 
     @property
     def accounts(self) -> list[str]:
@@ -182,8 +184,8 @@
         state_.ledger.replace(left)
         state_.budget = None
 
-    async def return_idle(self) -> None:
-        """Give back the tokens that the expected use leaves over."""
+    async def balance_idle(self) -> None:
+        """Give back what the expected use leaves over, and draw ahead of need."""
         for name, state_ in list(self._accounts.items()):
             if state_.lock.locked() or state_.waiters:
                 continue
@@ -197,6 +199,19 @@
             )
             if size > 0:
                 await self._give_back(name, size)
+            elif now >= state_.scarce_until and not self._host.draining:
+                await self._refill(name)
+
+    def mark_scarce(self, account: str) -> None:
+        """Draw no more than needed for a while, since the budget seems spent."""
+        until = self._host.now() + sizing.SCARCE_SECONDS
+        self.account(account).scarce_until = until
+
+    async def give_back_all(self, account: str) -> int:
+        """Give back all that is available; return how many tokens went back."""
+        if account not in self._accounts:
+            return 0
+        return await self._give_back(account, None)
 
     async def return_all(self) -> None:
         """Give back all that no request in flight or unwritten bill needs."""
@@ -207,7 +222,7 @@
         """Return the controller that gives idle tokens back."""
         return controller.periodic(
             "grants",
-            self.return_idle,
+            self.balance_idle,
             interval=RETURN_INTERVAL,
             final=self.return_all,
         )
@@ -225,6 +240,7 @@
     async def _draw_for_waiters(self, account: str) -> None:
         state_ = self.account(account)
         search = None
+        recalls = [self.recall] if self.recall is not None else []
         while state_.waiters:
             async with state_.lock:
                 _hand_out(state_)
@@ -237,6 +253,8 @@
                 continue
             if failure is None:
                 continue
+            if recalls and await recalls.pop()(account) > 0:
+                continue
             if search is None and self.find_lost is not None:
                 search = await self.find_lost(account)
                 if search.returned > 0:
@@ -244,7 +262,27 @@
             held = search.held if search is not None else 0
             _refuse_beyond(state_, failure.remaining, held)
 
-    async def _give_back(self, account: str, tokens: int | None) -> None:
+    async def _refill(self, account: str) -> None:
+        state_ = self.account(account)
+        budget = self._host.config.budget
+        async with state_.lock:
+            if state_.budget is None:
+                await self._look(account)
+            if state_.budget is None:
+                return
+            rate = state_.demand.rate(self._host.now())
+            size = sizing.refill_size(
+                balance=grants.balance_of(state_.budget.value),
+                available=state_.ledger.available,
+                reserved=state_.ledger.reserved,
+                rate=rate,
+                horizon=budget.horizon,
+                share=budget.share,
+            )
+            if size > 0:
+                await self._move(account, size)
+
+    async def _give_back(self, account: str, tokens: int | None) -> int:
         state_ = self.account(account)
         async with state_.lock:
             for attempt in range(1, MAX_DRAW_TRIES + 1):
@@ -252,11 +290,11 @@
                 if tokens is not None:
                     size = min(size, tokens)
                 if size == 0:
-                    return
+                    return 0
                 if state_.budget is None:
                     await self._look(account)
                     if state_.budget is None:
-                        return
+                        return 0
                     continue
                 # Set aside, so that no request reserves what is on its way back.
                 state_.ledger.reserved += size
@@ -264,9 +302,12 @@
                     outcome = await self._move(account, -size)
                 finally:
                     state_.ledger.reserved -= size
+                if isinstance(outcome, table.Committed):
+                    return size
                 if not isinstance(outcome, table.Conflict):
-                    return
+                    return 0
                 await self._pause(attempt)
+        return 0
 
     async def _look(self, account: str) -> table.Unavailable | None:
         """Read the budget and this host's grant as of one moment.
--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -6,6 +6,7 @@
 
 IDLE_HORIZONS = 2.0
 DEMAND_WINDOW = 300.0  # seconds
+MIN_REFILL = 1000  # tokens
 SCARCE_SECONDS = 60.0  # without refills after peers gave back what they held
 
 
@@ -74,11 +75,13 @@
 
     Below half the use of one horizon, the draw goes up to the use of one horizon. So a
     host that is cut off has at least half a horizon, and few requests wait for a draw.
+    Less than `MIN_REFILL` is not worth a commit.
     """
     wanted = math.ceil(rate * horizon)
     if 2 * (available + reserved) >= wanted:
         return 0
-    return max(0, min(wanted - available - reserved, int(balance.remaining * share)))
+    size = min(wanted - available - reserved, int(balance.remaining * share))
+    return size if size >= MIN_REFILL else 0
 
 
 def return_size(
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -34,6 +34,7 @@
     membership,
     order_client,
     orders,
+    recall,
     reclaim,
     releases,
     table_path,
@@ -72,6 +73,8 @@
         self.reclaim = reclaim.Reclaim(
             host=host, granted=self.grants, copying=self.copies
         )
+        self.recall = recall.Recall(host=host, granted=self.grants)
+        self.grants.recall = self.recall.recall
         self.claims = claims.Claims(host=host)
         self.budgets = budgets.Budgets(host=host)
         self.releases = releases.Releases(host=host)
@@ -103,6 +106,7 @@
             self.copies.controller(),
             self.bills.controller(),
             self.reclaim.controller(),
+            self.recall.controller(),
             self.endpoints.controller(),
             self.loads.controller(),
         ]
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -146,15 +146,17 @@
 class Budget(Section):
     """How grants are drawn and bills are kept."""
 
-    horizon: Seconds = key("Seconds of expected use that a grant covers.", 30.0)
+    horizon: Seconds = key(
+        "Seconds of expected use that a grant covers; longer far from the store.", 600.0
+    )
     share: float = key(
         "Largest part of what remains of a budget that one draw takes beyond need.",
-        0.125,
+        0.25,
         gt=0,
         le=1,
     )
     draw_timeout: Seconds = key("Seconds that a request waits for a draw.", 2.0)
-    bill_interval: Seconds = key("Seconds between group commits.", 0.1)
+    bill_interval: Seconds = key("Seconds between group commits.", 0.25)
     bill_wait: Seconds = key(
         "Seconds that an answer's end waits for its bill on a host that is cut off.",
         3.0,
--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -20,6 +20,7 @@
     copies,
     grants,
     lookups,
+    recall,
     reclaim,
     table_path,
 )
@@ -134,6 +135,8 @@
         self.copies = copies.Copies(
             host=self.state, granted=self.grants, billing=self.bills
         )
+        self.recall = recall.Recall(host=self.state, granted=self.grants)
+        self.grants.recall = self.recall.recall
         self.reclaim = reclaim.Reclaim(
             host=self.state,
             granted=self.grants,
@@ -160,6 +163,7 @@
             self.copies.controller(),
             self.bills.controller(),
             self.reclaim.controller(),
+            self.recall.controller(),
         ]
         self.tasks = [asyncio.create_task(self._register())]
         self.tasks.append(asyncio.create_task(self._follow_list()))
