Pass requests on to a peer that has tokens

Cause: a host cut off from the store refused what a reachable peer could have covered. Change: the request goes to the caller side of a peer whose hint says that it has enough, with a signed mark that keeps it to one hop; the peer bills, streams pass through, and only a peer's own marked refusal is told as such, never an endpoint's body that looks like one.

--- a/dogwoodchute/callers.py
+++ b/dogwoodchute/callers.py
@@ -212,7 +212,10 @@
             return None
         body = error_body(outcome, self._request_key)
         if self._response is None:
-            headers = {"Idempotency-Key": self._request_key}
+            headers = {
+                "Idempotency-Key": self._request_key,
+                exchanges.OUTCOME_HEADER: outcomes.label(outcome),
+            }
             retry_after = getattr(outcome, "retry_after", None)
             if retry_after is not None:
                 headers["Retry-After"] = str(max(1, round(retry_after)))
--- /dev/null
+++ b/dogwoodchute/coordination/tokens.py
@@ -0,0 +1,45 @@
+"""Signed tokens: a payload that only a holder of the fleet key can have made.
+
+A token is ``<payload>.<tag>``, both in URL-safe base64: the payload is JSON, the tag is
+HMAC-SHA256 (RFC 2104) of the payload under a key derived from the fleet key for one
+purpose, so that a token of one purpose is worth nothing for another.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import json
+
+
+def sign(payload: list, *, purpose: str, fleet_key: str) -> str:
+    """Return the token of a JSON list."""
+    data = json.dumps(payload, separators=(",", ":")).encode()
+    return f"{_encode(data)}.{_encode(_tag(data, purpose, fleet_key))}"
+
+
+def verify(token: str, *, purpose: str, fleet_key: str) -> list | None:
+    """Return the payload of a token, None if it was not made for this purpose."""
+    head, _, tail = token.partition(".")
+    try:
+        data, tag = _decode(head), _decode(tail)
+    except (binascii.Error, ValueError):
+        return None
+    if not hmac.compare_digest(tag, _tag(data, purpose, fleet_key)):
+        return None
+    return json.loads(data)
+
+
+def _tag(data: bytes, purpose: str, fleet_key: str) -> bytes:
+    label = f"dogwoodchute {purpose} token v1".encode()
+    key = hmac.digest(fleet_key.encode(), label, hashlib.sha256)
+    return hmac.digest(key, data, hashlib.sha256)
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    padded = text + "=" * (-len(text) % 4)
+    return base64.b64decode(padded.encode(), altchars=b"-_", validate=True)
--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -49,6 +49,7 @@
     dispatch,
     limit,
     observe,
+    relay,
     reserve,
     resolve,
     resume,
@@ -120,6 +121,7 @@
                 deduplicate.make(
                     runs=deduplicate.Runs(), known=lookups.Lookups(host=host)
                 ),
+                relay.make(host=host, forwarder=self.forwarder),
                 claim.make(host=host, claiming=self.claims),
                 reserve.make(granted=self.grants),
                 bill.make(host=host, granted=self.grants, billing=self.bills),
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -9,6 +9,7 @@
 from dogwoodchute.platform import table
 
 CHAT_PATH = "/v1/chat/completions"
+OUTCOME_HEADER = "X-Outcome"  # of a request that this fleet did not answer
 ATTEMPT_HEADER = "x-attempt"  # the number of times that the caller sent the request
 
 
--- /dev/null
+++ b/dogwoodchute/filters/relay.py
@@ -0,0 +1,73 @@
+"""Passes a request on to a peer that has tokens, where this host can get none."""
+
+import prometheus_client
+
+from dogwoodchute import (
+    exchange as exchanges,
+    forward,
+    log,
+    outcomes,
+    peers,
+    relays,
+    state,
+)
+from dogwoodchute.controllers import recall
+
+REFUSALS = frozenset({"budget_spent", "budget_out_of_reach"})
+MAX_TRIES = 2  # peers
+
+RELAYS = prometheus_client.Counter(
+    "dogwoodchute_relays", "Requests passed on to a peer, by outcome", ["outcome"]
+)
+
+
+def make(*, host: state.HostState, forwarder: forward.Forwarder) -> exchanges.Filter:
+    """Return the filter. A request that a peer passed on goes no further.
+
+    Hosts whose callers' side has TLS pass nothing on: no name vouches for an IP number.
+    """
+    tls = bool(host.config.tls.caller_certificate)
+
+    async def relay(
+        exchange: exchanges.Exchange, proceed: exchanges.Proceed
+    ) -> outcomes.Outcome:
+        reply = exchange.reply
+        refusal = await proceed()
+        if not isinstance(refusal, outcomes.NotRun) or refusal.code not in REFUSALS:
+            return refusal
+        if (
+            tls
+            or exchange.resume is not None
+            or relays.was_relayed(exchange, host=host)
+        ):
+            return refusal
+        exchange.reply = reply
+        for peer in able_peers(exchange, host=host)[:MAX_TRIES]:
+            session = forwarder.session(fresh=not exchange.idempotent)
+            outcome = await relays.pass_on(exchange, peer, host=host, session=session)
+            if isinstance(outcome, peers.NotSent):
+                log.info("relay_not_sent", peer=peer.host, reason=outcome.reason)
+                continue
+            RELAYS.labels(outcomes.label(outcome)).inc()
+            if isinstance(outcome, outcomes.NotRun) and outcome.code in REFUSALS:
+                continue
+            return outcome
+        return refusal
+
+    return relay
+
+
+def able_peers(
+    exchange: exchanges.Exchange, *, host: state.HostState
+) -> list[peers.Peer]:
+    """Return the live peers whose hints say that they have enough, best first."""
+    account = exchange.account.name
+    able = []
+    for peer in host.peers.known():
+        if not peer.alive or peer.leaving or not peer.caller_address:
+            continue
+        if recall.held(peer, account) >= exchange.reserved:
+            able.append(peer)
+    region = host.config.host.region
+    able.sort(key=lambda peer: (peer.region != region, -recall.held(peer, account)))
+    return able
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -32,7 +32,12 @@
     }
 )
 REQUEST_ONLY = HOP_HEADERS | {"authorization", "host", "idempotency-key"}
-REPLY_ONLY = HOP_HEADERS | {"date", "server", "idempotency-key"}
+REPLY_ONLY = HOP_HEADERS | {
+    "date",
+    "server",
+    "idempotency-key",
+    exchanges.OUTCOME_HEADER.lower(),
+}
 # A plain service that is busy may have begun the call, so none of these is "not run".
 BUSY_STATUSES = frozenset({429, 502, 503, 504})
 
@@ -76,6 +81,10 @@
             if session is not None:
                 await session.close()
 
+    def session(self, *, fresh: bool) -> aiohttp.ClientSession:
+        """Return the session, `fresh` for a connection of the request's own."""
+        return self._fresh if fresh else self._pooled
+
     async def chat(self, exchange: exchanges.Exchange) -> outcomes.Outcome:
         """Run a chat request at `exchange.endpoint`."""
         base = f"http://{exchange.endpoint.address}"
@@ -121,12 +130,12 @@
         request = exchange.request
         headers = {k: v for k, v in request.headers.items() if k not in REQUEST_ONLY}
         headers["Idempotency-Key"] = engine_request_id(exchange)
-        session = self._pooled if exchange.idempotent else self._fresh
+        session = self.session(fresh=not exchange.idempotent)
         before, exchange.dispatched = exchange.dispatched, True
         try:
             async with session.request(
                 request.method,
-                _plain_url(exchange),
+                exact_url(exchange.endpoint.address, request.path, request.query),
                 data=request.body or None,
                 headers=headers,
                 allow_redirects=False,
@@ -244,9 +253,9 @@
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
-def _plain_url(exchange: exchanges.Exchange) -> yarl.URL:
-    request = exchange.request
-    url = f"http://{exchange.endpoint.address}{request.path}"
-    if request.query:
-        url += f"?{request.query}"
+def exact_url(address: str, path: str, query: str) -> yarl.URL:
+    """Return a URL whose path and query are as the caller encoded them."""
+    url = f"http://{address}{path}"
+    if query:
+        url += f"?{query}"
     return yarl.URL(url, encoded=True)
--- /dev/null
+++ b/dogwoodchute/relays.py
@@ -0,0 +1,165 @@
+"""Passes a whole request to a peer's caller side, and its answer back.
+
+The peer authenticates, reserves, runs and bills; this host bills nothing.
+"""
+
+import asyncio
+import http
+import json
+
+import aiohttp
+import yarl
+
+from dogwoodchute import exchange as exchanges, forward, outcomes, peers, sse, state
+from dogwoodchute.coordination import tokens
+
+HEADER = "X-Relayed-By"
+PURPOSE = "relay"
+DROPPED = forward.HOP_HEADERS | {"host", HEADER.lower(), "idempotency-key"}
+
+
+def was_relayed(exchange: exchanges.Exchange, *, host: state.HostState) -> bool:
+    """Return whether another host of the fleet passed this request on."""
+    token = exchange.request.headers.get(HEADER.lower(), "")
+    fleet_key = host.config.keys.fleet_key
+    payload = tokens.verify(token, purpose=PURPOSE, fleet_key=fleet_key)
+    return payload is not None and payload[1:] == [exchange.request_key]
+
+
+async def pass_on(
+    exchange: exchanges.Exchange,
+    peer: peers.Peer,
+    *,
+    host: state.HostState,
+    session: aiohttp.ClientSession,
+) -> outcomes.Outcome | peers.NotSent:
+    """Run a request at `peer`; `NotSent` if it certainly never got there."""
+    work = asyncio.create_task(_pass_on(exchange, peer, host=host, session=session))
+    gone = asyncio.create_task(exchange.gone.wait())
+    try:
+        await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return work.result()
+        # Dropping the connection lets the peer cancel the run and bill its part.
+        return _unknown(peer, "caller_gone", "The caller disconnected.")
+    finally:
+        work.cancel()
+        gone.cancel()
+
+
+async def _pass_on(
+    exchange: exchanges.Exchange,
+    peer: peers.Peer,
+    *,
+    host: state.HostState,
+    session: aiohttp.ClientSession,
+) -> outcomes.Outcome | peers.NotSent:
+    request = exchange.request
+    config = host.config
+    headers = {k: v for k, v in request.headers.items() if k not in DROPPED}
+    headers["Idempotency-Key"] = exchange.request_key
+    headers[HEADER] = tokens.sign(
+        [config.host.id, exchange.request_key],
+        purpose=PURPOSE,
+        fleet_key=config.keys.fleet_key,
+    )
+    timeout = aiohttp.ClientTimeout(
+        total=max(0.001, exchange.deadline - host.now()),
+        sock_connect=config.limits.connect_timeout,
+    )
+    before, exchange.dispatched = exchange.dispatched, True
+    try:
+        async with session.request(
+            request.method,
+            _url(exchange, peer),
+            data=request.body or None,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+            skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
+        ) as response:
+            return await _receive(exchange, peer, response)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        exchange.dispatched = before
+        return peers.NotSent(reason=str(error), peer=peer.host)
+    except (aiohttp.ClientError, OSError, TimeoutError, sse.FormatError) as error:
+        reason = str(error) or type(error).__name__
+        return _unknown(peer, "peer_failed", f"The host {peer.host} failed: {reason}.")
+
+
+async def _receive(
+    exchange: exchanges.Exchange, peer: peers.Peer, response: aiohttp.ClientResponse
+) -> outcomes.Outcome:
+    exchange.reply_headers = {
+        k: v for k, v in response.headers.items() if k.lower() not in forward.REPLY_ONLY
+    }
+    exchange.status = response.status
+    if exchange.stream and response.content_type == "text/event-stream":
+        return await _receive_stream(exchange, peer, response)
+    content = await response.read()
+    told = response.headers.get(exchanges.OUTCOME_HEADER)
+    if told is not None:
+        return _told(peer, response, told, content)
+    exchange.held = [content]
+    return outcomes.Answered(status=response.status, tokens=0, endpoint=peer.host)
+
+
+async def _receive_stream(
+    exchange: exchanges.Exchange, peer: peers.Peer, response: aiohttp.ClientResponse
+) -> outcomes.Outcome:
+    splitter = sse.Splitter()
+    while not splitter.done:
+        data = await response.content.readany()
+        if not data:
+            return _unknown(peer, "peer_failed", f"The host {peer.host} broke off.")
+        whole = splitter.feed(data)
+        if not whole:
+            continue
+        if not exchange.started:
+            await exchange.reply.start(response.status, exchange.reply_headers)
+            exchange.started = True
+        await exchange.reply.chunk(whole)
+    exchange.held = [sse.DONE]
+    return outcomes.Answered(status=response.status, tokens=0, endpoint=peer.host)
+
+
+def _url(exchange: exchanges.Exchange, peer: peers.Peer) -> yarl.URL:
+    request = exchange.request
+    if request.service is None:
+        return forward.exact_url(peer.caller_address, exchanges.CHAT_PATH, "")
+    path = f"/services/{request.service}{request.path}"
+    return forward.exact_url(peer.caller_address, path, request.query)
+
+
+def _told(
+    peer: peers.Peer, response: aiohttp.ClientResponse, told: str, content: bytes
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return the peer's own outcome without an answer; never an endpoint's word."""
+    try:
+        error = json.loads(content)["error"]
+        code, message = str(error["code"]), str(error["message"])
+    except (ValueError, LookupError, TypeError):
+        code, message = "peer_failed", f"The host {peer.host} told no reason."
+    if told != "not_run":
+        return _unknown(peer, code, message, status=response.status)
+    after = response.headers.get("Retry-After", "")
+    return outcomes.NotRun(
+        status=response.status,
+        code=code,
+        message=message,
+        step="relay",
+        peer=peer.host,
+        retry_after=float(after) if after.isdecimal() else None,
+    )
+
+
+def _unknown(
+    peer: peers.Peer,
+    code: str,
+    message: str,
+    *,
+    status: int = http.HTTPStatus.BAD_GATEWAY,
+) -> outcomes.Unknown:
+    return outcomes.Unknown(
+        status=int(status), code=code, message=message, step="relay", peer=peer.host
+    )
