Look up no earlier bill for a caller's first attempt

Cause: every request with a caller's key waited for a grouped read of its bill, though the caller may say that it is the first attempt. The load tool sends the header.

--- a/dogwoodchute/filters/deduplicate.py
+++ b/dogwoodchute/filters/deduplicate.py
@@ -123,7 +123,7 @@
             return None
         if first is not None:
             run.reruns = first.reruns + 1
-        elif exchange.request.idempotency_key is not None:
+        elif not exchange.request.first_attempt:
             row = await known.bill(exchange.account.name, exchange.request_key)
             if row is None:
                 return None
--- a/dogwoodchute/tools/dogwoodload.py
+++ b/dogwoodchute/tools/dogwoodload.py
@@ -15,7 +15,7 @@
 import uvloop
 from hdrh import histogram
 
-from dogwoodchute import log
+from dogwoodchute import exchange, log
 
 MAX_SECONDS = 600.0
 MAX_RATE = 2_000.0  # requests a second
@@ -115,6 +115,7 @@
     headers = {"Idempotency-Key": f"load-{options.seed}-{number}-{rng.random()}"}
     for attempt in range(options.repeats + 1):
         host = rng.choice(options.hosts)
+        headers[exchange.ATTEMPT_HEADER] = str(attempt + 1)
         url = f"http://{host}/v1/chat/completions"
         try:
             outcome = await _one(session, url, body, headers, tally)
