--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -345,7 +345,9 @@
         if isinstance(outcome, table.Committed):
             ledger.granted += tokens
             state_.version = outcome.versions.get(key, state_.version)
-            state_.budget = _written(budget_key, balance, outcome)
+            state_.budget = table.written(
+                budget_key, grants.balance_value(balance), outcome
+            )
             counter = metrics.DRAWN if tokens > 0 else metrics.RETURNED
             counter.inc(abs(tokens))
         if isinstance(outcome, table.Conflict):
@@ -366,15 +368,6 @@
         )
 
 
-def _written(
-    key: str, balance: grants.Balance, outcome: table.Committed
-) -> table.Row | None:
-    """Return the budget row as just written, None if it may have moved on."""
-    if key not in outcome.versions:
-        return None
-    return table.Row(key, grants.balance_value(balance), outcome.versions[key], "")
-
-
 def _needed(state_: Account) -> int:
     return sum(w.tokens for w in state_.waiters) - state_.ledger.available
 
--- a/dogwoodchute/platform/table.py
+++ b/dogwoodchute/platform/table.py
@@ -91,3 +91,10 @@
 def commit_id(rng: random.Random) -> str:
     """Return a new commit id."""
     return f"{rng.getrandbits(96):024x}"
+
+
+def written(key: str, value: dict, outcome: Committed) -> Row | None:
+    """Return the row as just written, None if it may have moved on."""
+    if key not in outcome.versions:
+        return None
+    return Row(key, value, outcome.versions[key], "")
