Replay traces of both deployments against stated outcomes

Four traces in a small text format: a ten-minute cut with a repeated top-up in its middle, orders under retries and a killed router, a night without the store, and visits booked once. All promises are checked after each line; a wrong statement and a planted second run of an order are shown to fail.

--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -113,7 +113,7 @@
         rng = random.Random(fleet.rng.getrandbits(64))
         text = demo.SETTINGS.format(caller_port=0, operator_port=0)
         text += "[budget]\nbill_interval = 0.25\n"
-        text = text.replace("demo-1", name).replace("dar-a", PLACES[name])
+        text = text.replace("demo-1", name).replace("dar-a", fleet.places[name])
         inner = fleet.table.client(reachable=lambda: name not in fleet.store_cut)
         loop = fleet.loop
         self.state = state.HostState(
@@ -179,10 +179,10 @@
         return kept
 
     def _join(self):
+        data_centre = self.fleet.places[self.name]
         peer = peers.Peer(
-            self.name, self.state.incarnation, "", PLACES[self.name], "", "", True,
-            False, {},
-        )  # fmt: skip
+            self.name, self.state.incarnation, "", data_centre, "", "", True, False, {}
+        )
         layer = self.fleet.net.join(peer)
 
         async def call(host, kind, body, timeout):
@@ -259,8 +259,10 @@
 class Fleet:
     """The hosts, the platform, and all that was asked and told."""
 
-    def __init__(self, *, seed, loop):
+    def __init__(self, *, seed, loop, places=PLACES, accounts=ACCOUNTS):
         self.loop = loop
+        self.places = places  # data centre of each host
+        self.accounts = accounts  # tokens paid at first
         self.rng = random.Random(seed)
         self.table = memory_table.MemoryTable()
         self.objects = memory_objects.MemoryObjects()
@@ -279,10 +281,10 @@
         self.errors = []
 
     async def start(self):
-        for account, paid in ACCOUNTS.items():
+        for account, paid in self.accounts.items():
             value = {"paid": paid, "drawn": 0}
             self.table.apply("start", [], [table.Write(rows.budget(account), value)])
-        for name in PLACES:
+        for name in self.places:
             self.list.set(name, "127.0.0.1")
             await self.boot(name)
 
@@ -376,6 +378,18 @@
         )
         attempt.outcome = outcome
 
+    def heal(self):
+        """End all faults, but leave dead hosts dead and held commits held."""
+        self.table.down = False
+        self.table.delay = 0.0
+        self.table.lose_answers = self.table.hold_commits = 0
+        self.store_cut.clear()
+        self.net.cut.clear()
+        self.net.lose_calls = self.net.lose_answers = self.net.duplicate_calls = 0
+        self.list.thaw()
+        for host in self.hosts:
+            self.resume(host)
+
     def keep(self, coroutine):
         """Run a coroutine whose failure is an error of the fleet."""
         task = self.loop.create_task(coroutine)
--- a/dogwoodchute/tests/money_oracle.py
+++ b/dogwoodchute/tests/money_oracle.py
@@ -24,7 +24,7 @@
 
 def check_money(fleet):
     """Spend never above paid, by grants and by bills; top-ups count once."""
-    for account, first in money_fleet.ACCOUNTS.items():
+    for account, first in fleet.accounts.items():
         budget = fleet.table.rows[rows.budget(account)].value
         grants = values(fleet, rows.grant(account, "")).values()
         billed = [bill["tokens"] for bill in values(fleet, f"bill/{account}/").values()]
--- a/dogwoodchute/tests/test_money_machine.py
+++ b/dogwoodchute/tests/test_money_machine.py
@@ -224,18 +224,9 @@
             self.loop.finish()
 
     def heal(self):
-        fleet = self.fleet
-        fleet.table.down = False
-        fleet.table.delay = 0.0
-        fleet.table.lose_answers = fleet.table.hold_commits = 0
-        fleet.store_cut.clear()
-        fleet.net.cut.clear()
-        fleet.net.lose_calls = fleet.net.lose_answers = fleet.net.duplicate_calls = 0
-        fleet.list.thaw()
-        for host in fleet.hosts:
-            fleet.resume(host)
+        self.fleet.heal()
         self.pass_time(5.0)
-        fleet.table.deliver_held()
+        self.fleet.table.deliver_held()
 
 
 class MoneyMachineTest(support.TestCase):
--- /dev/null
+++ b/dogwoodchute/tests/test_traces.py
@@ -0,0 +1,62 @@
+"""Traces of both deployments, replayed against their stated outcomes."""
+
+import pathlib
+
+from dogwoodchute.tests import money_oracle, support, trace
+
+FOLDER = pathlib.Path(__file__).parent / "traces"
+SHORT = """
+0 host dar-1 dar-a
+0 host dar-2 dar-b
+0 account growers 100
+1 ask a dar-1 growers key=one kind=order tokens=10
+3 ask b dar-2 growers key=one kind=order tokens=10
+"""
+
+
+def play(text):
+    trace.Player(lines=trace.parse(text)).play()
+
+
+class TraceTest(support.TestCase):
+    def replay(self, name):
+        play((FOLDER / f"{name}.txt").read_text(encoding="utf-8"))
+
+    def test_every_trace_has_its_test(self):
+        found = {path.stem.replace("-", "_") for path in FOLDER.glob("*.txt")}
+        tests = {name.removeprefix("test_replay_") for name in dir(self)}
+        self.assertEqual(set(), found - tests)
+
+    def test_replay_kivuli_partition(self):
+        self.replay("kivuli-partition")
+
+    def test_replay_kivuli_orders(self):
+        self.replay("kivuli-orders")
+
+    def test_replay_hinokuni_night(self):
+        self.replay("hinokuni-night")
+
+    def test_replay_hinokuni_bookings(self):
+        self.replay("hinokuni-bookings")
+
+
+class PlayerTest(support.TestCase):
+    def test_a_wrong_statement_fails(self):
+        play(SHORT + "9 expect b answered\n9 expect-runs one 1\n")
+        for wrong in ("expect b not_run", "expect-runs one 2"):
+            with self.assertRaises(trace.TraceError):
+                play(f"{SHORT}9 {wrong}\n")
+
+    def test_promises_are_checked_after_each_line(self):
+        player = trace.Player(lines=trace.parse(SHORT + "9 spoil\n"))
+
+        def spoil(line):
+            player.fleet.runs.append(player.fleet.runs[0])
+
+        player._do_spoil = spoil
+        self.assertRaises(money_oracle.Violation, player.play)
+
+    def test_malformed_traces_are_refused(self):
+        for text in ("x ask", "1", "2 heal\n1 heal", "1 nonsense"):
+            with self.assertRaises(trace.TraceError):
+                play(SHORT.replace("3 ask", "1 ask") + "9 heal\n" + text)
