Share the look-ups' rate of reads among the hosts of the fleet

Cause: a request with a caller's key and without X-Attempt waited for a grouped read of earlier bills, five reads a second for each host whatever the fleet's size: long waits on 8 hosts, and 1,700 of the store's 2,000 reads a second on 340.

--- a/dogwoodchute/controllers/lookups.py
+++ b/dogwoodchute/controllers/lookups.py
@@ -6,15 +6,16 @@
 from dogwoodchute.coordination import rows
 from dogwoodchute.platform import table
 
-INTERVAL = 0.2  # seconds between two reads
+FLEET_READS = 400.0  # reads a second of all hosts together
+SHORTEST_INTERVAL = 0.01  # seconds
 MAX_GROUP = 200  # keys in one read
 
 
 class Lookups:
     """The keys that wait for the next read.
 
-    The first key after a calm is read at once; the rate of reads is bounded whatever
-    the number of requests.
+    The first key after a calm is read at once. The reads of all hosts together stay
+    within `FLEET_READS`, whatever the number of requests and hosts.
     """
 
     def __init__(self, *, host: state.HostState) -> None:
@@ -43,4 +44,9 @@
             found = outcome.rows if isinstance(outcome, table.Rows) else {}
             for key, future in group.items():
                 future.set_result(found.get(key))
-            await asyncio.sleep(INTERVAL)
+            await asyncio.sleep(interval(1 + len(self._host.peers.known())))
+
+
+def interval(hosts: int) -> float:
+    """Return the seconds between two reads of one host in a fleet of `hosts`."""
+    return max(SHORTEST_INTERVAL, hosts / FLEET_READS)
--- /dev/null
+++ b/dogwoodchute/tests/test_lookups.py
@@ -0,0 +1,36 @@
+"""Looking up earlier bills, many keys in one read."""
+
+import asyncio
+
+from dogwoodchute import runtime
+from dogwoodchute.controllers import lookups
+from dogwoodchute.coordination import rows
+from dogwoodchute.platform import table
+from dogwoodchute.standins import table as memory_table
+from dogwoodchute.tests import endpoints, support, virtual
+
+STORE_READS = 2_000.0  # reads a second that the platform serves
+
+
+class LookupsTest(support.TestCase):
+    def test_many_keys_share_few_reads(self):
+        loop = virtual.Loop()
+        memory = memory_table.MemoryTable()
+        write = table.Write(rows.bill("growers", "k7"), {"tokens": 3})
+        memory.apply("bill", [], [write])
+        host = runtime.embedded_state(endpoints.config(), memory=memory)
+        known = lookups.Lookups(host=host)
+
+        async def ask():
+            keys = [f"k{n}" for n in range(300)]
+            return await asyncio.gather(*(known.bill("growers", key) for key in keys))
+
+        found = loop.run_until_complete(ask())
+        loop.finish()
+        self.assertEqual([7], [n for n, row in enumerate(found) if row is not None])
+        self.assertLessEqual(memory.reads, 3)
+
+    def test_reads_of_all_hosts_fit_the_store_at_any_size(self):
+        for hosts in (1, 8, 100, 340):
+            reads = hosts / lookups.interval(hosts)
+            self.assertLess(reads, STORE_READS / 4, hosts)
