--- a/bench/load.py
+++ b/bench/load.py
@@ -4,7 +4,7 @@
 
 import numpy as np
 
-from bench import figures, load_model
+from bench import figures, load_engine, load_model
 
 WARM_UP = 10.0  # seconds left out
 LOADS = (0.5, 0.9, 1.0, 1.2, 3.0)  # of the capacity
@@ -17,7 +17,7 @@
 
 def run() -> None:
     """Print the figures."""
-    figures.show("capacity", requests_per_second=load_model.capacity(9))
+    figures.show("capacity", requests_per_second=load_engine.capacity(9))
     for load in LOADS:
         for policy in POLICIES:
             show_steady(load_model.Setup(load=load, policy=policy))
--- a/bench/load_cost.py
+++ b/bench/load_cost.py
@@ -8,7 +8,7 @@
 
 import uvloop
 
-from bench import figures, load_model
+from bench import figures, load_engine
 from dogwoodchute import catalog, peer_wire, peers, runtime, settings
 from dogwoodchute.controllers import endpoint_loads, endpoints
 from dogwoodchute.coordination import admission, limits, prefix_index
@@ -69,7 +69,7 @@
                 1,
                 500,
                 1.2,
-                blocks=load_model.prefix_blocks(number % 50),
+                blocks=load_engine.prefix_blocks(number % 50),
             )
             for number in range(DECISIONS)
         ]
--- a/dogwoodchute/tests/test_load_targets.py
+++ b/dogwoodchute/tests/test_load_targets.py
@@ -1,6 +1,6 @@
 """The users' targets, held in the queueing model with fixed seeds."""
 
-from bench import load, load_model
+from bench import load, load_engine, load_model
 from dogwoodchute.tests import support
 
 STORM_OVER = 10.0  # seconds after its cause
@@ -24,8 +24,8 @@
 
     def test_latency_targets_at_nine_tenths_of_the_capacity(self):
         found = load.steady(load_model.Setup(load=0.9, seconds=40))
-        self.assertLessEqual(found["first_token_p95"], load_model.FIRST_TOKEN)
-        self.assertLessEqual(found["token_gap_p95"], load_model.TOKEN_GAP)
+        self.assertLessEqual(found["first_token_p95"], load_engine.FIRST_TOKEN)
+        self.assertLessEqual(found["token_gap_p95"], load_engine.TOKEN_GAP)
         self.assertEqual(0, found["ejections"])
 
     def test_retry_storm_ends_soon_after_its_cause(self):
