Refuse chats whose tokens can't be bounded before they run

Cause: 'n' above 1 multiplies the answer, and an image costs more tokens than its URL has bytes, so such chats used more than was reserved and the excess was never billed. Change: both are refused as bad requests, and so is JSON nested too deeply, which was told as a fault of the router. Each has its line in the bad-input test.

--- a/dogwoodchute/filters/resolve.py
+++ b/dogwoodchute/filters/resolve.py
@@ -49,7 +49,7 @@
 def _parse_chat(exchange: exchanges.Exchange) -> outcomes.NotRun | None:
     try:
         body = json.loads(exchange.request.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return _bad_body(f"The body is not JSON: {error}.")
     if not isinstance(body, dict):
         return _bad_body("The body must be a JSON object.")
@@ -59,11 +59,27 @@
         return _bad_body("Set 'messages' to a list of at least one message.")
     if not isinstance(body.get("stream", False), bool):
         return _bad_body("Set 'stream' to true or false.")
+    if body.get("n") not in (None, 1):
+        return _bad_body("Leave 'n' out, or set it to 1: one request, one answer.")
+    if not all(_is_text(message) for message in body["messages"]):
+        return _bad_body(
+            "Send messages with text content only: the tokens of other content can't "
+            "be bounded before it runs."
+        )
     exchange.body = body
     exchange.stream = body.get("stream", False)
     return None
 
 
+def _is_text(message: object) -> bool:
+    if not isinstance(message, dict):
+        return False
+    content = message.get("content")
+    if not isinstance(content, list):
+        return content is None or isinstance(content, str)
+    return all(isinstance(p, dict) and p.get("type") == "text" for p in content)
+
+
 def _bad_body(message: str) -> outcomes.NotRun:
     return outcomes.refuse(
         http.HTTPStatus.BAD_REQUEST, "bad_request", message, step="resolve"
--- a/dogwoodchute/tests/test_bad_input.py
+++ b/dogwoodchute/tests/test_bad_input.py
@@ -49,6 +49,13 @@
             await refused(session, 400, "bad_request", json={**GOOD, "max_tokens": 0})
             await refused(session, 400, "bad_request", json={**GOOD, "max_tokens": "x"})
             await refused(session, 400, "bad_request", json={**GOOD, "stream": "yes"})
+            await refused(session, 400, "bad_request", json={**GOOD, "n": 2})
+            await refused(session, 400, "bad_request", data=b"[" * 100_000)
+            image = {"type": "image_url", "image_url": {"url": "http://x"}}
+            for content in ([image], 7):
+                message = {"role": "user", "content": content}
+                body = {**GOOD, "messages": [message]}
+                await refused(session, 400, "bad_request", json=body)
             await refused(session, 404, "unknown_service", json={**GOOD, "model": "no"})
             wrong = {"Authorization": "Bearer nobody"}
             await refused(session, 401, "unknown_key", json=GOOD, headers=wrong)
