--- a/bench/forward.py
+++ b/bench/forward.py
@@ -17,7 +17,15 @@
 import uvloop
 
 from bench import figures
-from dogwoodchute import daemon, exchange, log, runtime, server, settings
+from dogwoodchute import (
+    catalog,
+    daemon,
+    exchange,
+    log,
+    runtime,
+    server,
+    settings,
+)
 from dogwoodchute.controllers import release_submit
 from dogwoodchute.tools import demo
 
@@ -28,6 +36,7 @@
 TOKEN_MS = 4.0
 SECONDS = 8.0
 START_BOUND = 20.0  # seconds
+BUDGET = 10**9  # tokens, more than the run can use
 
 
 def run() -> None:
@@ -106,8 +115,12 @@
     host = runtime.embedded_state(settings.parse(text, source="bench"))
     each = daemon.Daemon(host=host)
     await each.start()
-    note = demo.NOTE.format(engine=engine, orders=engine)
-    note = note.replace(f"budget = {demo.BUDGET}", f"budget = {10**9}")
+    note = demo.NOTE.format(
+        engine=engine,
+        orders=engine,
+        key=catalog.hash_key(demo.CLIENT_KEY),
+        budget=BUDGET,
+    )
     note = note.replace(f"address = {engine}", f"address = {engine}\ncapacity = 400")
     accepted = await each.releases.submit(note)
     if not isinstance(accepted, release_submit.Accepted):
--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -33,6 +33,7 @@
     peers as memory_peers,
     table as memory_table,
 )
+from dogwoodchute.tests import gate
 from dogwoodchute.tools import demo
 
 PLACES = {"h1": "dar-a", "h2": "dar-b", "h3": "arusha-a"}
@@ -70,46 +71,13 @@
         return self.exchange.account.name, self.exchange.request_key
 
 
-class Gate:
-    """What a host's every word to the outside passes."""
-
-    def __init__(self):
-        self.dead = False
-        self._open = asyncio.Event()
-        self._open.set()
-
-    @property
-    def paused(self):
-        return not self._open.is_set()
-
-    def pause(self):
-        self._open.clear()
-
-    def resume(self):
-        self._open.set()
-
-    async def passed(self):
-        await self._open.wait()
-        if self.dead:
-            await asyncio.Event().wait()
-
-    def guard(self, operation):
-        async def gated(*arguments):
-            await self.passed()
-            result = await operation(*arguments)
-            await self.passed()
-            return result
-
-        return gated
-
-
 class Host:
     """One incarnation of a host."""
 
     def __init__(self, *, fleet, name):
         self.fleet = fleet
         self.name = name
-        self.gate = Gate()
+        self.gate = gate.Gate()
         rng = random.Random(fleet.rng.getrandbits(64))
         text = demo.SETTINGS.format(caller_port=0, operator_port=0)
         text += "[budget]\nbill_interval = 0.25\n"
--- a/dogwoodchute/tests/processes.py
+++ b/dogwoodchute/tests/processes.py
@@ -12,6 +12,7 @@
 
 from dogwoodchute import catalog
 from dogwoodchute.platform import http_client, table
+from dogwoodchute.tools import demo
 
 CLIENT_KEY = "process-client-key"
 OPERATOR_KEY = "process-operator-key"
@@ -39,31 +40,6 @@
 linger = 1
 """
 
-NOTE = """
-[note]
-base = 0
-[added service assistant-llm]
-kind = chat
-max_output = 512
-[added service order-api]
-kind = plain
-price = 10
-[added endpoint llm-1]
-service = assistant-llm
-address = {engine}
-region = dar
-data_centre = dar-a
-[added endpoint orders-1]
-service = order-api
-address = {orders}
-region = dar
-data_centre = dar-a
-[added account growers]
-keys = {key}
-services = assistant-llm order-api
-budget = {budget}
-"""
-
 PLACES = (("dar", "dar-a"), ("dar", "dar-b"), ("arusha", "arusha-a"))
 
 
@@ -87,7 +63,7 @@
         for number in range(self.hosts):
             self._write_settings(number)
             self.processes.append(self._run_daemon(number))
-        note = NOTE.format(
+        note = demo.NOTE.format(
             engine=self.addresses["engine-1"],
             orders=self.addresses["service-1"],
             key=catalog.hash_key(CLIENT_KEY),
--- a/dogwoodchute/tools/demo.py
+++ b/dogwoodchute/tools/demo.py
@@ -32,7 +32,7 @@
 level = warning
 """
 
-NOTE = f"""
+NOTE = """
 [note]
 base = 0
 [added service assistant-llm]
@@ -43,18 +43,18 @@
 price = 10
 [added endpoint llm-1]
 service = assistant-llm
-address = {{engine}}
+address = {engine}
 region = dar
 data_centre = dar-a
 [added endpoint orders-1]
 service = order-api
-address = {{orders}}
+address = {orders}
 region = dar
 data_centre = dar-a
 [added account growers]
-keys = {catalog.hash_key(CLIENT_KEY)}
+keys = {key}
 services = assistant-llm order-api
-budget = {BUDGET}
+budget = {budget}
 """
 
 
@@ -85,7 +85,12 @@
         for each in self._sites:
             await each.start()
         await self.daemon.start()
-        note = NOTE.format(engine=self._sites[0].address, orders=self._sites[1].address)
+        note = NOTE.format(
+            engine=self._sites[0].address,
+            orders=self._sites[1].address,
+            key=catalog.hash_key(CLIENT_KEY),
+            budget=BUDGET,
+        )
         url = f"http://127.0.0.1:{self.daemon.operators.port}/ops/v1/releases"
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
         async with aiohttp.ClientSession(headers=headers) as session:
