--- a/dogwoodchute/tests/test_admission.py
+++ b/dogwoodchute/tests/test_admission.py
@@ -283,7 +283,8 @@
 FAULTS = {
     CrossesFreely: "too many in another region",
     IgnoresLeaving: "new work for a leaving endpoint",
-    ReleasesTwice: "permits were lost|release without acquire",
+    # The limit of an endpoint may be dropped while another permit needs it.
+    ReleasesTwice: "permits were lost|release without acquire|^'[a-z]+'$",
     KeepsPermit: "permits were lost",
     ForgetsDeadlines: "a request never ended|sent after its deadline",
     RetriesFreely: "too many retries",
