Test that a killed process's stream goes on at another, once and billed once

A streamed chat of 300 tokens: the first daemon is killed with SIGKILL after five events, the caller goes on at a second with the resume token and the last event's id.

--- a/dogwoodchute/tests/test_processes.py
+++ b/dogwoodchute/tests/test_processes.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from dogwoodchute import sse
 from dogwoodchute.tests import processes, support
 
 CHAT = "/v1/chat/completions"
@@ -82,6 +83,33 @@
 
         self.with_fleet(check)
 
+    def test_stream_of_a_killed_host_goes_on_at_another(self):
+        async def check(fleet, session):
+            url = f"http://{fleet.callers[1]}{CHAT}"
+            headers = {"Idempotency-Key": "moved"}
+            seen = b""
+            with self.assertRaises(aiohttp.ClientError):
+                async with session.post(
+                    url, json=chat(300), headers=headers
+                ) as response:
+                    headers["X-Resume-Token"] = response.headers["X-Resume-Token"]
+                    while seen.count(b"\n\n") < 5:
+                        seen += await response.content.readany()
+                    fleet.signal(1, signal.SIGKILL)
+                    while data := await response.content.readany():
+                        seen += data
+            seen = seen[: seen.rfind(b"\n\n") + 2]
+            headers["Last-Event-ID"] = sse.event_id(sse.events(seen)[-1])
+            url = f"http://{fleet.callers[0]}{CHAT}"
+            async with session.post(url, json=chat(300), headers=headers) as response:
+                seen += await response.read()
+            self.assertTrue(seen.endswith(DONE))
+            ids = [sse.event_id(event) for event in sse.events(seen)[:-1]]
+            self.assertEqual([str(number) for number in range(300)], ids)
+            await self.check_money(fleet, {"moved"})
+
+        self.with_fleet(check)
+
     def test_graceful_stop_cuts_off_no_stream(self):
         async def check(fleet, session):
             url = f"http://{fleet.callers[0]}{CHAT}"
