--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -7,8 +7,8 @@
 import collections
 import math
 import random
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from bench import load_baseline, load_engine
 from dogwoodchute.coordination import admission, limits, prefix_index, samples
@@ -23,7 +23,7 @@
 ANSWER_BYTES = 300  # of one token, as an event
 
 
-class Setup(NamedTuple):
+class Setup(typing.NamedTuple):
     """One run of the model."""
 
     load: float  # of the capacity
--- a/bench/money_policies.py
+++ b/bench/money_policies.py
@@ -1,13 +1,13 @@
 """The policy of the product and its two baselines, over the bench's world."""
 
 import collections
-from typing import NamedTuple
+import typing
 
 from bench import money_world as worlds
 from dogwoodchute.coordination import grants, sizing
 
 
-class Constants(NamedTuple):
+class Constants(typing.NamedTuple):
     """The constants of the policy of grants by demand."""
 
     near_horizon: float = 600.0  # seconds, for hosts in the store's region
--- a/bench/money_scenarios.py
+++ b/bench/money_scenarios.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from typing import NamedTuple
+import typing
 
 from bench import money_world as worlds
 
@@ -11,7 +11,7 @@
 REPLACED_AFTER = 20.0  # seconds until a host that went is back
 
 
-class Deployment(NamedTuple):
+class Deployment(typing.NamedTuple):
     """A user's hosts and client accounts, and what a fault costs it."""
 
     name: str
@@ -22,7 +22,7 @@
     refusal_weight: float  # for each false refusal
 
 
-class Scenario(NamedTuple):
+class Scenario(typing.NamedTuple):
     """Requests and faults, and for how long they are played."""
 
     name: str
--- a/bench/money_world.py
+++ b/bench/money_world.py
@@ -7,21 +7,21 @@
 import collections
 import heapq
 import itertools
+import typing
 from collections import abc
-from typing import NamedTuple
 
 BILL_INTERVAL = 0.25  # seconds
 TICK = 5.0  # seconds
 
 
-class Place(NamedTuple):
+class Place(typing.NamedTuple):
     """A host of the world."""
 
     name: str
     region: str
 
 
-class Call(NamedTuple):
+class Call(typing.NamedTuple):
     """One request, the same for every policy."""
 
     at: float  # seconds
@@ -32,7 +32,7 @@
     seconds: float
 
 
-class Fault(NamedTuple):
+class Fault(typing.NamedTuple):
     """One event that is not a request."""
 
     at: float  # seconds
@@ -43,7 +43,7 @@
     tokens: int = 0
 
 
-class Figures(NamedTuple):
+class Figures(typing.NamedTuple):
     """What one run of one policy came to."""
 
     requests: int
@@ -103,7 +103,7 @@
         return left - self.in_flight.get(account, 0)
 
 
-class Policy(NamedTuple):
+class Policy(typing.NamedTuple):
     """How hosts get the tokens that they lend to requests.
 
     `reserve` and `settle` take host, client account and tokens; `settle` also takes
--- a/dogwoodchute/catalog.py
+++ b/dogwoodchute/catalog.py
@@ -2,14 +2,14 @@
 
 import hashlib
 import hmac
+import typing
 from collections import abc
-from typing import NamedTuple
 
 CHAT = "chat"
 PLAIN = "plain"
 
 
-class ClientAccount(NamedTuple):
+class ClientAccount(typing.NamedTuple):
     """A client account; `keys` are SHA-256 hex digests of its bearer keys."""
 
     name: str
@@ -19,7 +19,7 @@
     budget: int = 0  # tokens paid with the account's creation
 
 
-class Service(NamedTuple):
+class Service(typing.NamedTuple):
     """A service; a chat service's name is the model's name in requests.
 
     Each objective is a target share, 0 for none; those on times also have a bound in
@@ -39,7 +39,7 @@
     false_refusals: float = 0.0  # share of requests that are not refused by mistake
 
 
-class Endpoint(NamedTuple):
+class Endpoint(typing.NamedTuple):
     """An endpoint; `address` is an IP number and port.
 
     `model`, `adapters`, `version` and `role` are the state that its engine is ordered
@@ -59,14 +59,14 @@
     role: str = ""
 
 
-class Index(NamedTuple):
+class Index(typing.NamedTuple):
     """What is looked up for each request."""
 
     accounts_by_key: dict[str, str]  # account name by digest of a bearer key
     endpoints_by_service: dict[str, list[Endpoint]]  # sorted by name
 
 
-class Catalog(NamedTuple):
+class Catalog(typing.NamedTuple):
     """The full state at one revision. Revision 0 is empty."""
 
     revision: int
--- a/dogwoodchute/controller.py
+++ b/dogwoodchute/controller.py
@@ -1,15 +1,15 @@
 """Controllers: long-running tasks of the daemon, registered explicitly."""
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import log
 
 STOP_BOUND = 5.0  # seconds for one controller
 
 
-class Controller(NamedTuple):
+class Controller(typing.NamedTuple):
     """One controller. `stop` flushes what must last before the host exits."""
 
     name: str
--- a/dogwoodchute/controllers/budgets.py
+++ b/dogwoodchute/controllers/budgets.py
@@ -1,7 +1,7 @@
 """Top-ups of client accounts' budgets, and what is known of each budget."""
 
 import dataclasses
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import clock, log, state
 from dogwoodchute.coordination import grants, rows
@@ -12,7 +12,7 @@
 MAX_CACHED = 10_000  # balances
 
 
-class Holding(NamedTuple):
+class Holding(typing.NamedTuple):
     """A host process's grant, in tokens."""
 
     incarnation: str
@@ -21,7 +21,7 @@
     closed: bool
 
 
-class Budget(NamedTuple):
+class Budget(typing.NamedTuple):
     """One client account's budget, in tokens."""
 
     account: str
--- a/dogwoodchute/controllers/burn.py
+++ b/dogwoodchute/controllers/burn.py
@@ -6,8 +6,8 @@
 object for each earlier hour. A summary that comes after the merge is read beside it.
 """
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import msgpack
 import xxhash
@@ -27,7 +27,7 @@
 PREFIX = "burn/"
 
 
-class Place(NamedTuple):
+class Place(typing.NamedTuple):
     """Where a request ran."""
 
     place: str  # region/data centre
--- a/dogwoodchute/controllers/burn_report.py
+++ b/dogwoodchute/controllers/burn_report.py
@@ -1,6 +1,6 @@
 """Turns the fleet's summaries into a report on service-level burn."""
 
-from typing import TypedDict
+import typing
 
 from hdrh import histogram
 
@@ -11,7 +11,7 @@
 SERIES_WIDTH = 300  # seconds
 
 
-class Objective(TypedDict):
+class Objective(typing.TypedDict):
     """How one objective of one service is met."""
 
     service: str
--- a/dogwoodchute/controllers/claims.py
+++ b/dogwoodchute/controllers/claims.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import log, metrics_money as metrics, peers, state
 from dogwoodchute.coordination import claims, rows, throttle
@@ -38,7 +38,7 @@
     peer: str | None = None
 
 
-class Running(NamedTuple):
+class Running(typing.NamedTuple):
     """A claim that this host has not brought to an end yet."""
 
     ended: asyncio.Event
--- a/dogwoodchute/controllers/copies.py
+++ b/dogwoodchute/controllers/copies.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import controller, log, metrics_money as metrics, peers, state
 from dogwoodchute.controllers import bills, grants
@@ -23,7 +23,7 @@
 MAX_COPIES = 10_000
 
 
-class Copy(NamedTuple):
+class Copy(typing.NamedTuple):
     """A copy of another host's bill."""
 
     entry: pure_bills.Entry
--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import aiohttp
 import prometheus_client
@@ -35,7 +35,7 @@
 Fetch = abc.Callable[[str, str], abc.Awaitable["Fetched"]]  # address, path
 
 
-class Fetched(NamedTuple):
+class Fetched(typing.NamedTuple):
     """What an endpoint answered; status 0 if it could not be reached."""
 
     status: int
@@ -43,7 +43,7 @@
     size: int  # bytes of the body
 
 
-class _Seen(NamedTuple):
+class _Seen(typing.NamedTuple):
     load: limits.Load  # as last told to peers; `at` is when it was last confirmed
     changed: int  # number of the round in which it last changed
 
--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import controller, log, metrics_money as metrics, state
 from dogwoodchute.coordination import grants, rows, sizing, throttle
@@ -40,14 +40,14 @@
 Reservation = Reserved | Spent | OutOfReach
 
 
-class Search(NamedTuple):
+class Search(typing.NamedTuple):
     """What a look at the grants of other hosts found, in tokens."""
 
     returned: int  # to the budget, from grants of lost hosts
     held: int  # unspent by other hosts
 
 
-class Waiter(NamedTuple):
+class Waiter(typing.NamedTuple):
     """A request that waits for a draw."""
 
     tokens: int
--- a/dogwoodchute/controllers/order_client.py
+++ b/dogwoodchute/controllers/order_client.py
@@ -1,8 +1,8 @@
 """Sends orders to engines over HTTP."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import aiohttp
 
@@ -36,7 +36,7 @@
 Answer = Reported | Stale | NoAnswer
 
 
-class Engines(NamedTuple):
+class Engines(typing.NamedTuple):
     """The operations on engines, by address."""
 
     report: abc.Callable[[str], abc.Awaitable[Answer]]
--- a/dogwoodchute/controllers/orders.py
+++ b/dogwoodchute/controllers/orders.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import math
-from typing import NamedTuple
+import typing
 
 import prometheus_client
 
@@ -23,14 +23,14 @@
 )
 
 
-class Seen(NamedTuple):
+class Seen(typing.NamedTuple):
     """A lease row as this host first saw its version."""
 
     version: int
     since: float  # monotonic seconds
 
 
-class Standing(NamedTuple):
+class Standing(typing.NamedTuple):
     """How an endpoint's engine stands, as this host last found it."""
 
     endpoint: str
--- a/dogwoodchute/controllers/register.py
+++ b/dogwoodchute/controllers/register.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import secrets
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import clock, log, state
 from dogwoodchute.coordination import membership, rows
@@ -39,7 +39,7 @@
 Outcome = Registered | Superseded | NotReached
 
 
-class _Sighting(NamedTuple):
+class _Sighting(typing.NamedTuple):
     """The version of a row and when this host first saw it, in monotonic seconds."""
 
     version: int
--- a/dogwoodchute/controllers/release_store.py
+++ b/dogwoodchute/controllers/release_store.py
@@ -8,8 +8,8 @@
 import asyncio
 import dataclasses
 import hashlib
+import typing
 import zlib
-from typing import NamedTuple
 
 import msgpack
 
@@ -24,7 +24,7 @@
 MAX_PRUNED = 512  # rows deleted by one commit
 
 
-class Head(NamedTuple):
+class Head(typing.NamedTuple):
     """The newest revision; `version` is the row's, 0 if there is no row."""
 
     revision: int
@@ -32,7 +32,7 @@
     version: int
 
 
-class Pointer(NamedTuple):
+class Pointer(typing.NamedTuple):
     """Where the newest snapshot is; deltas below `first` are gone."""
 
     revision: int
--- a/dogwoodchute/coordination/admission.py
+++ b/dogwoodchute/coordination/admission.py
@@ -8,8 +8,8 @@
 import dataclasses
 import math
 import random
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute.coordination import (
     choice,
@@ -30,7 +30,7 @@
 JITTER = 0.25  # share by which Retry-After varies either way
 
 
-class Site(NamedTuple):
+class Site(typing.NamedTuple):
     """An endpoint of the service."""
 
     name: str
@@ -38,7 +38,7 @@
     capacity: int  # requests
 
 
-class Ticket(NamedTuple):
+class Ticket(typing.NamedTuple):
     """What admission needs to know of a request."""
 
     id: str
@@ -52,14 +52,14 @@
     link_seconds: float = 0.1  # cost of using another region's endpoint
 
 
-class Dispatch(NamedTuple):
+class Dispatch(typing.NamedTuple):
     """Send the request to the endpoint; `release` must follow."""
 
     ticket: Ticket
     endpoint: str
 
 
-class Shed(NamedTuple):
+class Shed(typing.NamedTuple):
     """Refuse the request; it was not sent anywhere."""
 
     ticket: Ticket
--- a/dogwoodchute/coordination/bills.py
+++ b/dogwoodchute/coordination/bills.py
@@ -1,10 +1,10 @@
 """Bills: the durable records of what requests used, each written once."""
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
-class Entry(NamedTuple):
+class Entry(typing.NamedTuple):
     """What one request used, as another host can write it too."""
 
     account: str
@@ -54,7 +54,7 @@
     return beyond
 
 
-class Candidate(NamedTuple):
+class Candidate(typing.NamedTuple):
     """A peer that may keep a copy of a pending bill."""
 
     host: str
--- a/dogwoodchute/coordination/burn.py
+++ b/dogwoodchute/coordination/burn.py
@@ -6,8 +6,8 @@
 cause. A burn rate of 1 uses up exactly the error budget that the objective allows.
 """
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 AVAILABILITY = "availability"
 FALSE_REFUSALS = "false_refusals"
@@ -16,7 +16,7 @@
 MEASURES = (AVAILABILITY, FALSE_REFUSALS, FIRST_TOKEN, BETWEEN_TOKENS)
 
 
-class Window(NamedTuple):
+class Window(typing.NamedTuple):
     """A pair of windows in seconds and the burn rate that they alert on."""
 
     long: float
@@ -32,14 +32,14 @@
 )
 
 
-class Count(NamedTuple):
+class Count(typing.NamedTuple):
     """Events of one bucket."""
 
     total: int
     bad: int
 
 
-class Bucket(NamedTuple):
+class Bucket(typing.NamedTuple):
     """Events of one measure at one place, from `start` on, in epoch seconds."""
 
     start: float
@@ -48,7 +48,7 @@
     count: Count
 
 
-class Alert(NamedTuple):
+class Alert(typing.NamedTuple):
     """One objective that burns."""
 
     window: Window
--- a/dogwoodchute/coordination/choice.py
+++ b/dogwoodchute/coordination/choice.py
@@ -7,8 +7,8 @@
 """
 
 import random
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute.coordination import ranking
 
@@ -18,7 +18,7 @@
 GUESS_SHARE = 0.5  # worth of the rendezvous choice against a known holder
 
 
-class Candidate(NamedTuple):
+class Candidate(typing.NamedTuple):
     """An endpoint that may take the request."""
 
     name: str
--- a/dogwoodchute/coordination/claims.py
+++ b/dogwoodchute/coordination/claims.py
@@ -1,6 +1,6 @@
 """Claims: the durable records that a non-idempotent request may be running."""
 
-from typing import NamedTuple
+import typing
 
 CLAIMED = "claimed"  # its holder may run it, or may have run it
 SETTLED = "settled"  # it was answered
@@ -9,7 +9,7 @@
 MAX_INLINE = 16_384  # bytes of an answer kept in the claim's row
 
 
-class Claim(NamedTuple):
+class Claim(typing.NamedTuple):
     """A claim row."""
 
     state: str
--- a/dogwoodchute/coordination/ejection.py
+++ b/dogwoodchute/coordination/ejection.py
@@ -7,7 +7,7 @@
 
 import math
 import statistics
-from typing import NamedTuple
+import typing
 
 FAILURES = 3  # consecutive
 MIN_SAMPLES = 5
@@ -22,7 +22,7 @@
 MIN_WEIGHT = 0.1
 
 
-class Floors(NamedTuple):
+class Floors(typing.NamedTuple):
     """Figures, in seconds, below which an endpoint is never called slow."""
 
     first_token: float = 0.6
--- a/dogwoodchute/coordination/grants.py
+++ b/dogwoodchute/coordination/grants.py
@@ -9,12 +9,12 @@
 Source of the method: P. O'Neil, "The Escrow Transactional Method", ACM TODS 11, 1986.
 """
 
-from typing import NamedTuple
+import typing
 
 AFTER = "after"  # the id of the holder's commit that a closing commit replaced
 
 
-class Balance(NamedTuple):
+class Balance(typing.NamedTuple):
     """A client account's budget row, in tokens."""
 
     paid: int  # cumulative
@@ -27,7 +27,7 @@
         return self.paid - self.drawn
 
 
-class Grant(NamedTuple):
+class Grant(typing.NamedTuple):
     """A grant row, in tokens."""
 
     granted: int
--- a/dogwoodchute/coordination/limits.py
+++ b/dogwoodchute/coordination/limits.py
@@ -9,7 +9,7 @@
 
 import collections
 import math
-from typing import NamedTuple
+import typing
 
 SHRINK_INTERVAL = 2.0  # seconds, in which a smaller limit takes effect
 GROW_INTERVAL = 1.0  # seconds
@@ -22,14 +22,14 @@
 REPORT_LAG = 0.5  # seconds by which endpoints' reports are taken to be late
 
 
-class Targets(NamedTuple):
+class Targets(typing.NamedTuple):
     """What an endpoint should keep, in seconds."""
 
     first_token: float = 0.6  # from dispatch, without the prompt's own processing
     token_gap: float = 0.026
 
 
-class Load(NamedTuple):
+class Load(typing.NamedTuple):
     """What an endpoint reported of itself, in requests."""
 
     running: int
--- a/dogwoodchute/coordination/membership.py
+++ b/dogwoodchute/coordination/membership.py
@@ -11,13 +11,13 @@
 """
 
 import itertools
+import typing
 from collections import abc
-from typing import NamedTuple
 
 PAST_INCARNATIONS = 4  # remembered of each host
 
 
-class Core(NamedTuple):
+class Core(typing.NamedTuple):
     """What changes seldom of a host. Ordered by generation, incarnation, version."""
 
     host: str
@@ -38,7 +38,7 @@
         return (self.generation, self.incarnation, self.version)
 
 
-class Hints(NamedTuple):
+class Hints(typing.NamedTuple):
     """What a host last said of itself; never to be taken as truth."""
 
     host: str
--- a/dogwoodchute/coordination/notes.py
+++ b/dogwoodchute/coordination/notes.py
@@ -12,7 +12,7 @@
 import hashlib
 import ipaddress
 import re
-from typing import Annotated, Literal, NamedTuple
+import typing
 
 import pydantic
 
@@ -36,15 +36,15 @@
     return value
 
 
-Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
-Digest = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
-Names = Annotated[tuple[Name, ...], pydantic.BeforeValidator(_words)]
-Digests = Annotated[
+Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Digest = typing.Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+Names = typing.Annotated[tuple[Name, ...], pydantic.BeforeValidator(_words)]
+Digests = typing.Annotated[
     tuple[Digest, ...], pydantic.BeforeValidator(_words), pydantic.Field(min_length=1)
 ]
-Address = Annotated[str, pydantic.AfterValidator(_address)]
-Share = Annotated[float, pydantic.Field(ge=0, lt=1)]
-Text = Annotated[str, pydantic.Field(max_length=200)]
+Address = typing.Annotated[str, pydantic.AfterValidator(_address)]
+Share = typing.Annotated[float, pydantic.Field(ge=0, lt=1)]
+Text = typing.Annotated[str, pydantic.Field(max_length=200)]
 
 
 class Section(pydantic.BaseModel):
@@ -56,7 +56,7 @@
 class NoteHead(Section):
     """The section ``[note]``."""
 
-    base: Annotated[int, pydantic.Field(ge=0)]
+    base: typing.Annotated[int, pydantic.Field(ge=0)]
     id: Name = ""
     reason: Text = ""
     rebase: bool = True  # accept on a newer revision if nothing named here changed
@@ -67,22 +67,22 @@
 
     keys: Digests
     services: Names = ()
-    weight: Annotated[int, pydantic.Field(ge=1, le=1000)] = 1
-    budget: Annotated[int, pydantic.Field(ge=0)] = 0
+    weight: typing.Annotated[int, pydantic.Field(ge=1, le=1000)] = 1
+    budget: typing.Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 class Service(Section):
     """A service's keys, after `split_objectives`."""
 
-    kind: Literal["chat", "plain"]
-    price: Annotated[int, pydantic.Field(ge=0)] = 0
+    kind: typing.Literal["chat", "plain"]
+    price: typing.Annotated[int, pydantic.Field(ge=0)] = 0
     idempotent: bool | None = None
-    max_output: Annotated[int, pydantic.Field(ge=1)] = 4096
+    max_output: typing.Annotated[int, pydantic.Field(ge=1)] = 4096
     availability: Share = 0.0
     first_token_share: Share = 0.0
-    first_token_seconds: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    first_token_seconds: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
     between_tokens_share: Share = 0.0
-    between_tokens_seconds: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    between_tokens_seconds: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
     false_refusals: Share = 0.0
 
 
@@ -94,11 +94,11 @@
     region: Name
     data_centre: Name
     checks_fence: bool = False
-    capacity: Annotated[int, pydantic.Field(ge=1)] = 8
+    capacity: typing.Annotated[int, pydantic.Field(ge=1)] = 8
     model: Text = ""
     adapters: Names = ()
     version: Text = ""
-    role: Literal["", "mixed", "prefill", "decode"] = ""
+    role: typing.Literal["", "mixed", "prefill", "decode"] = ""
 
 
 MODELS = {"account": Account, "service": Service, "endpoint": Endpoint}
@@ -106,7 +106,7 @@
 SHARE_OBJECTIVES = ("availability", "false_refusals")
 
 
-class Change(NamedTuple):
+class Change(typing.NamedTuple):
     """One section of a note; `fields` are the keys as written."""
 
     action: str
@@ -120,7 +120,7 @@
         return f"{self.action} {self.kind} {self.name}"
 
 
-class Note(NamedTuple):
+class Note(typing.NamedTuple):
     """A parsed release note."""
 
     base: int
@@ -131,7 +131,7 @@
     text_digest: str  # SHA-256 hex digest of the text
 
 
-class Fault(NamedTuple):
+class Fault(typing.NamedTuple):
     """One fault of a note."""
 
     section: str
--- a/dogwoodchute/coordination/orders.py
+++ b/dogwoodchute/coordination/orders.py
@@ -9,7 +9,7 @@
 that ignores it, a new holder waits until no order of the old one can be under way.
 """
 
-from typing import NamedTuple
+import typing
 
 import xxhash
 
@@ -18,7 +18,7 @@
 FLIGHT = 30.0  # seconds that an order may take to arrive
 
 
-class Lease(NamedTuple):
+class Lease(typing.NamedTuple):
     """The lease row of one endpoint; `holder` is an incarnation, empty if released.
 
     `settled` tells that no order of an earlier holder can be under way.
@@ -32,7 +32,7 @@
 FREE = Lease("", 0, True)
 
 
-class Held(NamedTuple):
+class Held(typing.NamedTuple):
     """A lease that this host holds."""
 
     fence: int
--- a/dogwoodchute/coordination/polling.py
+++ b/dogwoodchute/coordination/polling.py
@@ -6,15 +6,15 @@
 """
 
 import math
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute.coordination import ranking
 
 SHARD_SIZE = 32  # endpoints
 
 
-class Shard(NamedTuple):
+class Shard(typing.NamedTuple):
     """Endpoints of one service and region that share a reporter."""
 
     name: str
--- a/dogwoodchute/coordination/queues.py
+++ b/dogwoodchute/coordination/queues.py
@@ -6,12 +6,12 @@
 
 import collections
 import heapq
-from typing import NamedTuple
+import typing
 
 QUANTUM = 4096.0  # tokens added to an account of weight one at each turn
 
 
-class Entry(NamedTuple):
+class Entry(typing.NamedTuple):
     """One waiting request."""
 
     id: str
--- a/dogwoodchute/coordination/ranking.py
+++ b/dogwoodchute/coordination/ranking.py
@@ -8,8 +8,8 @@
 """
 
 import math
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import xxhash
 
@@ -17,7 +17,7 @@
 HASH_SPAN = 2.0**64
 
 
-class Candidate(NamedTuple):
+class Candidate(typing.NamedTuple):
     """A host as one locate answer sees it."""
 
     host: str
--- a/dogwoodchute/coordination/reclaim.py
+++ b/dogwoodchute/coordination/reclaim.py
@@ -1,10 +1,10 @@
 """Evidence that a host process is gone. Silence is none."""
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
-class Evidence(NamedTuple):
+class Evidence(typing.NamedTuple):
     """What one reclaiming host knows.
 
     `listed` are the hosts of the host list at `revision`, None without a list.
--- a/dogwoodchute/coordination/releases.py
+++ b/dogwoodchute/coordination/releases.py
@@ -7,8 +7,8 @@
 
 import hashlib
 import json
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute.coordination import notes
 
@@ -16,7 +16,7 @@
 MAX_NAMED = 3  # items named in one fault
 
 
-class Delta(NamedTuple):
+class Delta(typing.NamedTuple):
     """What one accepted note changed; plain values only."""
 
     revision: int
@@ -26,7 +26,7 @@
     removes: list[tuple[str, str]]  # kind, name
 
 
-class View(NamedTuple):
+class View(typing.NamedTuple):
     """What has to be known of the state that a note is checked against."""
 
     fields: abc.Callable[[str, str], dict | None]  # of a kind and name
--- a/dogwoodchute/coordination/resume.py
+++ b/dogwoodchute/coordination/resume.py
@@ -1,14 +1,14 @@
 """Tokens that let a caller continue a stream on another host."""
 
 import dataclasses
-from typing import NamedTuple
+import typing
 
 from dogwoodchute.coordination import tokens
 
 PURPOSE = "resume"
 
 
-class Ticket(NamedTuple):
+class Ticket(typing.NamedTuple):
     """What a token tells of the run that it continues."""
 
     account: str
--- a/dogwoodchute/coordination/samples.py
+++ b/dogwoodchute/coordination/samples.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import statistics
-from typing import NamedTuple
+import typing
 
 from dogwoodchute.coordination import ejection, limits
 
 
-class Progress(NamedTuple):
+class Progress(typing.NamedTuple):
     """How far an answer has come; times in monotonic seconds."""
 
     first_token: float | None = None
@@ -24,7 +24,7 @@
     overdue: bool = False
 
 
-class Means(NamedTuple):
+class Means(typing.NamedTuple):
     """Mean seconds of an interval, None where there is no sample."""
 
     first_token: float | None
--- a/dogwoodchute/coordination/topology.py
+++ b/dogwoodchute/coordination/topology.py
@@ -7,8 +7,8 @@
 data centre lost. Every host computes the same graph from the same members.
 """
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import xxhash
 
@@ -17,7 +17,7 @@
 MAX_DEGREE = 2 * RINGS + 2 * RINGS  # inside, plus one for each neighbour elsewhere
 
 
-class Place(NamedTuple):
+class Place(typing.NamedTuple):
     """A host and where it is."""
 
     host: str
--- a/dogwoodchute/drain.py
+++ b/dogwoodchute/drain.py
@@ -1,8 +1,8 @@
 """Graceful shutdown: leave, finish what is in flight, settle the money, then exit."""
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import prometheus_client
 
@@ -17,7 +17,7 @@
 Step = abc.Callable[[], abc.Awaitable[object]]
 
 
-class Steps(NamedTuple):
+class Steps(typing.NamedTuple):
     """What a drain does to the host, in this order, and what it waits for."""
 
     leave: Step  # out of locate answers
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -1,8 +1,8 @@
 """One request on its way through the filter chain."""
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import catalog, outcomes
 from dogwoodchute.coordination import admission
@@ -13,7 +13,7 @@
 ATTEMPT_HEADER = "x-attempt"  # the number of times that the caller sent the request
 
 
-class Request(NamedTuple):
+class Request(typing.NamedTuple):
     """What the caller sent. Header names are in lower case."""
 
     method: str
@@ -34,14 +34,14 @@
         return self.headers.get(ATTEMPT_HEADER) == "1"
 
 
-class Reply(NamedTuple):
+class Reply(typing.NamedTuple):
     """How the chain writes to the caller while the request runs."""
 
     start: abc.Callable[[int, dict[str, str]], abc.Awaitable[None]]
     chunk: abc.Callable[[bytes], abc.Awaitable[None]]
 
 
-class Settlement(NamedTuple):
+class Settlement(typing.NamedTuple):
     """What must be written in the same commit as a request's bill."""
 
     checks: list[table.Check]
@@ -52,7 +52,7 @@
 Settle = abc.Callable[[outcomes.Outcome], abc.Awaitable[Settlement]]
 
 
-class Resume(NamedTuple):
+class Resume(typing.NamedTuple):
     """The stream that a caller continues, from a verified token."""
 
     endpoint: str
--- a/dogwoodchute/peer_link.py
+++ b/dogwoodchute/peer_link.py
@@ -1,8 +1,8 @@
 """One open TCP connection to another host: handshake, calls and bounded sending."""
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import peer_handshake, peer_wire, peers
 from dogwoodchute.coordination import pacing
@@ -18,14 +18,14 @@
 )
 
 
-class Bounds(NamedTuple):
+class Bounds(typing.NamedTuple):
     """Bounds of one link, in bytes."""
 
     frame_bytes: int
     queue_bytes: int
 
 
-class Events(NamedTuple):
+class Events(typing.NamedTuple):
     """What a link tells its owner."""
 
     opened: abc.Callable[["Link"], None]
--- a/dogwoodchute/peer_streams.py
+++ b/dogwoodchute/peer_streams.py
@@ -1,8 +1,8 @@
 """Authenticated streams to the other hosts: dialling, calls, heartbeats, pacing."""
 
 import asyncio
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import prometheus_client
 
@@ -40,7 +40,7 @@
     return f"[{number}]:{port}" if ":" in number else f"{number}:{port}"
 
 
-class Listeners(NamedTuple):
+class Listeners(typing.NamedTuple):
     """What the owner of the streams is asked and told of proven identities."""
 
     replaced: abc.Callable[[peer_wire.Identity], bool]  # a newer incarnation is known
--- a/dogwoodchute/peer_tls.py
+++ b/dogwoodchute/peer_tls.py
@@ -1,12 +1,12 @@
 """Mutual TLS between hosts, from the settings' PEM files."""
 
 import ssl
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import settings
 
 
-class Contexts(NamedTuple):
+class Contexts(typing.NamedTuple):
     """The contexts of both directions."""
 
     listen: ssl.SSLContext
--- a/dogwoodchute/peer_wire.py
+++ b/dogwoodchute/peer_wire.py
@@ -6,7 +6,7 @@
 """
 
 import struct
-from typing import NamedTuple
+import typing
 
 import msgpack
 
@@ -19,7 +19,7 @@
     """Bytes that are no frame of this protocol."""
 
 
-class Identity(NamedTuple):
+class Identity(typing.NamedTuple):
     """Who one end of a stream is."""
 
     host: str
@@ -28,7 +28,7 @@
     data_centre: str
 
 
-class Hello(NamedTuple):
+class Hello(typing.NamedTuple):
     """Opens a stream; `target` is the host that is meant, empty for any."""
 
     protocol: int
@@ -40,7 +40,7 @@
     nonce: bytes
 
 
-class Challenge(NamedTuple):
+class Challenge(typing.NamedTuple):
     """Answers `Hello` and proves that the sender holds the fleet key."""
 
     host: str
@@ -51,19 +51,19 @@
     proof: bytes
 
 
-class Proof(NamedTuple):
+class Proof(typing.NamedTuple):
     """Proves that the side that dialled holds the fleet key."""
 
     proof: bytes
 
 
-class Opened(NamedTuple):
+class Opened(typing.NamedTuple):
     """Tells the side that dialled that the stream is open."""
 
     protocol: int
 
 
-class Call(NamedTuple):
+class Call(typing.NamedTuple):
     """A call; `number` is unique among the sender's calls on the stream."""
 
     number: int
@@ -71,14 +71,14 @@
     body: dict
 
 
-class Reply(NamedTuple):
+class Reply(typing.NamedTuple):
     """The answer to a call."""
 
     number: int
     body: dict
 
 
-class Failure(NamedTuple):
+class Failure(typing.NamedTuple):
     """A call without an answer; `refused` if its handler certainly never ran."""
 
     number: int
@@ -86,19 +86,19 @@
     refused: bool
 
 
-class Beat(NamedTuple):
+class Beat(typing.NamedTuple):
     """A heartbeat."""
 
     sequence: int
 
 
-class Digest(NamedTuple):
+class Digest(typing.NamedTuple):
     """Which state the sender has: generation and versions by host."""
 
     states: dict
 
 
-class Gossip(NamedTuple):
+class Gossip(typing.NamedTuple):
     """States of hosts that the receiver may not have."""
 
     cores: list
--- a/dogwoodchute/peers.py
+++ b/dogwoodchute/peers.py
@@ -1,11 +1,11 @@
 """The seam to the other hosts of the fleet."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
-class Peer(NamedTuple):
+class Peer(typing.NamedTuple):
     """Another host as heartbeats and the register show it."""
 
     host: str
@@ -48,7 +48,7 @@
 Handler = abc.Callable[[str, dict], abc.Awaitable[dict]]  # sending host, body
 
 
-class Peers(NamedTuple):
+class Peers(typing.NamedTuple):
     """The operations of the peer layer. Bodies are maps that msgpack can carry."""
 
     call: abc.Callable[[str, str, dict, float], abc.Awaitable[CallOutcome]]
--- a/dogwoodchute/platform/connect.py
+++ b/dogwoodchute/platform/connect.py
@@ -1,7 +1,7 @@
 """Connects a host to the platform that its settings name."""
 
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import settings
 from dogwoodchute.platform import hostlist, http_client, objects, table, weights
@@ -13,7 +13,7 @@
 )
 
 
-class Platform(NamedTuple):
+class Platform(typing.NamedTuple):
     """The platform's services, and how to close the connections to them."""
 
     store: table.Table
--- a/dogwoodchute/platform/hostlist.py
+++ b/dogwoodchute/platform/hostlist.py
@@ -1,11 +1,11 @@
 """The seam to the platform's host list, which names live and leaving hosts and lags."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
-class ListedHost(NamedTuple):
+class ListedHost(typing.NamedTuple):
     """One entry of the list; `address` is an IP number, with a port for endpoints."""
 
     address: str
@@ -29,7 +29,7 @@
     peer: str | None = None
 
 
-class Hosts(NamedTuple):
+class Hosts(typing.NamedTuple):
     """The operation of a host list."""
 
     fetch: abc.Callable[[], abc.Awaitable[HostList | Unavailable]]
--- a/dogwoodchute/platform/objects.py
+++ b/dogwoodchute/platform/objects.py
@@ -1,8 +1,8 @@
 """The seam to the platform's object store: immutable large values by name."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,7 +31,7 @@
     peer: str | None = None
 
 
-class Objects(NamedTuple):
+class Objects(typing.NamedTuple):
     """The operations of an object store. Names may hold slashes."""
 
     put: abc.Callable[[str, bytes], abc.Awaitable[Stored | Unavailable]]
--- a/dogwoodchute/platform/table.py
+++ b/dogwoodchute/platform/table.py
@@ -8,11 +8,11 @@
 
 import dataclasses
 import random
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
-class Row(NamedTuple):
+class Row(typing.NamedTuple):
     """One row as read."""
 
     key: str
@@ -21,14 +21,14 @@
     commit_id: str  # the commit that wrote this version
 
 
-class Check(NamedTuple):
+class Check(typing.NamedTuple):
     """A condition of a commit: the row has this version, 0 for absent."""
 
     key: str
     version: int
 
 
-class Write(NamedTuple):
+class Write(typing.NamedTuple):
     """A change of a commit: the row's new value, None to delete it."""
 
     key: str
@@ -78,7 +78,7 @@
 ReadOutcome = Rows | Unavailable
 
 
-class Table(NamedTuple):
+class Table(typing.NamedTuple):
     """The operations of a table service, each atomic over its rows."""
 
     read: abc.Callable[[list[str]], abc.Awaitable[ReadOutcome]]
--- a/dogwoodchute/platform/table_client.py
+++ b/dogwoodchute/platform/table_client.py
@@ -18,8 +18,8 @@
 import asyncio
 import math
 import random
+import typing
 from collections import abc
-from typing import NamedTuple
 
 from dogwoodchute import log, metrics_money as metrics
 from dogwoodchute.coordination import pacing, throttle
@@ -28,7 +28,7 @@
 AFTER = "after"  # key in a row's value: the id of the commit that it replaced
 
 
-class Limits(NamedTuple):
+class Limits(typing.NamedTuple):
     """Bounds of one host's use of the table service."""
 
     timeout: float = 2.0  # seconds for one call
--- a/dogwoodchute/platform/weights.py
+++ b/dogwoodchute/platform/weights.py
@@ -1,8 +1,8 @@
 """The seam to the platform's weight store, whose rate limit paces loads."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import NamedTuple
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,7 +26,7 @@
     peer: str | None = None
 
 
-class Weights(NamedTuple):
+class Weights(typing.NamedTuple):
     """The operation of a weight store: asks to start a load, by a name for it."""
 
     permit: abc.Callable[[str], abc.Awaitable[Permitted | Wait | Unavailable]]
--- a/dogwoodchute/settings.py
+++ b/dogwoodchute/settings.py
@@ -7,7 +7,7 @@
 import difflib
 import ipaddress
 import pathlib
-from typing import Annotated, Literal, NamedTuple
+import typing
 
 import pydantic
 
@@ -17,9 +17,9 @@
     return value
 
 
-IPNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
-Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-Seconds = Annotated[float, pydantic.Field(gt=0)]
+IPNumber = typing.Annotated[str, pydantic.AfterValidator(_ip_number)]
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0)]
 
 
 def _ip_address(value: str) -> str:
@@ -32,8 +32,10 @@
     return value
 
 
-Address = Annotated[str, pydantic.AfterValidator(_ip_address)]
-Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Address = typing.Annotated[str, pydantic.AfterValidator(_ip_address)]
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
 
 
 class Section(pydantic.BaseModel):
@@ -63,7 +65,7 @@
 class Platform(Section):
     """Where the platform's services are."""
 
-    mode: Literal["embedded", "http"] = key(
+    mode: typing.Literal["embedded", "http"] = key(
         "`embedded` keeps everything in this process and loses it on exit.", "http"
     )
     table_address: Address = key("IP number and port of the table service.", "")
@@ -243,7 +245,7 @@
 class Log(Section):
     """What is logged."""
 
-    level: Literal["debug", "info", "warning", "error"] = key(
+    level: typing.Literal["debug", "info", "warning", "error"] = key(
         "Least severe level that is logged.", "info"
     )
 
@@ -265,7 +267,7 @@
     log: Log = Log()
 
 
-class Fault(NamedTuple):
+class Fault(typing.NamedTuple):
     """One fault of a settings file."""
 
     section: str
--- a/dogwoodchute/standins/prefix.py
+++ b/dogwoodchute/standins/prefix.py
@@ -1,8 +1,8 @@
 """The prefix cache of the engine stand-in, and the events that it publishes."""
 
 import collections
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import xxhash
 
@@ -10,7 +10,7 @@
 MAX_LOG = 1000  # events that can still be fetched
 
 
-class CacheEvent(NamedTuple):
+class CacheEvent(typing.NamedTuple):
     """A block was stored or removed; `at` is when, in seconds."""
 
     sequence: int
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -7,8 +7,8 @@
 import asyncio
 import dataclasses
 import http
+import typing
 from collections import abc
-from typing import NamedTuple
 
 import aiohttp
 import prometheus_client
@@ -40,14 +40,14 @@
 )
 
 
-class Pace(NamedTuple):
+class Pace(typing.NamedTuple):
     """What is known of an engine's timing."""
 
     first: cadence.Cadence  # from dispatch to the first event
     gap: cadence.Cadence  # between events
 
 
-class Links(NamedTuple):
+class Links(typing.NamedTuple):
     """How to reach the engine of a request."""
 
     pooled: aiohttp.ClientSession
@@ -59,7 +59,7 @@
     cancel_later: abc.Callable[[], None]  # does not wait
 
 
-class Bounds(NamedTuple):
+class Bounds(typing.NamedTuple):
     """Limits on a stream, in seconds."""
 
     total: float  # from now
--- a/dogwoodchute/tests/money_fleet.py
+++ b/dogwoodchute/tests/money_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import random
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import (
     catalog,
@@ -42,7 +42,7 @@
 SERVICE = catalog.Service("order-api", catalog.PLAIN)
 
 
-class Run(NamedTuple):
+class Run(typing.NamedTuple):
     """One request that reached the endpoint."""
 
     host: str
--- a/dogwoodchute/tests/test_release_machine.py
+++ b/dogwoodchute/tests/test_release_machine.py
@@ -1,7 +1,7 @@
 """Release notes never revert: hosts under faults against a replay of the notes."""
 
 import asyncio
-from typing import NamedTuple
+import typing
 from unittest import mock
 
 import hypothesis
@@ -27,7 +27,7 @@
 actions = st.sampled_from(("added", "changed", "withdrawn"))
 
 
-class Sent(NamedTuple):
+class Sent(typing.NamedTuple):
     """A note as the oracle knows it."""
 
     base: int
--- a/dogwoodchute/tests/trace.py
+++ b/dogwoodchute/tests/trace.py
@@ -11,7 +11,7 @@
 and once more at the end, when all faults are healed.
 """
 
-from typing import NamedTuple
+import typing
 
 from dogwoodchute import outcomes
 from dogwoodchute.coordination import rows
@@ -22,7 +22,7 @@
 SEED = 5
 
 
-class Line(NamedTuple):
+class Line(typing.NamedTuple):
     """One line of a trace."""
 
     number: int
--- a/dogwoodchute/tools/ctl.py
+++ b/dogwoodchute/tools/ctl.py
@@ -5,8 +5,8 @@
 import os
 import ssl
 import sys
+import typing
 from collections import abc
-from typing import Annotated
 
 import aiohttp
 import cappa
@@ -24,13 +24,13 @@
 class Connection:
     """Options that every command takes."""
 
-    at: Annotated[
+    at: typing.Annotated[
         str, cappa.Arg(long="--at", help="IP number and port of a host's operator side")
     ] = os.environ.get("DOGWOODCTL_AT", "127.0.0.1:8081")
-    ca: Annotated[
+    ca: typing.Annotated[
         str, cappa.Arg(long="--ca", help="PEM file to trust; set it to use TLS")
     ] = os.environ.get("DOGWOODCTL_CA", "")
-    as_json: Annotated[
+    as_json: typing.Annotated[
         bool, cappa.Arg(long="--json", help="Print JSON instead of a table")
     ] = False
 
--- a/dogwoodchute/tools/ctl_accounts.py
+++ b/dogwoodchute/tools/ctl_accounts.py
@@ -1,7 +1,7 @@
 """Commands on client accounts."""
 
 import dataclasses
-from typing import Annotated
+import typing
 
 import cappa
 
@@ -18,10 +18,12 @@
     Example: dogwoodctl account list --after growers
     """
 
-    after: Annotated[
+    after: typing.Annotated[
         str, cappa.Arg(long="--after", help="Start after this client account")
     ] = ""
-    limit: Annotated[int, cappa.Arg(long="--limit", help="Most rows to print")] = 100
+    limit: typing.Annotated[
+        int, cappa.Arg(long="--limit", help="Most rows to print")
+    ] = 100
 
     def __call__(self) -> None:
         query = {"after": self.after, "limit": str(self.limit)}
@@ -39,7 +41,7 @@
     Example: dogwoodctl account show growers
     """
 
-    name: Annotated[str, cappa.Arg(help="Name of the client account")]
+    name: typing.Annotated[str, cappa.Arg(help="Name of the client account")]
 
     def __call__(self) -> None:
         body = ctl.call(self, "GET", f"{BASE}/{self.name}")
@@ -67,11 +69,11 @@
     Example: dogwoodctl account topup growers --id invoice-2041 --tokens 500000
     """
 
-    name: Annotated[str, cappa.Arg(help="Name of the client account")]
-    id: Annotated[
+    name: typing.Annotated[str, cappa.Arg(help="Name of the client account")]
+    id: typing.Annotated[
         str, cappa.Arg(long="--id", help="Names this top-up; send it again at will")
     ]
-    tokens: Annotated[int, cappa.Arg(long="--tokens", help="Tokens to add")]
+    tokens: typing.Annotated[int, cappa.Arg(long="--tokens", help="Tokens to add")]
 
     def __call__(self) -> None:
         order = {"id": self.id, "tokens": self.tokens}
--- a/dogwoodchute/tools/ctl_hosts.py
+++ b/dogwoodchute/tools/ctl_hosts.py
@@ -1,7 +1,7 @@
 """Commands on hosts."""
 
 import dataclasses
-from typing import Annotated
+import typing
 
 import cappa
 
@@ -42,8 +42,8 @@
     Example: dogwoodctl host drain dar-2
     """
 
-    name: Annotated[str, cappa.Arg(help="Name of the host")]
-    now: Annotated[
+    name: typing.Annotated[str, cappa.Arg(help="Name of the host")]
+    now: typing.Annotated[
         bool, cappa.Arg(long="--now", help="Don't wait for what is in flight")
     ] = False
 
--- a/dogwoodchute/tools/ctl_releases.py
+++ b/dogwoodchute/tools/ctl_releases.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import pathlib
-from typing import Annotated
+import typing
 
 import cappa
 
@@ -17,7 +17,7 @@
     Example: dogwoodctl release submit spring.ini
     """
 
-    note: Annotated[pathlib.Path, cappa.Arg(help="The note, an INI file")]
+    note: typing.Annotated[pathlib.Path, cappa.Arg(help="The note, an INI file")]
 
     def __call__(self) -> None:
         text = self.note.read_bytes()
@@ -52,10 +52,12 @@
     Example: dogwoodctl release diff --from 41 --to 43
     """
 
-    first: Annotated[
+    first: typing.Annotated[
         int | None, cappa.Arg(long="--from", help="Revision to start after")
     ] = None
-    last: Annotated[int | None, cappa.Arg(long="--to", help="Last revision")] = None
+    last: typing.Annotated[int | None, cappa.Arg(long="--to", help="Last revision")] = (
+        None
+    )
 
     def __call__(self) -> None:
         chosen = {"from": self.first, "to": self.last}
--- a/dogwoodchute/tools/ctl_report.py
+++ b/dogwoodchute/tools/ctl_report.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import pathlib
-from typing import Annotated
+import typing
 
 import cappa
 
@@ -17,7 +17,7 @@
     Example: dogwoodctl report burn --html burn.html
     """
 
-    html: Annotated[
+    html: typing.Annotated[
         pathlib.Path | None,
         cappa.Arg(long="--html", help="Write a page with plots to this file"),
     ] = None
--- a/dogwoodchute/tools/dogwoodchuted.py
+++ b/dogwoodchute/tools/dogwoodchuted.py
@@ -5,7 +5,7 @@
 import pathlib
 import signal
 import sys
-from typing import Annotated
+import typing
 
 import cappa
 import uvloop
@@ -17,10 +17,10 @@
 class Dogwoodchuted:
     """Run the daemon of one host."""
 
-    settings_file: Annotated[
+    settings_file: typing.Annotated[
         pathlib.Path, cappa.Arg(help="The host's settings, an INI file.")
     ]
-    check: Annotated[
+    check: typing.Annotated[
         bool, cappa.Arg(long="--check", help="Check the settings and exit.")
     ] = False
 
--- a/dogwoodchute/tools/dogwoodload.py
+++ b/dogwoodchute/tools/dogwoodload.py
@@ -8,7 +8,7 @@
 import random
 import sys
 import time
-from typing import Annotated
+import typing
 
 import aiohttp
 import cappa
@@ -34,21 +34,29 @@
     Example: dogwoodload 127.0.0.1:8080 --key demo-client-key --model assistant-llm
     """
 
-    hosts: Annotated[list[str], cappa.Arg(help="IP number and port of each host")]
-    key: Annotated[str, cappa.Arg(long="--key", help="A client account's bearer key")]
-    model: Annotated[str, cappa.Arg(long="--model", help="The chat service's name")]
-    rate: Annotated[float, cappa.Arg(long="--rate", help="Mean requests a second")] = (
-        10.0
-    )
-    seconds: Annotated[float, cappa.Arg(long="--seconds", help="Length of the run")] = (
-        10.0
-    )
-    tokens: Annotated[int, cappa.Arg(long="--tokens", help="max_tokens of each")] = 32
-    repeats: Annotated[
+    hosts: typing.Annotated[
+        list[str], cappa.Arg(help="IP number and port of each host")
+    ]
+    key: typing.Annotated[
+        str, cappa.Arg(long="--key", help="A client account's bearer key")
+    ]
+    model: typing.Annotated[
+        str, cappa.Arg(long="--model", help="The chat service's name")
+    ]
+    rate: typing.Annotated[
+        float, cappa.Arg(long="--rate", help="Mean requests a second")
+    ] = 10.0
+    seconds: typing.Annotated[
+        float, cappa.Arg(long="--seconds", help="Length of the run")
+    ] = 10.0
+    tokens: typing.Annotated[
+        int, cappa.Arg(long="--tokens", help="max_tokens of each")
+    ] = 32
+    repeats: typing.Annotated[
         int, cappa.Arg(long="--repeats", help="Tries after a failure, same key")
     ] = 0
-    seed: Annotated[int, cappa.Arg(long="--seed", help="Seed of arrivals")] = 0
-    as_json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
+    seed: typing.Annotated[int, cappa.Arg(long="--seed", help="Seed of arrivals")] = 0
+    as_json: typing.Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
 
 
 class Tally:
--- a/dogwoodchute/tools/dogwoodstandins.py
+++ b/dogwoodchute/tools/dogwoodstandins.py
@@ -4,7 +4,7 @@
 import dataclasses
 import signal
 import sys
-from typing import Annotated
+import typing
 
 import cappa
 import uvloop
@@ -24,10 +24,12 @@
     Example: dogwoodstandins --port 7000 --engines 2 --services 1
     """
 
-    port: Annotated[int, cappa.Arg(long="--port", help="First TCP port")] = 7000
-    engines: Annotated[int, cappa.Arg(long="--engines", help="Toy engines")] = 1
-    services: Annotated[int, cappa.Arg(long="--services", help="Toy services")] = 1
-    token_ms: Annotated[
+    port: typing.Annotated[int, cappa.Arg(long="--port", help="First TCP port")] = 7000
+    engines: typing.Annotated[int, cappa.Arg(long="--engines", help="Toy engines")] = 1
+    services: typing.Annotated[
+        int, cappa.Arg(long="--services", help="Toy services")
+    ] = 1
+    token_ms: typing.Annotated[
         float, cappa.Arg(long="--token-ms", help="Milliseconds before each token")
     ] = 10.0
 
