Tell a reused key at another plain service from a repeat

Cause: what a repeat must equal held the path at the endpoint, but not the service. The same key, path and body sent to a second service got the first one's kept answer, and was never run there. Found by reading the change once more. Change: the service's name is part of it. The new test failed before (201 replayed) and passes after (422); 334 pass.

--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -101,6 +101,7 @@
     def fingerprint(self) -> bytes:
         """What a repeat under the same key must equal."""
         parts = [self.request.method, self.request.path, self.request.query]
+        parts.append(self.request.service or "")
         parts.append("idempotent" if self.idempotent else "non-idempotent")
         return "\n".join(parts).encode() + b"\n" + self.request.body
 
--- a/dogwoodchute/tests/test_bad_input.py
+++ b/dogwoodchute/tests/test_bad_input.py
@@ -93,6 +93,32 @@
 
         self.with_demo(check)
 
+    def test_key_reused_at_another_service_is_refused(self):
+        async def check(host, session):
+            current = host.daemon.host.current
+            orders = current.services["order-api"]
+            account = current.accounts["growers"]
+            names = (*account.services, "stock-api")
+            services = {
+                **current.services,
+                "stock-api": orders._replace(name="stock-api"),
+            }
+            accounts = {"growers": account._replace(services=names)}
+            newer = current._replace(
+                revision=current.revision + 1, services=services, accounts=accounts
+            )
+            self.assertTrue(host.daemon.host.adopt(newer))
+            headers = {"Idempotency-Key": "one"}
+            path = "/services/order-api/items"
+            async with session.post(path, json={}, headers=headers) as response:
+                self.assertEqual(201, response.status)
+            path = "/services/stock-api/items"
+            await self.refused(
+                session, 422, "key_reused", path=path, json={}, headers=headers
+            )
+
+        self.with_demo(check)
+
     def test_half_sent_request_reaches_nothing(self):
         async def check(host, session):
             port = host.daemon.callers.port
