Take a request's digest once, in one place

Deduplication, the resume check and the resume token each hashed the whole body, up to 2 MB, by the same line.

--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -1,6 +1,8 @@
 """One request on its way through the filter chain."""
 
 import asyncio
+import functools
+import hashlib
 import typing
 from collections import abc
 
@@ -85,7 +87,6 @@
         self.dispatched = False  # a byte may have reached an endpoint
         self.settle: Settle | None = None  # set for a claimed call
         self.settled = False  # the reservation has become a bill
-        self.digest = ""  # hex digest of what a repeat under the same key must equal
         self.maybe_ran: outcomes.Unknown | None = None  # an earlier try's outcome
         self.resume: Resume | None = None  # the caller continues a stream
         self.unbilled = False  # a repeat whose first run is billed already
@@ -105,6 +106,11 @@
         parts.append("idempotent" if self.idempotent else "non-idempotent")
         return "\n".join(parts).encode() + b"\n" + self.request.body
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """The SHA-256 hex digest of `fingerprint`, taken once the service is known."""
+        return hashlib.sha256(self.fingerprint).hexdigest()
+
 
 Proceed = abc.Callable[[], abc.Awaitable[outcomes.Outcome]]
 Filter = abc.Callable[[Exchange, Proceed], abc.Awaitable[outcomes.Outcome]]
--- a/dogwoodchute/filters/deduplicate.py
+++ b/dogwoodchute/filters/deduplicate.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import hashlib
 import http
 
 from dogwoodchute import exchange as exchanges, metrics_money as metrics, outcomes
@@ -87,7 +86,6 @@
         exchange: exchanges.Exchange, proceed: exchanges.Proceed
     ) -> outcomes.Outcome:
         account, key = exchange.account.name, exchange.request_key
-        exchange.digest = hashlib.sha256(exchange.fingerprint).hexdigest()
         first = runs.get(account, key)
         while first is not None:
             if first.digest != exchange.digest and not exchange.idempotent:
--- a/dogwoodchute/filters/resume.py
+++ b/dogwoodchute/filters/resume.py
@@ -1,6 +1,5 @@
 """Continues a stream whose router died, from a token and the last event seen."""
 
-import hashlib
 import http
 
 from dogwoodchute import (
@@ -74,11 +73,6 @@
     return continue_stream
 
 
-def digest(exchange: exchanges.Exchange) -> str:
-    """Return the digest of the request by which a token knows it."""
-    return hashlib.sha256(exchange.fingerprint).hexdigest()
-
-
 def _mismatch(
     exchange: exchanges.Exchange, ticket: resume.Ticket, last_event_id: str
 ) -> str | None:
@@ -88,7 +82,7 @@
         return "Use a key of the client account that began the stream."
     if ticket.request_key != exchange.request_key:
         return "Send the Idempotency-Key that the first reply's head told."
-    if ticket.fingerprint != digest(exchange):
+    if ticket.fingerprint != exchange.digest:
         return "Send the request unchanged."
     if len(last_event_id) > MAX_EVENT_ID or not last_event_id.isprintable():
         return "Send the id of the last whole event as Last-Event-ID."
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -172,7 +172,7 @@
             request_key=exchange.request_key,
             endpoint=exchange.endpoint.name,
             reserved=exchange.reserved,
-            fingerprint=hashlib.sha256(exchange.fingerprint).hexdigest(),
+            fingerprint=exchange.digest,
             expires=int(clock.wall() + config.limits.resume_lifetime),
         )
         return resume.sign(ticket, fleet_key=config.keys.fleet_key)
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -48,7 +48,8 @@
         host = runtime.embedded_state(endpoints.config())
         exchange = endpoints.chat(None, endpoints.Caller())
         ticket = TICKET._replace(
-            expires=clock.wall() + 60, fingerprint=filters.digest(exchange)
+            expires=clock.wall() + 60,
+            fingerprint=endpoints.chat(None, endpoints.Caller()).digest,
         )
         token = resume.sign(ticket, fleet_key=FLEET_KEY)
         exchange.request.headers.update(
