--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 
 .PHONY: install test lint format demo serve bench fuzz clean
 
-$(VENV)/.installed: requirements.txt pyproject.toml
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
--- a/dogwoodchute/coordination/retry_budget.py
+++ b/dogwoodchute/coordination/retry_budget.py
@@ -9,10 +9,14 @@
 
 
 class RetryBudget:
-    """Keeps retries at or below `1 + SHARE * first tries`."""
+    """Keeps retries at or below `most + share * first tries`."""
 
-    def __init__(self) -> None:
-        self._balance = 1.0
+    def __init__(
+        self, *, share: float = SHARE, most: float = MAX_BALANCE, start: float = 1.0
+    ) -> None:
+        self._share = share
+        self._most = most
+        self._balance = min(start, most)
 
     @property
     def balance(self) -> float:
@@ -21,7 +25,7 @@
 
     def count_request(self) -> None:
         """Pay in for a first try."""
-        self._balance = min(MAX_BALANCE, self._balance + SHARE)
+        self._balance = min(self._most, self._balance + self._share)
 
     def take(self) -> bool:
         """Pay for a retry; return whether the budget covered it."""
--- /dev/null
+++ b/dogwoodchute/gateway/configuration.py
@@ -0,0 +1,56 @@
+"""Holds the configuration in force; a version never goes back in one lifetime."""
+
+from collections import abc
+
+from dogwoodchute import log
+from dogwoodchute.gateway import model, rows
+
+Decode = abc.Callable[[bytes], model.Config]
+
+
+class Configuration:
+    """The newest configuration that this host has seen."""
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        decode: Decode,
+        format_error: type[Exception],
+        adopted: abc.Callable[[model.Config], None],
+    ) -> None:
+        self._key = key
+        self._decode = decode
+        self._format_error = format_error
+        self._adopted = adopted
+        self._current: model.Config | None = None
+
+    @property
+    def current(self) -> model.Config | None:
+        """The configuration in force, None before the first one."""
+        return self._current
+
+    def changed(self, all_rows: dict[str, rows.Row], changed: list[rows.Row]) -> None:
+        """Take in changed rows of the configuration's table."""
+        row = all_rows.get(self._key)
+        if row is None or row not in changed:
+            return
+        try:
+            config = self._decode(row.value)
+        except self._format_error as error:
+            log.error("config_unreadable", row_version=row.version, reason=str(error))
+            return
+        before = self._current.version if self._current is not None else None
+        if before is not None and config.version <= before:
+            log.info("config_not_newer", version=config.version, current=before)
+            return
+        self._current = config
+        log.info(
+            "config_adopted",
+            version=config.version,
+            before=before,
+            row_version=row.version,
+            routes=sum(len(prefixes) for prefixes in config.routes.values()),
+            accounts=len(config.accounts),
+        )
+        self._adopted(config)
--- /dev/null
+++ b/dogwoodchute/gateway/filters.py
@@ -0,0 +1,145 @@
+"""The steps that a caller's request passes, before an endpoint answers it."""
+
+import http
+from collections import abc
+
+import xxhash
+
+from dogwoodchute import exchange, outcomes
+from dogwoodchute.gateway import accounts, calls, dispatch, model
+
+STARTING_RETRY_AFTER = 0.3  # seconds
+DEFAULT_WAIT = 30.0  # seconds for a caller that does not say how long it waits
+
+Filter = abc.Callable[[calls.Call, exchange.Proceed], abc.Awaitable[outcomes.Outcome]]
+
+
+def admit(
+    *,
+    config: abc.Callable[[], model.Config | None],
+    ready: abc.Callable[[], bool],
+) -> Filter:
+    """Refuse while this host does not know what is in force."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        known = config()
+        if known is None or not ready():
+            return outcomes.refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "starting",
+                "This host is starting; ask another one.",
+                step="admit",
+                retry_after=STARTING_RETRY_AFTER,
+            )
+        call.config = known
+        return await proceed()
+
+    return run
+
+
+def route() -> Filter:
+    """Find the route, its service and the time that there is."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        request = call.request
+        found = model.route_of(call.config, request.host, request.path)
+        if found is None:
+            return outcomes.refuse(
+                http.HTTPStatus.NOT_FOUND,
+                "no_route",
+                "No route serves this host and path.",
+                step="route",
+            )
+        call.route = found
+        call.priority = found.priority
+        name = split(found, request.attempt_id)
+        call.service = call.config.services.get(name) or model.Service(name, None)
+        wait = DEFAULT_WAIT if request.wait is None else request.wait
+        call.deadline = call.received + min(wait, found.timeout)
+        return await proceed()
+
+    return run
+
+
+def authenticate() -> Filter:
+    """Find the client account of the request's key."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        if call.route.public or not call.config.needs_keys:
+            return await proceed()
+        name = call.config.accounts_by_key.get(call.request.key or "")
+        if name is None:
+            return outcomes.refuse(
+                http.HTTPStatus.UNAUTHORIZED,
+                "unknown_key",
+                "Send a client account's key.",
+                step="authenticate",
+            )
+        call.account = call.config.accounts[name]
+        if call.account.priority is not None:
+            call.priority = call.account.priority
+        return await proceed()
+
+    return run
+
+
+def reserve(*, budgets: accounts.Accounts) -> Filter:
+    """Reserve the most tokens that the request may use, and bill what it used."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        prompt = call.request.prompt
+        if prompt is None or call.account is None:
+            return await proceed()
+        name = call.account.name
+        reserved = await budgets.reserve(name, prompt.most)
+        if isinstance(reserved, accounts.Exhausted):
+            return outcomes.refuse(
+                http.HTTPStatus.PAYMENT_REQUIRED,
+                "budget_exhausted",
+                f"{reserved.remaining} tokens are left, {prompt.most} may be needed.",
+                step="reserve",
+            )
+        if isinstance(reserved, accounts.OutOfReach):
+            return outcomes.refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "budget_out_of_reach",
+                f"No tokens could be reserved now: {reserved.reason}.",
+                step="reserve",
+                retry_after=reserved.retry_after,
+            )
+        call.reserved = prompt.most
+        try:
+            return await proceed()
+        finally:
+            budgets.settle(name, prompt.most, _bill(call, prompt))
+
+    return run
+
+
+def send(*, dispatcher: dispatch.Dispatcher) -> Filter:
+    """Send the request to an endpoint; the last step."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        return await dispatcher.run(call)
+
+    return run
+
+
+def split(found: model.Route, attempt_id: str) -> str:
+    """Return the service for a request, by the weights of its route."""
+    if len(found.splits) == 1:
+        return found.splits[0][0]
+    total = sum(weight for _, weight in found.splits)
+    point = xxhash.xxh3_64_intdigest(attempt_id.encode()) % max(1, total)
+    for name, weight in found.splits:
+        if point < weight:
+            return name
+        point -= weight
+    return found.splits[-1][0]
+
+
+def _bill(call: calls.Call, prompt: model.Prompt) -> accounts.Bill | None:
+    if not call.may_have_run:
+        return None
+    output = call.tokens_used - prompt.input_tokens
+    return accounts.Bill(call.request.attempt_id, prompt.input_tokens, output)
--- /dev/null
+++ b/dogwoodchute/gateway/gateway.py
@@ -0,0 +1,214 @@
+"""Assembles one host's gateway from its parts, and stops it in order."""
+
+import asyncio
+import typing
+from collections import abc
+
+from dogwoodchute import clock, exchange, log, outcomes
+from dogwoodchute.gateway import (
+    accounts,
+    calls,
+    configuration,
+    directory,
+    dispatch,
+    endpoints,
+    filters,
+    hosts,
+    mirror,
+    model,
+    observe,
+    rows,
+    upstream,
+)
+
+CONFIG_WAIT = 0.8  # seconds that the store holds the configuration's feed open
+CONFIG_PAUSE = 0.05  # seconds between two such calls
+ENDPOINTS_PAUSE = 0.6  # seconds between looks at the list, a quarter of its bound
+HOSTS_PAUSE = 0.8  # seconds between looks at the other hosts
+LINGER = 3.0  # seconds after SIGTERM in which callers that don't know yet still come
+STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
+POLL = 0.05  # seconds between looks at what is in flight
+FLUSH_BOUND = 0.7  # seconds to write bills and return tokens
+
+
+class Platform(typing.NamedTuple):
+    """What the gateway needs of the platform: its store, formats and tables."""
+
+    store: rows.Store
+    wire: upstream.Wire
+    decode_config: configuration.Decode
+    decode_endpoint: endpoints.Decode
+    format_error: type[Exception]
+    config_table: str
+    config_key: str
+    endpoints_table: str
+
+
+class Gateway:
+    """One host's requests, beliefs and accounts."""
+
+    def __init__(
+        self,
+        *,
+        deployment: model.Deployment,
+        platform: Platform,
+        adopted: abc.Callable[[model.Config], None],
+        now: abc.Callable[[], float] = clock.monotonic,
+    ) -> None:
+        self._deployment = deployment
+        self._now = now
+        self._in_flight = 0
+        self._leaving = False
+        self._tasks: list[asyncio.Task] = []
+        store = platform.store
+        self._configuration = configuration.Configuration(
+            key=platform.config_key,
+            decode=platform.decode_config,
+            format_error=platform.format_error,
+            adopted=adopted,
+        )
+        self._hosts = hosts.Hosts(
+            deployment=deployment,
+            store=store,
+            state=self._state,
+            load=lambda: self._endpoints.load(),
+            now=now,
+        )
+        self._endpoints = endpoints.Endpoints(
+            deployment=deployment,
+            config=lambda: self._configuration.current,
+            decode=platform.decode_endpoint,
+            format_error=platform.format_error,
+            peers=lambda: self._hosts.live,
+            now=now,
+        )
+        self._accounts = accounts.Accounts(
+            holder=self._hosts.id,
+            store=store,
+            config=lambda: self._configuration.current,
+            hosts=lambda: self._hosts.count,
+            gone=lambda: self._hosts.gone,
+            now=now,
+        )
+        self._upstream = upstream.Upstream(wire=platform.wire)
+        self._mirrors = self._make_mirrors(platform)
+        self._chain = self._make_chain()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this host was told to stop."""
+        return self._leaving
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are under way."""
+        return self._in_flight
+
+    def ready(self) -> bool:
+        """Return whether callers may be sent to this host."""
+        return not self._leaving and self._informed()
+
+    def relays(self) -> list[str]:
+        """Return the control addresses of hosts that may reach the store."""
+        return self._hosts.relays()
+
+    def addresses(self, data_centre: str, region: str) -> list[str]:
+        """Return the hosts that a caller is told to use."""
+        place = self._deployment
+        found = [
+            directory.Candidate(host.callers, host.data_centre, host.region)
+            for host in self._hosts.live
+            if host.state == hosts.READY
+        ]
+        if self.ready():
+            own = directory.Candidate(place.callers, place.data_centre, place.region)
+            found.append(own)
+        return directory.addresses(found, data_centre=data_centre, region=region)
+
+    async def serve(self, call: calls.Call) -> outcomes.Outcome:
+        """Pass a call through the filter chain."""
+        self._in_flight += 1
+        try:
+            return await self._chain(call)
+        except Exception:
+            log.exception("request_failed", request=call.request.attempt_id)
+            return outcomes.router_failed(step="chain")
+        finally:
+            self._in_flight -= 1
+
+    async def start(self) -> None:
+        """Begin to follow the store."""
+        await self._upstream.start()
+        work = [each.run() for each in self._mirrors]
+        work.extend((self._hosts.run(), self._accounts.run()))
+        self._tasks = [asyncio.create_task(each) for each in work]
+
+    async def stop(self) -> None:
+        """Leave the directory, finish what is in flight, write what must last."""
+        began = self._now()
+        self._leaving = True
+        self._hosts.beat_now()
+        log.info("stop_begun", in_flight=self._in_flight)
+        last = self._deployment.bounds.grace - STOP_MARGIN
+        while self._now() - began < last:
+            if self._now() - began >= LINGER and self._in_flight == 0:
+                break
+            await asyncio.sleep(POLL)
+        try:
+            async with asyncio.timeout(FLUSH_BOUND):
+                await self._accounts.flush()
+                await self._hosts.leave()
+        except TimeoutError:
+            log.warning("stop_unfinished", in_flight=self._in_flight)
+        for task in self._tasks:
+            task.cancel()
+        await self._upstream.stop()
+        log.info("stopped", in_flight=self._in_flight)
+
+    def _state(self) -> str:
+        if self._leaving:
+            return hosts.LEAVING
+        return hosts.READY if self._informed() else hosts.STARTING
+
+    def _informed(self) -> bool:
+        return self._configuration.current is not None and self._endpoints.known
+
+    def _make_mirrors(self, platform: Platform) -> list[mirror.Mirror]:
+        follow = [
+            (platform.config_table, CONFIG_PAUSE, CONFIG_WAIT, self._configuration),
+            (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints),
+            (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
+        ]
+        made = []
+        for table, pause, wait, follower in follow:
+            made.append(
+                mirror.Mirror(
+                    store=platform.store,
+                    table=table,
+                    pause=pause,
+                    wait=wait,
+                    changed=follower.changed,
+                    now=self._now,
+                )
+            )
+        _, list_mirror, hosts_mirror = made
+        self._endpoints.follow(lambda: list_mirror.regained_at)
+        self._hosts.follow(lambda: hosts_mirror.read_at)
+        return made
+
+    def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
+        dispatcher = dispatch.Dispatcher(
+            known=self._endpoints, connections=self._upstream, now=self._now
+        )
+        return exchange.chain(
+            [
+                observe.observe(now=self._now),
+                filters.admit(
+                    config=lambda: self._configuration.current, ready=self._informed
+                ),
+                filters.route(),
+                filters.authenticate(),
+                filters.reserve(budgets=self._accounts),
+                filters.send(dispatcher=dispatcher),
+            ]
+        )
--- /dev/null
+++ b/dogwoodchute/gateway/hosts.py
@@ -0,0 +1,201 @@
+"""Membership: each host keeps a row in the store and follows those of the others."""
+
+import asyncio
+import json
+import random
+import secrets
+import typing
+from collections import abc
+
+from dogwoodchute import log
+from dogwoodchute.gateway import model, rows
+
+TABLE = "hosts"
+HEARTBEAT = 1.0  # seconds between writes of a host's row
+DEAD_AFTER = 3.5  # seconds without a new heartbeat, three of them and a margin
+FORGET_AFTER = 20.0  # seconds after which a dead host's row is removed
+STARTING = "starting"
+READY = "ready"
+LEAVING = "leaving"
+
+
+class Host(typing.NamedTuple):
+    """One lifetime of a host, as it describes itself."""
+
+    id: str  # of the lifetime
+    name: str
+    data_centre: str
+    region: str
+    callers: str  # address for requests
+    control: str  # address for other hosts
+    state: str
+    beat: int
+    load: dict[str, tuple[int, int]]  # requests and prompt tokens by endpoint
+
+
+class Hosts:
+    """The hosts of the fleet, as this one knows them."""
+
+    def __init__(
+        self,
+        *,
+        deployment: model.Deployment,
+        store: rows.Store,
+        state: abc.Callable[[], str],
+        load: abc.Callable[[], dict[str, tuple[int, int]]],
+        now: abc.Callable[[], float],
+    ) -> None:
+        self.id = f"{deployment.host}-{secrets.token_hex(4)}"
+        self._deployment = deployment
+        self._store = store
+        self._state = state
+        self._load = load
+        self._now = now
+        self._beat = 0
+        self._version: int | None = 0  # of the own row, None if not known
+        self._known: dict[str, Host] = {}
+        self._beaten: dict[str, float] = {}  # monotonic seconds of the last beat
+        self._read_at: abc.Callable[[], float | None] = lambda: None
+        self._wake = asyncio.Event()
+
+    def follow(self, read_at: abc.Callable[[], float | None]) -> None:
+        """Set what tells when the table was last read, in monotonic seconds."""
+        self._read_at = read_at
+
+    def changed(self, all_rows: dict[str, rows.Row], changed: list[rows.Row]) -> None:
+        """Take in changed rows of the table."""
+        now = self._now()
+        for row in changed:
+            if row.value is None:
+                self._forget(row.key)
+                continue
+            host = decode(row.key, row.value)
+            if host is None:
+                log.warning("host_row_unreadable", row=row.key, version=row.version)
+                continue
+            before = self._known.get(host.id)
+            if before is None or before.beat != host.beat:
+                self._beaten[host.id] = now
+            if before is None and host.id != self.id:
+                log.info("host_seen", peer=host.id, state=host.state)
+            self._known[host.id] = host
+
+    @property
+    def live(self) -> list[Host]:
+        """The other hosts that live, as far as this one can tell.
+
+        While the table can't be read, nobody ages.
+        """
+        at = self._read_at()
+        if at is None:
+            return []
+        found = []
+        for host in self._known.values():
+            if host.id == self.id:
+                continue
+            if at - self._beaten[host.id] <= DEAD_AFTER:
+                found.append(host)
+        return found
+
+    @property
+    def count(self) -> int:
+        """Hosts that live, this one included."""
+        return 1 + len(self.live)
+
+    @property
+    def gone(self) -> set[str]:
+        """Lifetimes that are known to have ended some time ago."""
+        at = self._read_at()
+        if at is None:
+            return set()
+        return {i for i, beaten in self._beaten.items() if at - beaten > FORGET_AFTER}
+
+    def relays(self) -> list[str]:
+        """Return the control addresses of hosts that may reach the store."""
+        known = [host.control for host in self.live if host.state != LEAVING]
+        if known:
+            return known
+        own = self._deployment.control
+        return [seed for seed in self._deployment.seeds if seed != own]
+
+    def beat_now(self) -> None:
+        """Write this host's row at once, after a change of its state."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write this host's row again and again until cancelled."""
+        while True:
+            try:
+                await self._write()
+                await self._clean()
+            except Exception:
+                log.exception("heartbeat_failed")
+            self._wake.clear()
+            pause = HEARTBEAT * random.uniform(0.9, 1.1)
+            try:
+                await asyncio.wait_for(self._wake.wait(), pause)
+            except TimeoutError:
+                continue
+
+    async def leave(self) -> None:
+        """Remove this host's row."""
+        await self._store.commit("", [], [rows.Put(TABLE, self.id, None)])
+
+    async def _write(self) -> None:
+        self._beat += 1
+        place = self._deployment
+        host = Host(
+            id=self.id,
+            name=place.host,
+            data_centre=place.data_centre,
+            region=place.region,
+            callers=place.callers,
+            control=place.control,
+            state=self._state(),
+            beat=self._beat,
+            load=self._load(),
+        )
+        await self._store.commit("", [], [rows.Put(TABLE, self.id, encode(host))])
+
+    async def _clean(self) -> None:
+        """Remove rows of hosts that are long gone; one host does it for all."""
+        gone = self.gone & set(self._known)
+        if not gone or self.id != min([self.id, *(host.id for host in self.live)]):
+            return
+        puts = [rows.Put(TABLE, name, None) for name in sorted(gone)[:50]]
+        outcome = await self._store.commit("", [], puts)
+        if isinstance(outcome, rows.Committed):
+            log.info("hosts_removed", hosts=",".join(sorted(gone)[:50]))
+
+    def _forget(self, name: str) -> None:
+        if self._known.pop(name, None) is not None:
+            log.info("host_gone", peer=name)
+        self._beaten.pop(name, None)
+
+
+def encode(host: Host) -> bytes:
+    """Return the value of a host's row."""
+    plain = host._asdict()
+    plain.pop("id")
+    return json.dumps(plain, separators=(",", ":")).encode()
+
+
+def decode(name: str, value: bytes) -> Host | None:
+    """Return the host in a row's value, None if it can't be read."""
+    try:
+        plain = json.loads(value)
+        load = {str(k): (int(n), int(t)) for k, (n, t) in plain["load"].items()}
+        texts = {
+            field: str(plain[field])
+            for field in (
+                "name",
+                "data_centre",
+                "region",
+                "callers",
+                "control",
+                "state",
+            )
+        }
+        return Host(id=name, beat=int(plain["beat"]), load=load, **texts)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
--- /dev/null
+++ b/dogwoodchute/gateway/observe.py
@@ -0,0 +1,76 @@
+"""Logs and counts how each request ended, and what decided it."""
+
+from collections import abc
+
+import prometheus_client
+
+from dogwoodchute import exchange, log, metrics, outcomes
+from dogwoodchute.gateway import calls, filters
+
+requests = prometheus_client.Counter(
+    "dogwoodchute_gateway_requests",
+    "Requests that ended, by service, outcome and code.",
+    ["service", "outcome", "code"],
+)
+seconds = prometheus_client.Histogram(
+    "dogwoodchute_gateway_request_seconds",
+    "Seconds from a request's arrival to its outcome.",
+    ["service"],
+    buckets=metrics.SECONDS_BUCKETS,
+)
+first_byte_seconds = prometheus_client.Histogram(
+    "dogwoodchute_gateway_first_byte_seconds",
+    "Seconds from a request's arrival to the first byte of its answer.",
+    ["service"],
+    buckets=metrics.SECONDS_BUCKETS,
+)
+sends = prometheus_client.Counter(
+    "dogwoodchute_gateway_sends", "Requests sent to endpoints.", ["service"]
+)
+
+
+def observe(*, now: abc.Callable[[], float]) -> filters.Filter:
+    """Return the filter, the first of the chain."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await proceed()
+        finally:
+            _report(call, outcome, now())
+        return outcome
+
+    return run
+
+
+def _report(call: calls.Call, outcome: outcomes.Outcome | None, at: float) -> None:
+    """Log one line; `outcome` is None for a caller that left."""
+    service = call.service.name if call.service is not None else ""
+    label = "caller_left" if outcome is None else outcomes.label(outcome)
+    code = getattr(outcome, "code", "")
+    elapsed = at - call.received
+    first = call.first_byte - call.received if call.first_byte is not None else None
+    requests.labels(service, label, code).inc()
+    seconds.labels(service).observe(elapsed)
+    sends.labels(service).inc(call.sends)
+    if first is not None:
+        first_byte_seconds.labels(service).observe(first)
+    log.info(
+        "request",
+        request=call.request.attempt_id,
+        route=call.route.name if call.route is not None else None,
+        account=call.account.name if call.account is not None else None,
+        config=call.config.version if call.config is not None else None,
+        outcome=label,
+        status=getattr(outcome, "status", None),
+        code=code or None,
+        step=getattr(outcome, "step", None),
+        peer=getattr(outcome, "peer", None),
+        endpoints=",".join(call.tried) or None,
+        sends=call.sends,
+        reserved=call.reserved or None,
+        events=call.delivered_events or None,
+        first=f"{first:.3f}" if first is not None else None,
+        seconds=f"{elapsed:.3f}",
+        left=f"{call.deadline - at:.3f}",
+    )
--- /dev/null
+++ b/dogwoodchute/gateway/rows.py
@@ -0,0 +1,98 @@
+"""The seam to the platform's store: rows in tables, each table in parts.
+
+All entries of a commit share one part. Versions come from one counter of the whole
+store, so a version check never passes by coincidence; version 0 stands for "absent".
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+
+class Row(typing.NamedTuple):
+    """One row; `value` is None where a change removed it."""
+
+    key: str
+    value: bytes | None
+    version: int
+    table: str = ""
+    part: str = ""
+
+
+class Check(typing.NamedTuple):
+    """A condition of a commit: the row has this version, 0 for absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Put(typing.NamedTuple):
+    """A row's new value, None to remove it."""
+
+    table: str
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rows:
+    """The rows of a read or the changed rows of a feed, as of `version`."""
+
+    rows: list[Row]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Compacted:
+    """The store no longer has the history that was asked for."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Committed:
+    """The commit took effect; all its rows have `version`."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """A check failed and nothing was written; `rows` are the checked ones."""
+
+    rows: list[Row]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unavailable:
+    """No answer to a read, or a commit that certainly has no effect."""
+
+    reason: str
+    step: str = "store"
+    peer: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """No answer came to a commit: it may have taken effect, or may yet."""
+
+    reason: str
+    step: str = "store"
+    peer: str | None = None
+
+
+ReadOutcome = Rows | Unavailable
+FeedOutcome = Rows | Compacted | Unavailable
+CommitOutcome = Committed | Conflict | Unavailable | Unknown
+
+
+class Store(typing.NamedTuple):
+    """The operations of a store.
+
+    `read(table, part, key)` reads one row, or the whole part if `key` is None.
+    `feed(table, since, wait)` returns what changed after version `since`, waiting up to
+    `wait` seconds for a change. `commit(part, checks, puts)` is atomic.
+    """
+
+    read: abc.Callable[[str, str, str | None], abc.Awaitable[ReadOutcome]]
+    feed: abc.Callable[[str, int, float], abc.Awaitable[FeedOutcome]]
+    commit: abc.Callable[[str, list[Check], list[Put]], abc.Awaitable[CommitOutcome]]
--- a/dogwoodchute/log.py
+++ b/dogwoodchute/log.py
@@ -1,10 +1,23 @@
-"""Structured logging: one line of key=value pairs for each event."""
+"""Structured logging: one line of key=value pairs for each event.
 
+Lines go to standard output and never block the loop: what the reader does not take in
+time is dropped and counted. The volume is bounded by a rate for each kind of event.
+"""
+
+import collections
+import contextlib
 import json
 import logging as std_logging
+import os
+import sys
+import time
 
 from absl import logging
 
+EVENT_RATE = 50.0  # lines a second of one kind of event
+EVENT_BURST = 400  # lines of one kind at once, some seconds of a host's requests
+BUFFER_BYTES = 256 * 1024  # lines that wait for a slow reader
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -25,11 +38,69 @@
         return line
 
 
+class _Output:
+    """Writes lines to a descriptor without waiting for its reader."""
+
+    def __init__(self, *, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._waiting = bytearray()
+
+    def write(self, text: str) -> None:
+        """Write lines, or keep them for the next write."""
+        data = text.encode(errors="backslashreplace")
+        if len(self._waiting) + len(data) > BUFFER_BYTES:
+            _dropped["slow reader"] += 1
+            return
+        self._waiting += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the reader takes it."""
+        while self._waiting:
+            try:
+                written = os.write(self._descriptor, self._waiting)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, and there is no other place to say so.
+                self._waiting.clear()
+                return
+            del self._waiting[:written]
+
+
+class _Bucket:
+    """The lines that one kind of event may still write."""
+
+    def __init__(self) -> None:
+        self.level = float(EVENT_BURST)
+        self.filled = time.monotonic()
+
+    def take(self) -> bool:
+        """Take one line; return whether there was one."""
+        now = time.monotonic()
+        gained = (now - self.filled) * EVENT_RATE
+        self.level = min(float(EVENT_BURST), self.level + gained)
+        self.filled = now
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+_buckets: dict[str, _Bucket] = collections.defaultdict(_Bucket)
+_dropped: collections.Counter[str] = collections.Counter()
+
+
 def setup(*, level: str) -> None:
-    """Send events at or above `level` (a key of `LEVELS`) to standard error."""
+    """Send events at or above `level` (a key of `LEVELS`) to standard output."""
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(KeyValueFormatter())
+    descriptor = sys.stdout.fileno()
+    with contextlib.suppress(OSError):
+        # A file has no such mode and never blocks for long.
+        os.set_blocking(descriptor, False)
+    handler.python_handler.stream = _Output(descriptor=descriptor)
     logging.set_verbosity(LEVELS[level])
 
 
@@ -51,6 +122,15 @@
     return " ".join(parts)
 
 
+def _line(event: str, fields: dict[str, object]) -> str | None:
+    """Return the line of an event, None if its kind has written too many."""
+    if not _buckets[event].take():
+        _dropped[event] += 1
+        return None
+    dropped = _dropped.pop(event, None)
+    return render(event, {**fields, "dropped": dropped})
+
+
 def debug(event: str, **fields: object) -> None:
     """Log an event of interest while debugging."""
     if logging.vlog_is_on(1):
@@ -59,19 +139,27 @@
 
 def info(event: str, **fields: object) -> None:
     """Log an ordinary event."""
-    logging.info("%s", render(event, fields))
+    line = _line(event, fields)
+    if line is not None:
+        logging.info("%s", line)
 
 
 def warning(event: str, **fields: object) -> None:
     """Log an event that an operator should look at."""
-    logging.warning("%s", render(event, fields))
+    line = _line(event, fields)
+    if line is not None:
+        logging.warning("%s", line)
 
 
 def error(event: str, **fields: object) -> None:
     """Log an event that an operator must act on."""
-    logging.error("%s", render(event, fields))
+    line = _line(event, fields)
+    if line is not None:
+        logging.error("%s", line)
 
 
 def exception(event: str, **fields: object) -> None:
     """Log an error event with the traceback of the exception being handled."""
-    logging.exception("%s", render(event, fields))
+    line = _line(event, fields)
+    if line is not None:
+        logging.exception("%s", line)
--- /dev/null
+++ b/dogwoodchute/platform/boot.py
@@ -0,0 +1,65 @@
+"""Decodes the settings file that the platform gives to a process."""
+
+import os
+import pathlib
+import tomllib
+
+from dogwoodchute.gateway import model
+from dogwoodchute.platform import names
+
+
+class SettingsError(Exception):
+    """The settings file can't be used."""
+
+
+def path() -> pathlib.Path:
+    """Return where the settings file is; raise `SettingsError` if nothing says."""
+    value = os.environ.get(names.SETTINGS_VARIABLE)
+    if not value:
+        raise SettingsError(f"the variable {names.SETTINGS_VARIABLE} is not set")
+    return pathlib.Path(value)
+
+
+def load(source: pathlib.Path) -> model.Deployment:
+    """Return the settings in `source`; raise `SettingsError` on any fault."""
+    try:
+        plain = tomllib.loads(source.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{source}: {error.strerror}") from error
+    except ValueError as error:
+        raise SettingsError(f"{source}: {error}") from error
+    try:
+        return decode(plain)
+    except (KeyError, TypeError, ValueError) as error:
+        raise SettingsError(f"{source}: bad or missing key: {error}") from error
+
+
+def decode(plain: dict) -> model.Deployment:
+    """Return the settings in a decoded file; unknown keys are ignored."""
+    listen = plain["listen"]
+    platform = plain["platform"]
+    given = plain.get("bounds", {})
+    default = model.Bounds()
+    bounds = model.Bounds(
+        grace=float(given.get("graceS", default.grace)),
+        retry_ratio=float(given.get("retryRatio", default.retry_ratio)),
+        retry_slack=float(given.get("retrySlack", default.retry_slack)),
+        max_directory_ttl=float(given.get("ttl_max_s", default.max_directory_ttl)),
+    )
+    zone = str(plain["zone"])
+    regions = {str(k): str(v) for k, v in plain.get("zones", {}).items()}
+    region = str(plain.get("region") or regions[zone])
+    return model.Deployment(
+        host=str(plain["node"]),
+        data_centre=zone,
+        region=region,
+        regions={**regions, zone: region},
+        callers=str(listen["front"]),
+        readiness=str(listen["ready"]),
+        control=str(listen["control"]),
+        directory=str(listen["directory"]),
+        seeds=tuple(str(seed) for seed in plain.get("seeds", ())),
+        store=str(platform["address"]),
+        bounds=bounds,
+        row_bytes=int(platform.get("rowBytes", 65536)),
+    )
--- /dev/null
+++ b/dogwoodchute/platform/egress.py
@@ -0,0 +1,74 @@
+"""Writes requests to endpoints, and decodes the heads of their answers."""
+
+import math
+from collections import abc
+
+from dogwoodchute.gateway import calls, model, upstream
+from dogwoodchute.platform import names
+
+DEFAULT_URGENCY = 5  # of 0 to 9, where 0 is the most urgent
+LEAST_URGENT = 9
+
+
+def wire() -> upstream.Wire:
+    """Return the endpoints' wire format."""
+    return upstream.Wire(request_headers=request_headers, head=head)
+
+
+def request_headers(
+    call: calls.Call, endpoint: model.Endpoint, left: float, last_event_id: str | None
+) -> list[tuple[str, str]]:
+    """Return the headers of a request; `left` is in seconds."""
+    headers = [
+        (name, value)
+        for name, value in call.request.headers
+        if name.lower() != names.LAST_EVENT_ID.lower()
+    ]
+    headers.append((names.DEADLINE_MS, str(max(1, math.floor(left * 1000)))))
+    headers.append((names.TARGET, endpoint.id))
+    if last_event_id is not None:
+        headers.append((names.LAST_EVENT_ID, last_event_id))
+    if call.account is not None:
+        headers.append((names.ACCOUNT, call.account.name))
+    if call.service.engine is not None:
+        urgency = min(LEAST_URGENT, DEFAULT_URGENCY - 2 + max(0, call.priority))
+        headers.append((names.PRIORITY, str(urgency)))
+    return headers
+
+
+def head(status: int, headers: abc.Mapping[str, str], raw: list) -> upstream.Head:
+    """Return the decoded head of an answer; `raw` has its headers as pairs of bytes."""
+    passed = []
+    for name, value in raw:
+        text = name.decode("latin-1")
+        if text.lower() in names.HOP_BY_HOP:
+            continue
+        passed.append((text, value.decode("latin-1")))
+    return upstream.Head(
+        status=status,
+        attempt_id=headers.get(names.ATTEMPT_ID),
+        signed=names.SIGNATURE in headers,
+        # An endpoint that is not the one that was named did not run the request.
+        not_run=names.NOT_EXECUTED in headers or status == 421,
+        retry_after=_number(headers.get(names.RETRY_AFTER)),
+        idle_timeout=_idle_timeout(headers.get("Keep-Alive", "")),
+        headers=passed,
+    )
+
+
+def _idle_timeout(value: str) -> float | None:
+    for field in value.split(","):
+        name, _, number = field.strip().partition("=")
+        if name.lower() == "timeout":
+            return _number(number)
+    return None
+
+
+def _number(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
--- /dev/null
+++ b/dogwoodchute/platform/names.py
@@ -0,0 +1,63 @@
+"""The platform's names on the wire: headers, paths and words."""
+
+ATTEMPT_ID = "X-Dogwoodchute-Attempt-Id"
+DEADLINE_MS = "X-Dogwoodchute-Deadline-Ms"
+PROMPT_PREFIX = "X-Dogwoodchute-Prompt-Prefix"
+TOKEN_COUNT = "X-Dogwoodchute-Token-Count"
+LAST_EVENT_ID = "Last-Event-Id"
+SIGNATURE = "X-Dogwoodchute-Response-Signature"
+ACCOUNT = "X-Dogwoodchute-Tenant"
+TARGET = "X-Dogwoodchute-Target-Instance"
+NOT_EXECUTED = "X-Dogwoodchute-Not-Executed"
+PRIORITY = "X-Dogwoodchute-Request-Priority"
+KEY = "X-Dogwoodchute-Credential"
+RETRY_AFTER = "Retry-After"
+
+# What only the system may set; a caller's own are dropped.
+RESERVED = frozenset(
+    name.lower()
+    for name in (
+        ACCOUNT,
+        TARGET,
+        NOT_EXECUTED,
+        PRIORITY,
+        KEY,
+        SIGNATURE,
+        DEADLINE_MS,
+        "X-Dogwoodchute-Instance-Id",
+        "X-Dogwoodchute-Weight-Versions",
+        "X-Dogwoodchute-Expected-Version",
+        "X-Dogwoodchute-Pin-Ms",
+        "X-Dogwoodchute-Hold",
+        "X-Dogwoodchute-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+# Headers of one connection (RFC 9110, section 7.6.1), and those of a body's framing.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+READINESS_PATH = "/api/readyz"
+DIRECTORY_PATH = "/api/resolve"
+TX_PATH = "/api/rows-tx"
+GET_PATH = "/api/rows-get"
+FEED_PATH = "/api/rows-feed"
+
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+ENDPOINTS_TABLE = "servers"
+
+SETTINGS_VARIABLE = "DOGWOODCHUTE_SETTINGS"
--- /dev/null
+++ b/dogwoodchute/platform/relay.py
@@ -0,0 +1,28 @@
+"""Passes calls of other hosts on to the store, for those that it turns away."""
+
+import sanic
+
+from dogwoodchute.platform import store
+
+PREFIX = "/api/rows-"
+
+
+def add_routes(app: sanic.Sanic, *, client: store.Client) -> None:
+    """Serve other hosts' calls of the store on `app`."""
+
+    async def handle(request: sanic.Request, path: str) -> sanic.HTTPResponse:
+        target = request.raw_url.decode("ascii", "replace")
+        if not target.startswith(PREFIX) or not client.direct:
+            return _failed(store.NOT_SENT)
+        outcome = await client.pass_on(request.method, target, request.body or b"")
+        if isinstance(outcome, store.NotSent):
+            return _failed(store.NOT_SENT)
+        if isinstance(outcome, store.NoAnswer):
+            return _failed(store.NO_ANSWER)
+        return sanic.raw(outcome.content, status=outcome.status)
+
+    app.add_route(handle, "/<path:path>", methods=["GET", "POST"], name="relay")
+
+
+def _failed(what: str) -> sanic.HTTPResponse:
+    return sanic.empty(status=502, headers={store.RELAYED: what})
--- /dev/null
+++ b/dogwoodchute/platform/store.py
@@ -0,0 +1,277 @@
+"""The client of the platform's store.
+
+A call goes straight to the store. When that path fails, calls go through another host's
+relay for a while: the store may turn some hosts away and serve others.
+"""
+
+import base64
+import json
+import random
+import typing
+import urllib.parse
+from collections import abc
+
+import aiohttp
+
+from dogwoodchute import log
+from dogwoodchute.gateway import rows
+from dogwoodchute.platform import names
+
+CONNECT_TIMEOUT = 0.6  # seconds
+CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
+PROBE_INTERVAL = 1.0  # seconds between tries of a path that failed
+MAX_PAGES = 40  # of one read, a bound on a store that never ends
+RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
+NOT_SENT = "not-sent"
+NO_ANSWER = "no-answer"
+
+
+class Answer(typing.NamedTuple):
+    """An answer of the store."""
+
+    status: int
+    content: bytes
+
+
+class NotSent(typing.NamedTuple):
+    """The call certainly had no effect."""
+
+    reason: str
+    peer: str
+
+
+class NoAnswer(typing.NamedTuple):
+    """The call may have had its effect, or may yet."""
+
+    reason: str
+    peer: str
+
+
+CallOutcome = Answer | NotSent | NoAnswer
+Relays = abc.Callable[[], list[str]]
+
+
+class Client:
+    """The connections of one process to the store and to other hosts' relays."""
+
+    def __init__(
+        self, *, address: str, relays: Relays, now: abc.Callable[[], float]
+    ) -> None:
+        self._address = address
+        self._relays = relays  # control addresses of other hosts, best first
+        self._now = now
+        self._session: aiohttp.ClientSession | None = None
+        self._direct_after = 0.0  # monotonic seconds: the direct path is tried again
+        self._direct_failed = False
+        self._relay: str | None = None  # the one that worked last
+
+    @property
+    def direct(self) -> bool:
+        """Whether the store answers this host without a relay."""
+        return not self._direct_failed
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def pass_on(self, method: str, target: str, body: bytes) -> CallOutcome:
+        """Make a call for another host, by the direct path alone."""
+        return await self._send(self._address, method, target, body, CALL_TIMEOUT)
+
+    async def call(
+        self, method: str, target: str, body: bytes = b"", *, wait: float = 0.0
+    ) -> CallOutcome:
+        """Make one call by the path that works; `wait` is what the call asks for."""
+        timeout = CALL_TIMEOUT + wait
+        outcome: CallOutcome = NotSent("the store failed lately", self._address)
+        if self._now() >= self._direct_after:
+            outcome = await self._send(self._address, method, target, body, timeout)
+            self._note_direct(outcome)
+        if isinstance(outcome, Answer) and not _turned_away(outcome):
+            return outcome
+        if isinstance(outcome, NoAnswer) and method != "GET":
+            return outcome
+        if self._direct_failed:
+            return await self._call_relayed(method, target, body, outcome)
+        return outcome
+
+    async def _call_relayed(
+        self, method: str, target: str, body: bytes, direct: CallOutcome
+    ) -> CallOutcome:
+        relays = self._relays()
+        if not relays:
+            return direct
+        if self._relay not in relays:
+            self._relay = random.choice(relays)
+        relay = self._relay
+        outcome = await self._send(relay, method, target, body, CALL_TIMEOUT)
+        if not isinstance(outcome, Answer) or _turned_away(outcome):
+            self._relay = random.choice(relays)
+        return outcome
+
+    def _note_direct(self, outcome: CallOutcome) -> None:
+        failed = not isinstance(outcome, Answer) or _turned_away(outcome)
+        if failed:
+            self._direct_after = self._now() + PROBE_INTERVAL * random.uniform(0.8, 1.2)
+        if failed and not self._direct_failed:
+            log.warning("store_lost", peer=self._address, reason=_reason(outcome))
+        if not failed and self._direct_failed:
+            log.info("store_regained", peer=self._address)
+        self._direct_failed = failed
+
+    async def _send(
+        self, address: str, method: str, target: str, body: bytes, timeout: float
+    ) -> CallOutcome:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
+                auto_decompress=False,
+            )
+        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{target}",
+                data=body or None,
+                headers=headers,
+                timeout=limit,
+            ) as response:
+                content = await response.read()
+                relayed = response.headers.get(RELAYED)
+        except aiohttp.ClientConnectorError as error:
+            return NotSent(str(error), address)
+        except aiohttp.ConnectionTimeoutError:
+            return NotSent("connecting timed out", address)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return NoAnswer(str(error) or type(error).__name__, address)
+        if relayed == NOT_SENT:
+            return NotSent("the relay did not reach the store", address)
+        if relayed == NO_ANSWER:
+            return NoAnswer("the relay got no answer", address)
+        return Answer(response.status, content)
+
+
+def _turned_away(answer: Answer) -> bool:
+    return answer.status in (429, 503)
+
+
+def _reason(outcome: CallOutcome) -> str:
+    if isinstance(outcome, Answer):
+        return f"status {outcome.status}"
+    return outcome.reason
+
+
+def store(client: Client) -> rows.Store:
+    """Return the store behind `client`."""
+
+    async def read(table: str, part: str, key: str | None) -> rows.ReadOutcome:
+        query = {"table": table, "part": part}
+        if key is not None:
+            # The end of a range is exclusive, and this is the next key in byte order.
+            query.update({"from": key, "target": key + "\0", "limit": "1"})
+        found: list[rows.Row] = []
+        version = 0
+        for _ in range(MAX_PAGES):
+            answer = await client.call("GET", _target(names.GET_PATH, query))
+            page = _rows_in(answer)
+            if isinstance(page, rows.Unavailable | rows.Compacted):
+                return _unavailable(answer)
+            plain, page_rows = page
+            found.extend(page_rows)
+            version = version or int(plain.get("ver", 0))
+            if key is not None or not plain.get("hasMore") or not page_rows:
+                return rows.Rows(rows=found, version=version)
+            query["from"] = page_rows[-1].key + "\0"
+        return rows.Unavailable(reason="the read has no end", peer=None)
+
+    async def feed(table: str, since: int, wait: float) -> rows.FeedOutcome:
+        query = {
+            "table": table,
+            "sinceRev": str(since),
+            "waitMs": str(int(wait * 1000)),
+        }
+        answer = await client.call("GET", _target(names.FEED_PATH, query), wait=wait)
+        page = _rows_in(answer)
+        if isinstance(page, rows.Unavailable | rows.Compacted):
+            return page
+        plain, changed = page
+        return rows.Rows(rows=changed, version=int(plain.get("ver", since)))
+
+    async def commit(
+        part: str, checks: list[rows.Check], puts: list[rows.Put]
+    ) -> rows.CommitOutcome:
+        body = json.dumps(_transaction(part, checks, puts)).encode()
+        answer = await client.call("POST", names.TX_PATH, body)
+        if isinstance(answer, NotSent):
+            return rows.Unavailable(reason=answer.reason, peer=answer.peer)
+        if isinstance(answer, NoAnswer):
+            return rows.Unknown(reason=answer.reason, peer=answer.peer)
+        if _turned_away(answer):
+            return rows.Unavailable(reason=f"status {answer.status}")
+        if answer.status not in (200, 412):
+            text = answer.content[:200].decode(errors="replace")
+            return rows.Unknown(reason=f"status {answer.status}: {text}")
+        try:
+            plain = json.loads(answer.content)
+            if answer.status == 200:
+                return rows.Committed(version=int(plain["ver"]))
+            return rows.Conflict(rows=[_row(each) for each in plain.get("rows", ())])
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return rows.Unknown(reason=f"bad answer: {error!r}")
+
+    return rows.Store(read=read, feed=feed, commit=commit)
+
+
+def _target(path: str, query: dict[str, str]) -> str:
+    return f"{path}?{urllib.parse.urlencode(query)}"
+
+
+def _unavailable(answer: CallOutcome) -> rows.Unavailable:
+    return rows.Unavailable(reason=_reason(answer), peer=getattr(answer, "peer", None))
+
+
+def _rows_in(
+    answer: CallOutcome,
+) -> tuple[dict, list[rows.Row]] | rows.Unavailable | rows.Compacted:
+    if not isinstance(answer, Answer):
+        return _unavailable(answer)
+    if answer.status == 410:
+        return rows.Compacted()
+    if answer.status != 200:
+        return _unavailable(answer)
+    try:
+        plain = json.loads(answer.content)
+        return plain, [_row(each) for each in plain["rows"]]
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return rows.Unavailable(reason=f"bad answer: {error!r}")
+
+
+def _row(plain: dict) -> rows.Row:
+    value = None
+    if not plain.get("removed"):
+        value = base64.b64decode(plain.get("value") or "")
+    return rows.Row(
+        key=str(plain["key"]),
+        value=value,
+        version=int(plain.get("ver", 0)),
+        table=str(plain.get("table", "")),
+        part=str(plain.get("part", "")),
+    )
+
+
+def _transaction(part: str, checks: list[rows.Check], puts: list[rows.Put]) -> dict:
+    written = []
+    removed = []
+    for put in puts:
+        entry = {"table": put.table, "part": part, "key": put.key}
+        if put.value is None:
+            removed.append(entry)
+            continue
+        written.append({**entry, "value": base64.b64encode(put.value).decode()})
+    conditions = [
+        {"table": check.table, "part": part, "key": check.key, "ver": check.version}
+        for check in checks
+    ]
+    return {"expectedRev": conditions, "puts": written, "remove": removed}
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -28,6 +28,11 @@
         self._server: async_server.AsyncioServer | None = None
         self.port = 0
 
+    def limit(self, *, body_bytes: int, idle_timeout: float) -> None:
+        """Set limits, in bytes and seconds, for connections that open from now on."""
+        self.app.config.REQUEST_MAX_SIZE = body_bytes
+        self.app.config.KEEP_ALIVE_TIMEOUT = max(1, int(idle_timeout))
+
     async def start(
         self, address: str, port: int, *, tls: ssl.SSLContext | None = None
     ) -> None:
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -19,14 +19,47 @@
     """The stream does not follow the event stream format, or tells of an error."""
 
 
+class Cutter:
+    """Cuts a byte stream after its last whole event, changing no byte."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """The beginning of an event that is not whole."""
+        return self._rest
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events in `data` so far.
+
+        Raises `FormatError` if an event grows past `MAX_EVENT`.
+        """
+        if self._rest:
+            data = self._rest + data
+        end = data.rfind(BOUNDARY)
+        if end < 0:
+            if len(data) > MAX_EVENT:
+                raise FormatError("an event is too large")
+            self._rest = data
+            return b""
+        end += len(BOUNDARY)
+        self._rest = data[end:]
+        return data[:end]
+
+    def drop(self) -> None:
+        """Drop the half event that a broken connection left."""
+        self._rest = b""
+
+
 class Splitter:
-    """Cuts a byte stream into runs of whole events."""
+    """Cuts a byte stream into runs of whole events, and takes the closing one off."""
 
     def __init__(self) -> None:
+        self._cutter = Cutter()
         self.last_run = b""  # the last whole events before the closing one
         self.usage_run = b""  # the last whole events that told a usage
         self.done = False
-        self._rest = b""
         self._carriage_return = b""
 
     @property
@@ -45,15 +78,9 @@
         """
         if self._carriage_return or b"\r" in data:
             data = self._unify_line_ends(data)
-        if self._rest:
-            data = self._rest + data
-        end = data.rfind(BOUNDARY)
-        if end < 0:
-            if len(data) > MAX_EVENT:
-                raise FormatError("an event is too large")
-            self._rest = data
+        whole = self._cutter.feed(data)
+        if not whole:
             return b""
-        whole, self._rest = data[: end + 2], data[end + 2 :]
         done = whole.find(DONE_LINE)
         if done >= 0:
             self.done = True
@@ -72,7 +99,7 @@
 
     def reconnect(self) -> None:
         """Drop the half event that a broken connection left."""
-        self._rest = b""
+        self._cutter.drop()
         self._carriage_return = b""
 
     def _unify_line_ends(self, data: bytes) -> bytes:
--- /dev/null
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -0,0 +1,191 @@
+"""The gateway's command line: one host of a deployment on the users' platform."""
+
+import asyncio
+import dataclasses
+import pathlib
+import signal
+import sys
+import typing
+
+import cappa
+import prometheus_client
+import sanic
+import uvloop
+
+from dogwoodchute import log, server
+from dogwoodchute.gateway import gateway, model
+from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
+
+METRICS_PORT = 9464  # TCP, as `deploy/system.toml` tells the platform
+METRICS_PATH = "/metrics"
+DIRECTORY_TTL = 2.0  # seconds that callers keep an answer
+BODY_BYTES = 4 * 1024 * 1024  # until a configuration says otherwise
+HEADER_BYTES = 16 * 1024  # until a configuration says otherwise
+IDLE_TIMEOUT = 60.0  # seconds, until a configuration says otherwise
+
+
+@dataclasses.dataclass
+class Dogwoodgate:
+    """Run the gateway of one host."""
+
+    settings_file: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            help="The platform's settings file; from the environment if left out."
+        ),
+    ] = None
+    check: typing.Annotated[
+        bool, cappa.Arg(long="--check", help="Check the settings and exit.")
+    ] = False
+
+
+class Process:
+    """The gateway and its listeners."""
+
+    def __init__(self, *, source: pathlib.Path, deployment: model.Deployment) -> None:
+        self._source = source
+        self._deployment = deployment
+        self._servers: list[server.Server] = []
+        self._callers = self._server("callers")
+        self._client = store.Client(
+            address=deployment.store,
+            relays=lambda: self.gateway.relays(),
+            now=asyncio.get_running_loop().time,
+        )
+        self.gateway = gateway.Gateway(
+            deployment=deployment,
+            platform=gateway.Platform(
+                store=store.store(self._client),
+                wire=egress.wire(),
+                decode_config=decode.config,
+                decode_endpoint=decode.endpoint,
+                format_error=decode.FormatError,
+                config_table=names.CONFIG_TABLE,
+                config_key=names.CONFIG_KEY,
+                endpoints_table=names.ENDPOINTS_TABLE,
+            ),
+            adopted=self._adopt_limits,
+        )
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        place = self._deployment
+        ip = place.callers.rpartition(":")[0]
+        control = self._server("control")
+        relay.add_routes(control.app, client=self._client)
+        readiness = self._server("readiness")
+        ingress.add_readiness(readiness.app, ready=self.gateway.ready)
+        directory = self._server("directory")
+        ingress.add_directory(
+            directory.app,
+            addresses=self.gateway.addresses,
+            ttl=min(DIRECTORY_TTL, place.bounds.max_directory_ttl),
+        )
+        metrics = self._server("metrics")
+        _add_metrics(metrics.app)
+        ingress.add_routes(
+            self._callers.app,
+            serve=self.gateway.serve,
+            leaving=lambda: self.gateway.leaving,
+        )
+        await self.gateway.start()
+        await _listen(control, place.control)
+        await _listen(readiness, place.readiness)
+        await _listen(directory, place.directory)
+        await _listen(metrics, f"{ip}:{METRICS_PORT}")
+        await _listen(self._callers, place.callers)
+        log.info(
+            "started",
+            host=place.host,
+            data_centre=place.data_centre,
+            region=place.region,
+            callers=place.callers,
+            store=place.store,
+        )
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then close all connections."""
+        await self.gateway.stop()
+        for each in self._servers:
+            await each.stop()
+        await self._client.close()
+
+    def reload(self) -> None:
+        """Read the settings file again and say what changed; listeners stay."""
+        try:
+            fresh = boot.load(self._source)
+        except boot.SettingsError as error:
+            log.error("reload_refused", reason=str(error))
+            return
+        changed = [
+            field
+            for field in fresh._fields
+            if getattr(fresh, field) != getattr(self._deployment, field)
+        ]
+        log.info("reloaded", changed=",".join(changed) or None)
+        self._deployment = fresh
+
+    def _server(self, name: str) -> server.Server:
+        made = server.Server(
+            name=name,
+            body_bytes=BODY_BYTES,
+            header_bytes=HEADER_BYTES,
+            idle_timeout=IDLE_TIMEOUT,
+        )
+        self._servers.append(made)
+        return made
+
+    def _adopt_limits(self, config: model.Config) -> None:
+        limits = config.limits
+        self._callers.limit(
+            body_bytes=limits.body_bytes, idle_timeout=limits.idle_timeout
+        )
+
+
+async def _listen(listener: server.Server, address: str) -> None:
+    ip, _, port = address.rpartition(":")
+    await listener.start(ip, int(port))
+
+
+def _add_metrics(app: sanic.Sanic) -> None:
+    async def handle(request: sanic.Request) -> sanic.HTTPResponse:
+        content = prometheus_client.generate_latest()
+        return sanic.raw(content, content_type=prometheus_client.CONTENT_TYPE_LATEST)
+
+    app.add_route(handle, METRICS_PATH, name="metrics")
+
+
+async def run(source: pathlib.Path, deployment: model.Deployment) -> None:
+    """Run one host until SIGTERM or SIGINT; SIGHUP reads the settings again."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    process = Process(source=source, deployment=deployment)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, process.reload)
+    await process.start()
+    await stopping.wait()
+    await process.stop()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Parse the command line and run; return the exit code."""
+    arguments = cappa.parse(
+        Dogwoodgate, argv=argv, backend=cappa.backend, completion=False
+    )
+    try:
+        source = arguments.settings_file or boot.path()
+        deployment = boot.load(source)
+    except boot.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if arguments.check:
+        print(f"{source}: settings are valid")
+        return 0
+    log.setup(level="info")
+    uvloop.run(run(source, deployment))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
