Keep ten seconds of tokens ahead, and let hosts give tokens to one another

Cause: with node_cut of all hosts the store is out of reach for 8 s (the log of one host shows every path to it failing while relays answer), and hosts held 1.5 s of tokens.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -4,6 +4,9 @@
 cumulative. Every commit keeps `drawn <= prepaid`, so the spend stays within the budget
 whatever happens to holders and messages; no clock or lease takes part in the argument.
 
+Holders may give tokens to one another. The giver counts them as gone before it sends
+them, so a lost message wastes them; the sums over all holders stay right.
+
 Source of the method: P. O'Neil, "The Escrow Transactional Method", ACM TODS 11, 1986.
 """
 
@@ -85,6 +88,7 @@
         self.holder = holder
         self.spent = 0  # cumulative
         self.reserved = 0  # by requests in flight
+        self._moved = 0  # got from other hosts, less what was given; cumulative
         self._folded = 0  # drawn in holdings that others closed, cumulative
         self._granted = 0  # cumulative, as confirmed
         self._commits = 0
@@ -92,10 +96,11 @@
 
     @property
     def usable(self) -> int:
-        """Tokens that this host drew, cumulative."""
-        if self._pending is None:
-            return self._granted
-        return min(self._granted, self._folded + self._pending.holding.granted)
+        """Tokens that this host drew or got from others, cumulative."""
+        granted = self._granted
+        if self._pending is not None:
+            granted = min(granted, self._folded + self._pending.holding.granted)
+        return granted + self._moved
 
     @property
     def available(self) -> int:
@@ -119,6 +124,19 @@
         self.reserved -= reserved
         self.spent += min(used, reserved)
 
+    def give(self, tokens: int) -> int:
+        """Give up to `tokens` to another host; return how many are to be sent to it.
+
+        They are gone from here even if they never arrive, so they can't be spent twice.
+        """
+        given = max(0, min(tokens, self.available))
+        self._moved -= given
+        return given
+
+    def take(self, tokens: int) -> None:
+        """Take in tokens that another host gave, once for each answer of it."""
+        self._moved += tokens
+
     def propose(
         self, row: Row, *, prepaid: int | None, draw: int, gone: set[str]
     ) -> Proposal | None:
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -18,14 +18,15 @@
 BILLS = "bills"
 ROW_KEY = "row"
 DEMAND_WINDOW = 5.0  # seconds over which the use is averaged
-HORIZON = 1.5  # seconds of use that a host keeps ahead
-SCARCE_SHARE = 0.1  # of the prepaid total, below which hosts keep less
-DRAW_SHARE = 0.25  # of what remains, that all hosts together draw ahead
+HORIZON = 10.0  # seconds of use that a host keeps ahead, for a time without the store
+DRAW_SHARE = 0.4  # of what remains, that all hosts together draw ahead
 CHECK_INTERVAL = 0.5  # seconds between looks at what to draw or return
 BILL_INTERVAL = 2.0  # seconds that a bill waits at most for a commit to go along with
 MAX_BILLS = 300  # in one row, of some 40 bytes each
 WAIT = 0.8  # seconds that a request waits for a draw
-RETRY_PAUSE = 0.15  # seconds after a commit without an answer
+RETRY_PAUSE = 0.15  # seconds after a first commit without an answer
+MAX_RETRY_PAUSE = 1.0  # seconds; the pause doubles up to it
+MAX_ASKED = 8  # other hosts that are asked for tokens at once
 ROW_AGE = 0.3  # seconds for which a row that was read may serve to refuse
 RETRY_AFTER = 0.5  # seconds: other hosts give back what they don't use in this time
 
@@ -61,6 +62,10 @@
 ReserveOutcome = Reserved | Exhausted | OutOfReach
 
 
+# Asks other hosts, those named first, for an account's tokens; returns what they gave.
+Ask = abc.Callable[[str, int, list[str]], abc.Awaitable[int]]
+
+
 class _Waiter(typing.NamedTuple):
     tokens: int
     done: asyncio.Future
@@ -95,6 +100,7 @@
         config: abc.Callable[[], model.Config | None],
         hosts: abc.Callable[[], int],
         gone: abc.Callable[[], set[str]],
+        ask: Ask,
         now: abc.Callable[[], float],
     ) -> None:
         self._holder = holder
@@ -102,6 +108,7 @@
         self._config = config
         self._hosts = hosts
         self._gone = gone
+        self._ask = ask
         self._now = now
         self._accounts: dict[str, _Account] = {}
 
@@ -139,6 +146,16 @@
             if account.oldest_bill is None:
                 account.oldest_bill = self._now()
 
+    def give(self, name: str, tokens: int) -> int:
+        """Give up to `tokens` of an account to another host; return how many."""
+        account = self._account(name)
+        if not self._may_spend(account):
+            return 0
+        given = account.ledger.give(tokens)
+        if given:
+            log.info("tokens_given", account=name, tokens=given, asked=tokens)
+        return given
+
     async def run(self) -> None:
         """Draw, return and bill until cancelled."""
         while True:
@@ -239,7 +256,6 @@
             return -max(0, ledger.available)
         balance = grants.Balance(prepaid, account.row.drawn)
         rate = account.demand.rate(self._now())
-        horizon = self._horizon(balance)
         share = DRAW_SHARE / self._hosts()
         needed = sum(w.tokens for w in account.waiters if not w.done.done())
         needed -= max(0, ledger.available)
@@ -248,27 +264,18 @@
                 balance=balance,
                 needed=needed,
                 rate=rate,
-                horizon=horizon,
+                horizon=HORIZON,
                 share=share,
             )
             return whole or self._draw_for_first(account, balance)
-        refill = sizing.refill_size(
+        return sizing.refill_size(
             balance=balance,
             available=max(0, ledger.available),
             reserved=0,
             rate=rate,
-            horizon=horizon,
+            horizon=HORIZON,
             share=share,
         )
-        if refill:
-            return refill
-        return -sizing.return_size(
-            available=ledger.available,
-            reserved=0,
-            rate=rate,
-            horizon=horizon,
-            idle=account.demand.idle(self._now()),
-        )
 
     def _draw_for_first(self, account: _Account, balance: grants.Balance) -> int:
         """Return what the first waiter lacks, 0 if the budget does not cover it."""
@@ -276,29 +283,49 @@
         lacking = waiting[0].tokens - max(0, account.ledger.available)
         return lacking if 0 < lacking <= balance.remaining else 0
 
-    def _horizon(self, balance: grants.Balance) -> float:
-        left = balance.remaining / max(1.0, SCARCE_SHARE * balance.paid)
-        return HORIZON * min(1.0, max(0.0, left))
-
     async def _refuse(self, account: _Account) -> bool:
-        """Refuse the first waiter if a fresh row shows no tokens for it.
+        """Ask other hosts for the first waiter's tokens; refuse it if they lack.
 
         Return whether there is more to do.
         """
         now = self._now()
         if account.read_at is None or now - account.read_at > ROW_AGE:
             return await self._read(account)
+        if await self._collect(account):
+            return True
         waiter = account.waiters.pop(0)
         if waiter.done.done():
             return True
         prepaid = self._prepaid(account) or 0
-        left = prepaid - max(account.row.spent, self._spent_for_sure(account))
+        left = prepaid - self._spent_for_sure(account)
         if left < waiter.tokens:
             waiter.done.set_result(Exhausted(remaining=left))
         else:
             waiter.done.set_result(OutOfReach(reason="tokens are held elsewhere"))
         return True
 
+    async def _collect(self, account: _Account) -> bool:
+        """Get the first waiter's tokens from other hosts; return whether they gave."""
+        waiting = [w for w in account.waiters if not w.done.done()]
+        if not waiting or not self._may_spend(account):
+            return False
+        lacking = waiting[0].tokens - max(0, account.ledger.available)
+        if lacking <= 0:
+            return True
+        got = await self._ask(account.name, lacking, self._holders(account))
+        account.ledger.take(got)
+        log.info("tokens_got", account=account.name, tokens=got, asked=lacking)
+        return got >= lacking
+
+    def _holders(self, account: _Account) -> list[str]:
+        """Return the other holders, those first that seem to hold most."""
+        idle = {
+            name: holding.granted - holding.spent
+            for name, holding in account.row.holdings.items()
+            if name != self._holder
+        }
+        return sorted(idle, key=lambda name: (-idle[name], name))
+
     def _spent_for_sure(self, account: _Account) -> int:
         """Return what is known to be spent, with what this host spent since."""
         held = account.row.holdings.get(self._holder)
@@ -308,6 +335,8 @@
     async def _read(self, account: _Account) -> bool:
         outcome = await self._store.read(TABLE, account.name, ROW_KEY)
         if isinstance(outcome, rows.Unavailable):
+            if await self._collect(account):
+                return True
             self._fail(account, outcome.reason)
             return False
         self._take_in(account, outcome.rows)
@@ -376,6 +405,7 @@
         copies can apply, and only a definite answer shows that none is on its way.
         """
         uncertain = False
+        pause = RETRY_PAUSE
         while True:
             outcome = await self._store.commit(account.name, checks, puts)
             if isinstance(outcome, rows.Committed | rows.Conflict):
@@ -389,10 +419,19 @@
                 version=account.version,
                 uncertain=uncertain,
             )
-            self._fail(account, outcome.reason)
+            await self._bridge(account, outcome.reason)
             if not uncertain:
                 return outcome
-            await asyncio.sleep(RETRY_PAUSE)
+            await asyncio.sleep(pause)
+            pause = min(MAX_RETRY_PAUSE, 2 * pause)
+
+    async def _bridge(self, account: _Account, reason: str) -> None:
+        """Serve the waiters with other hosts' tokens while the store is away."""
+        while account.waiters:
+            self._grant(account)
+            if not account.waiters or not await self._collect(account):
+                break
+        self._fail(account, reason)
 
     def _billed(self, account: _Account, count: int) -> None:
         if not count:
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -55,6 +55,8 @@
         self.last_event_id = request.last_event_id  # of the last event delivered
         self.tried: list[str] = []  # endpoints, with those that were not reached
         self.sends = 0  # times that the request was sent
+        self.sent_at: float | None = None  # monotonic seconds of the last send
+        self.unread = 0  # prompt tokens thought not to be cached, at the last send
         self.first_byte: float | None = None  # monotonic seconds
 
     @property
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -106,6 +106,8 @@
     async def _try(self, call: calls.Call, endpoint: model.Endpoint) -> Try:
         waiting = self._known.begin(call, endpoint)
         unread = [waiting]
+        call.sent_at = self._now()
+        call.unread = waiting
 
         def first_token() -> None:
             if unread:
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -18,6 +18,7 @@
     model,
     observe,
     rows,
+    tokens,
     upstream,
 )
 
@@ -52,10 +53,12 @@
         *,
         deployment: model.Deployment,
         platform: Platform,
+        ask_peer: tokens.AskPeer,
         adopted: abc.Callable[[model.Config], None],
         now: abc.Callable[[], float] = clock.monotonic,
     ) -> None:
         self._deployment = deployment
+        self._ask_peer = ask_peer
         self._now = now
         self._in_flight = 0
         self._leaving = False
@@ -88,6 +91,7 @@
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
             gone=lambda: self._hosts.gone,
+            ask=self._ask,
             now=now,
         )
         self._upstream = upstream.Upstream(wire=platform.wire)
@@ -125,6 +129,10 @@
             found.append(own)
         return directory.addresses(found, data_centre=data_centre, region=region)
 
+    def give(self, account: str, tokens: int) -> int:
+        """Give up to `tokens` of a client account to another host."""
+        return self._accounts.give(account, tokens)
+
     async def serve(self, call: calls.Call) -> outcomes.Outcome:
         """Pass a call through the filter chain."""
         self._in_flight += 1
@@ -165,6 +173,19 @@
         await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
+    async def _ask(self, account: str, tokens: int, holders: list[str]) -> int:
+        """Ask other hosts for tokens, one after the other, `holders` first."""
+        live = {host.id: host for host in self._hosts.live}
+        known = [live[name] for name in holders if name in live]
+        named = set(holders)
+        known.extend(host for host in live.values() if host.id not in named)
+        got = 0
+        for host in known[: accounts.MAX_ASKED]:
+            got += await self._ask_peer(host.control, account, tokens - got)
+            if got >= tokens:
+                break
+        return got
+
     def _state(self) -> str:
         if self._leaving:
             return hosts.LEAVING
--- a/dogwoodchute/gateway/observe.py
+++ b/dogwoodchute/gateway/observe.py
@@ -69,6 +69,8 @@
         endpoints=",".join(call.tried) or None,
         sends=call.sends,
         reserved=call.reserved or None,
+        waited=f"{call.sent_at - call.received:.3f}" if call.sent_at else None,
+        unread=call.unread or None,
         events=call.delivered_events or None,
         first=f"{first:.3f}" if first is not None else None,
         seconds=f"{elapsed:.3f}",
--- /dev/null
+++ b/dogwoodchute/gateway/tokens.py
@@ -0,0 +1,71 @@
+"""Moves tokens of prepaid budgets between hosts, over the hosts' own protocol.
+
+The giver counts tokens as gone before it answers, and the asker takes in each answer
+once, so a message that is lost or late wastes tokens and never doubles them.
+"""
+
+from collections import abc
+
+import aiohttp
+import msgpack
+import sanic
+
+from dogwoodchute import log
+
+PATH = "/tokens"
+ASK_TIMEOUT = 0.15  # seconds; hosts are at most some 20 ms apart
+FORMAT = "application/msgpack"
+
+# Asks the host at a control address for an account's tokens; returns what it gave.
+AskPeer = abc.Callable[[str, str, int], abc.Awaitable[int]]
+Give = abc.Callable[[str, int], int]
+
+
+class Asker:
+    """The connections of this host to those that it asks."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def ask(self, address: str, account: str, tokens: int) -> int:
+        """Return the tokens that the host at `address` gave, at most `tokens`."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=ASK_TIMEOUT)
+            )
+        body = msgpack.packb([account, tokens])
+        try:
+            async with self._session.post(
+                f"http://{address}{PATH}", data=body, headers={"Content-Type": FORMAT}
+            ) as response:
+                if response.status != 200:
+                    return 0
+                given = msgpack.unpackb(await response.read())
+        except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            log.warning("tokens_not_got", account=account, peer=address, reason=reason)
+            return 0
+        if not isinstance(given, int) or not 0 <= given <= tokens:
+            log.warning("tokens_refused", account=account, peer=address, given=given)
+            return 0
+        return given
+
+
+def add_routes(app: sanic.Sanic, *, give: Give) -> None:
+    """Answer other hosts that ask for tokens."""
+
+    async def handle(request: sanic.Request) -> sanic.HTTPResponse:
+        try:
+            account, tokens = msgpack.unpackb(request.body)
+        except ValueError:
+            return sanic.empty(status=400)
+        if not isinstance(account, str) or not isinstance(tokens, int):
+            return sanic.empty(status=400)
+        return sanic.raw(msgpack.packb(give(account, tokens)), content_type=FORMAT)
+
+    app.add_route(handle, PATH, methods=["POST"], name="tokens")
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT = 0.6  # seconds
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
 PROBE_INTERVAL = 1.0  # seconds between tries of a path that failed
+RELAY_PAUSE = 0.3  # seconds without calls after a relay did not reach the store
 MAX_PAGES = 40  # of one read, a bound on a store that never ends
 RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
 NOT_SENT = "not-sent"
@@ -64,6 +65,7 @@
         self._direct_after = 0.0  # monotonic seconds: the direct path is tried again
         self._direct_failed = False
         self._relay: str | None = None  # the one that worked last
+        self._relay_after = 0.0  # monotonic seconds: relays are tried again
 
     @property
     def direct(self) -> bool:
@@ -100,7 +102,7 @@
         self, method: str, target: str, body: bytes, direct: CallOutcome
     ) -> CallOutcome:
         relays = self._relays()
-        if not relays:
+        if not relays or self._now() < self._relay_after:
             return direct
         if self._relay not in relays:
             self._relay = random.choice(relays)
@@ -108,6 +110,7 @@
         outcome = await self._send(relay, method, target, body, CALL_TIMEOUT)
         if not isinstance(outcome, Answer) or _turned_away(outcome):
             self._relay = random.choice(relays)
+            self._relay_after = self._now() + RELAY_PAUSE * random.uniform(0.5, 1.5)
         return outcome
 
     def _note_direct(self, outcome: CallOutcome) -> None:
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from dogwoodchute import log, server
-from dogwoodchute.gateway import gateway, model
+from dogwoodchute.gateway import gateway, model, tokens
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
 METRICS_PORT = 9464  # TCP, as `deploy/system.toml` tells the platform
@@ -47,6 +47,7 @@
         self._deployment = deployment
         self._servers: list[server.Server] = []
         self._callers = self._server("callers")
+        self._asker = tokens.Asker()
         self._client = store.Client(
             address=deployment.store,
             relays=lambda: self.gateway.relays(),
@@ -64,6 +65,7 @@
                 config_key=names.CONFIG_KEY,
                 endpoints_table=names.ENDPOINTS_TABLE,
             ),
+            ask_peer=self._asker.ask,
             adopted=self._adopt_limits,
         )
 
@@ -72,6 +74,7 @@
         place = self._deployment
         ip = place.callers.rpartition(":")[0]
         control = self._server("control")
+        tokens.add_routes(control.app, give=self.gateway.give)
         relay.add_routes(control.app, client=self._client)
         readiness = self._server("readiness")
         ingress.add_readiness(readiness.app, ready=self.gateway.ready)
@@ -109,6 +112,7 @@
         for each in self._servers:
             await each.stop()
         await self._client.close()
+        await self._asker.close()
 
     def reload(self) -> None:
         """Read the settings file again and say what changed; listeners stay."""
