Tell loads by datagrams, and learn each engine's pace

Cause: hosts took the loads of others from their rows in the store, up to a second old, and frozen while the store is away: in seconds 6 to 8 one engine of nine got 20 of 55 requests (log of all hosts).

--- a/dogwoodchute/coordination/placement.py
+++ b/dogwoodchute/coordination/placement.py
@@ -12,7 +12,11 @@
 
 from dogwoodchute.coordination import ranking
 
-PREFILL_TOKENS_PER_SECOND = 50_000.0  # of one engine, as the deployments state it
+PREFILL_TOKENS_PER_SECOND = 40_000.0  # of one engine that also generates
+FIRST_TOKEN_TIME = 0.05  # seconds of a prompt of no length: a step and the way
+PACE_WEIGHT = 0.25  # of the newest sample
+PACE_MEMORY = 3.0  # seconds after which a pace counts half
+MAX_SLOWNESS = 8.0
 RUNNING_COST = 0.004  # seconds that one running request adds to another's wait
 REGION_COST = 0.030  # seconds: the round trip and the bytes of another region
 DATA_CENTRE_COST = 0.003  # seconds
@@ -29,6 +33,31 @@
     waiting_tokens: int  # of prompts that are not read yet
     weight: float = 1.0  # below 1 for one that failed lately
     slots: int = 1
+    slowness: float = 1.0  # time to a first token, as a multiple of the expected
+
+
+class Pace:
+    """How long an engine takes to a first token, as a multiple of what is expected.
+
+    It tells of slow engines, and of load that this host does not know.
+    """
+
+    def __init__(self) -> None:
+        self._slowness = 1.0
+        self._at = 0.0  # monotonic seconds
+
+    def note(self, now: float, *, took: float, expected: float) -> None:
+        """Take in one first token; times are in seconds."""
+        sample = took / (FIRST_TOKEN_TIME + expected)
+        before = self.slowness(now)
+        mean = before + PACE_WEIGHT * (min(sample, MAX_SLOWNESS) - before)
+        self._slowness = max(1.0, mean)
+        self._at = now
+
+    def slowness(self, now: float) -> float:
+        """Return the multiple; without new samples it falls back to 1."""
+        left = 0.5 ** (max(0.0, now - self._at) / PACE_MEMORY)
+        return 1.0 + (self._slowness - 1.0) * left
 
 
 class Sent:
@@ -92,7 +121,7 @@
         own = max(0, input_tokens - held) / PREFILL_TOKENS_PER_SECOND
         if len(order) > 1 and candidate.name == order[1]:
             own *= SECOND_HOME_SHARE
-        cost = own + _wait(candidate)
+        cost = own * candidate.slowness + wait(candidate)
         if best is None or cost < least:
             best, least = candidate, cost
     return best
@@ -112,10 +141,11 @@
     )
 
 
-def _wait(candidate: Candidate) -> float:
-    wait = candidate.waiting_tokens / PREFILL_TOKENS_PER_SECOND
-    wait += candidate.running * RUNNING_COST
-    wait /= candidate.weight
+def wait(candidate: Candidate) -> float:
+    """Return the seconds that a request waits for others there, and on its way."""
+    others = candidate.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+    others += candidate.running * RUNNING_COST
+    others *= candidate.slowness / candidate.weight
     if candidate.distance == 2:
-        return wait + REGION_COST
-    return wait + DATA_CENTRE_COST * candidate.distance
+        return others + REGION_COST
+    return others + DATA_CENTRE_COST * candidate.distance
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -56,6 +56,7 @@
         self.tried: list[str] = []  # endpoints, with those that were not reached
         self.sends = 0  # times that the request was sent
         self.sent_at: float | None = None  # monotonic seconds of the last send
+        self.expected = 0.0  # seconds that other requests were expected to take first
         self.unread = 0  # prompt tokens thought not to be cached, at the last send
         self.first_byte: float | None = None  # monotonic seconds
 
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -111,7 +111,8 @@
 
         def first_token() -> None:
             if unread:
-                self._known.first_token(endpoint.id, unread.pop())
+                self._known.read(endpoint.id, unread.pop())
+                self._known.first_event(call, endpoint.id, waiting)
 
         call.tried.append(endpoint.id)
         call.sends += 1
@@ -129,7 +130,8 @@
                 if isinstance(result, _Refused):
                     call.may_have_run = ran_before
         finally:
-            first_token()
+            if unread:
+                self._known.read(endpoint.id, unread.pop())
             self._known.end(endpoint.id)
             if isinstance(answer, upstream.Answer):
                 answer.close()
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -4,7 +4,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import ejection, placement, retry_budget
-from dogwoodchute.gateway import calls, hosts, model, rows
+from dogwoodchute.gateway import calls, gossip, model, rows
 
 RETURN_TIME = 2.5  # seconds after an outage in which lapsed entries come back
 BUDGET_SHARE = 0.5  # of the fleet's slack that hosts hand out, for those that restart
@@ -19,6 +19,7 @@
         self.running = 0
         self.waiting_tokens = 0
         self.sent = placement.Sent(memory_tokens=memory_tokens)
+        self.pace = placement.Pace()
 
 
 class Endpoints:
@@ -31,7 +32,8 @@
         config: abc.Callable[[], model.Config | None],
         decode: Decode,
         format_error: type[Exception],
-        peers: abc.Callable[[], list[hosts.Host]],
+        hosts_known: abc.Callable[[], int],
+        loads: abc.Callable[[], list[gossip.Load]],
         now: abc.Callable[[], float],
     ) -> None:
         self.known = False  # whether the list was ever read
@@ -39,7 +41,8 @@
         self._config = config
         self._decode = decode
         self._format_error = format_error
-        self._peers = peers
+        self._hosts_known = hosts_known
+        self._loads = loads
         self._now = now
         self._all: dict[str, model.Endpoint] = {}
         self._lapsed: dict[str, float] = {}  # monotonic seconds when it went missing
@@ -120,7 +123,10 @@
                     prompt.parts
                 ),
             )
-        return fresh[chosen.name] if chosen is not None else None
+        if chosen is None:
+            return None
+        call.expected = placement.wait(chosen)
+        return fresh[chosen.name]
 
     def begin(self, call: calls.Call, endpoint: model.Endpoint) -> int:
         """Count a call as sent; return the prompt tokens that wait there for it."""
@@ -134,10 +140,18 @@
         use.waiting_tokens += waiting
         return waiting
 
-    def first_token(self, endpoint: str, waiting: int) -> None:
-        """Count a prompt as read."""
+    def read(self, endpoint: str, waiting: int) -> None:
+        """Count a prompt as read, or as no longer waiting to be."""
         self._uses[endpoint].waiting_tokens -= waiting
 
+    def first_event(self, call: calls.Call, endpoint: str, waiting: int) -> None:
+        """Take in how long an engine took to the first event of an answer."""
+        now = self._now()
+        own = waiting / placement.PREFILL_TOKENS_PER_SECOND
+        self._uses[endpoint].pace.note(
+            now, took=now - call.sent_at, expected=call.expected + own
+        )
+
     def end(self, endpoint: str) -> None:
         """Count a call as ended."""
         self._uses[endpoint].running -= 1
@@ -163,17 +177,16 @@
         bounds = self._deployment.bounds
         budget = self._budgets.get(service)
         if budget is None:
-            hosts_known = 1 + len(self._peers())
             budget = self._budgets[service] = retry_budget.RetryBudget(
                 share=bounds.retry_ratio,
-                most=max(1.0, BUDGET_SHARE * bounds.retry_slack / hosts_known),
+                most=max(1.0, BUDGET_SHARE * bounds.retry_slack / self._hosts_known()),
             )
         return budget
 
     def _candidates(
         self, endpoints: list[model.Endpoint], service: model.Service
     ) -> list[placement.Candidate]:
-        peers = self._peers()
+        loads = self._loads()
         ejector = self._ejector(service.name)
         now = self._now()
         weights = {e.id: ejector.weight(e.id, now) for e in endpoints}
@@ -183,8 +196,8 @@
         for endpoint in endpoints:
             use = self._use(endpoint.id, service)
             running, waiting = use.running, use.waiting_tokens
-            for peer in peers:
-                theirs = peer.load.get(endpoint.id)
+            for load in loads:
+                theirs = load.get(endpoint.id)
                 if theirs is None:
                     continue
                 running += theirs[0]
@@ -197,6 +210,7 @@
                     waiting_tokens=waiting,
                     weight=weights[endpoint.id],
                     slots=endpoint.slots,
+                    slowness=use.pace.slowness(now),
                 )
             )
         return found
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -13,6 +13,7 @@
     dispatch,
     endpoints,
     filters,
+    gossip,
     hosts,
     mirror,
     model,
@@ -74,7 +75,12 @@
             deployment=deployment,
             store=store,
             state=self._state,
+            now=now,
+        )
+        self._gossip = gossip.Gossip(
+            id=self._hosts.id,
             load=lambda: self._endpoints.load(),
+            peers=lambda: [host.gossip for host in self._hosts.live],
             now=now,
         )
         self._endpoints = endpoints.Endpoints(
@@ -82,7 +88,8 @@
             config=lambda: self._configuration.current,
             decode=platform.decode_endpoint,
             format_error=platform.format_error,
-            peers=lambda: self._hosts.live,
+            hosts_known=lambda: self._hosts.count,
+            loads=self._gossip.loads,
             now=now,
         )
         self._accounts = accounts.Accounts(
@@ -147,8 +154,10 @@
     async def start(self) -> None:
         """Begin to follow the store."""
         await self._upstream.start()
+        ip, _, port = self._deployment.gossip.rpartition(":")
+        await self._gossip.start(ip, int(port))
         work = [each.run() for each in self._mirrors]
-        work.extend((self._hosts.run(), self._accounts.run()))
+        work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
         self._tasks = [asyncio.create_task(each) for each in work]
 
     async def stop(self) -> None:
@@ -170,6 +179,7 @@
             log.warning("stop_unfinished", in_flight=self._in_flight)
         for task in self._tasks:
             task.cancel()
+        self._gossip.stop()
         await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -28,9 +28,9 @@
     region: str
     callers: str  # address for requests
     control: str  # address for other hosts
+    gossip: str  # address for other hosts' datagrams
     state: str
     beat: int
-    load: dict[str, tuple[int, int]]  # requests and prompt tokens by endpoint
 
 
 class Hosts:
@@ -42,14 +42,12 @@
         deployment: model.Deployment,
         store: rows.Store,
         state: abc.Callable[[], str],
-        load: abc.Callable[[], dict[str, tuple[int, int]]],
         now: abc.Callable[[], float],
     ) -> None:
         self.id = f"{deployment.host}-{secrets.token_hex(4)}"
         self._deployment = deployment
         self._store = store
         self._state = state
-        self._load = load
         self._now = now
         self._beat = 0
         self._version: int | None = 0  # of the own row, None if not known
@@ -151,9 +149,9 @@
             region=place.region,
             callers=place.callers,
             control=place.control,
+            gossip=place.gossip,
             state=self._state(),
             beat=self._beat,
-            load=self._load(),
         )
         await self._store.commit("", [], [rows.Put(TABLE, self.id, encode(host))])
 
@@ -184,7 +182,6 @@
     """Return the host in a row's value, None if it can't be read."""
     try:
         plain = json.loads(value)
-        load = {str(k): (int(n), int(t)) for k, (n, t) in plain["load"].items()}
         texts = {
             field: str(plain[field])
             for field in (
@@ -193,9 +190,10 @@
                 "region",
                 "callers",
                 "control",
+                "gossip",
                 "state",
             )
         }
-        return Host(id=name, beat=int(plain["beat"]), load=load, **texts)
+        return Host(id=name, beat=int(plain["beat"]), **texts)
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -28,6 +28,7 @@
     callers: str  # address for requests
     readiness: str  # address for the platform's readiness checks
     control: str  # address for other hosts
+    gossip: str  # address for other hosts' datagrams
     directory: str  # address for callers that ask which host to use
     seeds: tuple[str, ...]  # control addresses of a few hosts, perhaps stale
     store: str  # address of the platform's store
--- a/dogwoodchute/log.py
+++ b/dogwoodchute/log.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from absl import logging
+from absl import flags, logging
 
 EVENT_RATE = 50.0  # lines a second of one kind of event
 EVENT_BURST = 400  # lines of one kind at once, some seconds of a host's requests
@@ -93,6 +93,8 @@
 
 def setup(*, level: str) -> None:
     """Send events at or above `level` (a key of `LEVELS`) to standard output."""
+    # The library's own flags are not used; unparsed ones would cost a warning line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(KeyValueFormatter())
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -30,7 +30,7 @@
         raise SettingsError(f"{source}: {error}") from error
     try:
         return decode(plain)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, IndexError, TypeError, ValueError) as error:
         raise SettingsError(f"{source}: bad or missing key: {error}") from error
 
 
@@ -57,6 +57,7 @@
         callers=str(listen["front"]),
         readiness=str(listen["ready"]),
         control=str(listen["control"]),
+        gossip=f"{plain['ip']}:{int(plain['portRange'][0])}",
         directory=str(listen["directory"]),
         seeds=tuple(str(seed) for seed in plain.get("seeds", ())),
         store=str(platform["address"]),
