Write holdings ahead, give back what a dead process did not use, refuse shortages at once

Each holder has a row of its own that says up to what it may have used for two seconds; the next process on its host gives the rest back.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -1,120 +1,109 @@
-"""Escrow of a prepaid budget in one row: each host spends what it drew, from memory.
+"""Escrow of prepaid budgets: each host spends what it drew, from memory.
 
-A row holds, for each holder, what it drew and what it is known to have spent, both
-cumulative. Every commit keeps `drawn <= prepaid`, so the spend stays within the budget
-whatever happens to holders and messages; no clock or lease takes part in the argument.
-
-Holders may give tokens to one another. The giver counts them as gone before it sends
-them, so a lost message wastes them; the sums over all holders stay right.
+An account's row holds what all holders drew; every commit keeps it within the prepaid
+total. Each holder has a row of its own, which says what it drew and up to what it may
+have used. So the spend stays within the budget whatever happens to holders and
+messages. Holders may give tokens to one another: the giver counts them as used before
+it sends them, so a lost message wastes them, and the sums stay right.
 
 Source of the method: P. O'Neil, "The Escrow Transactional Method", ACM TODS 11, 1986.
+
+A holder's row is written ahead: for `WRITE_AHEAD` seconds after it sent a commit, the
+holder uses no more than that commit's `limit`. Later, when it may be cut off from the
+store, it uses all that it drew. So a process that follows a dead one on the same host
+gives back what lies above the limit, if it began within that time of the last commit.
+Times are of steady clocks that count suspension.
 """
 
 import typing
 
-
-class Holding(typing.NamedTuple):
-    """One holder's part of a row, in tokens; `commit` counts the holder's commits."""
-
-    granted: int
-    spent: int
-    commit: int
+WRITE_AHEAD = 2.0  # seconds: a checkpoint's age, a restart's pause, and a margin
 
 
-class Row(typing.NamedTuple):
-    """A client account's row. `closed` holders are gone; what they drew counts."""
+class Account(typing.NamedTuple):
+    """A client account's row, in tokens. `closed_spent` was spent by closed holders."""
 
-    closed_granted: int = 0
+    drawn: int = 0  # net of returns
     closed_spent: int = 0
-    holdings: dict[str, Holding] = {}  # noqa: RUF012 - never changed in place
 
-    @property
-    def drawn(self) -> int:
-        """Tokens that holders drew, net of returns."""
-        return self.closed_granted + sum(h.granted for h in self.holdings.values())
 
-    @property
-    def spent(self) -> int:
-        """Tokens that are known to be spent."""
-        return self.closed_spent + sum(h.spent for h in self.holdings.values())
+class Holding(typing.NamedTuple):
+    """One holder's row, in tokens."""
 
+    granted: int = 0  # drawn, net of returns
+    spent: int = 0  # known to be billed
+    limit: int = 0  # upper bound of what is used, for `WRITE_AHEAD` after `at`
+    commit: int = 0  # counts the holder's commits
+    at: float = 0.0  # seconds of the store's clock, at the latest when it was sent
 
-class Proposal(typing.NamedTuple):
-    """A commit that is under way: the row as it would become."""
 
-    row: Row
+class _Sent(typing.NamedTuple):
     holding: Holding
+    at: float  # monotonic seconds of this host
 
 
-def to_plain(row: Row) -> dict:
-    """Return the row as maps, lists and numbers."""
-    held = {name: list(holding) for name, holding in row.holdings.items()}
-    return {"closed": [row.closed_granted, row.closed_spent], "held": held}
-
+def reclaimable(holding: Holding, *, began: float) -> int:
+    """Return the tokens that a dead holder certainly did not use.
 
-def from_plain(plain: dict) -> Row:
-    """Return the row of `to_plain`; raise `ValueError` if it is none."""
-    try:
-        granted, spent = (int(n) for n in plain["closed"])
-        holdings = {}
-        for name, numbers in plain["held"].items():
-            holdings[str(name)] = Holding(*(int(n) for n in numbers))
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"not an escrow row: {error!r}") from error
-    return Row(granted, spent, holdings)
-
-
-def close(row: Row, gone: set[str]) -> Row:
-    """Return the row with the holdings of `gone` holders folded into one sum."""
-    kept = {}
-    granted, spent = row.closed_granted, row.closed_spent
-    for name, holding in row.holdings.items():
-        if name not in gone:
-            kept[name] = holding
-            continue
-        granted += holding.granted
-        spent += holding.spent
-    return Row(granted, spent, kept)
+    `began` is the time, by the store's clock, at which the process began that followed
+    the holder's on its host.
+    """
+    if began - holding.at >= WRITE_AHEAD:
+        return 0
+    return max(0, holding.granted - holding.limit)
 
 
 class Ledger:
-    """One client account's tokens on one host.
+    """One client account's tokens on one host."""
 
-    `usable` is the least that the host may count on, whichever way a commit under way
-    ends: a draw counts once it is confirmed, a return from the moment it is proposed.
-    """
-
-    def __init__(self, *, holder: str) -> None:
-        self.holder = holder
+    def __init__(self) -> None:
         self.spent = 0  # cumulative
         self.reserved = 0  # by requests in flight
-        self._moved = 0  # got from other hosts, less what was given; cumulative
-        self._folded = 0  # drawn in holdings that others closed, cumulative
-        self._granted = 0  # cumulative, as confirmed
+        self._moved = 0  # given to other hosts less what they gave; cumulative
         self._commits = 0
-        self._pending: Proposal | None = None
+        self._confirmed = _Sent(Holding(), float("-inf"))
+        self._pending: _Sent | None = None
+
+    @property
+    def used(self) -> int:
+        """Tokens that are spent, reserved or given away, net of those got."""
+        return self.spent + self.reserved + self._moved
 
     @property
-    def usable(self) -> int:
-        """Tokens that this host drew or got from others, cumulative."""
-        granted = self._granted
-        if self._pending is not None:
-            granted = min(granted, self._folded + self._pending.holding.granted)
-        return granted + self._moved
+    def granted(self) -> int:
+        """Tokens that this host certainly drew, whichever way a commit ends."""
+        return min(sent.holding.granted for sent in self._candidates())
 
     @property
-    def available(self) -> int:
-        """Tokens that no request has reserved or spent."""
-        return self.usable - self.spent - self.reserved
+    def idle(self) -> int:
+        """Tokens that were drawn and are not used."""
+        return self.granted - self.used
 
     @property
-    def pending(self) -> Proposal | None:
-        """The commit that is under way, None without one."""
-        return self._pending
+    def pending(self) -> Holding | None:
+        """What a commit under way would write, None without one."""
+        return self._pending.holding if self._pending is not None else None
 
-    def reserve(self, tokens: int) -> bool:
+    @property
+    def confirmed(self) -> Holding:
+        """What the holder's row holds, as far as commits have ended."""
+        return self._confirmed.holding
+
+    def sent_at(self) -> float:
+        """Return when the last commit that may have applied was sent."""
+        return max(sent.at for sent in self._candidates())
+
+    def available(self, now: float) -> int:
+        """Return the tokens that may be reserved at `now`, monotonic seconds."""
+        usable = self.granted
+        if now - self.sent_at() < WRITE_AHEAD:
+            limits = [sent.holding.limit for sent in self._candidates()]
+            usable = min(usable, *limits)
+        return usable - self.used
+
+    def reserve(self, tokens: int, now: float) -> bool:
         """Reserve `tokens` if they are available; return whether they were."""
-        if tokens > self.available:
+        if tokens > self.available(now):
             return False
         self.reserved += tokens
         return True
@@ -124,59 +113,47 @@
         self.reserved -= reserved
         self.spent += min(used, reserved)
 
-    def give(self, tokens: int) -> int:
-        """Give up to `tokens` to another host; return how many are to be sent to it.
-
-        They are gone from here even if they never arrive, so they can't be spent twice.
-        """
-        given = max(0, min(tokens, self.available))
-        self._moved -= given
+    def give(self, tokens: int, now: float) -> int:
+        """Give up to `tokens` to another host; return how many are to be sent to it."""
+        given = max(0, min(tokens, self.available(now)))
+        self._moved += given
         return given
 
     def take(self, tokens: int) -> None:
         """Take in tokens that another host gave, once for each answer of it."""
-        self._moved += tokens
+        self._moved -= tokens
 
     def propose(
-        self, row: Row, *, prepaid: int | None, draw: int, gone: set[str]
-    ) -> Proposal | None:
+        self, *, draw: int, ahead: int, now: float, store_now: float
+    ) -> Holding | None:
         """Begin a commit that draws `draw` tokens, or returns them if negative.
 
-        Return None if the budget does not allow it or a commit is under way.
+        `ahead` are the tokens to be used before the next commit at most; `store_now`
+        is not above the store's clock. Return None while a commit is under way, or if
+        more would be returned than is idle.
         """
-        if self._pending is not None:
-            return None
-        base = close(row, gone - {self.holder})
-        if draw > 0 and prepaid is not None and base.drawn + draw > prepaid:
-            return None
-        if draw < -max(0, self.available):
+        granted = self.granted + draw
+        if self._pending is not None or granted < min(self.granted, self.used):
             return None
         self._commits += 1
         holding = Holding(
-            granted=self._granted - self._folded + draw,
-            spent=max(0, self.spent - self._folded),
+            granted=granted,
+            spent=self.spent,
+            limit=min(granted, self.used + ahead),
             commit=self._commits,
+            at=store_now,
         )
-        holdings = {**base.holdings, self.holder: holding}
-        self._pending = Proposal(base._replace(holdings=holdings), holding)
-        return self._pending
+        self._pending = _Sent(holding, now)
+        return holding
 
-    def observe(self, row: Row) -> bool:
-        """Take in a row read after a commit ended; return whether that one is in it.
-
-        The row's version must have moved past the one that the commit checked, so that
-        a copy still under way can't apply.
-        """
-        held = row.holdings.get(self.holder)
-        applied = self._pending is not None and held == self._pending.holding
-        if applied:
-            self._granted = self._folded + self._pending.holding.granted
+    def end(self, *, applied: bool) -> None:
+        """End the commit under way, of which no copy can apply any more."""
+        if applied and self._pending is not None:
+            self._confirmed = self._pending
         self._pending = None
-        if held is None:
-            # Another host took this one for gone; what it drew stays drawn.
-            self._folded = self._granted
-        return applied
 
-    def cancel(self) -> None:
-        """Forget a commit that certainly had no effect."""
-        self._pending = None
+    def _candidates(self) -> list[_Sent]:
+        """What the holder's row may hold now."""
+        if self._pending is None:
+            return [self._confirmed]
+        return [self._confirmed, self._pending]
--- /dev/null
+++ b/dogwoodchute/gateway/account_rows.py
@@ -0,0 +1,299 @@
+"""Client accounts' rows in the store, and the commits that change them."""
+
+import asyncio
+import json
+import typing
+from collections import abc
+
+from dogwoodchute import log
+from dogwoodchute.coordination import escrow, sizing
+from dogwoodchute.gateway import rows
+
+ACCOUNTS = "accounts"
+HOLDINGS = "holdings"  # one row for each account and holder
+BILLS = "bills"  # some requests of one account in each row
+PART = "tokens"
+DEMAND_WINDOW = 8.0  # seconds over which the use is averaged
+MAX_BILLS = 300  # in one row, of some 40 bytes each
+MAX_ACCOUNTS = 20  # in one commit, with up to five entries each
+RETRY_PAUSE = 0.15  # seconds after a first commit without an answer
+MAX_RETRY_PAUSE = 1.0  # seconds; the pause doubles up to it
+RECLAIM_TRIES = 8  # commits that other hosts' draws may get in the way of
+
+
+class Bill(typing.NamedTuple):
+    """What one request used, in tokens."""
+
+    request: str
+    input_tokens: int
+    output_tokens: int
+
+
+class Waiter(typing.NamedTuple):
+    """A request that waits for tokens."""
+
+    tokens: int
+    done: asyncio.Future
+
+
+class Account:
+    """One client account on this host."""
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+        self.ledger = escrow.Ledger()
+        self.demand = sizing.Demand(window=DEMAND_WINDOW)
+        self.shared = escrow.Account()  # the account's row
+        self.shared_version = 0
+        self.own_version = 0  # of this host's holding
+        self.holdings: dict[str, escrow.Holding] = {}  # by holder, as last read
+        self.read_at: float | None = None  # monotonic seconds of the last whole read
+        self.waiters: list[Waiter] = []
+        self.bills: list[Bill] = []
+        self.asked = 0  # tokens that other hosts ask for now
+        self.bill_rows = 0
+        self.task: asyncio.Task | None = None
+        self.lock = asyncio.Lock()  # held by the one commit that is under way
+
+    def waiting(self) -> list[Waiter]:
+        """Return the requests that still wait."""
+        return [waiter for waiter in self.waiters if not waiter.done.done()]
+
+
+class Change(typing.NamedTuple):
+    """What a commit does to one account."""
+
+    account: Account
+    draw: int = 0  # tokens, negative for a return
+    ahead: int = 0  # tokens that may be used before the next commit
+
+
+class Commits:
+    """Reads and changes the rows, for one holder."""
+
+    def __init__(
+        self, *, holder: str, store: rows.Store, now: abc.Callable[[], float]
+    ) -> None:
+        self._holder = holder
+        self._store = store
+        self._now = now
+
+    async def read(self, account: Account) -> rows.Unavailable | None:
+        """Read the account's row and all holdings of it."""
+        name = account.name
+        shared = await self._store.read(ACCOUNTS, PART, name, name + "\0")
+        if isinstance(shared, rows.Unavailable):
+            return shared
+        held = await self._store.read(HOLDINGS, PART, f"{name}/", f"{name}0")
+        if isinstance(held, rows.Unavailable):
+            return held
+        self._take_in(account, shared.rows)
+        account.holdings = {
+            row.key.partition("/")[2]: holding_of(row.value) for row in held.rows
+        }
+        account.read_at = self._now()
+        return None
+
+    async def commit(
+        self,
+        changes: list[Change],
+        *,
+        waiting: abc.Callable[[str], abc.Awaitable[None]],
+    ) -> bool:
+        """Make one commit of some accounts whose locks are held.
+
+        Return whether it ended, applied or not; False if the store is away. `waiting`
+        is awaited with the reason after each try that did not end.
+        """
+        begun: list[tuple[Change, int]] = []
+        checks: list[rows.Check] = []
+        puts: list[rows.Put] = []
+        for change in changes:
+            bills = self._begin(change, checks, puts)
+            if bills is not None:
+                begun.append((change, bills))
+        if not begun:
+            return True
+        outcome = await self._definite(checks, puts, waiting)
+        if isinstance(outcome, rows.Unavailable):
+            for change, _ in begun:
+                change.account.ledger.end(applied=False)
+            return False
+        for change, bills in begun:
+            self._end(change, bills, outcome)
+        return True
+
+    def _begin(
+        self, change: Change, checks: list[rows.Check], puts: list[rows.Put]
+    ) -> int | None:
+        """Add an account's entries; return its bills in them, None if there are none.
+
+        An account is left out while an earlier commit of it is unresolved.
+        """
+        account, draw, ahead = change
+        holding = account.ledger.propose(
+            draw=draw, ahead=ahead, now=self._now(), store_now=self._store.now()
+        )
+        if holding is None:
+            return None
+        key = f"{account.name}/{self._holder}"
+        checks.append(rows.Check(HOLDINGS, key, account.own_version))
+        puts.append(rows.Put(HOLDINGS, key, encode(list(holding))))
+        if draw:
+            shared = account.shared._replace(drawn=account.shared.drawn + draw)
+            checks.append(rows.Check(ACCOUNTS, account.name, account.shared_version))
+            puts.append(rows.Put(ACCOUNTS, account.name, encode(list(shared))))
+        bills = account.bills[:MAX_BILLS]
+        if bills:
+            name = f"{key}/{account.bill_rows}"
+            puts.append(rows.Put(BILLS, name, encode([list(bill) for bill in bills])))
+        return len(bills)
+
+    async def _definite(
+        self,
+        checks: list[rows.Check],
+        puts: list[rows.Put],
+        waiting: abc.Callable[[str], abc.Awaitable[None]],
+    ) -> rows.Committed | rows.Conflict | rows.Unavailable:
+        """Commit until it is certain what became of it.
+
+        After a commit without an answer the same one is sent again: at most one of the
+        copies can apply, and only a definite answer shows that none is on its way.
+        """
+        uncertain = False
+        pause = RETRY_PAUSE
+        while True:
+            outcome = await self._store.commit(PART, checks, puts)
+            if isinstance(outcome, rows.Committed | rows.Conflict):
+                return outcome
+            uncertain = uncertain or isinstance(outcome, rows.Unknown)
+            log.warning(
+                "commit_failed",
+                rows=",".join(check.key for check in checks),
+                reason=outcome.reason,
+                peer=outcome.peer,
+                uncertain=uncertain,
+            )
+            await waiting(outcome.reason)
+            if not uncertain:
+                return outcome
+            await asyncio.sleep(pause)
+            pause = min(MAX_RETRY_PAUSE, 2 * pause)
+
+    def _end(
+        self, change: Change, bills: int, outcome: rows.Committed | rows.Conflict
+    ) -> None:
+        account, draw, _ = change
+        ledger = account.ledger
+        if isinstance(outcome, rows.Committed):
+            applied = True
+            account.own_version = outcome.version
+            if draw:
+                drawn = account.shared.drawn + draw
+                account.shared = account.shared._replace(drawn=drawn)
+                account.shared_version = outcome.version
+        else:
+            before = account.own_version
+            self._take_in(account, outcome.rows)
+            # An earlier copy of this commit shows by the row that it wrote.
+            applied = account.own_version != before
+        ledger.end(applied=applied)
+        if not applied:
+            return
+        if bills:
+            del account.bills[:bills]
+            account.bill_rows += 1
+        if draw:
+            log.info(
+                "tokens_drawn",
+                account=account.name,
+                tokens=draw,
+                drawn=account.shared.drawn,
+                used=ledger.used,
+                granted=ledger.granted,
+                version=account.shared_version,
+            )
+
+    def _take_in(self, account: Account, found: list[rows.Row]) -> None:
+        """Take in newer versions of the account's rows."""
+        own = f"{account.name}/{self._holder}"
+        for row in found:
+            if row.table == ACCOUNTS and row.key == account.name:
+                if row.version > account.shared_version:
+                    account.shared = shared_of(row.value)
+                    account.shared_version = row.version
+            elif row.table == HOLDINGS and row.key == own:
+                account.own_version = max(account.own_version, row.version)
+
+    async def reclaim(self, host: str, *, began: float) -> None:
+        """Give back what earlier processes of `host` did not use.
+
+        `began` is the monotonic time at which this process began, when all earlier
+        ones of its host had ended.
+        """
+        sent = self._now()
+        found = await self._store.read(HOLDINGS, PART, None, None)
+        if isinstance(found, rows.Unavailable):
+            log.warning("reclaim_put_off", reason=found.reason)
+            raise ConnectionError(found.reason)
+        began_there = found.now - (sent - began)
+        for row in found.rows:
+            name, _, holder = row.key.partition("/")
+            if holder == self._holder or holder.rpartition("-")[0] != host:
+                continue
+            await self._close(name, row, began_there)
+
+    async def _close(self, name: str, row: rows.Row, began: float) -> None:
+        """Remove a dead holder's row, and return what it did not use."""
+        holding = holding_of(row.value)
+        tokens = escrow.reclaimable(holding, began=began)
+        account = Account(name=name)
+        outcome: rows.CommitOutcome | None = None
+        for _ in range(RECLAIM_TRIES):
+            shared = await self._store.read(ACCOUNTS, PART, name, name + "\0")
+            if isinstance(shared, rows.Unavailable) or not shared.rows:
+                continue
+            self._take_in(account, shared.rows)
+            closed = escrow.Account(
+                drawn=account.shared.drawn - tokens,
+                closed_spent=account.shared.closed_spent + holding.spent,
+            )
+            outcome = await self._store.commit(
+                PART,
+                [
+                    rows.Check(ACCOUNTS, name, account.shared_version),
+                    rows.Check(HOLDINGS, row.key, row.version),
+                ],
+                [
+                    rows.Put(ACCOUNTS, name, encode(list(closed))),
+                    rows.Put(HOLDINGS, row.key, None),
+                ],
+            )
+            if isinstance(outcome, rows.Committed):
+                break
+        log.info(
+            "holding_closed",
+            row=row.key,
+            reclaimed=tokens,
+            granted=holding.granted,
+            limit=holding.limit,
+            age=f"{began - holding.at:.2f}",
+            outcome=type(outcome).__name__.lower(),
+        )
+
+
+def encode(plain: object) -> bytes:
+    """Return the value of a row."""
+    return json.dumps(plain, separators=(",", ":")).encode()
+
+
+def shared_of(value: bytes) -> escrow.Account:
+    """Return the account in a row's value; raise `ValueError` if it is none."""
+    drawn, closed_spent = json.loads(value)
+    return escrow.Account(int(drawn), int(closed_spent))
+
+
+def holding_of(value: bytes) -> escrow.Holding:
+    """Return the holding in a row's value; raise `ValueError` if it is none."""
+    granted, spent, limit, commit, at = json.loads(value)
+    return escrow.Holding(int(granted), int(spent), int(limit), int(commit), float(at))
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -51,6 +51,7 @@
         self.reserved = 0  # tokens
         self.delivered_events = 0
         self.may_have_run = False  # at some endpoint
+        self.consumed = False  # an endpoint began to work on it, as far as can be told
         self.started = False  # the answer's head is on its way to the caller
         self.last_event_id = request.last_event_id  # of the last event delivered
         self.tried: list[str] = []  # endpoints, with those that were not reached
@@ -71,7 +72,7 @@
     def tokens_used(self) -> int:
         """Tokens to bill: the input once, and what was delivered at the most."""
         prompt = self.request.prompt
-        if prompt is None or not self.may_have_run:
+        if prompt is None or not self.consumed:
             return 0
         engine = self.service.engine
         per_event = engine.tokens_per_event if engine is not None else 1
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -16,6 +16,7 @@
 HEAD_PATIENCE = 2.5  # seconds to a stream's first event, if it can go elsewhere
 PLAIN_PATIENCE = 0.3  # seconds to an idempotent answer, if another endpoint is left
 SILENCE = 1.2  # seconds between events; a longer pause moves a resumable stream
+NO_ANSWER = "no answer in time"
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
 RETRY_AFTER = 0.2  # seconds: about the time in which a place comes free
 BUSY_STATUSES = frozenset({408, 421, 429, 503})  # each says that nothing was run
@@ -118,18 +119,21 @@
         call.sends += 1
         ran_before, call.may_have_run = call.may_have_run, True
         answer = None
+        result: Try | None = None
         try:
             answer = await self._head(call, endpoint)
             if not isinstance(answer, upstream.Answer):
                 if isinstance(answer, upstream.NotSent):
                     call.may_have_run = ran_before
                     call.sends -= 1
-                result: Try = answer
+                result = answer
             else:
                 result = await self._take(call, endpoint, answer, first_token)
                 if isinstance(result, _Refused):
                     call.may_have_run = ran_before
         finally:
+            if self._began(call, endpoint, answer, result):
+                call.consumed = True
             if unread:
                 self._known.read(endpoint.id, unread.pop())
             self._known.end(endpoint.id)
@@ -138,6 +142,25 @@
         self._note(endpoint, result)
         return result
 
+    def _began(
+        self,
+        call: calls.Call,
+        endpoint: model.Endpoint,
+        answer: upstream.Answer | upstream.NotSent | upstream.Lost | None,
+        result: Try | None,
+    ) -> bool:
+        """Return whether the endpoint began to work on the call, as far as is known.
+
+        `answer` and `result` are None where the caller left before they came.
+        """
+        if isinstance(answer, upstream.Answer):
+            return not isinstance(result, _Refused)
+        if isinstance(answer, upstream.NotSent):
+            return False
+        if isinstance(answer, upstream.Lost) and answer.reason != NO_ANSWER:
+            return True
+        return self._known.passed_over(call, endpoint.id)
+
     def _note(self, endpoint: model.Endpoint, result: Try) -> None:
         if isinstance(result, outcomes.Answered):
             self._known.succeeded(endpoint)
@@ -158,7 +181,7 @@
                     call, endpoint, left=left, last_event_id=call.last_event_id
                 )
         except TimeoutError:
-            return upstream.Lost(reason="no answer in time", peer=endpoint.id)
+            return upstream.Lost(reason=NO_ANSWER, peer=endpoint.id)
 
     async def _take(
         self,
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -20,6 +20,7 @@
         self.waiting_tokens = 0
         self.sent = placement.Sent(memory_tokens=memory_tokens)
         self.pace = placement.Pace()
+        self.latest_begun = 0.0  # monotonic seconds: the latest send that was begun
 
 
 class Endpoints:
@@ -147,10 +148,18 @@
     def first_event(self, call: calls.Call, endpoint: str, waiting: int) -> None:
         """Take in how long an engine took to the first event of an answer."""
         now = self._now()
+        use = self._uses[endpoint]
+        use.latest_begun = max(use.latest_begun, call.sent_at)
         own = waiting / placement.PREFILL_TOKENS_PER_SECOND
-        self._uses[endpoint].pace.note(
-            now, took=now - call.sent_at, expected=call.expected + own
-        )
+        use.pace.note(now, took=now - call.sent_at, expected=call.expected + own)
+
+    def passed_over(self, call: calls.Call, endpoint: str) -> bool:
+        """Return whether an engine began later requests than a call without answer.
+
+        Engines begin requests in order, so such a call was begun and its answer lost.
+        One that none has overtaken still waits there, and uses no tokens.
+        """
+        return self._uses[endpoint].latest_begun > call.sent_at
 
     def end(self, endpoint: str) -> None:
         """Count a call as ended."""
--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from dogwoodchute import exchange, outcomes
-from dogwoodchute.gateway import accounts, calls, dispatch, model
+from dogwoodchute.gateway import account_rows, accounts, calls, dispatch, model
 
 STARTING_RETRY_AFTER = 0.3  # seconds
 DEFAULT_WAIT = 30.0  # seconds for a caller that does not say how long it waits
@@ -138,8 +138,8 @@
     return found.splits[-1][0]
 
 
-def _bill(call: calls.Call, prompt: model.Prompt) -> accounts.Bill | None:
-    if not call.may_have_run:
+def _bill(call: calls.Call, prompt: model.Prompt) -> account_rows.Bill | None:
+    if not call.consumed:
         return None
     output = call.tokens_used - prompt.input_tokens
-    return accounts.Bill(call.request.attempt_id, prompt.input_tokens, output)
+    return account_rows.Bill(call.request.attempt_id, prompt.input_tokens, output)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -56,6 +56,7 @@
         platform: Platform,
         ask_peer: tokens.AskPeer,
         adopted: abc.Callable[[model.Config], None],
+        began: float,
         now: abc.Callable[[], float] = clock.monotonic,
     ) -> None:
         self._deployment = deployment
@@ -94,12 +95,13 @@
         )
         self._accounts = accounts.Accounts(
             holder=self._hosts.id,
+            host=deployment.host,
             store=store,
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
-            gone=lambda: self._hosts.gone,
             ask=self._ask,
             now=now,
+            began=began,
         )
         self._upstream = upstream.Upstream(wire=platform.wire)
         self._mirrors = self._make_mirrors(platform)
@@ -136,9 +138,9 @@
             found.append(own)
         return directory.addresses(found, data_centre=data_centre, region=region)
 
-    def give(self, account: str, tokens: int) -> int:
+    async def give(self, account: str, tokens: int) -> int:
         """Give up to `tokens` of a client account to another host."""
-        return self._accounts.give(account, tokens)
+        return await self._accounts.give(account, tokens)
 
     async def serve(self, call: calls.Call) -> outcomes.Outcome:
         """Pass a call through the filter chain."""
@@ -183,18 +185,23 @@
         await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
-    async def _ask(self, account: str, tokens: int, holders: list[str]) -> int:
+    async def _ask(
+        self, account: str, tokens: int, holders: list[str]
+    ) -> accounts.Collected:
         """Ask other hosts for tokens, one after the other, `holders` first."""
         live = {host.id: host for host in self._hosts.live}
         known = [live[name] for name in holders if name in live]
         named = set(holders)
         known.extend(host for host in live.values() if host.id not in named)
         got = 0
+        whole = len(known) <= accounts.MAX_ASKED
         for host in known[: accounts.MAX_ASKED]:
-            got += await self._ask_peer(host.control, account, tokens - got)
+            given = await self._ask_peer(host.control, account, tokens - got)
+            whole = whole and given is not None
+            got += given or 0
             if got >= tokens:
                 break
-        return got
+        return accounts.Collected(got, whole)
 
     def _state(self) -> str:
         if self._leaving:
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -57,7 +57,7 @@
         """Make one call; return whether the store answered."""
         began = self._now()
         if self._version is None:
-            outcome = await self._store.read(self._table, "", None)
+            outcome = await self._store.read(self._table, "", None, None)
         else:
             outcome = await self._store.feed(self._table, self._version, self._wait)
         if isinstance(outcome, rows.Compacted):
--- a/dogwoodchute/gateway/observe.py
+++ b/dogwoodchute/gateway/observe.py
@@ -69,6 +69,7 @@
         endpoints=",".join(call.tried) or None,
         sends=call.sends,
         reserved=call.reserved or None,
+        billed=call.tokens_used or None,
         waited=f"{call.sent_at - call.received:.3f}" if call.sent_at else None,
         unread=call.unread or None,
         events=call.delivered_events or None,
--- a/dogwoodchute/gateway/rows.py
+++ b/dogwoodchute/gateway/rows.py
@@ -37,10 +37,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Rows:
-    """The rows of a read or the changed rows of a feed, as of `version`."""
+    """The rows of a read or the changed rows of a feed, as of `version`.
+
+    `now` is the store's steady clock in seconds, when it answered.
+    """
 
     rows: list[Row]
     version: int
+    now: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,11 +92,13 @@
 class Store(typing.NamedTuple):
     """The operations of a store.
 
-    `read(table, part, key)` reads one row, or the whole part if `key` is None.
+    `read(table, part, first, stop)` reads the rows of a part from the key `first` up to
+    and without `stop`; None leaves an end open.
     `feed(table, since, wait)` returns what changed after version `since`, waiting up to
     `wait` seconds for a change. `commit(part, checks, puts)` is atomic.
     """
 
-    read: abc.Callable[[str, str, str | None], abc.Awaitable[ReadOutcome]]
+    read: abc.Callable[[str, str, str | None, str | None], abc.Awaitable[ReadOutcome]]
     feed: abc.Callable[[str, int, float], abc.Awaitable[FeedOutcome]]
+    now: abc.Callable[[], float]  # seconds, not above the store's steady clock
     commit: abc.Callable[[str, list[Check], list[Put]], abc.Awaitable[CommitOutcome]]
--- a/dogwoodchute/gateway/tokens.py
+++ b/dogwoodchute/gateway/tokens.py
@@ -13,12 +13,13 @@
 from dogwoodchute import log
 
 PATH = "/tokens"
-ASK_TIMEOUT = 0.15  # seconds; hosts are at most some 20 ms apart
+ASK_TIMEOUT = 0.25  # seconds: the way there and back, and a commit of the giver
 FORMAT = "application/msgpack"
 
-# Asks the host at a control address for an account's tokens; returns what it gave.
-AskPeer = abc.Callable[[str, str, int], abc.Awaitable[int]]
-Give = abc.Callable[[str, int], int]
+# Asks the host at a control address for an account's tokens; returns what it gave, None
+# if it did not answer.
+AskPeer = abc.Callable[[str, str, int], abc.Awaitable[int | None]]
+Give = abc.Callable[[str, int], abc.Awaitable[int]]
 
 
 class Asker:
@@ -32,8 +33,11 @@
         if self._session is not None:
             await self._session.close()
 
-    async def ask(self, address: str, account: str, tokens: int) -> int:
-        """Return the tokens that the host at `address` gave, at most `tokens`."""
+    async def ask(self, address: str, account: str, tokens: int) -> int | None:
+        """Return the tokens that the host at `address` gave, at most `tokens`.
+
+        None stands for no answer; tokens in an answer that was lost are lost too.
+        """
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 timeout=aiohttp.ClientTimeout(total=ASK_TIMEOUT)
@@ -44,15 +48,15 @@
                 f"http://{address}{PATH}", data=body, headers={"Content-Type": FORMAT}
             ) as response:
                 if response.status != 200:
-                    return 0
+                    return None
                 given = msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             log.warning("tokens_not_got", account=account, peer=address, reason=reason)
-            return 0
+            return None
         if not isinstance(given, int) or not 0 <= given <= tokens:
             log.warning("tokens_refused", account=account, peer=address, given=given)
-            return 0
+            return None
         return given
 
 
@@ -66,6 +70,8 @@
             return sanic.empty(status=400)
         if not isinstance(account, str) or not isinstance(tokens, int):
             return sanic.empty(status=400)
-        return sanic.raw(msgpack.packb(give(account, tokens)), content_type=FORMAT)
+        return sanic.raw(
+            msgpack.packb(await give(account, tokens)), content_type=FORMAT
+        )
 
     app.add_route(handle, PATH, methods=["POST"], name="tokens")
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -64,6 +64,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._direct_after = 0.0  # monotonic seconds: the direct path is tried again
         self._direct_failed = False
+        self._store_offset: float | None = None  # the store's clock less this host's
         self._relay: str | None = None  # the one that worked last
         self._relay_after = 0.0  # monotonic seconds: relays are tried again
 
@@ -72,6 +73,16 @@
         """Whether the store answers this host without a relay."""
         return not self._direct_failed
 
+    def store_now(self) -> float:
+        """Return the store's steady clock in seconds, or an earlier time."""
+        return self._now() + (self._store_offset or 0.0)
+
+    def note_clock(self, told: float) -> None:
+        """Take in the store's clock as an answer that just came told it."""
+        offset = told - self._now()
+        if self._store_offset is None or offset > self._store_offset:
+            self._store_offset = offset
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
@@ -169,23 +180,26 @@
 def store(client: Client) -> rows.Store:
     """Return the store behind `client`."""
 
-    async def read(table: str, part: str, key: str | None) -> rows.ReadOutcome:
+    async def read(
+        table: str, part: str, first: str | None, stop: str | None
+    ) -> rows.ReadOutcome:
         query = {"table": table, "part": part}
-        if key is not None:
-            # The end of a range is exclusive, and this is the next key in byte order.
-            query.update({"from": key, "target": key + "\0", "limit": "1"})
+        if first is not None:
+            query["from"] = first
+        if stop is not None:
+            query["target"] = stop
         found: list[rows.Row] = []
         version = 0
         for _ in range(MAX_PAGES):
             answer = await client.call("GET", _target(names.GET_PATH, query))
-            page = _rows_in(answer)
+            page = _rows_in(answer, client)
             if isinstance(page, rows.Unavailable | rows.Compacted):
                 return _unavailable(answer)
             plain, page_rows = page
             found.extend(page_rows)
             version = version or int(plain.get("ver", 0))
-            if key is not None or not plain.get("hasMore") or not page_rows:
-                return rows.Rows(rows=found, version=version)
+            if not plain.get("hasMore") or not page_rows:
+                return rows.Rows(rows=found, version=version, now=_now(plain))
             query["from"] = page_rows[-1].key + "\0"
         return rows.Unavailable(reason="the read has no end", peer=None)
 
@@ -196,11 +210,12 @@
             "waitMs": str(int(wait * 1000)),
         }
         answer = await client.call("GET", _target(names.FEED_PATH, query), wait=wait)
-        page = _rows_in(answer)
+        page = _rows_in(answer, client)
         if isinstance(page, rows.Unavailable | rows.Compacted):
             return page
         plain, changed = page
-        return rows.Rows(rows=changed, version=int(plain.get("ver", since)))
+        version = int(plain.get("ver", since))
+        return rows.Rows(rows=changed, version=version, now=_now(plain))
 
     async def commit(
         part: str, checks: list[rows.Check], puts: list[rows.Put]
@@ -218,13 +233,18 @@
             return rows.Unknown(reason=f"status {answer.status}: {text}")
         try:
             plain = json.loads(answer.content)
+            client.note_clock(_now(plain))
             if answer.status == 200:
                 return rows.Committed(version=int(plain["ver"]))
             return rows.Conflict(rows=[_row(each) for each in plain.get("rows", ())])
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return rows.Unknown(reason=f"bad answer: {error!r}")
 
-    return rows.Store(read=read, feed=feed, commit=commit)
+    return rows.Store(read=read, feed=feed, commit=commit, now=client.store_now)
+
+
+def _now(plain: dict) -> float:
+    return float(plain.get("nowMs", 0)) / 1000
 
 
 def _target(path: str, query: dict[str, str]) -> str:
@@ -236,7 +256,7 @@
 
 
 def _rows_in(
-    answer: CallOutcome,
+    answer: CallOutcome, client: Client
 ) -> tuple[dict, list[rows.Row]] | rows.Unavailable | rows.Compacted:
     if not isinstance(answer, Answer):
         return _unavailable(answer)
@@ -246,6 +266,7 @@
         return _unavailable(answer)
     try:
         plain = json.loads(answer.content)
+        client.note_clock(_now(plain))
         return plain, [_row(each) for each in plain["rows"]]
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return rows.Unavailable(reason=f"bad answer: {error!r}")
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -1,5 +1,9 @@
 """The gateway's command line: one host of a deployment on the users' platform."""
 
+import time
+
+BEGAN = time.clock_gettime(time.CLOCK_BOOTTIME)  # seconds; before all other imports
+
 import asyncio
 import dataclasses
 import pathlib
@@ -12,7 +16,7 @@
 import sanic
 import uvloop
 
-from dogwoodchute import log, server
+from dogwoodchute import clock, log, server
 from dogwoodchute.gateway import gateway, model, tokens
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
@@ -51,7 +55,7 @@
         self._client = store.Client(
             address=deployment.store,
             relays=lambda: self.gateway.relays(),
-            now=asyncio.get_running_loop().time,
+            now=clock.monotonic,
         )
         self.gateway = gateway.Gateway(
             deployment=deployment,
@@ -67,6 +71,7 @@
             ),
             ask_peer=self._asker.ask,
             adopted=self._adopt_limits,
+            began=BEGAN,
         )
 
     async def start(self) -> None:
