--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -136,10 +136,12 @@
         if self._pending is not None or granted < min(self.granted, self.used):
             return None
         self._commits += 1
+        # While the store is away a new limit would take back what is in use already.
+        open_ended = now - self._confirmed.at >= WRITE_AHEAD
         holding = Holding(
             granted=granted,
             spent=self.spent,
-            limit=min(granted, self.used + ahead),
+            limit=granted if open_ended else min(granted, self.used + ahead),
             commit=self._commits,
             at=store_now,
         )
--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -6,6 +6,7 @@
 
 IDLE_HORIZONS = 2.0
 DEMAND_WINDOW = 300.0  # seconds
+MIN_AGE = 1.0  # seconds
 MIN_REFILL = 1000  # tokens
 SCARCE_SECONDS = 60.0  # without refills after peers gave back what they held
 
@@ -14,23 +15,35 @@
     """The rate at which one client account uses tokens on this host.
 
     An exponentially weighted moving average over irregular samples: each use adds
-    `tokens / window`, and the sum decays by `exp(-elapsed / window)`.
+    `tokens / window`, and the sum decays by `exp(-elapsed / window)`. With `quick`, a
+    window that is not full yet counts as what it holds of the time since the first use,
+    at least `MIN_AGE`, as in the bias correction of the Adam optimizer.
     """
 
-    def __init__(self, *, window: float = DEMAND_WINDOW) -> None:
+    def __init__(self, *, window: float = DEMAND_WINDOW, quick: bool = False) -> None:
         self._window = window
+        self._quick = quick
+        self._first: float | None = None
         self._rate = 0.0
         self._at = 0.0
         self._used_at: float | None = None
 
     def note(self, now: float, tokens: int) -> None:
         """Count `tokens` as used at `now`, monotonic seconds."""
-        self._rate = self.rate(now) + tokens / self._window
+        self._rate = self._decayed(now) + tokens / self._window
         self._at = now
+        if self._first is None:
+            self._first = now
         self._used_at = now
 
     def rate(self, now: float) -> float:
         """Return the rate at `now` in tokens a second."""
+        if not self._quick or self._first is None:
+            return self._decayed(now)
+        age = max(MIN_AGE, now - self._first)
+        return self._decayed(now) / -math.expm1(-age / self._window)
+
+    def _decayed(self, now: float) -> float:
         elapsed = max(0.0, now - self._at)
         return self._rate * math.exp(-elapsed / self._window)
 
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -42,7 +42,7 @@
     def __init__(self, *, name: str) -> None:
         self.name = name
         self.ledger = escrow.Ledger()
-        self.demand = sizing.Demand(window=DEMAND_WINDOW)
+        self.demand = sizing.Demand(window=DEMAND_WINDOW, quick=True)
         self.shared = escrow.Account()  # the account's row
         self.shared_version = 0
         self.own_version = 0  # of this host's holding
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -13,7 +13,7 @@
 from dogwoodchute.coordination import escrow, grants, sizing
 from dogwoodchute.gateway import account_rows, model, rows
 
-HORIZON = 10.0  # seconds of use that a host keeps ahead, for a time without the store
+HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
 DRAW_SHARE = 0.4  # of what remains, that all hosts together draw ahead
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
 CHECKPOINT_INTERVAL = 0.35  # seconds, so that a dead process's row is recent
