--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -88,6 +88,11 @@
                 )
         self._configure()
 
+    @property
+    def count(self) -> int:
+        """Endpoints that are registered, with those that drain."""
+        return len(self._all)
+
     def ready(self, service: str) -> list[model.Endpoint]:
         """Return the endpoints of a service that take new requests."""
         self._expire()
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -112,6 +112,17 @@
         """Whether this host was told to stop."""
         return self._leaving
 
+    @property
+    def config_version(self) -> int | None:
+        """The version of the configuration in force, None before the first one."""
+        current = self._configuration.current
+        return current.version if current is not None else None
+
+    @property
+    def endpoint_count(self) -> int:
+        """Endpoints that are registered."""
+        return self._endpoints.count
+
     @property
     def in_flight(self) -> int:
         """Requests that are under way."""
--- /dev/null
+++ b/dogwoodchute/standins/attempt_endpoint.py
@@ -0,0 +1,101 @@
+"""A stand-in of an endpoint on the platform, with faults on demand."""
+
+import asyncio
+import typing
+
+import sanic
+
+OK = "ok"
+SHED = "shed"  # refuses, and says that it did not run the request
+ERROR = "error"
+BREAK = "break"  # breaks a stream off in the middle of an event
+SILENT = "silent"  # runs, and never answers
+OTHER_ID = "other_id"  # answers with the id of another request
+UNSIGNED = "unsigned"
+
+ATTEMPT_ID = "X-Dogwoodchute-Attempt-Id"
+SIGNATURE = "X-Dogwoodchute-Response-Signature"
+
+
+class Seen(typing.NamedTuple):
+    """One request as the endpoint got it."""
+
+    attempt_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool
+
+
+class Endpoint:
+    """One endpoint. `modes` says how the next requests are met, then `OK`."""
+
+    def __init__(self, *, id: str, events: int = 5, pause: float = 0.0) -> None:
+        self.id = id
+        self.events = events  # of each stream
+        self.pause = pause  # seconds between events
+        self.modes: list[str] = []
+        self.seen: list[Seen] = []
+        self.cancelled = 0
+
+    @property
+    def runs(self) -> list[str]:
+        """The ids of the requests that ran, in order."""
+        return [seen.attempt_id for seen in self.seen if seen.ran]
+
+    def add_routes(self, app: sanic.Sanic) -> None:
+        """Serve requests on `app`."""
+        app.add_route(
+            self._handle,
+            "/<path:path>",
+            methods=["GET", "POST"],
+            name=f"endpoint-{self.id}",
+        )
+
+    async def _handle(self, request: sanic.Request, path: str) -> None:
+        mode = self.modes.pop(0) if self.modes else OK
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        attempt_id = headers.get(ATTEMPT_ID.lower(), "")
+        self.seen.append(
+            Seen(attempt_id, request.path, headers, request.body, mode != SHED)
+        )
+        reply = {ATTEMPT_ID: attempt_id, SIGNATURE: f"sig-{self.id}"}
+        if mode == SILENT:
+            await asyncio.sleep(3600)
+        if mode == OTHER_ID:
+            reply[ATTEMPT_ID] = "of-another-request"
+        if mode == UNSIGNED:
+            del reply[SIGNATURE]
+        if mode == SHED:
+            refusal = {**reply, "X-Dogwoodchute-Not-Executed": "1"}
+            await self._whole(request, 503, refusal, b"busy")
+        elif mode == ERROR:
+            await self._whole(request, 500, reply, b"failed")
+        elif "stream" in path:
+            await self._stream(request, reply, mode)
+        else:
+            await self._whole(request, 200, reply, b"answer of " + self.id.encode())
+
+    async def _whole(
+        self, request: sanic.Request, status: int, headers: dict, body: bytes
+    ) -> None:
+        response = await request.respond(status=status, headers=headers)
+        await response.send(body, True)
+
+    async def _stream(self, request: sanic.Request, headers: dict, mode: str) -> None:
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        response = await request.respond(
+            headers=headers, content_type="text/event-stream"
+        )
+        try:
+            for number in range(first, self.events + 1):
+                if mode == BREAK and number == first + 2:
+                    await response.send(b"id: 9")
+                    request.transport.abort()
+                    return
+                await response.send(f"id: {number}\ndata: t{number}\n\n".encode())
+                await asyncio.sleep(self.pause)
+            await response.send(b"", True)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
--- /dev/null
+++ b/dogwoodchute/tests/gateway_site.py
@@ -0,0 +1,139 @@
+"""A site of one gateway, a store and some endpoints, on loopback."""
+
+import contextlib
+import json
+import pathlib
+
+import aiohttp
+
+from dogwoodchute import clock, server
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.standins import attempt_endpoint, row_store
+from dogwoodchute.tests import support
+from dogwoodchute.tools import dogwoodgate
+
+KEY = "key-of-ann"
+LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
+ENGINE = {"slots": 8, "kvCapacity": 100_000, "stride": 4}
+ROUTES = [
+    ("stream", "/s/", "streaming", "engines", {"resumable": True, "maxAttempts": 2}),
+    ("once", "/o/", "streaming", "engines", {}),
+    ("order", "/order/", "non_idempotent", "plain", {}),
+    ("look", "/look/", "idempotent", "plain", {"maxAttempts": 2}),
+    ("open", "/open/", "idempotent", "plain", {"public": True}),
+]
+
+
+def config(version=1, prepaid=100_000, keys=(KEY,)):
+    """Return an operator's configuration."""
+    routes = []
+    for name, prefix, kind, service, more in ROUTES:
+        fixed = {"name": name, "hostname": "site.example", "prefix": prefix}
+        times = {"timeoutMs": 3000, "targetLatencyMs": 500}
+        routes.append({**fixed, **times, "kind": kind, "service": service, **more})
+    services = [{"name": "engines", "engine": ENGINE}, {"name": "plain"}]
+    accounts = [{"name": "ann", "apiKeys": list(keys), "prepaid": prepaid}]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "tenants": accounts,
+        "limits": {},
+    }
+
+
+class Site:
+    """The parts of a site, and how a caller reaches it."""
+
+    def __init__(self, *, faults=lambda kind: row_store.NO_FAULT):
+        self.store = row_store.RowStore(now=clock.monotonic)
+        self.faults = faults
+        self.endpoints = {}
+        self.gate = None
+        self._servers = []
+        self.session = None
+        self.address = ""
+
+    def put(self, table, key, value):
+        data = None if value is None else json.dumps(value).encode()
+        self.store.commit("", [], [rows.Put(table, key, data)])
+
+    async def listen(self, name):
+        listener = server.Server(name=f"{name}-{id(self)}", **LIMITS)
+        self._servers.append(listener)
+        return listener
+
+    async def add_endpoint(self, name, service, **known):
+        endpoint = attempt_endpoint.Endpoint(id=name, **known)
+        listener = await self.listen(name)
+        endpoint.add_routes(listener.app)
+        await listener.start("127.0.0.1", 0)
+        self.endpoints[name] = endpoint
+        self.register(name, service, listener.port)
+        return endpoint
+
+    def register(self, name, service, port, state="ready"):
+        place = {"service": service, "address": f"127.0.0.1:{port}", "zone": "z1"}
+        self.put("servers", name, {**place, "slots": 8, "state": state, "sequence": 1})
+
+    async def start(self):
+        listener = await self.listen("store")
+        row_store.add_routes(
+            listener.app, self.store, faults=lambda kind: self.faults(kind)
+        )
+        await listener.start("127.0.0.1", 0)
+        deployment = model.Deployment(
+            host="h1",
+            data_centre="z1",
+            region="r1",
+            regions={"z1": "r1"},
+            callers="127.0.0.1:0",
+            readiness="127.0.0.1:0",
+            control="127.0.0.1:0",
+            gossip="127.0.0.1:0",
+            directory="127.0.0.1:0",
+            seeds=(),
+            store=f"127.0.0.1:{listener.port}",
+            bounds=model.Bounds(grace=3.0),
+        )
+        self.gate = dogwoodgate.Process(
+            source=pathlib.Path("unused"), deployment=deployment, metrics_port=0
+        )
+        await self.gate.start()
+        self.address = f"127.0.0.1:{self.gate.ports['callers']}"
+        self.session = aiohttp.ClientSession()
+        await support.until(self.gate.gateway.ready)
+
+    async def stop(self):
+        await self.session.close()
+        await self.gate.stop()
+        for listener in self._servers:
+            await listener.stop()
+
+    async def ask(self, path, *, attempt="a1", method="POST", key=KEY, **headers):
+        """Return status, headers and body of one answer."""
+        sent = {
+            "Host": "site.example",
+            "X-Dogwoodchute-Attempt-Id": attempt,
+            "X-Dogwoodchute-Deadline-Ms": "2500",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key is not None:
+            sent["X-Dogwoodchute-Credential"] = key
+        url = f"http://{self.address}{path}"
+        async with self.session.request(method, url, headers=sent) as response:
+            return response.status, response.headers, await response.read()
+
+
+@contextlib.asynccontextmanager
+async def running(**known):
+    """Run a site with one engine and one plain endpoint."""
+    site = Site(**known)
+    site.put("op", "config", config())
+    await site.add_endpoint("e1", "engines")
+    await site.add_endpoint("p1", "plain")
+    await site.start()
+    try:
+        yield site
+    finally:
+        await site.stop()
--- a/dogwoodchute/tests/processes.py
+++ b/dogwoodchute/tests/processes.py
@@ -184,7 +184,8 @@
                     "dogwoodchute.tools.dogwoodchuted",
                     str(self._settings[number]),
                 ],
-                stderr=log_file,
+                stdout=log_file,
+                stderr=subprocess.STDOUT,
                 env=dict(os.environ),
             )
 
--- a/dogwoodchute/tests/test_drain.py
+++ b/dogwoodchute/tests/test_drain.py
@@ -126,16 +126,16 @@
             path.write_text(text, encoding="utf-8")
             command = [sys.executable, "-m", "dogwoodchute.tools.dogwoodchuted"]
             process = subprocess.Popen(
-                [*command, str(path)], stderr=subprocess.PIPE, text=True
+                [*command, str(path)], stdout=subprocess.PIPE, text=True
             )
             self.addCleanup(process.kill)
-            for line in process.stderr:
+            for line in process.stdout:
                 if "event=host_started" in line:
                     break
             process.send_signal(signal.SIGTERM)
-            rest = process.stderr.read()
+            rest = process.stdout.read()
             self.assertEqual(0, process.wait(timeout=30), rest)
-            process.stderr.close()
+            process.stdout.close()
         self.assertIn("event=drain_begun reason=SIGTERM", rest)
         self.assertIn("event=drain_done", rest)
         self.assertIn("event=host_stopped", rest)
--- /dev/null
+++ b/dogwoodchute/tests/test_escrow.py
@@ -0,0 +1,272 @@
+"""Escrow of prepaid budgets under lost, late and doubled messages, and deaths."""
+
+import contextlib
+from unittest import mock
+
+from hypothesis import stateful, strategies as st
+
+from dogwoodchute.coordination import escrow
+from dogwoodchute.tests import support
+
+PREPAID = 1000
+HOSTS = st.sampled_from(["a", "b"])
+AMOUNTS = st.sampled_from([0, 50, 400])
+PARTS = st.sampled_from([0.5, 1, 1])
+DRAWS = st.sampled_from([1, 1, 0.5, 0, -0.5, -1])  # of what is left, or is idle
+SPARES = st.sampled_from([True, True, False])
+FATES = st.sampled_from(["done", "done", "done", "lost", "refused"])
+SPANS = st.sampled_from([0.05, 0.4, 1.0, 2.5])
+
+
+class Store:
+    """The account's row and the holders' rows, each with a version."""
+
+    def __init__(self):
+        self.drawn = 0
+        self.version = 0
+        self.holdings = {}  # by holder: (holding, version)
+        self.count = 0
+
+
+class Copy:
+    """A commit on its way to the store."""
+
+    def __init__(self, holder, holding, own_version, draw, version):
+        self.holder = holder
+        self.holding = holding
+        self.own_version = own_version
+        self.draw = draw
+        self.version = version
+
+    def apply(self, store):
+        own = store.holdings.get(self.holder, (None, 0))[1]
+        if own != self.own_version or (self.draw and store.version != self.version):
+            return False
+        if store.drawn + self.draw > PREPAID:
+            raise AssertionError("drawn above the prepaid total")
+        store.count += 1
+        if self.draw:
+            store.drawn += self.draw
+            store.version = store.count
+        store.holdings[self.holder] = (self.holding, store.count)
+        return True
+
+
+class Host:
+    def __init__(self, name, began):
+        self.name = name
+        self.began = began
+        self.ledger = escrow.Ledger()
+        self.copy = None
+        self.flying = []  # reserved and used of each request under way
+
+
+class EscrowMachine(stateful.RuleBasedStateMachine):
+    """Two hosts, each replaced when it dies; the oracle adds up what was used."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.store = Store()
+        self.late = []  # copies that may still arrive
+        self.used = 0  # by requests that ended, or were under way at a death
+        self.lives = 0
+        self.hosts = {name: self.born(name) for name in ("a", "b")}
+
+    def born(self, name):
+        self.lives += 1
+        return Host(f"{name}-{self.lives}", self.now)
+
+    def in_use(self):
+        return sum(host.ledger.reserved for host in self.hosts.values())
+
+    @stateful.rule(name=HOSTS, part=DRAWS, ahead=AMOUNTS, fate=FATES)
+    def commit(self, name, part, ahead, fate):
+        host = self.hosts[name]
+        if host.copy is None:
+            self.propose(host, part, ahead)
+        self.send(host, fate)
+
+    def propose(self, host, part, ahead):
+        whole = PREPAID - self.store.drawn if part > 0 else host.ledger.idle
+        draw = int(part * max(0, whole))
+        holding = host.ledger.propose(
+            draw=draw, ahead=ahead, now=self.now, store_now=self.now - 0.01
+        )
+        if holding is None:
+            return
+        own = self.store.holdings.get(host.name, (None, 0))[1]
+        host.copy = Copy(host.name, holding, own, draw, self.store.version)
+
+    def send(self, host, fate):
+        if host.copy is None:
+            return
+        if fate == "refused" and host.copy not in self.late:
+            host.ledger.end(applied=False)
+            host.copy = None
+            return
+        if fate == "lost":
+            self.late.append(host.copy)
+            return
+        if not host.copy.apply(self.store):
+            # Either an earlier copy applied, or another commit came between.
+            held = self.store.holdings.get(host.name, (None, 0))[0]
+            host.ledger.end(applied=held == host.copy.holding)
+        else:
+            host.ledger.end(applied=True)
+        host.copy = None
+
+    @stateful.rule()
+    def arrive_late(self):
+        if self.late:
+            self.late.pop(0).apply(self.store)
+
+    @stateful.rule(hosts=st.lists(HOSTS, min_size=2, max_size=4), part=PARTS)
+    def reserve(self, hosts, part):
+        for name in hosts:
+            host = self.hosts[name]
+            tokens = int(part * host.ledger.available(self.now))
+            if tokens > 0 and host.ledger.reserve(tokens, self.now):
+                host.flying.append(tokens)
+
+    @stateful.rule(name=HOSTS, share=st.sampled_from([0, 0.5, 1, 1]))
+    def settle(self, name, share):
+        host = self.hosts[name]
+        while host.flying:
+            reserved = host.flying.pop()
+            spent = int(reserved * share)
+            host.ledger.settle(reserved, spent)
+            self.used += spent
+
+    @stateful.rule(giver=HOSTS, taker=HOSTS, part=PARTS, lost=st.booleans())
+    def give(self, giver, taker, part, lost):
+        if giver == taker:
+            return
+        tokens = int(part * self.hosts[giver].ledger.available(self.now))
+        given = self.hosts[giver].ledger.give(tokens, self.now)
+        if not lost:
+            self.hosts[taker].ledger.take(given)
+
+    @stateful.rule(seconds=SPANS)
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(name=HOSTS, pause=SPANS, reclaim=st.booleans(), spare=SPARES)
+    def die(self, name, pause, reclaim, spare):
+        if spare:
+            return
+        dead = self.hosts[name]
+        self.used += sum(dead.flying)
+        self.now += pause
+        self.hosts[name] = self.born(name)
+        held = self.store.holdings.pop(dead.name, None)
+        if held is None or not reclaim:
+            return
+        tokens = escrow.reclaimable(held[0], began=self.now)
+        self.store.drawn -= tokens
+        self.store.count += 1
+        self.store.version = self.store.count
+
+    @stateful.invariant()
+    def spend_stays_within_the_budget(self):
+        if self.used + self.in_use() > PREPAID:
+            raise AssertionError(f"{self.used} + {self.in_use()} of {PREPAID}")
+
+
+EscrowMachine.TestCase.settings = support.fuzz_settings(60, 40)
+EscrowMachineTest = EscrowMachine.TestCase
+
+
+def overspent(story, name=None, replacement=None):
+    """Return whether `story` overspends, with a fault planted in the ledger."""
+    machine = EscrowMachine()
+    patched = mock.patch.object(escrow.Ledger, name or "used", replacement)
+    with patched if name else contextlib.nullcontext():
+        story(machine)
+        try:
+            machine.spend_stays_within_the_budget()
+        except AssertionError:
+            return True
+    return False
+
+
+def gift(machine):
+    machine.commit("a", 1, 400, "done")
+    machine.give("a", "b", 1, False)
+    machine.reserve(["a", "b"], 1)
+
+
+def death_above_the_limit(machine):
+    machine.commit("a", 1, 0, "done")
+    machine.commit("a", 0, 50, "done")
+    machine.reserve(["a"], 1)
+    machine.die("a", 0.4, True, False)
+    machine.commit("b", 1, 400, "done")
+    machine.reserve(["b"], 1)
+
+
+def draw_without_answer(machine):
+    machine.commit("a", 1, 400, "lost")
+    machine.pass_time(2.5)
+    machine.reserve(["a"], 1)
+    machine.commit("b", 1, 400, "done")
+    machine.reserve(["b"], 1)
+
+
+class PlantedFaultsTest(support.TestCase):
+    """Each story overspends with its fault planted, and not without."""
+
+    def check(self, story, name, replacement):
+        self.assertFalse(overspent(story))
+        self.assertTrue(overspent(story, name, replacement))
+
+    def test_a_gift_that_the_giver_keeps(self):
+        def give(ledger, tokens, now):
+            return max(0, min(tokens, ledger.available(now)))
+
+        self.check(gift, "give", give)
+
+    def test_a_limit_that_is_not_kept(self):
+        self.check(death_above_the_limit, "available", lambda ledger, now: ledger.idle)
+
+    def test_a_draw_that_counts_before_it_is_certain(self):
+        def granted(ledger):
+            return max(sent.holding.granted for sent in ledger._candidates())
+
+        self.check(draw_without_answer, "granted", property(granted))
+
+
+class LedgerTest(support.TestCase):
+    def confirmed(self, *, draw, ahead):
+        ledger = escrow.Ledger()
+        ledger.propose(draw=draw, ahead=ahead, now=0.0, store_now=0.0)
+        ledger.end(applied=True)
+        # The first commit has no limit; the next one sets it.
+        ledger.propose(draw=0, ahead=ahead, now=0.1, store_now=0.1)
+        ledger.end(applied=True)
+        return ledger
+
+    def test_the_limit_holds_until_the_commit_is_old(self):
+        ledger = self.confirmed(draw=100, ahead=30)
+        self.assertFalse(ledger.reserve(31, 0.2))
+        self.assertTrue(ledger.reserve(30, 0.2))
+        self.assertFalse(ledger.reserve(1, 0.1 + escrow.WRITE_AHEAD - 0.01))
+        self.assertTrue(ledger.reserve(70, 0.1 + escrow.WRITE_AHEAD))
+
+    def test_what_is_above_the_limit_comes_back_after_a_quick_restart(self):
+        ledger = self.confirmed(draw=100, ahead=30)
+        holding = ledger.confirmed
+        self.assertEqual(70, escrow.reclaimable(holding, began=1.0))
+        self.assertEqual(0, escrow.reclaimable(holding, began=2.2))
+
+    def test_a_return_counts_from_the_moment_it_is_proposed(self):
+        ledger = self.confirmed(draw=100, ahead=100)
+        ledger.propose(draw=-60, ahead=100, now=0.2, store_now=0.2)
+        self.assertFalse(ledger.reserve(41, 0.2))
+        ledger.end(applied=False)
+        self.assertTrue(ledger.reserve(41, 0.2))
+
+    def test_no_more_is_returned_than_is_idle(self):
+        ledger = self.confirmed(draw=100, ahead=100)
+        ledger.reserve(50, 0.2)
+        self.assertIsNone(ledger.propose(draw=-51, ahead=0, now=0.2, store_now=0.2))
--- /dev/null
+++ b/dogwoodchute/tests/test_gateway.py
@@ -0,0 +1,194 @@
+"""The whole path of one host: callers, store and endpoints over loopback."""
+
+import asyncio
+
+import aiohttp
+
+from dogwoodchute.standins import attempt_endpoint, row_store
+from dogwoodchute.tests import gateway_site, support
+
+TOKENS = {
+    "X_Dogwoodchute_Token_Count": "1000,40",
+    "X_Dogwoodchute_Prompt_Prefix": "aa:800,bb:200",
+}
+
+
+class GatewayTest(support.TestCase):
+    def test_an_answer_passes_unchanged_and_headers_are_clean(self):
+        async def story():
+            async with gateway_site.running() as site:
+                status, headers, body = await site.ask(
+                    "/look/x%2Fy?q=%20",
+                    method="GET",
+                    X_Dogwoodchute_Tenant="forged",
+                    X_Dogwoodchute_Hold="forged",
+                    X_Own="kept",
+                )
+                self.assertEqual((200, b"answer of p1"), (status, body))
+                signature = headers["X-Dogwoodchute-Response-Signature"]
+                self.assertEqual("sig-p1", signature)
+                seen = site.endpoints["p1"].seen[0].headers
+                self.assertEqual("ann", seen["x-dogwoodchute-tenant"])
+                self.assertEqual("p1", seen["x-dogwoodchute-target-instance"])
+                self.assertEqual("kept", seen["x-own"])
+                self.assertNotIn("x-dogwoodchute-hold", seen)
+                self.assertNotIn("x-dogwoodchute-credential", seen)
+                self.assertLessEqual(int(seen["x-dogwoodchute-deadline-ms"]), 2500)
+
+        self.run_async(story())
+
+    def test_what_the_configuration_does_not_allow_is_refused(self):
+        async def story():
+            async with gateway_site.running() as site:
+                self.assertEqual(404, (await site.ask("/none/x"))[0])
+                self.assertEqual(401, (await site.ask("/look/x", key="bad"))[0])
+                self.assertEqual(401, (await site.ask("/look/x", key=None))[0])
+                self.assertEqual(200, (await site.ask("/open/x", key=None))[0])
+                bad = await site.ask("/s/stream", X_Dogwoodchute_Token_Count="many")
+                self.assertEqual(400, bad[0])
+                self.assertEqual(1, len(site.endpoints["p1"].seen))
+
+        self.run_async(story())
+
+    def test_a_new_configuration_is_in_force_at_once(self):
+        async def story():
+            async with gateway_site.running() as site:
+                site.put("op", "config", gateway_site.config(version=5, keys=["new"]))
+                gate = site.gate.gateway
+                await support.until(lambda: gate.config_version == 5)
+                self.assertEqual(401, (await site.ask("/look/x"))[0])
+                self.assertEqual(200, (await site.ask("/look/x", key="new"))[0])
+                site.put("op", "config", gateway_site.config(version=4))
+                await asyncio.sleep(0.2)
+                self.assertEqual(401, (await site.ask("/look/x"))[0])
+
+        self.run_async(story())
+
+    def test_a_broken_stream_goes_on_at_another_engine_each_event_once(self):
+        async def story():
+            async with gateway_site.running() as site:
+                other = await site.add_endpoint("e2", "engines")
+                first = site.endpoints["e1"]
+                # Whichever is asked first breaks off, the other one goes on.
+                first.modes = other.modes = [attempt_endpoint.BREAK]
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                status, _, body = await site.ask("/s/stream", attempt="b1", **TOKENS)
+                whole = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 6))
+                self.assertEqual((200, whole), (status, body))
+                self.assertEqual(["b1"], first.runs)
+                self.assertEqual(["b1"], other.runs)
+
+        self.run_async(story())
+
+    def test_a_broken_stream_that_may_not_run_twice_is_cut(self):
+        async def story():
+            async with gateway_site.running() as site:
+                site.endpoints["e1"].modes = [attempt_endpoint.BREAK]
+                with self.assertRaises(aiohttp.ClientError):
+                    await site.ask("/o/stream", **TOKENS)
+                self.assertEqual(["a1"], site.endpoints["e1"].runs)
+
+        self.run_async(story())
+
+    def test_not_run_is_only_said_of_what_did_not_run(self):
+        async def story():
+            async with gateway_site.running() as site:
+                plain = site.endpoints["p1"]
+                cases = [
+                    (attempt_endpoint.SHED, 503),
+                    (attempt_endpoint.OTHER_ID, 502),
+                    (attempt_endpoint.UNSIGNED, 502),
+                    (attempt_endpoint.ERROR, 500),
+                ]
+                for number, (mode, expected) in enumerate(cases):
+                    plain.modes = [mode]
+                    answer = await site.ask("/order/x", attempt=f"n{number}")
+                    self.assertEqual(expected, answer[0], mode)
+                    self.assertEqual(expected == 503, "Retry-After" in answer[1])
+                plain.modes = [attempt_endpoint.SILENT]
+                late = await site.ask(
+                    "/order/x", attempt="n9", X_Dogwoodchute_Deadline_Ms="300"
+                )
+                self.assertEqual(504, late[0])
+                self.assertEqual(5, len(plain.seen))
+
+        self.run_async(story())
+
+    def test_an_idempotent_call_is_sent_to_a_second_endpoint(self):
+        async def story():
+            async with gateway_site.running() as site:
+                other = await site.add_endpoint("p2", "plain")
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                plain = site.endpoints["p1"]
+                plain.modes = other.modes = [attempt_endpoint.ERROR]
+                answer = await site.ask("/look/x", method="GET")
+                self.assertEqual(200, answer[0])
+                self.assertEqual(["a1"], plain.runs)
+                self.assertEqual(["a1"], other.runs)
+
+        self.run_async(story())
+
+    def test_a_caller_that_leaves_stops_the_run(self):
+        async def story():
+            async with gateway_site.running() as site:
+                engine = site.endpoints["e1"]
+                engine.events, engine.pause = 1000, 0.05
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(0.5):
+                        await site.ask("/s/stream", **TOKENS)
+                await support.until(lambda: engine.cancelled == 1, seconds=1.0)
+
+        self.run_async(story())
+
+    def test_the_budget_covers_requests_at_their_most_and_no_more(self):
+        async def story():
+            async with gateway_site.running() as site:
+                site.put("op", "config", gateway_site.config(version=2, prepaid=3300))
+                gate = site.gate.gateway
+                await support.until(lambda: gate.config_version == 2)
+                statuses = []
+                for number in range(4):
+                    answer = await site.ask("/s/stream", attempt=f"t{number}", **TOKENS)
+                    statuses.append(answer[0])
+                # Each uses 1000 tokens and 20 for its five events.
+                self.assertEqual([200, 200, 200, 402], statuses)
+                self.assertEqual(3, len(site.endpoints["e1"].runs))
+
+        self.run_async(story())
+
+    def test_without_the_store_what_was_drawn_is_spent(self):
+        async def story():
+            async with gateway_site.running() as site:
+                first = await site.ask("/s/stream", attempt="t0", **TOKENS)
+                self.assertEqual(200, first[0])
+                await asyncio.sleep(0.3)
+                site.faults = lambda kind: row_store.Fault(status=503)
+                await asyncio.sleep(2.2)
+                again = await site.ask("/s/stream", attempt="t1", **TOKENS)
+                self.assertEqual(200, again[0])
+                self.assertEqual(200, (await site.ask("/look/x"))[0])
+
+        self.run_async(story())
+
+    def test_a_planned_stop_finishes_what_is_under_way(self):
+        async def story():
+            async with gateway_site.running() as site:
+                engine = site.endpoints["e1"]
+                engine.events, engine.pause = 10, 0.05
+                asking = asyncio.create_task(site.ask("/s/stream", **TOKENS))
+                await support.until(lambda: engine.runs)
+                stopping = asyncio.create_task(site.gate.gateway.stop())
+                await asyncio.sleep(0.05)
+                self.assertFalse(site.gate.gateway.ready())
+                status, headers, body = await asking
+                self.assertEqual(200, status)
+                self.assertEqual(10, body.count(b"data:"))
+                await stopping
+                held = site.store.read("holdings", "tokens", None, None).rows
+                shared = site.store.read("accounts", "tokens", None, None).rows
+                self.assertEqual(1, len(held))
+                self.assertEqual(b"[1040,0]", shared[0].value)
+                bills = site.store.read("bills", "tokens", None, None).rows
+                self.assertEqual(b'[["a1",1000,40]]', bills[0].value)
+
+        self.run_async(story())
--- /dev/null
+++ b/dogwoodchute/tests/test_placement.py
@@ -0,0 +1,133 @@
+"""Where requests go: the load is played against engines that cache and queue."""
+
+import random
+
+from dogwoodchute.coordination import placement
+from dogwoodchute.tests import support
+
+ENGINES = [f"e{n}" for n in range(9)]
+THINGS = 125  # shared parts in use, as in the deployments' long prompts
+SHARED = 13_300  # tokens of each
+OWN = 3_720  # tokens of a request beyond its shared part
+MEMORY = 404_774  # tokens of an engine
+
+
+def candidate(name, **known):
+    return placement.Candidate(
+        name=name, distance=known.pop("distance", 0), running=0, waiting_tokens=0
+    )._replace(**known)
+
+
+class PlayedLoadTest(support.TestCase):
+    """Four hosts send 12 long prompts a second, without talking of caches."""
+
+    def play(self, choose, *, seconds=60, rate=12, hosts=4):
+        rng = random.Random(5)
+        sent = [
+            {e: placement.Sent(memory_tokens=MEMORY) for e in ENGINES}
+            for _ in range(hosts)
+        ]
+        caches = {e: placement.Sent(memory_tokens=MEMORY) for e in ENGINES}
+        busy = dict.fromkeys(ENGINES, 0.0)  # seconds until all prompts are read
+        waits, read_again = [], 0
+        seen = set()
+        for n in range(seconds * rate):
+            now = n / rate
+            thing = f"t{rng.randrange(THINGS)}"
+            parts = [(thing, SHARED), (f"own{n}", OWN)]
+            host = rng.randrange(hosts)
+            candidates = []
+            for engine in ENGINES:
+                left = max(0.0, busy[engine] - now)
+                tokens = int(left * placement.PREFILL_TOKENS_PER_SECOND)
+                candidates.append(candidate(engine, waiting_tokens=tokens))
+            name = choose(candidates, parts, sent[host])
+            sent[host][name].note(parts)
+            unread = SHARED + OWN - caches[name].cached(parts)
+            if unread > OWN and thing in seen:
+                read_again += SHARED
+            seen.add(thing)
+            caches[name].note(parts)
+            begin = max(now, busy[name])
+            busy[name] = begin + unread / placement.PREFILL_TOKENS_PER_SECOND
+            waits.append(busy[name] - now)
+        waits.sort()
+        return waits[int(0.95 * len(waits))], read_again
+
+    def test_long_prompts_meet_their_cache_and_are_read_in_time(self):
+        def by_cost(candidates, parts, sent):
+            return placement.choose_engine(
+                candidates,
+                parts=parts,
+                input_tokens=SHARED + OWN,
+                cached=lambda name: sent[name].cached(parts),
+            ).name
+
+        def least_loaded(candidates, parts, sent):
+            return min(candidates, key=lambda c: c.waiting_tokens).name
+
+        late, again = self.play(by_cost)
+        late_plain, again_plain = self.play(least_loaded)
+        self.assertLess(late, 0.8)  # seconds, the target of the first event
+        self.assertLess(late, late_plain + 0.01)
+        self.assertLess(again, again_plain / 3)
+
+
+class ChooseEngineTest(support.TestCase):
+    PARTS = [("shared", SHARED), ("own", OWN)]
+
+    def choose(self, candidates):
+        return placement.choose_engine(
+            candidates,
+            parts=self.PARTS,
+            input_tokens=SHARED + OWN,
+            cached=lambda name: 0,
+        )
+
+    def test_all_hosts_agree_on_the_home(self):
+        names = {self.choose([candidate(e) for e in ENGINES]).name for _ in range(5)}
+        self.assertEqual(1, len(names))
+
+    def test_a_loaded_home_is_left(self):
+        home = self.choose([candidate(e) for e in ENGINES]).name
+        loaded = [
+            candidate(e, waiting_tokens=60_000 if e == home else 0) for e in ENGINES
+        ]
+        self.assertNotEqual(home, self.choose(loaded).name)
+
+    def test_a_slow_home_is_left(self):
+        home = self.choose([candidate(e) for e in ENGINES]).name
+        slow = [
+            candidate(e, slowness=8.0 if e == home else 1.0, running=5) for e in ENGINES
+        ]
+        self.assertNotEqual(home, self.choose(slow).name)
+
+    def test_an_ejected_engine_gets_nothing(self):
+        self.assertIsNone(self.choose([candidate("e1", weight=0.0)]))
+
+
+class ChoosePlainTest(support.TestCase):
+    def test_the_own_data_centre_goes_first_and_a_full_endpoint_last(self):
+        near, far = candidate("near", slots=6), candidate("far", slots=6, distance=2)
+        self.assertEqual("near", placement.choose_plain([far, near]).name)
+        full = near._replace(running=6)
+        self.assertEqual("far", placement.choose_plain([far, full]).name)
+
+
+class SentTest(support.TestCase):
+    def test_only_an_unbroken_beginning_counts_and_old_parts_yield(self):
+        sent = placement.Sent(memory_tokens=1000)  # 700 of them for parts
+        sent.note([("a", 300), ("b", 300)])
+        self.assertEqual(300, sent.cached([("a", 300), ("x", 5), ("b", 300)]))
+        sent.note([("c", 300)])
+        self.assertEqual(0, sent.cached([("a", 300)]))
+        self.assertEqual(300, sent.cached([("b", 300)]))
+
+
+class PaceTest(support.TestCase):
+    def test_a_slow_engine_shows_and_is_forgiven_in_time(self):
+        pace = placement.Pace()
+        for n in range(10):
+            pace.note(float(n) / 10, took=0.5, expected=0.05)
+        self.assertGreater(pace.slowness(1.0), 3)
+        self.assertLess(pace.slowness(1.0 + 5 * placement.PACE_MEMORY), 1.2)
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -46,8 +46,16 @@
 class Process:
     """The gateway and its listeners."""
 
-    def __init__(self, *, source: pathlib.Path, deployment: model.Deployment) -> None:
+    def __init__(
+        self,
+        *,
+        source: pathlib.Path,
+        deployment: model.Deployment,
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
+        self.ports: dict[str, int] = {}  # of the listeners, by their job
         self._source = source
+        self._metrics_port = metrics_port
         self._deployment = deployment
         self._servers: list[server.Server] = []
         self._callers = self._server("callers")
@@ -97,11 +105,16 @@
             leaving=lambda: self.gateway.leaving,
         )
         await self.gateway.start()
-        await _listen(control, place.control)
-        await _listen(readiness, place.readiness)
-        await _listen(directory, place.directory)
-        await _listen(metrics, f"{ip}:{METRICS_PORT}")
-        await _listen(self._callers, place.callers)
+        listeners = {
+            "control": (control, place.control),
+            "readiness": (readiness, place.readiness),
+            "directory": (directory, place.directory),
+            "metrics": (metrics, f"{ip}:{self._metrics_port}"),
+            "callers": (self._callers, place.callers),
+        }
+        for name, (listener, address) in listeners.items():
+            await _listen(listener, address)
+            self.ports[name] = listener.port
         log.info(
             "started",
             host=place.host,
@@ -136,7 +149,7 @@
 
     def _server(self, name: str) -> server.Server:
         made = server.Server(
-            name=name,
+            name=f"{name}-{id(self)}",
             body_bytes=BODY_BYTES,
             header_bytes=HEADER_BYTES,
             idle_timeout=IDLE_TIMEOUT,
