Count only the last lifetime of a restarted host as live

Cause: after all hosts were killed each saw the rows of the lifetimes before as live for 3.5 s, at the same addresses.

--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -53,6 +53,7 @@
         self._version: int | None = 0  # of the own row, None if not known
         self._known: dict[str, Host] = {}
         self._beaten: dict[str, float] = {}  # monotonic seconds of the last beat
+        self._written: dict[str, int] = {}  # version of each row
         self._read_at: abc.Callable[[], float | None] = lambda: None
         self._wake = asyncio.Event()
 
@@ -71,6 +72,7 @@
             if host is None:
                 log.warning("host_row_unreadable", row=row.key, version=row.version)
                 continue
+            self._written[host.id] = row.version
             before = self._known.get(host.id)
             if before is None or before.beat != host.beat:
                 self._beaten[host.id] = now
@@ -82,18 +84,22 @@
     def live(self) -> list[Host]:
         """The other hosts that live, as far as this one can tell.
 
-        While the table can't be read, nobody ages.
+        While the table can't be read, nobody ages. Of a restarted host only the lifetime
+        that wrote last counts.
         """
         at = self._read_at()
         if at is None:
             return []
-        found = []
+        latest: dict[str, Host] = {}
         for host in self._known.values():
-            if host.id == self.id:
+            if host.name == self._deployment.host:
                 continue
-            if at - self._beaten[host.id] <= DEAD_AFTER:
-                found.append(host)
-        return found
+            if at - self._beaten[host.id] > DEAD_AFTER:
+                continue
+            other = latest.get(host.name)
+            if other is None or self._written[other.id] < self._written[host.id]:
+                latest[host.name] = host
+        return list(latest.values())
 
     @property
     def count(self) -> int:
@@ -169,6 +175,7 @@
         if self._known.pop(name, None) is not None:
             log.info("host_gone", peer=name)
         self._beaten.pop(name, None)
+        self._written.pop(name, None)
 
 
 def encode(host: Host) -> bytes:
--- /dev/null
+++ b/dogwoodchute/tests/test_hosts.py
@@ -0,0 +1,89 @@
+"""Membership by rows in the store, on passed-in time."""
+
+from dogwoodchute.gateway import hosts, model, rows
+from dogwoodchute.tests import support
+
+PLACE = model.Deployment(
+    host="h1",
+    data_centre="z1",
+    region="r1",
+    regions={"z1": "r1"},
+    callers="10.0.0.1:1",
+    readiness="10.0.0.1:2",
+    control="10.0.0.1:3",
+    gossip="10.0.0.1:4",
+    directory="10.0.0.1:5",
+    seeds=("10.0.0.1:3", "10.0.0.9:3"),
+    store="10.0.9.9:1",
+    bounds=model.Bounds(),
+)
+
+
+class HostsTest(support.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.hosts = hosts.Hosts(
+            deployment=PLACE, store=None, state=lambda: "ready", now=lambda: self.now
+        )
+        self.hosts.follow(lambda: self.now)
+        self.version = 0
+
+    def beat(self, lifetime, count, *, name="h2", state="ready"):
+        host = hosts.Host(
+            id=lifetime,
+            name=name,
+            data_centre="z1",
+            region="r1",
+            callers=f"{name}:1",
+            control=f"{name}:3",
+            gossip=f"{name}:4",
+            state=state,
+            beat=count,
+        )
+        self.version += 1
+        row = rows.Row(lifetime, hosts.encode(host), self.version)
+        self.hosts.changed({}, [row])
+
+    def live(self):
+        return [host.id for host in self.hosts.live]
+
+    def test_a_host_lives_while_it_beats(self):
+        self.beat("h2-a", 1)
+        self.now += hosts.DEAD_AFTER
+        self.assertEqual(["h2-a"], self.live())
+        self.now += 0.1
+        self.assertEqual([], self.live())
+
+    def test_a_row_without_a_new_beat_is_no_sign_of_life(self):
+        self.beat("h2-a", 1)
+        self.now += 3
+        self.beat("h2-a", 1)
+        self.now += 1
+        self.assertEqual([], self.live())
+
+    def test_nobody_ages_while_the_table_cannot_be_read(self):
+        self.beat("h2-a", 1)
+        self.hosts.follow(lambda: 100.0)
+        self.now += 60
+        self.assertEqual(["h2-a"], self.live())
+
+    def test_only_the_last_lifetime_of_a_restarted_host_counts(self):
+        """Else a shortage is asked for twice at each host after all were killed."""
+        self.beat("h2-b", 1)
+        self.beat("h2-a", 7)
+        self.beat("h2-b", 2)
+        self.assertEqual(["h2-b"], self.live())
+        self.beat("h1-old", 3, name="h1")
+        self.assertEqual(["h2-b"], self.live())
+        self.assertEqual(2, self.hosts.count)
+
+    def test_relays_are_live_hosts_else_the_seeds_of_others(self):
+        self.assertEqual(["10.0.0.9:3"], self.hosts.relays())
+        self.beat("h2-a", 1)
+        self.beat("h3-a", 1, name="h3", state="leaving")
+        self.assertEqual(["h2:3"], self.hosts.relays())
+
+    def test_an_unreadable_row_is_left_out(self):
+        self.hosts.changed({}, [rows.Row("h4-a", b"{", 9)])
+        self.assertEqual([], self.live())
