Drop two values of the gateway that nothing reads

The endpoints took the configuration and the hosts kept their row's version without using them. No behaviour changes; formatter, linter and the gateway's tests pass.

--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -30,7 +30,6 @@
         self,
         *,
         deployment: model.Deployment,
-        config: abc.Callable[[], model.Config | None],
         decode: Decode,
         format_error: type[Exception],
         hosts_known: abc.Callable[[], int],
@@ -39,7 +38,6 @@
     ) -> None:
         self.known = False  # whether the list was ever read
         self._deployment = deployment
-        self._config = config
         self._decode = decode
         self._format_error = format_error
         self._hosts_known = hosts_known
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -87,7 +87,6 @@
         )
         self._endpoints = endpoints.Endpoints(
             deployment=deployment,
-            config=lambda: self._configuration.current,
             decode=platform.decode_endpoint,
             format_error=platform.format_error,
             hosts_known=lambda: self._hosts.count,
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -50,7 +50,6 @@
         self._state = state
         self._now = now
         self._beat = 0
-        self._version: int | None = 0  # of the own row, None if not known
         self._known: dict[str, Host] = {}
         self._beaten: dict[str, float] = {}  # monotonic seconds of the last beat
         self._written: dict[str, int] = {}  # version of each row
