Let a host use a quarter of its idle tokens without a commit, and bridge a silent store

A confirmed limit also held on while a later commit had no answer. Change: limits by idle tokens, for 2.4 s each; waiting requests are served from other hosts' tokens while a call of the store runs.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -17,7 +17,7 @@
 
 import typing
 
-WRITE_AHEAD = 2.0  # seconds: a checkpoint's age, a restart's pause, and a margin
+WRITE_AHEAD = 2.4  # seconds: a checkpoint's age, a restart's pause, and a margin
 
 
 class Account(typing.NamedTuple):
@@ -96,9 +96,9 @@
     def available(self, now: float) -> int:
         """Return the tokens that may be reserved at `now`, monotonic seconds."""
         usable = self.granted
-        if now - self.sent_at() < WRITE_AHEAD:
-            limits = [sent.holding.limit for sent in self._candidates()]
-            usable = min(usable, *limits)
+        for sent in self._candidates():
+            if now - sent.at < WRITE_AHEAD:
+                usable = min(usable, sent.holding.limit)
         return usable - self.used
 
     def reserve(self, tokens: int, now: float) -> bool:
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -17,8 +17,8 @@
 MAX_BILLS = 300  # in one row, of some 40 bytes each
 MAX_ACCOUNTS = 20  # in one commit, with up to five entries each
 RETRY_PAUSE = 0.15  # seconds after a first commit without an answer
-MAX_RETRY_PAUSE = 1.0  # seconds; the pause doubles up to it
-WAITERS_PAUSE = 0.1  # seconds after which requests that came in a pause are served
+MAX_RETRY_PAUSE = 0.5  # seconds; the pause doubles up to it
+WAITERS_PAUSE = 0.05  # seconds; the store mostly answers in less
 RECLAIM_TRIES = 8  # commits that other hosts' draws may get in the way of
 
 
@@ -69,6 +69,8 @@
     ahead: int = 0  # tokens that may be used before the next commit
 
 
+_Outcome = typing.TypeVar("_Outcome")
+
 # Serves the requests that wait for an account's tokens while the store is away.
 Waiting = abc.Callable[[Account, str], abc.Awaitable[None]]
 
@@ -83,13 +85,22 @@
         self._store = store
         self._now = now
 
-    async def read(self, account: Account) -> rows.Unavailable | None:
-        """Read the account's row and all holdings of it."""
+    async def read(
+        self, account: Account, *, waiting: Waiting
+    ) -> rows.Unavailable | None:
+        """Read the account's row and all holdings of it.
+
+        While no answer comes, `waiting` is awaited as in `commit`.
+        """
         name = account.name
-        shared = await self._store.read(ACCOUNTS, PART, name, name + "\0")
+        shared = await _serving(
+            self._store.read(ACCOUNTS, PART, name, name + "\0"), [account], waiting
+        )
         if isinstance(shared, rows.Unavailable):
             return shared
-        held = await self._store.read(HOLDINGS, PART, f"{name}/", f"{name}0")
+        held = await _serving(
+            self._store.read(HOLDINGS, PART, f"{name}/", f"{name}0"), [account], waiting
+        )
         if isinstance(held, rows.Unavailable):
             return held
         self._take_in(account, shared.rows)
@@ -172,7 +183,9 @@
         uncertain = False
         pause = RETRY_PAUSE
         while True:
-            outcome = await self._store.commit(PART, checks, puts)
+            outcome = await _serving(
+                self._store.commit(PART, checks, puts), accounts, waiting
+            )
             if isinstance(outcome, rows.Committed | rows.Conflict):
                 return outcome
             uncertain = uncertain or isinstance(outcome, rows.Unknown)
@@ -289,11 +302,29 @@
             reclaimed=tokens,
             granted=holding.granted,
             limit=holding.limit,
+            spent=holding.spent,
             age=f"{began - holding.at:.2f}",
             outcome=type(outcome).__name__.lower(),
         )
 
 
+async def _serving(
+    call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
+    accounts: list[Account],
+    waiting: Waiting,
+) -> _Outcome:
+    """Await a call of the store; serve requests that wait while it has no answer."""
+    running = asyncio.create_task(call)
+    try:
+        while True:
+            done, _ = await asyncio.wait([running], timeout=WAITERS_PAUSE)
+            if done:
+                return running.result()
+            await _serve(accounts, "the store has not answered yet", waiting)
+    finally:
+        running.cancel()
+
+
 async def _serve(accounts: list[Account], reason: str, waiting: Waiting) -> None:
     for account in accounts:
         if account.waiting():
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -12,13 +12,13 @@
 from dogwoodchute.gateway import account_rows, model, reservations, rows
 
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
-DRAW_SHARE = 0.4  # of what remains, that all hosts together draw ahead
+HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
 CHECKPOINT_INTERVAL = 0.35  # seconds, so that a dead process's row is recent
 HOSTS_PER_INTERVAL = 16  # hosts whose checkpoints an interval takes; more, longer ones
-AHEAD = 1.5  # seconds of use that need no commit
-AHEAD_SHARE = 0.015  # of the prepaid total, so that a loss of all hosts costs no more
+AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
+ASK_PAUSE = 0.25  # seconds after other hosts had nothing to give
 MAX_ASKED = 8  # other hosts that are asked for tokens at once
 WAIT = escrow.WRITE_AHEAD + 0.1  # seconds that a request waits for tokens at the most
 ROW_AGE = 0.3  # seconds for which rows that were read may serve to refuse
@@ -51,6 +51,7 @@
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
+        self._asked_in_vain: dict[str, float] = {}  # monotonic seconds, by account
         self._returning = False  # this host stops and gives everything back
 
     async def reserve(self, name: str, tokens: int) -> reservations.ReserveOutcome:
@@ -251,11 +252,9 @@
 
     def _ahead(self, account: account_rows.Account) -> int:
         """Return the tokens that may be used before the next commit."""
-        rate = account.demand.rate(self._now())
         needed = sum(waiter.tokens for waiter in account.waiting())
-        prepaid = self._prepaid(account) or 0
-        most = AHEAD_SHARE * prepaid / self._hosts()
-        return needed + account.asked + int(min(rate * AHEAD, most))
+        ahead = int(AHEAD_SHARE * max(0, account.ledger.idle))
+        return needed + account.asked + ahead
 
     def _draw(self, account: account_rows.Account) -> int:
         """Return the tokens to draw now, negative to return some."""
@@ -268,11 +267,14 @@
         now = self._now()
         balance = grants.Balance(prepaid, account.shared.drawn)
         rate = account.demand.rate(now)
-        share = DRAW_SHARE / self._hosts()
         needed = sum(w.tokens for w in account.waiting()) - max(0, idle)
         if needed > 0:
             whole = sizing.draw_size(
-                balance=balance, needed=needed, rate=rate, horizon=HORIZON, share=share
+                balance=balance,
+                needed=needed,
+                rate=rate,
+                horizon=HORIZON,
+                share=HELD_SHARE,
             )
             return whole or self._draw_for_first(account, balance)
         refill = sizing.refill_size(
@@ -281,7 +283,7 @@
             reserved=0,
             rate=rate,
             horizon=HORIZON,
-            share=share,
+            share=HELD_SHARE,
         )
         if refill:
             return refill
@@ -310,7 +312,7 @@
         """
         now = self._now()
         if account.read_at is None or now - account.read_at > ROW_AGE:
-            failed = await self._commits.read(account)
+            failed = await self._commits.read(account, waiting=self._bridge)
             if failed is not None:
                 await self._bridge(account, failed.reason)
             return failed is None
@@ -376,16 +378,24 @@
         Those that this host's own tokens cover wait until they may be used. Just after
         the store was lost all wait, as the other hosts' tokens may not be used yet.
         """
-        while account.waiting():
-            self._grant(account)
+        self._grant(account)
+        while account.waiting() and self._may_ask(account):
             available = account.ledger.available(self._now())
             collected = await self._collect(account, available)
             self._grant(account)
-            if collected is None or collected.tokens == 0:
+            if collected is None:
+                break
+            if collected.tokens == 0:
+                self._asked_in_vain[account.name] = self._now()
                 break
         if self._now() - account.ledger.sent_at() >= escrow.WRITE_AHEAD:
             self._fail(account, reason, beyond=account.ledger.idle)
 
+    def _may_ask(self, account: account_rows.Account) -> bool:
+        """Return False just after other hosts had nothing to give."""
+        last = self._asked_in_vain.get(account.name)
+        return last is None or self._now() - last >= ASK_PAUSE
+
     def _fail(
         self, account: account_rows.Account, reason: str, *, beyond: int = 0
     ) -> None:
--- a/dogwoodchute/tests/test_escrow.py
+++ b/dogwoodchute/tests/test_escrow.py
@@ -253,11 +253,20 @@
         self.assertFalse(ledger.reserve(1, 0.1 + escrow.WRITE_AHEAD - 0.01))
         self.assertTrue(ledger.reserve(70, 0.1 + escrow.WRITE_AHEAD))
 
+    def test_a_limit_ends_by_its_own_commit_and_not_by_a_later_one(self):
+        """A commit without an answer held the limit of the one before for longer."""
+        ledger = self.confirmed(draw=100, ahead=30)
+        ledger.propose(draw=0, ahead=80, now=1.9, store_now=1.9)
+        self.assertFalse(ledger.reserve(31, 2.0))
+        self.assertTrue(ledger.reserve(80, 0.1 + escrow.WRITE_AHEAD))
+        self.assertFalse(ledger.reserve(1, 0.1 + escrow.WRITE_AHEAD))
+
     def test_what_is_above_the_limit_comes_back_after_a_quick_restart(self):
         ledger = self.confirmed(draw=100, ahead=30)
         holding = ledger.confirmed
         self.assertEqual(70, escrow.reclaimable(holding, began=1.0))
-        self.assertEqual(0, escrow.reclaimable(holding, began=2.2))
+        late = holding.at + escrow.WRITE_AHEAD
+        self.assertEqual(0, escrow.reclaimable(holding, began=late))
 
     def test_a_return_counts_from_the_moment_it_is_proposed(self):
         ledger = self.confirmed(draw=100, ahead=100)
