--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -19,7 +19,7 @@
 
 CONNECT_TIMEOUT = 0.6  # seconds
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
-PROBE_INTERVAL = 1.0  # seconds between tries of a path that failed
+PROBE_INTERVAL = 0.5  # seconds between tries of a path that failed
 RELAY_PAUSE = 0.3  # seconds without calls after a relay did not reach the store
 MAX_PAGES = 40  # of one read, a bound on a store that never ends
 RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
@@ -64,6 +64,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._direct_after = 0.0  # monotonic seconds: the direct path is tried again
         self._direct_failed = False
+        self._direct_answered = 0.0  # monotonic seconds of the last answer
         self._store_offset: float | None = None  # the store's clock less this host's
         self._relay: str | None = None  # the one that worked last
         self._relay_after = 0.0  # monotonic seconds: relays are tried again
@@ -99,8 +100,9 @@
         timeout = CALL_TIMEOUT + wait
         outcome: CallOutcome = NotSent("the store failed lately", self._address)
         if self._now() >= self._direct_after:
+            sent = self._now()
             outcome = await self._send(self._address, method, target, body, timeout)
-            self._note_direct(outcome)
+            self._note_direct(outcome, sent)
         if isinstance(outcome, Answer) and not _turned_away(outcome):
             return outcome
         if isinstance(outcome, NoAnswer) and method != "GET":
@@ -124,8 +126,17 @@
             self._relay_after = self._now() + RELAY_PAUSE * random.uniform(0.5, 1.5)
         return outcome
 
-    def _note_direct(self, outcome: CallOutcome) -> None:
+    def _note_direct(self, outcome: CallOutcome, sent: float) -> None:
+        """Take in how a call by the direct path ended that was sent at `sent`.
+
+        A call that was sent before the path's last answer and failed tells nothing of
+        the path now.
+        """
         failed = not isinstance(outcome, Answer) or _turned_away(outcome)
+        if failed and sent < self._direct_answered:
+            return
+        if not failed:
+            self._direct_answered = self._now()
         if failed:
             self._direct_after = self._now() + PROBE_INTERVAL * random.uniform(0.8, 1.2)
         if failed and not self._direct_failed:
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -116,6 +116,19 @@
 
         self.run_async(story())
 
+    def test_a_call_that_hung_tells_nothing_of_a_path_that_answered_since(self):
+        async def story():
+            async with running() as site:
+                site.fault = row_store.Fault(silent=True)
+                hung = asyncio.create_task(site.store.commit("p", [], [PUT]))
+                await asyncio.sleep(0.1)
+                site.fault = row_store.NO_FAULT
+                await site.store.commit("p", [], [PUT])
+                self.assertIsInstance(await hung, rows.Unknown)
+                self.assertTrue(site.client.direct)
+
+        asyncio.run(story())
+
     def test_garbage_is_no_answer(self):
         async def story():
             async with running() as site:
