Send nothing more to an endpoint at whose address another one answers

Cause: an endpoint that ended stays listed for up to three heartbeats, while its address answers 421 for the new lifetime. Ruled out: the slots (the engines' own refusals say that they did not run it, with 503). Change: such an endpoint is left out for 4 s. The stand-in answers 421 as published; the test fails without the change.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -19,6 +19,7 @@
 NO_ANSWER = "no answer in time"
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
 RETRY_AFTER = 0.2  # seconds: about the time in which a place comes free
+ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
 BUSY_STATUSES = frozenset({408, 421, 429, 503})  # each says that nothing was run
 
 
@@ -162,7 +163,9 @@
         return self._known.passed_over(call, endpoint.id)
 
     def _note(self, endpoint: model.Endpoint, result: Try) -> None:
-        if isinstance(result, outcomes.Answered):
+        if isinstance(result, _Refused) and result.status == ANOTHER_INSTANCE:
+            self._known.ended(endpoint)
+        elif isinstance(result, outcomes.Answered):
             self._known.succeeded(endpoint)
         elif isinstance(result, upstream.NotSent | upstream.Lost):
             self._known.failed(endpoint, result.reason)
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -7,6 +7,7 @@
 from dogwoodchute.gateway import calls, gossip, model, rows
 
 RETURN_TIME = 2.5  # seconds after an outage in which lapsed entries come back
+ENDED_TIME = 4.0  # seconds; an endpoint that ended is off the list after three beats
 BUDGET_SHARE = 0.5  # of the fleet's slack that hosts hand out, for those that restart
 
 Decode = abc.Callable[[str, bytes], model.Endpoint]
@@ -45,6 +46,7 @@
         self._now = now
         self._all: dict[str, model.Endpoint] = {}
         self._lapsed: dict[str, float] = {}  # monotonic seconds when it went missing
+        self._ended: dict[str, float] = {}  # monotonic seconds when that was noticed
         self._uses: dict[str, _Use] = {}
         self._ejectors: dict[str, ejection.Ejector] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -97,7 +99,9 @@
         return [
             e
             for e in self._all.values()
-            if e.service == service and e.state == model.READY
+            if e.service == service
+            and e.state == model.READY
+            and e.id not in self._ended
         ]
 
     def load(self) -> dict[str, tuple[int, int]]:
@@ -172,6 +176,11 @@
         """Count a whole answer."""
         self._ejector(endpoint.service).succeed(endpoint.id)
 
+    def ended(self, endpoint: model.Endpoint) -> None:
+        """Leave out an endpoint at whose address another one answered."""
+        self._ended[endpoint.id] = self._now()
+        log.warning("endpoint_ended", endpoint=endpoint.id, address=endpoint.address)
+
     def failed(self, endpoint: model.Endpoint, reason: str) -> None:
         """Count a failure, after which the endpoint may get nothing for a while."""
         if self._ejector(endpoint.service).fail(endpoint.id, self._now()):
@@ -267,6 +276,9 @@
         self._drop(name)
 
     def _expire(self) -> None:
+        now = self._now()
+        for name in [n for n, at in self._ended.items() if now - at >= ENDED_TIME]:
+            del self._ended[name]
         if not self._lapsed or self._now() - self._regained_at() < RETURN_TIME:
             return
         for name in list(self._lapsed):
--- a/dogwoodchute/standins/attempt_endpoint.py
+++ b/dogwoodchute/standins/attempt_endpoint.py
@@ -14,6 +14,7 @@
 UNSIGNED = "unsigned"
 
 ATTEMPT_ID = "X-Dogwoodchute-Attempt-Id"
+TARGET = "X-Dogwoodchute-Target-Instance"
 SIGNATURE = "X-Dogwoodchute-Response-Signature"
 
 
@@ -37,6 +38,7 @@
         self.modes: list[str] = []
         self.seen: list[Seen] = []
         self.cancelled = 0
+        self.misdirected = 0  # requests for another endpoint, which did not run
 
     @property
     def runs(self) -> list[str]:
@@ -53,8 +55,12 @@
         )
 
     async def _handle(self, request: sanic.Request, path: str) -> None:
-        mode = self.modes.pop(0) if self.modes else OK
         headers = {name.lower(): value for name, value in request.headers.items()}
+        if headers.get(TARGET.lower(), self.id) != self.id:
+            self.misdirected += 1
+            await self._whole(request, 421, {}, b"another endpoint")
+            return
+        mode = self.modes.pop(0) if self.modes else OK
         attempt_id = headers.get(ATTEMPT_ID.lower(), "")
         self.seen.append(
             Seen(attempt_id, request.path, headers, request.body, mode != SHED)
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -49,6 +49,7 @@
         self.store = row_store.RowStore(now=clock.monotonic)
         self.faults = faults
         self.endpoints = {}
+        self.addresses = {}
         self.gate = None
         self._servers = []
         self.session = None
@@ -69,6 +70,7 @@
         endpoint.add_routes(listener.app)
         await listener.start("127.0.0.1", 0)
         self.endpoints[name] = endpoint
+        self.addresses[name] = f"127.0.0.1:{listener.port}"
         self.register(name, service, listener.port)
         return endpoint
 
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -90,6 +90,25 @@
 
         self.run_async(story())
 
+    def test_an_endpoint_at_whose_address_another_answers_gets_no_more(self):
+        """Each request was sent to a listed endpoint that had ended, again and again."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                plain = site.endpoints["p1"]
+                port = int(site.addresses["p1"].rpartition(":")[2])
+                site.register("ended", "plain", port)
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                for number in range(8):
+                    asked = await site.ask(
+                        "/look/x", method="GET", attempt=f"n{number}"
+                    )
+                    self.assertEqual(200, asked[0])
+                self.assertLessEqual(plain.misdirected, 1)
+                self.assertEqual(8, len(plain.runs))
+
+        self.run_async(story())
+
     def test_not_run_is_only_said_of_what_did_not_run(self):
         async def story():
             async with gateway_site.running() as site:
