Hold tokens for a region's hosts at an account's home in large fleets

There a host gets a request of an account every 12 s or so, and one request needs more than the host's share, so each host had too little for its next one and found nobody who had enough once the store was cut off. Change: in fleets above 16 hosts one host of each region, by rendezvous hashing, draws an account's tokens ahead; the others get from it what a request needs. Hosts with six or more requests of an account in a horizon draw ahead themselves. Hosts that are asked for tokens don't wait for a store that is away.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -14,6 +14,7 @@
 BILLS = "bills"  # some requests of one account in each row
 PART = "tokens"
 DEMAND_WINDOW = 8.0  # seconds over which the use is averaged
+MEAN_WEIGHT = 0.1  # of the newest request
 MAX_BILLS = 300  # in one row, of some 40 bytes each
 MAX_ACCOUNTS = 20  # in one commit, with up to five entries each
 RETRY_PAUSE = 0.15  # seconds after a first commit without an answer
@@ -44,6 +45,7 @@
         self.name = name
         self.ledger = escrow.Ledger()
         self.demand = sizing.Demand(window=DEMAND_WINDOW, quick=True)
+        self.mean_request = 0.0  # tokens, the newest requests weighing most
         self.shared = escrow.Account()  # the account's row
         self.shared_version = 0
         self.own_version = 0  # of this host's holding
@@ -56,6 +58,12 @@
         self.task: asyncio.Task | None = None
         self.lock = asyncio.Lock()  # held by the one commit that is under way
 
+    def note_request(self, now: float, tokens: int) -> None:
+        """Take in what a request of a caller of this host may use."""
+        self.demand.note(now, tokens)
+        before = self.mean_request or tokens
+        self.mean_request = before + MEAN_WEIGHT * (tokens - before)
+
     def waiting(self) -> list[Waiter]:
         """Return the requests that still wait."""
         return [waiter for waiter in self.waiters if not waiter.done.done()]
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -1,7 +1,10 @@
 """Reserves tokens of prepaid budgets for requests, and bills what they used.
 
-A host draws tokens from an account's row ahead of need and spends them from memory; its
-bills go along with its commits. What the row can't give, other hosts may.
+Each account has a home in each region, a host that draws tokens from the account's
+row ahead of need. So does a host with many requests of the account. The region's other
+hosts get from the home what each request needs, and draw only if it can't give. A host
+spends what it has from memory; its bills go along with its commits. What the row can't
+give, other hosts may.
 """
 
 import asyncio
@@ -18,6 +21,9 @@
 HOSTS_PER_INTERVAL = 16  # hosts whose checkpoints an interval takes; more, longer ones
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
+OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
+AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
+HOME_PAUSE = 0.3  # seconds after an account's home had nothing to give
 ASK_PAUSE = 0.25  # seconds after other hosts had nothing to give
 MAX_ASKED = 8  # other hosts that are asked for tokens at once
 WAIT = escrow.WRITE_AHEAD + 0.1  # seconds that a request waits for tokens at the most
@@ -38,6 +44,7 @@
         config: abc.Callable[[], model.Config | None],
         hosts: abc.Callable[[], int],
         ask: reservations.Ask,
+        home: reservations.Home,
         now: abc.Callable[[], float],
         began: float,
     ) -> None:
@@ -46,19 +53,22 @@
         self._config = config
         self._hosts = hosts
         self._ask = ask
+        self._home = home
         self._now = now
         self._began = began
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
         self._asked_in_vain: dict[str, float] = {}  # monotonic seconds, by account
+        self._home_failed: dict[str, float] = {}  # monotonic seconds, by account
+        self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
 
     async def reserve(self, name: str, tokens: int) -> reservations.ReserveOutcome:
         """Reserve tokens of a client account, drawing them first if need be."""
         account = self._account(name)
         now = self._now()
-        account.demand.note(now, tokens)
+        account.note_request(now, tokens)
         if self._prepaid(account) is None:
             account.ledger.reserved += tokens
             return reservations.Reserved()
@@ -95,7 +105,12 @@
         account = self._account(name)
         if not self._may_spend(account):
             return 0
-        if account.ledger.available(self._now()) < min(tokens, account.ledger.idle):
+        wanted = min(tokens, account.ledger.idle)
+        if self._home.is_here(name):
+            account.demand.note(self._now(), tokens)
+            wanted = tokens
+        away = self._now() - self._away_at < AWAY_MEMORY
+        if account.ledger.available(self._now()) < wanted and not away:
             account.asked += tokens
             self._kick(account)
             await asyncio.wait([account.task], timeout=GIVE_WAIT)
@@ -225,6 +240,8 @@
     async def _step(self, account: account_rows.Account) -> bool:
         """Do what is due next; return whether there may be more."""
         self._grant(account)
+        if await self._get_from_home(account):
+            return True
         draw = self._draw(account)
         waiting = account.waiting()
         limited = waiting and account.ledger.idle >= waiting[0].tokens
@@ -266,8 +283,10 @@
             return -max(0, idle)
         now = self._now()
         balance = grants.Balance(prepaid, account.shared.drawn)
-        rate = account.demand.rate(now)
+        rate = account.demand.rate(now) if self._draws_ahead(account) else 0.0
         needed = sum(w.tokens for w in account.waiting()) - max(0, idle)
+        if self._home.is_here(account.name):
+            needed += account.asked
         if needed > 0:
             whole = sizing.draw_size(
                 balance=balance,
@@ -290,11 +309,18 @@
         return -sizing.return_size(
             available=idle,
             reserved=account.ledger.reserved,
-            rate=rate,
+            rate=account.demand.rate(now),
             horizon=HORIZON,
             idle=account.demand.idle(now),
         )
 
+    def _draws_ahead(self, account: account_rows.Account) -> bool:
+        """Whether this host holds tokens of an account for requests to come."""
+        if self._home.is_here(account.name):
+            return True
+        ahead = account.demand.rate(self._now()) * HORIZON
+        return ahead >= OWN_REQUESTS * account.mean_request
+
     def _draw_for_first(
         self, account: account_rows.Account, balance: grants.Balance
     ) -> int:
@@ -302,9 +328,31 @@
 
         Other hosts may have what is lacking then.
         """
-        lacking = account.waiting()[0].tokens - max(0, account.ledger.idle)
+        waiting = account.waiting()
+        first = waiting[0].tokens if waiting else account.asked
+        lacking = first - max(0, account.ledger.idle)
         return max(0, min(lacking, balance.remaining))
 
+    async def _get_from_home(self, account: account_rows.Account) -> bool:
+        """Get the waiters' tokens from the account's home; return whether any came.
+
+        A fleet's hosts together need far fewer tokens in one place than each of them
+        for its own next requests.
+        """
+        waiting = account.waiting()
+        now = self._now()
+        if not waiting or self._home.is_here(account.name):
+            return False
+        if now - self._home_failed.get(account.name, -HOME_PAUSE) < HOME_PAUSE:
+            return False
+        lacking = sum(w.tokens for w in waiting) - max(0, account.ledger.available(now))
+        got = await self._home.ask(account.name, lacking) if lacking > 0 else 0
+        if not got:
+            self._home_failed[account.name] = self._now()
+            return False
+        account.ledger.take(got)
+        return True
+
     async def _refuse(self, account: account_rows.Account) -> bool:
         """Ask other hosts for the first waiter's tokens; refuse it if they lack.
 
@@ -378,6 +426,7 @@
         Those that this host's own tokens cover wait until they may be used. Just after
         the store was lost all wait, as the other hosts' tokens may not be used yet.
         """
+        self._away_at = self._now()
         self._grant(account)
         while account.waiting() and self._may_ask(account):
             available = account.ledger.available(self._now())
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, outcomes
+from dogwoodchute.coordination import ranking
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -31,6 +32,7 @@
 LINGER = 3.0  # seconds after SIGTERM in which callers that don't know yet still come
 STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
 POLL = 0.05  # seconds between looks at what is in flight
+SMALL_FLEET = 16  # hosts, each of which has enough of an account's requests itself
 FLUSH_BOUND = 0.7  # seconds to write bills and return tokens
 
 
@@ -100,6 +102,10 @@
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
             ask=self._ask,
+            home=reservations.Home(
+                is_here=lambda account: self._home(account) is None,
+                ask=self._ask_home,
+            ),
             now=now,
             began=began,
         )
@@ -199,11 +205,14 @@
     async def _ask(
         self, account: str, tokens: int, holders: list[str]
     ) -> reservations.Collected:
-        """Ask other hosts for tokens, one after the other, `holders` first."""
+        """Ask other hosts for tokens, one after the other.
+
+        The account's homes come first, then `holders`.
+        """
         live = {host.id: host for host in self._hosts.live}
-        known = [live[name] for name in holders if name in live]
-        named = set(holders)
-        known.extend(host for host in live.values() if host.id not in named)
+        homes = [host.id for host in self._homes(account).values()]
+        order = dict.fromkeys([*homes, *holders, *live])
+        known = [live[name] for name in order if name in live]
         got = 0
         whole = len(known) <= accounts.MAX_ASKED
         for host in known[: accounts.MAX_ASKED]:
@@ -214,6 +223,36 @@
                 break
         return reservations.Collected(got, whole)
 
+    async def _ask_home(self, account: str, tokens: int) -> int | None:
+        """Ask the account's home for tokens; return what it gave."""
+        home = self._home(account)
+        if home is None:
+            return None
+        return await self._ask_peer(home.control, account, tokens)
+
+    def _home(self, account: str) -> hosts.Host | None:
+        """Return the account's home in this host's region, None if this host is it.
+
+        In a small fleet each host is.
+        """
+        place = self._deployment
+        home = self._homes(account).get(place.region)
+        if home is None or self._hosts.count <= SMALL_FLEET:
+            return None
+        own = ranking.score(account, place.host, 1.0)
+        return home if ranking.score(account, home.name, 1.0) > own else None
+
+    def _homes(self, account: str) -> dict[str, hosts.Host]:
+        """Return the best other host for the account in each region."""
+        best: dict[str, tuple[float, hosts.Host]] = {}
+        for host in self._hosts.live:
+            if host.state != hosts.READY:
+                continue
+            score = ranking.score(account, host.name, 1.0)
+            if host.region not in best or score > best[host.region][0]:
+                best[host.region] = (score, host)
+        return {region: host for region, (_, host) in best.items()}
+
     def _state(self) -> str:
         if self._leaving:
             return hosts.LEAVING
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -47,3 +47,11 @@
 
 # Asks other hosts, those named first, for an account's tokens.
 Ask = abc.Callable[[str, int, list[str]], abc.Awaitable[Collected]]
+
+
+class Home(typing.NamedTuple):
+    """Where the tokens of accounts are held for the hosts of this host's region."""
+
+    is_here: abc.Callable[[str], bool]
+    # Asks an account's home for tokens; returns what it gave, None without an answer.
+    ask: abc.Callable[[str, int], abc.Awaitable[int | None]]
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -8,7 +8,8 @@
 class Fleet:
     """Some hosts on one store, which ask one another for tokens."""
 
-    def __init__(self, names, *, prepaid):
+    def __init__(self, names, *, prepaid, home=None):
+        self.home = home  # the one host that draws ahead; every host without one
         self.loop = virtual.Loop()
         self.store = row_store.RowStore(now=self.loop.time)
         self.fault = row_store.NO_FAULT
@@ -33,6 +34,10 @@
             config=lambda: self.config,
             hosts=lambda: len(self.hosts) or 1,
             ask=lambda *asked: self.ask(name, *asked),
+            home=reservations.Home(
+                is_here=lambda account: self.home in (None, name),
+                ask=self.ask_home,
+            ),
             now=self.loop.time,
             began=self.loop.time(),
         )
@@ -51,6 +56,9 @@
                 got += await host.give(account, tokens - got)
         return reservations.Collected(got, True)
 
+    async def ask_home(self, account, tokens):
+        return await self.hosts[self.home].give(account, tokens)
+
     def reserve(self, name, tokens):
         return self.loop.run_until_complete(self.hosts[name].reserve("ann", tokens))
 
@@ -60,8 +68,8 @@
 
 
 class AccountsTest(support.TestCase):
-    def fleet(self, *names, prepaid=100_000):
-        fleet = Fleet(names, prepaid=prepaid)
+    def fleet(self, *names, prepaid=100_000, home=None):
+        fleet = Fleet(names, prepaid=prepaid, home=home)
         self.addCleanup(fleet.loop.finish)
         return fleet
 
@@ -108,6 +116,32 @@
         self.assertGreater(served, 2)
         self.assertLessEqual((served + 4) * 1000, fleet.drawn())
 
+    def test_hosts_serve_from_their_home_s_tokens_while_the_store_is_silent(self):
+        """Each host's own tokens were too few for its next request."""
+        names = [f"h{number}" for number in range(20)]
+        fleet = self.fleet(*names, prepaid=1_000_000, home="h0")
+        for name in names:
+            self.assertIsInstance(fleet.reserve(name, 5_000), reservations.Reserved)
+            fleet.loop.run_for(0.2)
+        holders = fleet.store.read("holdings", "tokens", None, None).rows
+        self.assertEqual(["ann/h0"], [row.key.rpartition("-")[0] for row in holders])
+        fleet.fault = row_store.Fault(silent=True)
+        for name in names:
+            began = fleet.loop.time()
+            self.assertIsInstance(fleet.reserve(name, 5_000), reservations.Reserved)
+            # Half of the tightest target for a first event.
+            self.assertLess(fleet.loop.time() - began, 0.3)
+            fleet.loop.run_for(0.2)
+
+    def test_a_host_draws_itself_if_its_home_has_nothing(self):
+        fleet = self.fleet("a", "b", prepaid=10_000, home="a")
+        fleet.hosts["a"].give = self.give_nothing
+        self.assertIsInstance(fleet.reserve("b", 700), reservations.Reserved)
+        self.assertEqual(700, fleet.drawn())
+
+    async def give_nothing(self, account, tokens):
+        return 0
+
     def test_a_quick_restart_gives_back_what_was_not_used(self):
         fleet = self.fleet("a")
         fleet.reserve("a", 1000)
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -90,8 +90,8 @@
 
         self.run_async(story())
 
-    def test_an_endpoint_at_whose_address_another_answers_gets_no_more(self):
-        """Each request was sent to a listed endpoint that had ended, again and again."""
+    def test_an_endpoint_whose_address_another_has_gets_no_more(self):
+        """Each request was sent to a listed endpoint that had ended."""
 
         async def story():
             async with gateway_site.running() as site:
