Draw for hosts that ask only at an account's home

Cause: in a small fleet every host counted as home, so each host that was asked for tokens drew them for the asker and counted them as its own use; it held more and more, and what it held was lost when it died. Found by reading the change. The test fails without the change.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -1,10 +1,10 @@
 """Reserves tokens of prepaid budgets for requests, and bills what they used.
 
-Each account has a home in each region, a host that draws tokens from the account's
-row ahead of need. So does a host with many requests of the account. The region's other
-hosts get from the home what each request needs, and draw only if it can't give. A host
-spends what it has from memory; its bills go along with its commits. What the row can't
-give, other hosts may.
+In a large fleet each account has a home in each region, a host that draws tokens from
+the account's row ahead of need. So does a host with many requests of the account. The
+region's other hosts get from the home what each request needs, and draw only if it
+can't give. A host spends what it has from memory; its bills go along with its commits.
+What the row can't give, other hosts may.
 """
 
 import asyncio
@@ -316,7 +316,7 @@
 
     def _draws_ahead(self, account: account_rows.Account) -> bool:
         """Whether this host holds tokens of an account for requests to come."""
-        if self._home.is_here(account.name):
+        if not self._home.is_elsewhere(account.name):
             return True
         ahead = account.demand.rate(self._now()) * HORIZON
         return ahead >= OWN_REQUESTS * account.mean_request
@@ -341,7 +341,7 @@
         """
         waiting = account.waiting()
         now = self._now()
-        if not waiting or self._home.is_here(account.name):
+        if not waiting or not self._home.is_elsewhere(account.name):
             return False
         if now - self._home_failed.get(account.name, -HOME_PAUSE) < HOME_PAUSE:
             return False
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -103,7 +103,8 @@
             hosts=lambda: self._hosts.count,
             ask=self._ask,
             home=reservations.Home(
-                is_here=lambda account: self._home(account) is None,
+                is_here=self._is_home,
+                is_elsewhere=lambda account: self._home(account) is not None,
                 ask=self._ask_home,
             ),
             now=now,
@@ -231,16 +232,19 @@
         return await self._ask_peer(home.control, account, tokens)
 
     def _home(self, account: str) -> hosts.Host | None:
-        """Return the account's home in this host's region, None if this host is it.
-
-        In a small fleet each host is.
-        """
+        """Return the other host that is the account's home in this host's region."""
+        if self._hosts.count <= SMALL_FLEET:
+            return None
         place = self._deployment
-        home = self._homes(account).get(place.region)
-        if home is None or self._hosts.count <= SMALL_FLEET:
+        best = self._homes(account).get(place.region)
+        if best is None:
             return None
         own = ranking.score(account, place.host, 1.0)
-        return home if ranking.score(account, home.name, 1.0) > own else None
+        return best if ranking.score(account, best.name, 1.0) > own else None
+
+    def _is_home(self, account: str) -> bool:
+        """Whether this host holds the account's tokens for others of its region."""
+        return self._hosts.count > SMALL_FLEET and self._home(account) is None
 
     def _homes(self, account: str) -> dict[str, hosts.Host]:
         """Return the best other host for the account in each region."""
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -50,8 +50,12 @@
 
 
 class Home(typing.NamedTuple):
-    """Where the tokens of accounts are held for the hosts of this host's region."""
+    """Where the tokens of accounts are held for the hosts of this host's region.
+
+    In a small fleet accounts have no home, and each host holds tokens for itself.
+    """
 
     is_here: abc.Callable[[str], bool]
+    is_elsewhere: abc.Callable[[str], bool]
     # Asks an account's home for tokens; returns what it gave, None without an answer.
     ask: abc.Callable[[str, int], abc.Awaitable[int | None]]
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -35,7 +35,8 @@
             hosts=lambda: len(self.hosts) or 1,
             ask=lambda *asked: self.ask(name, *asked),
             home=reservations.Home(
-                is_here=lambda account: self.home in (None, name),
+                is_here=lambda account: self.home == name,
+                is_elsewhere=lambda account: self.home not in (None, name),
                 ask=self.ask_home,
             ),
             now=self.loop.time,
@@ -133,6 +134,15 @@
             self.assertLess(fleet.loop.time() - began, 0.3)
             fleet.loop.run_for(0.2)
 
+    def test_a_host_that_is_no_home_gives_only_what_it_holds(self):
+        """Hosts that were asked drew for the asker, and held more and more."""
+        fleet = self.fleet("a", "b")
+        fleet.reserve("a", 1_000)
+        fleet.loop.run_for(1)
+        idle = fleet.drawn() - 1_000
+        giving = fleet.hosts["a"].give("ann", 50_000)
+        self.assertLessEqual(fleet.loop.run_until_complete(giving), idle)
+
     def test_a_host_draws_itself_if_its_home_has_nothing(self):
         fleet = self.fleet("a", "b", prepaid=10_000, home="a")
         fleet.hosts["a"].give = self.give_nothing
