Refuse what can't end before a host's planned stop closes its connections

Ruled out: the kill after the grace time (connections were closed by the host), the endpoint (it was at work).

--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -16,6 +16,7 @@
 )
 
 STARTING_RETRY_AFTER = 0.3  # seconds
+STOPPING_RETRY_AFTER = 0.05  # seconds; other hosts take callers at once
 DEFAULT_WAIT = 30.0  # seconds for a caller that does not say how long it waits
 
 Filter = abc.Callable[[calls.Call, exchange.Proceed], abc.Awaitable[outcomes.Outcome]]
@@ -68,6 +69,27 @@
     return run
 
 
+def finish(*, closes_at: abc.Callable[[], float | None]) -> Filter:
+    """Refuse what may not end before this host closes its connections.
+
+    `closes_at` returns that time in monotonic seconds, None while all are taken.
+    """
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        closing = closes_at()
+        if closing is not None and call.deadline > closing:
+            return outcomes.refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "stopping",
+                "This host stops; ask another one.",
+                step="finish",
+                retry_after=STOPPING_RETRY_AFTER,
+            )
+        return await proceed()
+
+    return run
+
+
 def authenticate() -> Filter:
     """Find the client account of the request's key."""
 
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -67,6 +67,7 @@
         self._now = now
         self._in_flight = 0
         self._leaving = False
+        self._stop_began: float | None = None  # monotonic seconds
         self._tasks: list[asyncio.Task] = []
         store = platform.store
         self._configuration = configuration.Configuration(
@@ -182,11 +183,11 @@
 
     async def stop(self) -> None:
         """Leave the directory, finish what is in flight, write what must last."""
-        began = self._now()
+        began = self._stop_began = self._now()
         self._leaving = True
         self._hosts.beat_now()
         log.info("stop_begun", in_flight=self._in_flight)
-        last = self._deployment.bounds.grace - STOP_MARGIN
+        last = self._stop_time
         while self._now() - began < last:
             if self._now() - began >= LINGER and self._in_flight == 0:
                 break
@@ -203,6 +204,22 @@
         await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
+    @property
+    def _stop_time(self) -> float:
+        """Seconds from the order to stop until connections are closed."""
+        return self._deployment.bounds.grace - STOP_MARGIN
+
+    def _closes_at(self) -> float | None:
+        """Return when connections are closed, None while all requests are taken.
+
+        Callers that have not heard of the stop come for a while; what they send later
+        has to end in time.
+        """
+        began = self._stop_began
+        if began is None or self._now() - began < LINGER:
+            return None
+        return began + self._stop_time
+
     async def _ask(
         self, account: str, tokens: int, holders: list[str]
     ) -> reservations.Collected:
@@ -299,6 +316,7 @@
                     config=lambda: self._configuration.current, ready=self._informed
                 ),
                 filters.route(),
+                filters.finish(closes_at=self._closes_at),
                 filters.authenticate(),
                 filters.reserve(budgets=self._accounts),
                 filters.send(dispatcher=dispatcher),
--- /dev/null
+++ b/dogwoodchute/tests/test_gateway_filters.py
@@ -0,0 +1,46 @@
+"""Filters of the gateway's chain, on passed-in time."""
+
+import asyncio
+
+from dogwoodchute import outcomes
+from dogwoodchute.gateway import calls, filters
+from dogwoodchute.tests import support
+
+REQUEST = calls.Request(
+    attempt_id="a1",
+    host="site.example",
+    method="POST",
+    path="/s/stream",
+    query="",
+    headers=(),
+    body=b"",
+    key=None,
+    wait=None,
+    prompt=None,
+    last_event_id=None,
+)
+ANSWERED = outcomes.Answered(status=200, tokens=0, endpoint="e1")
+
+
+class FinishTest(support.TestCase):
+    def end(self, *, deadline, closes_at):
+        """Return how a request ends that may last until `deadline`."""
+        call = calls.Call(request=REQUEST, reply=None, received=0.0)
+        call.deadline = deadline
+
+        async def proceed():
+            return ANSWERED
+
+        run = filters.finish(closes_at=lambda: closes_at)
+        return asyncio.run(run(call, proceed))
+
+    def test_all_is_taken_while_the_host_does_not_stop(self):
+        self.assertIs(ANSWERED, self.end(deadline=99.0, closes_at=None))
+
+    def test_a_stopping_host_takes_only_what_ends_in_time(self):
+        """Streams taken late in a planned stop were cut when it ended."""
+        self.assertIs(ANSWERED, self.end(deadline=6.9, closes_at=7.0))
+        refused = self.end(deadline=17.6, closes_at=7.0)
+        self.assertIsInstance(refused, outcomes.NotRun)
+        self.assertEqual(503, refused.status)
+        self.assertLess(refused.retry_after, 0.1)
