Keep when hosts were asked in vain with the account, not in tables beside it

Found by reading the change: two tables by account name stood beside the account's own state. Behaviour is the same; formatter, linter and the tests of accounts, escrow and gateway pass.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import typing
 from collections import abc
 
@@ -53,6 +54,8 @@
         self.read_at: float | None = None  # monotonic seconds of the last whole read
         self.waiters: list[Waiter] = []
         self.bills: list[Bill] = []
+        self.home_failed_at = -math.inf  # monotonic seconds: its home gave nothing
+        self.asked_in_vain_at = -math.inf  # monotonic seconds: no other host gave any
         self.asked = 0  # tokens that other hosts ask for now
         self.bill_rows = 0
         self.task: asyncio.Task | None = None
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -59,8 +59,6 @@
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
-        self._asked_in_vain: dict[str, float] = {}  # monotonic seconds, by account
-        self._home_failed: dict[str, float] = {}  # monotonic seconds, by account
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
 
@@ -343,12 +341,12 @@
         now = self._now()
         if not waiting or not self._home.is_elsewhere(account.name):
             return False
-        if now - self._home_failed.get(account.name, -HOME_PAUSE) < HOME_PAUSE:
+        if now - account.home_failed_at < HOME_PAUSE:
             return False
         lacking = sum(w.tokens for w in waiting) - max(0, account.ledger.available(now))
         got = await self._home.ask(account.name, lacking) if lacking > 0 else 0
         if not got:
-            self._home_failed[account.name] = self._now()
+            account.home_failed_at = self._now()
             return False
         account.ledger.take(got)
         return True
@@ -435,15 +433,14 @@
             if collected is None:
                 break
             if collected.tokens == 0:
-                self._asked_in_vain[account.name] = self._now()
+                account.asked_in_vain_at = self._now()
                 break
         if self._now() - account.ledger.sent_at() >= escrow.WRITE_AHEAD:
             self._fail(account, reason, beyond=account.ledger.idle)
 
     def _may_ask(self, account: account_rows.Account) -> bool:
         """Return False just after other hosts had nothing to give."""
-        last = self._asked_in_vain.get(account.name)
-        return last is None or self._now() - last >= ASK_PAUSE
+        return self._now() - account.asked_in_vain_at >= ASK_PAUSE
 
     def _fail(
         self, account: account_rows.Account, reason: str, *, beyond: int = 0
