Count a prompt's shared part as read where its home is, and no difference that is too old to know

Cause: a host learnt what an engine holds from its own sends alone. With 62 hosts that is a sixtieth of them, so hosts told one another nearly whole prompts as unread (15,400 of 16,200 tokens), homes looked loaded, and requests went where the part had to be read again. And loads are told once a second in a large fleet, so that all hosts chose the same shortest wait meanwhile.

Evidence: a play of the 62 hosts' Endpoints against engines with a cache. The new tests fail on that.

Why this works: the home of a part is the same for all hosts, so its part counts as read there; waits below the level that the fleet's own requests have filled up since loads were told count as equal, and of equals the first in the part's rank is taken.

--- a/dogwoodchute/coordination/placement.py
+++ b/dogwoodchute/coordination/placement.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import itertools
 import typing
 from collections import abc
 
@@ -36,6 +37,13 @@
     slowness: float = 1.0  # time to a first token, as a multiple of the expected
 
 
+class Choice(typing.NamedTuple):
+    """The engine of a request, and the prompt tokens it probably has cached."""
+
+    engine: Candidate
+    cached: int
+
+
 class Pace:
     """How long an engine takes to a first token, as a multiple of what is expected.
 
@@ -105,28 +113,52 @@
     parts: abc.Sequence[tuple[str, int]],
     input_tokens: int,
     cached: abc.Callable[[str], int],
-) -> Candidate | None:
-    """Return the engine with the soonest first token; `cached` is asked by name."""
-    usable = [c for c in candidates if c.weight > 0]
+    unseen: float = 0.0,
+) -> Choice | None:
+    """Return the engine with the soonest first token; `cached` is asked by name.
+
+    `unseen` is the reading time in seconds that the fleet has sent to all engines
+    together since their loads were told.
+    """
+    usable = {c.name: c for c in candidates if c.weight > 0}
     if not usable:
         return None
-    order = ranked(shared_part(parts), [c.name for c in usable])
     shared = sum(tokens for _, tokens in parts[:-1])
+    level = water_level([wait(c) for c in usable.values()], unseen)
     best = None
     least = 0.0
-    for candidate in usable:
-        held = cached(candidate.name)
-        if candidate.name == order[0]:
-            held = max(held, shared)
+    # Of engines that cost the same, the first in rank is taken.
+    for place, name in enumerate(ranked(shared_part(parts), usable)):
+        candidate = usable[name]
+        held = max(cached(name), shared) if place == 0 else cached(name)
         own = max(0, input_tokens - held) / PREFILL_TOKENS_PER_SECOND
-        if len(order) > 1 and candidate.name == order[1]:
+        if place == 1:
             own *= SECOND_HOME_SHARE
-        cost = own * candidate.slowness + wait(candidate)
+        cost = own * candidate.slowness
+        cost += max(level, wait(candidate)) + way(candidate)
         if best is None or cost < least:
-            best, least = candidate, cost
+            best, least = Choice(candidate, held), cost
     return best
 
 
+def water_level(waits: abc.Sequence[float], unseen: float) -> float:
+    """Return the wait to which `unseen` seconds of work raise the shortest ones.
+
+    Hosts learn of one another's requests late. Those that all took the shortest wait
+    they know would meet at the same engine, so differences below this level tell them
+    nothing. Source of the method: M. Dahlin, "Interpreting Stale Load Information",
+    IEEE Transactions on Parallel and Distributed Systems 11(10), 2000.
+    """
+    ordered = sorted(waits)
+    left = unseen
+    for number, (lower, upper) in enumerate(itertools.pairwise(ordered), start=1):
+        step = number * (upper - lower)
+        if step >= left:
+            return lower + left / number
+        left -= step
+    return ordered[-1] + left / len(ordered)
+
+
 def choose_plain(candidates: abc.Sequence[Candidate]) -> Candidate | None:
     """Return the endpoint of a plain service: near, and with free places."""
     usable = [c for c in candidates if c.weight > 0]
@@ -142,10 +174,14 @@
 
 
 def wait(candidate: Candidate) -> float:
-    """Return the seconds that a request waits for others there, and on its way."""
+    """Return the seconds that a request waits for others at an engine."""
     others = candidate.waiting_tokens / PREFILL_TOKENS_PER_SECOND
     others += candidate.running * RUNNING_COST
-    others *= candidate.slowness / candidate.weight
+    return others * candidate.slowness / candidate.weight
+
+
+def way(candidate: Candidate) -> float:
+    """Return the seconds that a request and its answer take to an engine and back."""
     if candidate.distance == 2:
-        return others + REGION_COST
-    return others + DATA_CENTRE_COST * candidate.distance
+        return REGION_COST
+    return DATA_CENTRE_COST * candidate.distance
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -58,6 +58,7 @@
         self.sends = 0  # times that the request was sent
         self.sent_at: float | None = None  # monotonic seconds of the last send
         self.expected = 0.0  # seconds that other requests were expected to take first
+        self.cached = 0  # prompt tokens thought to be cached where it goes next
         self.unread = 0  # prompt tokens thought not to be cached, at the last send
         self.first_byte: float | None = None  # monotonic seconds
 
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -3,11 +3,12 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import ejection, placement, retry_budget
+from dogwoodchute.coordination import ejection, placement, retry_budget, sizing
 from dogwoodchute.gateway import calls, gossip, model, rows
 
 RETURN_TIME = 2.5  # seconds after an outage in which lapsed entries come back
 ENDED_TIME = 4.0  # seconds; an endpoint that ended is off the list after three beats
+READ_RATE_WINDOW = 4.0  # seconds over which the prompts sent to engines are averaged
 BUDGET_SHARE = 0.5  # of the fleet's slack that hosts hand out, for those that restart
 
 Decode = abc.Callable[[str, bytes], model.Endpoint]
@@ -34,7 +35,7 @@
         decode: Decode,
         format_error: type[Exception],
         hosts_known: abc.Callable[[], int],
-        loads: abc.Callable[[], list[gossip.Load]],
+        loads: abc.Callable[[], gossip.Loads],
         now: abc.Callable[[], float],
     ) -> None:
         self.known = False  # whether the list was ever read
@@ -44,6 +45,7 @@
         self._hosts_known = hosts_known
         self._loads = loads
         self._now = now
+        self._read_rate = sizing.Demand(window=READ_RATE_WINDOW, quick=True)
         self._all: dict[str, model.Endpoint] = {}
         self._lapsed: dict[str, float] = {}  # monotonic seconds when it went missing
         self._ended: dict[str, float] = {}  # monotonic seconds when that was noticed
@@ -122,19 +124,20 @@
         prompt = call.request.prompt
         if call.service.engine is None or prompt is None:
             chosen = placement.choose_plain(candidates)
-        else:
-            chosen = placement.choose_engine(
-                candidates,
-                parts=prompt.parts,
-                input_tokens=prompt.input_tokens,
-                cached=lambda name: self._use(name, call.service).sent.cached(
-                    prompt.parts
-                ),
-            )
-        if chosen is None:
+            return fresh[chosen.name] if chosen is not None else None
+        choice = placement.choose_engine(
+            candidates,
+            parts=prompt.parts,
+            input_tokens=prompt.input_tokens,
+            cached=lambda name: self._use(name, call.service).sent.cached(prompt.parts),
+            unseen=self._unseen(),
+        )
+        if choice is None:
             return None
-        call.expected = placement.wait(chosen)
-        return fresh[chosen.name]
+        engine = choice.engine
+        call.expected = placement.wait(engine) + placement.way(engine)
+        call.cached = choice.cached
+        return fresh[engine.name]
 
     def begin(self, call: calls.Call, endpoint: model.Endpoint) -> int:
         """Count a call as sent; return the prompt tokens that wait there for it."""
@@ -143,8 +146,9 @@
         prompt = call.request.prompt
         if prompt is None:
             return 0
-        waiting = max(0, prompt.input_tokens - use.sent.cached(prompt.parts))
+        waiting = max(0, prompt.input_tokens - call.cached)
         use.sent.note(prompt.parts)
+        self._read_rate.note(self._now(), waiting)
         use.waiting_tokens += waiting
         return waiting
 
@@ -207,7 +211,7 @@
     def _candidates(
         self, endpoints: list[model.Endpoint], service: model.Service
     ) -> list[placement.Candidate]:
-        loads = self._loads()
+        loads = self._loads().told
         ejector = self._ejector(service.name)
         now = self._now()
         weights = {e.id: ejector.weight(e.id, now) for e in endpoints}
@@ -236,6 +240,15 @@
             )
         return found
 
+    def _unseen(self) -> float:
+        """Return the seconds of reading that other hosts sent since they told loads.
+
+        Callers spread over all hosts, so others send as much as this one.
+        """
+        tokens = self._read_rate.rate(self._now()) * self._loads().age
+        others = self._hosts_known() - 1
+        return others * tokens / placement.PREFILL_TOKENS_PER_SECOND
+
     def _distance(self, endpoint: model.Endpoint) -> int:
         place = self._deployment
         if endpoint.data_centre == place.data_centre:
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import typing
 from collections import abc
 
 import msgpack
@@ -23,6 +24,13 @@
 Load = dict[str, tuple[int, int]]  # requests and unread prompt tokens by endpoint
 
 
+class Loads(typing.NamedTuple):
+    """The loads that other hosts told, and their mean age in seconds."""
+
+    told: list[Load]
+    age: float
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The loads that other hosts told, and this host's telling."""
 
@@ -42,10 +50,14 @@
         self._count = 0
         self._transport: asyncio.DatagramTransport | None = None
 
-    def loads(self) -> list[Load]:
+    def loads(self) -> Loads:
         """Return the loads of other hosts that are recent enough to count."""
-        oldest = self._now() - MAX_AGE
-        return [load for at, _, load in self._told.values() if at >= oldest]
+        now = self._now()
+        told = [(at, load) for at, _, load in self._told.values() if now - at < MAX_AGE]
+        if not told:
+            return Loads([], 0.0)
+        age = sum(now - at for at, _ in told) / len(told)
+        return Loads([load for _, load in told], age)
 
     async def start(self, ip: str, port: int) -> None:
         """Listen for datagrams."""
--- /dev/null
+++ b/dogwoodchute/tests/engine_play.py
@@ -0,0 +1,212 @@
+"""Plays a fleet's requests against engines that cache prompts and read them in turn."""
+
+import heapq
+import itertools
+import random
+import statistics
+import typing
+
+from dogwoodchute.coordination import placement
+from dogwoodchute.gateway import calls, endpoints, gossip, model
+
+SERVICE = "engines"
+READ_RATE = 49_600.0  # prompt tokens that an engine reads in a second
+MEMORY = 404_000  # tokens of an engine
+CACHE = 0.9  # of an engine's memory, for prompts that have been read
+STEP = 0.012  # seconds of an engine's first step
+RUN_TIME = 1.0  # seconds from the first event to the last
+WARM_UP = 12.0  # seconds until each shared part was read once
+
+
+class Kind(typing.NamedTuple):
+    """Requests of one kind, in tokens."""
+
+    rate: float  # requests a second, of the whole fleet
+    things: int  # shared parts in use
+    shared: int
+    own: int
+
+
+# The long, middle and short prompts of a deployment of 60 hosts.
+KINDS = (
+    Kind(36.8, 417, 13_300, 3_720),
+    Kind(27.7, 208, 6_300, 2_890),
+    Kind(55.0, 414, 350, 1_110),
+)
+
+
+class Result(typing.NamedTuple):
+    """What callers got: seconds to the first event, and tokens read again."""
+
+    median: float
+    late: float  # the 95th of 100
+    read_again: float  # share of the shared tokens asked for
+    uneven: float  # most requests of one engine, as a multiple of the mean
+
+
+class _Engine:
+    def __init__(self):
+        self.cache = placement.Sent(
+            memory_tokens=int(MEMORY * CACHE / placement.MEMORY_SHARE)
+        )
+        self.free_at = 0.0  # seconds: all prompts so far are read
+        self.requests = 0
+
+
+def _endpoint(number):
+    zone = f"z{number % 6}"
+    return model.Endpoint(
+        f"e{number}", SERVICE, f"10.0.0.{number}:1", zone, model.READY, 64
+    )
+
+
+def _deployment(number):
+    zone = f"z{number % 6}"
+    return model.Deployment(
+        host=f"h{number}",
+        data_centre=zone,
+        region=f"r{number % 2}",
+        regions={f"z{n}": f"r{n % 2}" for n in range(6)},
+        callers="",
+        readiness="",
+        control="",
+        gossip="",
+        directory="",
+        seeds=(),
+        store="",
+        bounds=model.Bounds(),
+    )
+
+
+class _Known(endpoints.Endpoints):
+    """A host's endpoints, given directly in place of rows."""
+
+    def give(self, known):
+        self._all = {e.id: e for e in known}
+        self.known = True
+
+
+class Play:
+    """The fleet, its engines and the time, all in one place."""
+
+    def __init__(self, *, hosts, engines, seed):
+        self._now = 0.0
+        self._rng = random.Random(seed)
+        self._engines = {f"e{n}": _Engine() for n in range(engines)}
+        self._service = model.Service(SERVICE, model.Engine(64, MEMORY, 4))
+        self._told = {}  # load as last told, by host
+        self._hosts = [self._make_host(n, hosts) for n in range(hosts)]
+        for host in self._hosts:
+            host.give([_endpoint(n) for n in range(engines)])
+        self._interval = gossip.INTERVAL * max(1.0, hosts / gossip.HOSTS_PER_INTERVAL)
+        self._order = itertools.count()
+
+    def run(self, *, seconds, kinds=KINDS):
+        """Play some seconds of requests; return what callers got after the warm-up."""
+        events = []
+        for number in range(len(self._hosts)):
+            first = self._rng.uniform(0, self._interval)
+            self._at(events, first, self._tell, number)
+        for kind in kinds:
+            self._at(events, 0.0, self._arrive, kind)
+        waits, again, asked = [], 0, 0
+        while events:
+            at, _, action, argument = heapq.heappop(events)
+            if at > seconds:
+                break
+            self._now = at
+            got = action(events, argument)
+            if got is None or at < WARM_UP:
+                continue
+            waits.append(got[0])
+            again += got[1]
+            asked += got[2]
+        requests = [engine.requests for engine in self._engines.values()]
+        waits.sort()
+        return Result(
+            waits[len(waits) // 2],
+            waits[int(0.95 * len(waits))],
+            again / asked,
+            max(requests) / statistics.mean(requests),
+        )
+
+    def _make_host(self, number, hosts):
+        return _Known(
+            deployment=_deployment(number),
+            decode=None,
+            format_error=ValueError,
+            hosts_known=lambda: hosts,
+            loads=lambda: self._loads(number),
+            now=lambda: self._now,
+        )
+
+    def _loads(self, number):
+        others = [told for n, told in self._told.items() if n != number]
+        if not others:
+            return gossip.Loads([], 0.0)
+        age = statistics.mean(self._now - at for at, _ in others)
+        return gossip.Loads([load for _, load in others], age)
+
+    def _at(self, events, at, action, argument):
+        heapq.heappush(events, (at, next(self._order), action, argument))
+
+    def _tell(self, events, number):
+        self._told[number] = (self._now, self._hosts[number].load())
+        pause = self._interval * self._rng.uniform(0.9, 1.1)
+        self._at(events, self._now + pause, self._tell, number)
+
+    def _arrive(self, events, kind):
+        pause = self._rng.expovariate(kind.rate)
+        self._at(events, self._now + pause, self._arrive, kind)
+        thing = self._rng.randrange(kind.things)
+        own = f"own{next(self._order)}"
+        parts = (
+            model.Part(f"{kind.shared}-{thing}", kind.shared),
+            model.Part(own, kind.own),
+        )
+        return self._send(events, self._rng.choice(self._hosts), kind, parts)
+
+    def _send(self, events, host, kind, parts):
+        call = self._call(parts)
+        endpoint = host.choose(call)
+        call.sent_at = self._now
+        waiting = host.begin(call, endpoint)
+        engine = self._engines[endpoint.id]
+        engine.requests += 1
+        unread = kind.shared + kind.own - engine.cache.cached(parts)
+        again = kind.shared if unread > kind.own else 0
+        engine.cache.note(parts)
+        engine.free_at = max(engine.free_at, self._now) + unread / READ_RATE
+        first = engine.free_at + STEP
+        ended = (host, call, endpoint, waiting)
+        self._at(events, first, self._first, ended)
+        self._at(events, first + RUN_TIME, self._end, ended)
+        return first - self._now, again, kind.shared
+
+    def _first(self, events, sent):
+        host, call, endpoint, waiting = sent
+        host.read(endpoint.id, waiting)
+        host.first_event(call, endpoint.id, waiting)
+
+    def _end(self, events, sent):
+        host, _, endpoint, _ = sent
+        host.end(endpoint.id)
+
+    def _call(self, parts):
+        tokens = sum(part.tokens for part in parts)
+        request = calls.Request(
+            attempt_id="a",
+            host="",
+            method="POST",
+            path="/",
+            query="",
+            headers=(),
+            body=b"",
+            key=None,
+            wait=None,
+            prompt=model.Prompt(tokens, 120, parts),
+            last_event_id=None,
+        )
+        call = calls.Call(request=request, reply=None, received=self._now)
+        call.service = self._service
+        return call
--- a/dogwoodchute/tests/test_placement.py
+++ b/dogwoodchute/tests/test_placement.py
@@ -3,12 +3,13 @@
 import random
 
 from dogwoodchute.coordination import placement
-from dogwoodchute.tests import support
+from dogwoodchute.tests import engine_play, support
 
 ENGINES = [f"e{n}" for n in range(9)]
 THINGS = 125  # shared parts in use, as in the deployments' long prompts
 SHARED = 13_300  # tokens of each
 OWN = 3_720  # tokens of a request beyond its shared part
+TARGET = 0.863  # seconds to the first event of a long prompt
 MEMORY = 404_774  # tokens of an engine
 
 
@@ -61,7 +62,7 @@
                 parts=parts,
                 input_tokens=SHARED + OWN,
                 cached=lambda name: sent[name].cached(parts),
-            ).name
+            ).engine.name
 
         def least_loaded(candidates, parts, sent):
             return min(candidates, key=lambda c: c.waiting_tokens).name
@@ -77,12 +78,13 @@
     PARTS = [("shared", SHARED), ("own", OWN)]
 
     def choose(self, candidates):
-        return placement.choose_engine(
+        choice = placement.choose_engine(
             candidates,
             parts=self.PARTS,
             input_tokens=SHARED + OWN,
             cached=lambda name: 0,
         )
+        return choice.engine if choice is not None else None
 
     def test_all_hosts_agree_on_the_home(self):
         names = {self.choose([candidate(e) for e in ENGINES]).name for _ in range(5)}
@@ -106,6 +108,35 @@
         self.assertIsNone(self.choose([candidate("e1", weight=0.0)]))
 
 
+class FleetTest(support.TestCase):
+    """Hosts of a large fleet, each of which sends a sixtieth of the requests."""
+
+    def test_sixty_hosts_read_no_more_and_no_later_than_seven(self):
+        few = engine_play.Play(hosts=7, engines=30, seed=3).run(seconds=30)
+        many = engine_play.Play(hosts=62, engines=30, seed=3).run(seconds=30)
+        self.assertLess(many.late, TARGET)
+        self.assertLess(many.median, few.median * 1.25)
+        self.assertLess(many.read_again, few.read_again * 1.25)
+        # Each shared part is asked for each 11 s, and an engine has room for its own.
+        self.assertLess(many.read_again, 1 / 3)
+
+    def test_hosts_with_old_loads_do_not_meet_at_one_engine(self):
+        short = engine_play.KINDS[-1]._replace(rate=300.0)
+        found = engine_play.Play(hosts=62, engines=30, seed=3).run(
+            seconds=30, kinds=[short]
+        )
+        self.assertLess(found.uneven, 2.0)
+        self.assertLess(found.late, TARGET / 2)
+
+
+class WaterLevelTest(support.TestCase):
+    def test_work_fills_the_shortest_waits_first(self):
+        self.assertEqual(0.0, placement.water_level([0.0, 1.0], 0.0))
+        self.assertEqual(0.5, placement.water_level([0.0, 1.0], 0.5))
+        self.assertEqual(1.5, placement.water_level([0.0, 1.0], 2.0))
+        self.assertEqual(2.0, placement.water_level([1.5], 0.5))
+
+
 class ChoosePlainTest(support.TestCase):
     def test_the_own_data_centre_goes_first_and_a_full_endpoint_last(self):
         near, far = candidate("near", slots=6), candidate("far", slots=6, distance=2)
