Rank an account's homes once for each change of the ready hosts, not at each look

Cause: `Gateway._homes` ranked all hosts by hash for each account, five times a second for each account and in each reservation, and `Hosts.live` was worked out anew in each look, also in those at the number of hosts.

Why it works: `Hosts.live` returns the same tuple until a row changes or the read time passes the first death; `Homes` looks at its members only if the tuple is another one, and drops its rankings only if other lifetimes are ready. A heartbeat changes neither. Who is home stays as it was: the same score, the same bound of a small fleet.

Tests: test_homes counts rankings over looks and changes; test_hosts that live hosts are found once, and age as before. Homes are now a module of their own.

--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -5,7 +5,6 @@
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, outcomes
-from dogwoodchute.coordination import ranking
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -15,6 +14,7 @@
     endpoints,
     filters,
     gossip,
+    homes,
     hosts,
     mirror,
     model,
@@ -32,7 +32,6 @@
 LINGER = 3.0  # seconds after SIGTERM in which callers that don't know yet still come
 STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
 POLL = 0.05  # seconds between looks at what is in flight
-SMALL_FLEET = 16  # hosts, each of which has enough of an account's requests itself
 FLUSH_BOUND = 0.7  # seconds to write bills and return tokens
 
 
@@ -82,6 +81,11 @@
             state=self._state,
             now=now,
         )
+        self._homes = homes.Homes(
+            host=deployment.host,
+            region=deployment.region,
+            live=lambda: self._hosts.live,
+        )
         self._gossip = gossip.Gossip(
             id=self._hosts.id,
             load=lambda: self._endpoints.load(),
@@ -104,8 +108,8 @@
             hosts=lambda: self._hosts.count,
             ask=self._ask,
             home=reservations.Home(
-                is_here=self._is_home,
-                is_elsewhere=lambda account: self._home(account) is not None,
+                is_here=self._homes.is_here,
+                is_elsewhere=lambda name: self._homes.elsewhere(name) is not None,
                 ask=self._ask_home,
             ),
             now=now,
@@ -228,8 +232,8 @@
         The account's homes come first, then `holders`.
         """
         live = {host.id: host for host in self._hosts.live}
-        homes = [host.id for host in self._homes(account).values()]
-        order = dict.fromkeys([*homes, *holders, *live])
+        first = [host.id for host in self._homes.others(account)]
+        order = dict.fromkeys([*first, *holders, *live])
         known = [live[name] for name in order if name in live]
         got = 0
         whole = len(known) <= accounts.MAX_ASKED
@@ -243,37 +247,11 @@
 
     async def _ask_home(self, account: str, tokens: int) -> int | None:
         """Ask the account's home for tokens; return what it gave."""
-        home = self._home(account)
+        home = self._homes.elsewhere(account)
         if home is None:
             return None
         return await self._ask_peer(home.control, account, tokens)
 
-    def _home(self, account: str) -> hosts.Host | None:
-        """Return the other host that is the account's home in this host's region."""
-        if self._hosts.count <= SMALL_FLEET:
-            return None
-        place = self._deployment
-        best = self._homes(account).get(place.region)
-        if best is None:
-            return None
-        own = ranking.score(account, place.host, 1.0)
-        return best if ranking.score(account, best.name, 1.0) > own else None
-
-    def _is_home(self, account: str) -> bool:
-        """Whether this host holds the account's tokens for others of its region."""
-        return self._hosts.count > SMALL_FLEET and self._home(account) is None
-
-    def _homes(self, account: str) -> dict[str, hosts.Host]:
-        """Return the best other host for the account in each region."""
-        best: dict[str, tuple[float, hosts.Host]] = {}
-        for host in self._hosts.live:
-            if host.state != hosts.READY:
-                continue
-            score = ranking.score(account, host.name, 1.0)
-            if host.region not in best or score > best[host.region][0]:
-                best[host.region] = (score, host)
-        return {region: host for region, (_, host) in best.items()}
-
     def _state(self) -> str:
         if self._leaving:
             return hosts.LEAVING
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -33,6 +33,18 @@
     beat: int
 
 
+class Living(typing.NamedTuple):
+    """The other hosts that live, and for which reads of the table that holds."""
+
+    hosts: tuple[Host, ...]
+    since: float  # monotonic seconds of the read
+    oldest: float  # monotonic seconds of the earliest last beat among them
+
+    def holds(self, at: float) -> bool:
+        """Whether none has aged out by a read at `at`, if no row has changed."""
+        return self.since <= at and at - self.oldest <= DEAD_AFTER
+
+
 class Hosts:
     """The hosts of the fleet, as this one knows them."""
 
@@ -53,15 +65,18 @@
         self._known: dict[str, Host] = {}
         self._beaten: dict[str, float] = {}  # monotonic seconds of the last beat
         self._written: dict[str, int] = {}  # version of each row
+        self._living: Living | None = None  # None after a change of rows
         self._read_at: abc.Callable[[], float | None] = lambda: None
         self._wake = asyncio.Event()
 
     def follow(self, read_at: abc.Callable[[], float | None]) -> None:
         """Set what tells when the table was last read, in monotonic seconds."""
         self._read_at = read_at
+        self._living = None
 
     def changed(self, all_rows: dict[str, rows.Row], changed: list[rows.Row]) -> None:
         """Take in changed rows of the table."""
+        self._living = None
         now = self._now()
         for row in changed:
             if row.value is None:
@@ -80,25 +95,19 @@
             self._known[host.id] = host
 
     @property
-    def live(self) -> list[Host]:
+    def live(self) -> tuple[Host, ...]:
         """The other hosts that live, as far as this one can tell.
 
         While the table can't be read, nobody ages. Of a restarted host only the
-        lifetime that wrote last counts.
+        lifetime that wrote last counts. The same tuple is returned until a row changes
+        or a host ages out.
         """
         at = self._read_at()
         if at is None:
-            return []
-        latest: dict[str, Host] = {}
-        for host in self._known.values():
-            if host.name == self._deployment.host:
-                continue
-            if at - self._beaten[host.id] > DEAD_AFTER:
-                continue
-            other = latest.get(host.name)
-            if other is None or self._written[other.id] < self._written[host.id]:
-                latest[host.name] = host
-        return list(latest.values())
+            return ()
+        if self._living is None or not self._living.holds(at):
+            self._living = self._find_living(at)
+        return self._living.hosts
 
     @property
     def count(self) -> int:
@@ -170,6 +179,19 @@
         if isinstance(outcome, rows.Committed):
             log.info("hosts_removed", hosts=",".join(sorted(gone)[:50]))
 
+    def _find_living(self, at: float) -> Living:
+        latest: dict[str, Host] = {}
+        oldest = at
+        for host in self._known.values():
+            beaten = self._beaten[host.id]
+            if host.name == self._deployment.host or at - beaten > DEAD_AFTER:
+                continue
+            oldest = min(oldest, beaten)
+            other = latest.get(host.name)
+            if other is None or self._written[other.id] < self._written[host.id]:
+                latest[host.name] = host
+        return Living(tuple(latest.values()), at, oldest)
+
     def _forget(self, name: str) -> None:
         if self._known.pop(name, None) is not None:
             log.info("host_gone", peer=name)
--- /dev/null
+++ b/dogwoodchute/tests/test_homes.py
@@ -0,0 +1,105 @@
+"""Homes of client accounts in a large fleet."""
+
+from unittest import mock
+
+from dogwoodchute.coordination import ranking
+from dogwoodchute.gateway import homes, hosts
+from dogwoodchute.tests import support
+
+FLEET = 62  # other hosts
+ACCOUNTS = [f"account-{number}" for number in range(24)]
+
+
+def member(number, *, beat=1, state=hosts.READY, lifetime="a"):
+    name = f"h{number}"
+    return hosts.Host(
+        id=f"{name}-{lifetime}",
+        name=name,
+        data_centre=f"z{number % 6}",
+        region=f"r{number % 2}",
+        callers=f"{name}:1",
+        control=f"{name}:3",
+        gossip=f"{name}:4",
+        state=state,
+        beat=beat,
+    )
+
+
+class HomesTest(support.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.live = tuple(member(number) for number in range(1, FLEET + 1))
+        self.homes = self.homes_of("h0", "r0")
+        scoring = mock.patch.object(ranking, "score", wraps=ranking.score)
+        self.score = scoring.start()
+        self.addCleanup(scoring.stop)
+
+    def homes_of(self, host, region, others=None):
+        def live():
+            return self.live if others is None else others
+
+        return homes.Homes(host=host, region=region, live=live)
+
+    def look(self):
+        """Look at each account as often as in a second; return hosts that it scored."""
+        self.score.reset_mock()
+        for _ in range(5):
+            for account in ACCOUNTS:
+                self.homes.is_here(account)
+                self.homes.elsewhere(account)
+                self.homes.others(account)
+        return self.score.call_count
+
+    def test_homes_are_ranked_once_for_each_change_of_the_fleet(self):
+        """Each look ranked all hosts, and took most of a host's processor time."""
+        whole = (FLEET + 1) * len(ACCOUNTS)
+        self.assertEqual(whole, self.look())
+        self.assertEqual(0, self.look())
+        self.live = tuple(host._replace(beat=2) for host in self.live)
+        self.assertEqual(0, self.look())
+        self.live = self.live[1:]
+        self.assertEqual(whole - len(ACCOUNTS), self.look())
+        self.live = (member(1, state=hosts.STARTING), *self.live)
+        self.assertEqual(0, self.look())
+        self.live = (member(1, lifetime="b"), *self.live[1:])
+        self.assertEqual(whole, self.look())
+
+    def test_an_account_has_one_home_in_each_region(self):
+        everyone = [member(0), *self.live]
+        for account in ACCOUNTS:
+            here = []
+            seen_from_elsewhere = set()
+            for host in everyone:
+                others = tuple(other for other in everyone if other is not host)
+                found = self.homes_of(host.name, host.region, others)
+                if found.is_here(account):
+                    here.append(host)
+                    self.assertIsNone(found.elsewhere(account))
+                    continue
+                seen_from_elsewhere.add(found.elsewhere(account))
+            self.assertEqual(["r0", "r1"], sorted(host.region for host in here))
+            self.assertEqual(set(here), seen_from_elsewhere)
+
+    def test_a_home_is_told_as_it_is_now(self):
+        account = next(name for name in ACCOUNTS if self.homes.elsewhere(name))
+        before = self.homes.elsewhere(account)
+        self.live = tuple(host._replace(control="moved:3") for host in self.live)
+        after = self.homes.elsewhere(account)
+        self.assertEqual((before.id, "moved:3"), (after.id, after.control))
+
+    def test_a_host_that_leaves_is_no_home(self):
+        account = next(name for name in ACCOUNTS if self.homes.elsewhere(name))
+        home = self.homes.elsewhere(account)
+        self.live = tuple(
+            host._replace(state=hosts.LEAVING) if host.id == home.id else host
+            for host in self.live
+        )
+        self.assertNotEqual(home.id, getattr(self.homes.elsewhere(account), "id", ""))
+
+    def test_a_small_fleet_has_no_homes(self):
+        self.live = self.live[: homes.SMALL_FLEET - 1]
+        for account in ACCOUNTS:
+            self.assertFalse(self.homes.is_here(account))
+            self.assertIsNone(self.homes.elsewhere(account))
+        self.live = tuple(member(number) for number in range(1, 1 + homes.SMALL_FLEET))
+        self.assertTrue(any(self.homes.elsewhere(account) for account in ACCOUNTS))
--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -78,6 +78,22 @@
         self.assertEqual(["h2-b"], self.live())
         self.assertEqual(2, self.hosts.count)
 
+    def test_live_hosts_are_found_once_for_each_change(self):
+        self.beat("h2-a", 1)
+        first = self.hosts.live
+        self.now += hosts.DEAD_AFTER / 2
+        self.assertIs(first, self.hosts.live)
+        self.beat("h3-a", 1, name="h3")
+        second = self.hosts.live
+        self.assertEqual(["h2-a", "h3-a"], self.live())
+        self.assertIs(second, self.hosts.live)
+        self.now += hosts.DEAD_AFTER / 2 + 0.1
+        self.assertEqual(["h3-a"], self.live())
+        self.now += hosts.DEAD_AFTER
+        self.assertEqual([], self.live())
+        self.hosts.changed({}, [rows.Row("h3-a", None, self.version + 1)])
+        self.assertEqual([], self.live())
+
     def test_relays_are_live_hosts_else_the_seeds_of_others(self):
         self.assertEqual(["10.0.0.9:3"], self.hosts.relays())
         self.beat("h2-a", 1)
