Count commits of account rows by kind and part, and log why tokens were refused

Each host now writes a line 'account_commits' every 5 s with its commits by kind, part and outcome and the slowest one, and a line 'reserve_refused' for each refusal with the age of the account's rows, of its last commit, and of the last times at which its home and other hosts had nothing.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -8,7 +8,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow, sizing
-from dogwoodchute.gateway import rows
+from dogwoodchute.gateway import commit_counts, rows
 
 ACCOUNTS = "accounts"
 HOLDINGS = "holdings"  # one row for each account and holder
@@ -95,6 +95,7 @@
         self._holder = holder
         self._store = store
         self._now = now
+        self._counts = commit_counts.Counts(now=now)
 
     async def read(
         self, account: Account, *, waiting: Waiting
@@ -125,10 +126,13 @@
         self,
         changes: list[Change],
         *,
+        kind: str,
         waiting: Waiting,
     ) -> bool:
         """Make one commit of some accounts whose locks are held.
 
+        `kind` tells the log what it is for.
+
         Return whether it ended, applied or not; False if the store is away. While no
         answer comes, `waiting` is awaited again and again for accounts with requests
         that wait, with the reason.
@@ -144,7 +148,10 @@
             # An earlier commit is unresolved after a fault; trying at once can't help.
             return False
         accounts = [change.account for change in changes]
+        sent = self._now()
         outcome = await self._definite(checks, puts, accounts, waiting)
+        ended = type(outcome).__name__.lower()
+        self._counts.note(kind, PART, ended, self._now() - sent)
         if isinstance(outcome, rows.Unavailable):
             for change, _ in begun:
                 change.account.ledger.end(applied=False)
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -12,7 +12,13 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow, grants, sizing
-from dogwoodchute.gateway import account_rows, model, reservations, rows
+from dogwoodchute.gateway import (
+    account_rows,
+    commit_counts,
+    model,
+    reservations,
+    rows,
+)
 
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
@@ -76,6 +82,7 @@
             return reservations.Reserved()
         shortage = self._shortages.get(name)
         if shortage is not None and now < shortage.until and tokens >= shortage.tokens:
+            self._note_refusal(account, tokens, shortage.outcome, now)
             return shortage.outcome
         waiter = account_rows.Waiter(tokens, asyncio.get_running_loop().create_future())
         account.waiters.append(waiter)
@@ -85,10 +92,16 @@
         except asyncio.CancelledError:
             self._give_up(account, waiter)
             raise
-        if not waiter.done.done():
+        outcome: reservations.ReserveOutcome = reservations.OutOfReach(
+            reason="no draw in time"
+        )
+        if waiter.done.done():
+            outcome = waiter.done.result()
+        else:
             self._give_up(account, waiter)
-            return reservations.OutOfReach(reason="no draw in time")
-        return waiter.done.result()
+        if not isinstance(outcome, reservations.Reserved):
+            self._note_refusal(account, tokens, outcome, now)
+        return outcome
 
     def settle(self, name: str, reserved: int, bill: account_rows.Bill | None) -> None:
         """End a reservation; `bill` is None for a request that did not run."""
@@ -166,8 +179,10 @@
             ]
             for account in batch:
                 await account.lock.acquire()
+            granted = any(account.ledger.granted for account in batch)
+            kind = commit_counts.CHECKPOINT if granted else commit_counts.BILLS
             try:
-                await self._commits.commit(changes, waiting=self._bridge)
+                await self._commits.commit(changes, kind=kind, waiting=self._bridge)
             finally:
                 for account in batch:
                     account.lock.release()
@@ -207,6 +222,38 @@
         elif isinstance(waiter.done.result(), reservations.Reserved):
             account.ledger.settle(waiter.tokens, 0)
 
+    def _note_refusal(
+        self,
+        account: account_rows.Account,
+        tokens: int,
+        outcome: reservations.ReserveOutcome,
+        began: float,
+    ) -> None:
+        """Log why a request got no tokens, and how old what was known is."""
+        now = self._now()
+        ledger = account.ledger
+        ages = {
+            "waited": now - began,
+            "rows_age": now - account.read_at if account.read_at is not None else None,
+            "commit_age": now - ledger.sent_at(),
+            "home_age": now - account.home_failed_at,
+            "asked_age": now - account.asked_in_vain_at,
+            "away_age": now - self._away_at,
+        }
+        log.info(
+            "reserve_refused",
+            account=account.name,
+            tokens=tokens,
+            reason=getattr(outcome, "reason", "exhausted"),
+            idle=ledger.idle,
+            available=ledger.available(now),
+            drawn=account.shared.drawn,
+            waiting=len(account.waiters),
+            pending=ledger.pending is not None,
+            home="elsewhere" if self._home.is_elsewhere(account.name) else "here",
+            **{name: f"{age:.2f}" for name, age in ages.items() if age is not None},
+        )
+
     def _kick(self, account: account_rows.Account) -> None:
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._work(account))
@@ -246,7 +293,8 @@
         due = self._checkpoint_due(account, self._now())
         if draw or limited or due or (not waiting and self._limit_is_low(account)):
             change = account_rows.Change(account, draw, self._ahead(account))
-            return await self._commits.commit([change], waiting=self._bridge)
+            kind = commit_counts.DRAW if draw else commit_counts.LIMIT
+            return await self._commits.commit([change], kind=kind, waiting=self._bridge)
         if not waiting:
             return False
         return await self._refuse(account)
