Don't take a store that has too many calls of one part for a lost store

The store bounds the commits to each part and answers 429 beyond that; the client took one such answer for the loss of the path, held all calls back and sent what it could through other hosts, which meet the same bound, so that each commit became two.

A 429 now pauses only the calls of its lane, the reads or the commits of one part, for a jittered time that doubles up to 1 s. The path counts as lost when both reads and commits were refused since the last answer, which have separate bounds: that is a host that the store turns away, and it still finds a relay, at the latest with its next heartbeat. A relayed 429 no longer stops the calls through relays either.

--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -1,9 +1,12 @@
 """The client of the platform's store.
 
 A call goes straight to the store. When that path fails, calls go through another host's
-relay for a while: the store may turn some hosts away and serve others.
+relay for a while: the store may turn some hosts away and serve others. Calls of one
+lane (reads, or the commits of one part) that are too many for the store wait for each
+other and for nothing else.
 """
 
+import asyncio
 import base64
 import json
 import random
@@ -15,7 +18,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.gateway import rows
-from dogwoodchute.platform import names
+from dogwoodchute.platform import names, overload
 
 CONNECT_TIMEOUT = 0.6  # seconds
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
@@ -25,6 +28,7 @@
 RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
 NOT_SENT = "not-sent"
 NO_ANSWER = "no-answer"
+UNAVAILABLE = 503  # status of an answer: the store did nothing
 
 
 class Answer(typing.NamedTuple):
@@ -68,6 +72,8 @@
         self._store_offset: float | None = None  # the store's clock less this host's
         self._relay: str | None = None  # the one that worked last
         self._relay_after = 0.0  # monotonic seconds: relays are tried again
+        self._seen = overload.Seen()  # by the direct path
+        self._lanes: dict[str, overload.Lane] = {}
 
     @property
     def direct(self) -> bool:
@@ -94,21 +100,38 @@
         return await self._send(self._address, method, target, body, CALL_TIMEOUT)
 
     async def call(
-        self, method: str, target: str, body: bytes = b"", *, wait: float = 0.0
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        wait: float = 0.0,
+        part: str | None = None,
     ) -> CallOutcome:
-        """Make one call by the path that works; `wait` is what the call asks for."""
+        """Make one call by the path that works; `wait` is what the call asks for.
+
+        `part` is the one that the call writes to, None for a read.
+        """
         timeout = CALL_TIMEOUT + wait
+        lane = self._lanes.setdefault(overload.lane_name(part), overload.Lane())
+        pause = lane.left(self._now())
+        if pause:
+            await asyncio.sleep(pause)
         outcome: CallOutcome = NotSent("the store failed lately", self._address)
         if self._now() >= self._direct_after:
             sent = self._now()
             outcome = await self._send(self._address, method, target, body, timeout)
+            self._note_lane(lane, outcome, part)
             self._note_direct(outcome, sent)
         if isinstance(outcome, Answer) and not _turned_away(outcome):
             return outcome
         if isinstance(outcome, NoAnswer) and method != "GET":
             return outcome
         if self._direct_failed:
-            return await self._call_relayed(method, target, body, outcome)
+            relayed = await self._call_relayed(method, target, body, outcome)
+            if relayed is not outcome and _overloaded(relayed):
+                self._pause_lane(lane, part)
+            return relayed
         return outcome
 
     async def _call_relayed(
@@ -121,11 +144,34 @@
             self._relay = random.choice(relays)
         relay = self._relay
         outcome = await self._send(relay, method, target, body, CALL_TIMEOUT)
-        if not isinstance(outcome, Answer) or _turned_away(outcome):
+        if not isinstance(outcome, Answer) or outcome.status == UNAVAILABLE:
             self._relay = random.choice(relays)
             self._relay_after = self._now() + RELAY_PAUSE * random.uniform(0.5, 1.5)
         return outcome
 
+    def _note_lane(
+        self, lane: overload.Lane, outcome: CallOutcome, part: str | None
+    ) -> None:
+        """Take in whether the store has too many calls of a lane."""
+        if not isinstance(outcome, Answer) or outcome.status == UNAVAILABLE:
+            return
+        now = self._now()
+        if not _overloaded(outcome):
+            self._seen = self._seen._replace(answered=now)
+            lane.served()
+            return
+        self._seen = overload.refused(self._seen, part=part, now=now)
+        # Another path needs no pause.
+        if overload.path_lost(self._seen):
+            lane.served()
+            return
+        self._pause_lane(lane, part)
+
+    def _pause_lane(self, lane: overload.Lane, part: str | None) -> None:
+        pause = lane.refused(self._now())
+        name = overload.lane_name(part)
+        log.warning("store_lane_overloaded", lane=name, pause=f"{pause:.2f}")
+
     def _note_direct(self, outcome: CallOutcome, sent: float) -> None:
         """Take in how a call by the direct path ended that was sent at `sent`.
 
@@ -133,6 +179,8 @@
         the path now.
         """
         failed = not isinstance(outcome, Answer) or _turned_away(outcome)
+        if _overloaded(outcome) and not overload.path_lost(self._seen):
+            return
         if failed and sent < self._direct_answered:
             return
         if not failed:
@@ -179,7 +227,11 @@
 
 
 def _turned_away(answer: Answer) -> bool:
-    return answer.status in (429, 503)
+    return answer.status in (overload.STATUS, UNAVAILABLE)
+
+
+def _overloaded(outcome: CallOutcome) -> bool:
+    return isinstance(outcome, Answer) and outcome.status == overload.STATUS
 
 
 def _reason(outcome: CallOutcome) -> str:
@@ -232,7 +284,7 @@
         part: str, checks: list[rows.Check], puts: list[rows.Put]
     ) -> rows.CommitOutcome:
         body = json.dumps(_transaction(part, checks, puts)).encode()
-        answer = await client.call("POST", names.TX_PATH, body)
+        answer = await client.call("POST", names.TX_PATH, body, part=part)
         if isinstance(answer, NotSent):
             return rows.Unavailable(reason=answer.reason, peer=answer.peer)
         if isinstance(answer, NoAnswer):
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -19,8 +19,12 @@
     def __init__(self):
         self.rows = row_store.RowStore(now=clock.monotonic)
         self.fault = row_store.NO_FAULT  # of the second listener of the store
+        self.only = None  # the one kind of call that has the fault
         self.relays = []
 
+    def fault_of(self, kind):
+        return self.fault if self.only in (None, kind) else row_store.NO_FAULT
+
 
 @contextlib.asynccontextmanager
 async def running():
@@ -28,7 +32,7 @@
     servers = [server.Server(name=f"s{n}-{id(site)}", **LIMITS) for n in range(3)]
     good, faulty, relaying = servers
     row_store.add_routes(good.app, site.rows)
-    row_store.add_routes(faulty.app, site.rows, faults=lambda kind: site.fault)
+    row_store.add_routes(faulty.app, site.rows, faults=site.fault_of)
     await good.start("127.0.0.1", 0)
     await faulty.start("127.0.0.1", 0)
     direct = store.Client(
@@ -116,6 +120,71 @@
 
         self.run_async(story())
 
+    def test_too_many_commits_of_a_part_do_not_lose_the_store(self):
+        """One overloaded part stopped configuration, endpoints and heartbeats."""
+
+        async def story():
+            async with running() as site:
+                site.relays = [site.relay]
+                site.fault = row_store.Fault(status=429)
+                site.only = "commit"
+                for _ in range(4):
+                    outcome = await site.store.commit("p", [], [PUT])
+                    self.assertEqual(
+                        rows.Unavailable(reason="status 429", peer=None), outcome
+                    )
+                    began = clock.monotonic()
+                    found = await site.store.read("t", "p", None, None)
+                    self.assertEqual([], found.rows)
+                    self.assertLess(clock.monotonic() - began, 0.08)
+                    self.assertTrue(site.client.direct)
+                self.assertEqual(0, site.rows.version)
+
+        self.run_async(story())
+
+    def test_commits_of_an_overloaded_part_wait_longer_and_longer(self):
+        async def story():
+            async with running() as site:
+                site.fault = row_store.Fault(status=429)
+                site.only = "commit"
+                waits = []
+                for _ in range(4):
+                    began = clock.monotonic()
+                    await site.store.commit("p", [], [PUT])
+                    await site.store.read("t", "p", None, None)
+                    waits.append(clock.monotonic() - began)
+                self.assertGreater(waits[3], 0.2)
+                began = clock.monotonic()
+                await site.store.commit("other", [], [PUT])
+                self.assertLess(clock.monotonic() - began, 0.05)
+                site.fault = row_store.NO_FAULT
+                await site.store.commit("p", [], [PUT])
+                began = clock.monotonic()
+                await site.store.commit("p", [], [PUT])
+                self.assertLess(clock.monotonic() - began, 0.05)
+
+        self.run_async(story())
+
+    def test_a_host_that_is_refused_everything_as_too_much_finds_a_relay(self):
+        async def story():
+            async with running() as site:
+                site.relays = [site.relay]
+                await site.store.read("t", "p", None, None)
+                site.fault = row_store.Fault(status=429)
+                refused = await site.store.read("t", "p", None, None)
+                self.assertIsInstance(refused, rows.Unavailable)
+                outcome = await site.store.commit("p", [], [PUT])
+                self.assertEqual(rows.Committed(version=1), outcome)
+                self.assertFalse(site.client.direct)
+                found = await site.store.read("t", "p", None, None)
+                self.assertEqual(1, len(found.rows))
+                site.fault = row_store.NO_FAULT
+                await asyncio.sleep(1.3)
+                await site.store.read("t", "p", None, None)
+                self.assertTrue(site.client.direct)
+
+        self.run_async(story())
+
     def test_a_call_that_hung_tells_nothing_of_a_path_that_answered_since(self):
         async def story():
             async with running() as site:
