Tell how long calls of the store take, what they bring and how old tables are

Calls now have a histogram of their seconds and a counter of their bytes by kind, unfinished answers included, and a line for a slow or large one. config_adopted tells bytes and seconds since the call began that brought it; table_lost and table_regained tell the table's age. Sending moved from the store's client to a module of its own, platform/transport.py, without a change of behaviour, so that the client keeps to the choice of the path.

Tests: test_store_metrics (new, fails before for want of the counters, fields and lines), test_store_client, test_gateway.

--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -18,12 +18,19 @@
         decode: Decode,
         format_error: type[Exception],
         adopted: abc.Callable[[model.Config], None],
+        now: abc.Callable[[], float],
     ) -> None:
         self._key = key
         self._decode = decode
         self._format_error = format_error
         self._adopted = adopted
+        self._now = now
         self._current: model.Config | None = None
+        self._read_at: abc.Callable[[], float | None] = lambda: None
+
+    def follow(self, read_at: abc.Callable[[], float | None]) -> None:
+        """Set what tells when the call began that brought the newest rows."""
+        self._read_at = read_at
 
     @property
     def current(self) -> model.Config | None:
@@ -45,6 +52,7 @@
             log.info("config_not_newer", version=config.version, current=before)
             return
         self._current = config
+        read_at = self._read_at()
         log.info(
             "config_adopted",
             version=config.version,
@@ -52,5 +60,7 @@
             row_version=row.version,
             routes=sum(len(prefixes) for prefixes in config.routes.values()),
             accounts=len(config.accounts),
+            bytes=len(row.value),
+            seconds=None if read_at is None else round(self._now() - read_at, 3),
         )
         self._adopted(config)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -75,6 +75,7 @@
             decode=platform.decode_config,
             format_error=platform.format_error,
             adopted=adopted,
+            now=now,
         )
         self._hosts = hosts.Hosts(
             deployment=deployment,
@@ -300,7 +301,8 @@
                     now=self._now,
                 )
             )
-        _, list_mirror, hosts_mirror = made
+        config_mirror, list_mirror, hosts_mirror = made
+        self._configuration.follow(lambda: config_mirror.read_at)
         self._endpoints.follow(lambda: list_mirror.regained_at)
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -69,7 +69,12 @@
             return False
         if self._failing:
             self.regained_at = self._now()
-            log.info("table_regained", table=self._table, version=outcome.version)
+            log.info(
+                "table_regained",
+                table=self._table,
+                version=outcome.version,
+                age=self._age(),
+            )
         self._failing = False
         self.read_at = began
         whole = self._version is None
@@ -110,5 +115,12 @@
                 reason=outcome.reason,
                 peer=outcome.peer,
                 version=self._version,
+                age=self._age(),
             )
         self._failing = True
+
+    def _age(self) -> float | None:
+        """Return the seconds since the table was read, None if it never was."""
+        if self.read_at is None:
+            return None
+        return round(self._now() - self.read_at, 3)
--- a/dogwoodchute/platform/relay.py
+++ b/dogwoodchute/platform/relay.py
@@ -2,7 +2,7 @@
 
 import sanic
 
-from dogwoodchute.platform import store
+from dogwoodchute.platform import store, transport
 
 PREFIX = "/api/rows-"
 
@@ -13,16 +13,16 @@
     async def handle(request: sanic.Request, path: str) -> sanic.HTTPResponse:
         target = request.raw_url.decode("ascii", "replace")
         if not target.startswith(PREFIX) or not client.direct:
-            return _failed(store.NOT_SENT)
+            return _failed(transport.NOT_SENT)
         outcome = await client.pass_on(request.method, target, request.body or b"")
-        if isinstance(outcome, store.NotSent):
-            return _failed(store.NOT_SENT)
-        if isinstance(outcome, store.NoAnswer):
-            return _failed(store.NO_ANSWER)
+        if isinstance(outcome, transport.NotSent):
+            return _failed(transport.NOT_SENT)
+        if isinstance(outcome, transport.NoAnswer):
+            return _failed(transport.NO_ANSWER)
         return sanic.raw(outcome.content, status=outcome.status)
 
     app.add_route(handle, "/<path:path>", methods=["GET", "POST"], name="relay")
 
 
 def _failed(what: str) -> sanic.HTTPResponse:
-    return sanic.empty(status=502, headers={store.RELAYED: what})
+    return sanic.empty(status=502, headers={transport.RELAYED: what})
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -7,48 +7,18 @@
 import base64
 import json
 import random
-import typing
 import urllib.parse
 from collections import abc
 
-import aiohttp
-
 from dogwoodchute import log
 from dogwoodchute.gateway import rows
-from dogwoodchute.platform import names
+from dogwoodchute.platform import names, transport
 
-CONNECT_TIMEOUT = 0.6  # seconds
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
 PROBE_INTERVAL = 0.5  # seconds between tries of a path that failed
 RELAY_PAUSE = 0.3  # seconds without calls after a relay did not reach the store
 MAX_PAGES = 40  # of one read, a bound on a store that never ends
-RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
-NOT_SENT = "not-sent"
-NO_ANSWER = "no-answer"
-
-
-class Answer(typing.NamedTuple):
-    """An answer of the store."""
-
-    status: int
-    content: bytes
-
-
-class NotSent(typing.NamedTuple):
-    """The call certainly had no effect."""
-
-    reason: str
-    peer: str
 
-
-class NoAnswer(typing.NamedTuple):
-    """The call may have had its effect, or may yet."""
-
-    reason: str
-    peer: str
-
-
-CallOutcome = Answer | NotSent | NoAnswer
 Relays = abc.Callable[[], list[str]]
 
 
@@ -61,7 +31,7 @@
         self._address = address
         self._relays = relays  # control addresses of other hosts, best first
         self._now = now
-        self._session: aiohttp.ClientSession | None = None
+        self._transport = transport.Transport()
         self._direct_after = 0.0  # monotonic seconds: the direct path is tried again
         self._direct_failed = False
         self._direct_answered = 0.0  # monotonic seconds of the last answer
@@ -86,53 +56,58 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._transport.close()
 
-    async def pass_on(self, method: str, target: str, body: bytes) -> CallOutcome:
+    async def pass_on(
+        self, method: str, target: str, body: bytes
+    ) -> transport.CallOutcome:
         """Make a call for another host, by the direct path alone."""
-        return await self._send(self._address, method, target, body, CALL_TIMEOUT)
+        call = transport.Call(method, target, body, CALL_TIMEOUT)
+        return await self._transport.send(self._address, call)
 
     async def call(
         self, method: str, target: str, body: bytes = b"", *, wait: float = 0.0
-    ) -> CallOutcome:
+    ) -> transport.CallOutcome:
         """Make one call by the path that works; `wait` is what the call asks for."""
-        timeout = CALL_TIMEOUT + wait
-        outcome: CallOutcome = NotSent("the store failed lately", self._address)
+        call = transport.Call(method, target, body, CALL_TIMEOUT + wait, wait)
+        outcome: transport.CallOutcome = transport.NotSent(
+            "the store failed lately", self._address
+        )
         if self._now() >= self._direct_after:
             sent = self._now()
-            outcome = await self._send(self._address, method, target, body, timeout)
+            outcome = await self._transport.send(self._address, call)
             self._note_direct(outcome, sent)
-        if isinstance(outcome, Answer) and not _turned_away(outcome):
+        if isinstance(outcome, transport.Answer) and not _turned_away(outcome):
             return outcome
-        if isinstance(outcome, NoAnswer) and method != "GET":
+        if isinstance(outcome, transport.NoAnswer) and method != "GET":
             return outcome
         if self._direct_failed:
-            return await self._call_relayed(method, target, body, outcome)
+            relayed = call._replace(timeout=CALL_TIMEOUT)
+            return await self._call_relayed(relayed, outcome)
         return outcome
 
     async def _call_relayed(
-        self, method: str, target: str, body: bytes, direct: CallOutcome
-    ) -> CallOutcome:
+        self, call: transport.Call, direct: transport.CallOutcome
+    ) -> transport.CallOutcome:
         relays = self._relays()
         if not relays or self._now() < self._relay_after:
             return direct
         if self._relay not in relays:
             self._relay = random.choice(relays)
         relay = self._relay
-        outcome = await self._send(relay, method, target, body, CALL_TIMEOUT)
-        if not isinstance(outcome, Answer) or _turned_away(outcome):
+        outcome = await self._transport.send(relay, call)
+        if not isinstance(outcome, transport.Answer) or _turned_away(outcome):
             self._relay = random.choice(relays)
             self._relay_after = self._now() + RELAY_PAUSE * random.uniform(0.5, 1.5)
         return outcome
 
-    def _note_direct(self, outcome: CallOutcome, sent: float) -> None:
+    def _note_direct(self, outcome: transport.CallOutcome, sent: float) -> None:
         """Take in how a call by the direct path ended that was sent at `sent`.
 
         A call that was sent before the path's last answer and failed tells nothing of
         the path now.
         """
-        failed = not isinstance(outcome, Answer) or _turned_away(outcome)
+        failed = not isinstance(outcome, transport.Answer) or _turned_away(outcome)
         if failed and sent < self._direct_answered:
             return
         if not failed:
@@ -145,45 +120,13 @@
             log.info("store_regained", peer=self._address)
         self._direct_failed = failed
 
-    async def _send(
-        self, address: str, method: str, target: str, body: bytes, timeout: float
-    ) -> CallOutcome:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
-                auto_decompress=False,
-            )
-        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
-        headers = {"Content-Type": "application/json"} if body else None
-        try:
-            async with self._session.request(
-                method,
-                f"http://{address}{target}",
-                data=body or None,
-                headers=headers,
-                timeout=limit,
-            ) as response:
-                content = await response.read()
-                relayed = response.headers.get(RELAYED)
-        except aiohttp.ClientConnectorError as error:
-            return NotSent(str(error), address)
-        except aiohttp.ConnectionTimeoutError:
-            return NotSent("connecting timed out", address)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return NoAnswer(str(error) or type(error).__name__, address)
-        if relayed == NOT_SENT:
-            return NotSent("the relay did not reach the store", address)
-        if relayed == NO_ANSWER:
-            return NoAnswer("the relay got no answer", address)
-        return Answer(response.status, content)
-
-
-def _turned_away(answer: Answer) -> bool:
+
+def _turned_away(answer: transport.Answer) -> bool:
     return answer.status in (429, 503)
 
 
-def _reason(outcome: CallOutcome) -> str:
-    if isinstance(outcome, Answer):
+def _reason(outcome: transport.CallOutcome) -> str:
+    if isinstance(outcome, transport.Answer):
         return f"status {outcome.status}"
     return outcome.reason
 
@@ -233,9 +176,9 @@
     ) -> rows.CommitOutcome:
         body = json.dumps(_transaction(part, checks, puts)).encode()
         answer = await client.call("POST", names.TX_PATH, body)
-        if isinstance(answer, NotSent):
+        if isinstance(answer, transport.NotSent):
             return rows.Unavailable(reason=answer.reason, peer=answer.peer)
-        if isinstance(answer, NoAnswer):
+        if isinstance(answer, transport.NoAnswer):
             return rows.Unknown(reason=answer.reason, peer=answer.peer)
         if _turned_away(answer):
             return rows.Unavailable(reason=f"status {answer.status}")
@@ -262,14 +205,14 @@
     return f"{path}?{urllib.parse.urlencode(query)}"
 
 
-def _unavailable(answer: CallOutcome) -> rows.Unavailable:
+def _unavailable(answer: transport.CallOutcome) -> rows.Unavailable:
     return rows.Unavailable(reason=_reason(answer), peer=getattr(answer, "peer", None))
 
 
 def _rows_in(
-    answer: CallOutcome, client: Client
+    answer: transport.CallOutcome, client: Client
 ) -> tuple[dict, list[rows.Row]] | rows.Unavailable | rows.Compacted:
-    if not isinstance(answer, Answer):
+    if not isinstance(answer, transport.Answer):
         return _unavailable(answer)
     if answer.status == 410:
         return rows.Compacted()
--- /dev/null
+++ b/dogwoodchute/platform/transport.py
@@ -0,0 +1,165 @@
+"""Sends single calls to the platform's store or a relay, and measures them."""
+
+import typing
+import urllib.parse
+
+import aiohttp
+import prometheus_client
+
+from dogwoodchute import clock, log
+from dogwoodchute.platform import names
+
+CONNECT_TIMEOUT = 0.6  # seconds
+SLOW_CALL = 0.5  # seconds beyond what a call waits for by itself
+LARGE_ANSWER = 100_000  # bytes
+KINDS = {
+    names.GET_PATH: "read",
+    names.FEED_PATH: "feed",
+    names.TX_PATH: "commit",
+}
+RELAYED = "X-Relay-Status"  # what became of a call that a relay passed on
+NOT_SENT = "not-sent"
+NO_ANSWER = "no-answer"
+
+call_seconds = prometheus_client.Histogram(
+    "dogwoodchute_store_call_seconds",
+    "Seconds from a call of the store to the end of its answer.",
+    ["kind", "outcome"],
+    buckets=(0.01, 0.05, 0.1, 0.3, 0.6, 1.2, 2.5, 5, 10),
+)
+bytes_received = prometheus_client.Counter(
+    "dogwoodchute_store_bytes_received",
+    "Bytes of answers of the store, those of unfinished answers included.",
+    ["kind"],
+)
+
+
+class Answer(typing.NamedTuple):
+    """An answer of the store."""
+
+    status: int
+    content: bytes
+
+
+class NotSent(typing.NamedTuple):
+    """The call certainly had no effect."""
+
+    reason: str
+    peer: str
+
+
+class NoAnswer(typing.NamedTuple):
+    """The call may have had its effect, or may yet."""
+
+    reason: str
+    peer: str
+
+
+CallOutcome = Answer | NotSent | NoAnswer
+
+
+class Call(typing.NamedTuple):
+    """A call, and how long its answer may take."""
+
+    method: str
+    target: str
+    body: bytes
+    timeout: float  # seconds
+    wait: float = 0.0  # seconds of them for which the call asks to be held open
+
+    @property
+    def kind(self) -> str:
+        """What the call does, for logs and metrics."""
+        return KINDS.get(urllib.parse.urlsplit(self.target).path, "other")
+
+
+class _Progress:
+    """How much of an answer has come, and when it began."""
+
+    def __init__(self) -> None:
+        self.began = clock.monotonic()
+        self.head_seconds: float | None = None
+        self.content = bytearray()
+
+    @property
+    def seconds(self) -> float:
+        """Seconds since the call was sent."""
+        return clock.monotonic() - self.began
+
+
+class Transport:
+    """The connections of one process."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(self, address: str, call: Call) -> CallOutcome:
+        """Send a call to `address` and return what became of it."""
+        progress = _Progress()
+        outcome = await self._send(address, call, progress)
+        _note(address, call, progress, outcome)
+        return outcome
+
+    async def _send(self, address: str, call: Call, progress: _Progress) -> CallOutcome:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
+                auto_decompress=False,
+            )
+        try:
+            async with self._session.request(
+                call.method,
+                f"http://{address}{call.target}",
+                data=call.body or None,
+                headers={"Content-Type": "application/json"} if call.body else None,
+                timeout=_timeout(call),
+            ) as response:
+                progress.head_seconds = progress.seconds
+                async for chunk in response.content.iter_any():
+                    progress.content += chunk
+                relayed = response.headers.get(RELAYED)
+        except aiohttp.ClientConnectorError as error:
+            return NotSent(str(error), address)
+        except aiohttp.ConnectionTimeoutError:
+            return NotSent("connecting timed out", address)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return NoAnswer(str(error) or type(error).__name__, address)
+        if relayed == NOT_SENT:
+            return NotSent("the relay did not reach the store", address)
+        if relayed == NO_ANSWER:
+            return NoAnswer("the relay got no answer", address)
+        return Answer(response.status, bytes(progress.content))
+
+
+def _timeout(call: Call) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=call.timeout, sock_connect=CONNECT_TIMEOUT)
+
+
+def _note(address: str, call: Call, progress: _Progress, outcome: CallOutcome) -> None:
+    """Count a call that has ended, and log it if it was slow or large."""
+    seconds, size = progress.seconds, len(progress.content)
+    answered = isinstance(outcome, Answer)
+    call_seconds.labels(call.kind, "answered" if answered else "failed").observe(
+        seconds
+    )
+    bytes_received.labels(call.kind).inc(size)
+    body_seconds = 0.0
+    if progress.head_seconds is not None:
+        body_seconds = seconds - progress.head_seconds
+    slow = seconds > SLOW_CALL + call.wait or body_seconds > SLOW_CALL
+    if not slow and size < LARGE_ANSWER:
+        return
+    log.info(
+        "store_call_slow" if slow else "store_call_large",
+        kind=call.kind,
+        peer=address,
+        answered=answered,
+        seconds=round(seconds, 3),
+        body_seconds=round(body_seconds, 3),
+        bytes=size,
+    )
--- /dev/null
+++ b/dogwoodchute/tests/test_store_metrics.py
@@ -0,0 +1,98 @@
+"""What the client of the store and the copies of its tables say of themselves."""
+
+import asyncio
+import json
+
+import prometheus_client
+
+from dogwoodchute import clock, log, server
+from dogwoodchute.gateway import configuration, mirror, rows
+from dogwoodchute.platform import decode, store, transport
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import gateway_site, support
+
+LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
+
+
+def sample(name, **labels):
+    value = prometheus_client.REGISTRY.get_sample_value(name, labels)
+    return value or 0.0
+
+
+class StoreMetricsTest(support.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.lines = []
+        for level in ("info", "warning"):
+            self.patch(log, level, self.note)
+
+    def note(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def logged(self, event):
+        return [fields for name, fields in self.lines if name == event]
+
+    def test_a_large_answer_is_counted_and_logged(self):
+        async def story():
+            kept = row_store.RowStore(now=clock.monotonic)
+            kept.commit("", [], [rows.Put("t", "k", b"v" * transport.LARGE_ANSWER)])
+            listener = server.Server(name=f"s-{id(self)}", **LIMITS)
+            row_store.add_routes(listener.app, kept)
+            await listener.start("127.0.0.1", 0)
+            client = store.Client(
+                address=f"127.0.0.1:{listener.port}",
+                relays=lambda: [],
+                now=clock.monotonic,
+            )
+            before = sample("dogwoodchute_store_bytes_received_total", kind="read")
+            await store.store(client).read("t", "", None, None)
+            after = sample("dogwoodchute_store_bytes_received_total", kind="read")
+            self.assertGreater(after - before, transport.LARGE_ANSWER)
+            answered = {"kind": "read", "outcome": "answered"}
+            self.assertGreater(
+                sample("dogwoodchute_store_call_seconds_count", **answered), 0
+            )
+            await client.close()
+            await listener.stop()
+
+        self.run_async(story())
+        (fields,) = self.logged("store_call_large")
+        self.assertEqual("read", fields["kind"])
+        self.assertGreater(fields["bytes"], transport.LARGE_ANSWER)
+
+    def test_the_age_of_a_table_is_told_when_it_is_lost_and_regained(self):
+        now = [100.0]
+        faults = [row_store.NO_FAULT]
+        kept = row_store.RowStore(now=lambda: now[0])
+        followed = mirror.Mirror(
+            store=row_store.direct(kept, faults=lambda kind: faults[0]),
+            table="t",
+            pause=1.0,
+            wait=0.0,
+            changed=lambda all_rows, changed: None,
+            now=lambda: now[0],
+        )
+        asyncio.run(followed.step())
+        faults[0] = row_store.Fault(status=503)
+        now[0] += 2.0
+        asyncio.run(followed.step())
+        faults[0] = row_store.NO_FAULT
+        now[0] += 3.0
+        asyncio.run(followed.step())
+        self.assertEqual([2.0], [each["age"] for each in self.logged("table_lost")])
+        self.assertEqual([5.0], [each["age"] for each in self.logged("table_regained")])
+
+    def test_adopting_a_configuration_tells_how_long_it_took(self):
+        value = json.dumps(gateway_site.config()).encode()
+        kept = configuration.Configuration(
+            key="config",
+            decode=decode.config,
+            format_error=decode.FormatError,
+            adopted=lambda config: None,
+            now=lambda: 101.25,
+        )
+        kept.follow(lambda: 100.0)
+        row = rows.Row("config", value, 1)
+        kept.changed({"config": row}, [row])
+        (fields,) = self.logged("config_adopted")
+        self.assertEqual((1.25, len(value)), (fields["seconds"], fields["bytes"]))
