Let a read of the store go on while its bytes come

A call had 1.2 s in all plus what it waits for by itself; an answer that took longer was dropped and begun at its first byte, so its bytes filled the link for nothing and held up all other calls.

A read or feed by the direct path now has that time for each piece of its answer, and 15 s in all. An answer that stops midway is still given up after the same time. Commits and calls through a relay keep their time in all: a relay sends nothing until it has the whole answer.

Tests: the store's stand-in sends an answer slowly on demand; test_a_large_row_over_a_narrow_link_is_not_begun_anew fails with the time in all (run: TimeoutError) and passes now, test_an_answer_that_stops_midway_is_given_up guards the other side.

--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -15,6 +15,7 @@
 from dogwoodchute.platform import names, transport
 
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
+LONGEST_READ = 15.0  # seconds for an answer whose bytes keep coming
 PROBE_INTERVAL = 0.5  # seconds between tries of a path that failed
 RELAY_PAUSE = 0.3  # seconds without calls after a relay did not reach the store
 MAX_PAGES = 40  # of one read, a bound on a store that never ends
@@ -62,14 +63,20 @@
         self, method: str, target: str, body: bytes
     ) -> transport.CallOutcome:
         """Make a call for another host, by the direct path alone."""
-        call = transport.Call(method, target, body, CALL_TIMEOUT)
+        call = transport.Call(method, target, body, CALL_TIMEOUT, CALL_TIMEOUT)
         return await self._transport.send(self._address, call)
 
     async def call(
         self, method: str, target: str, body: bytes = b"", *, wait: float = 0.0
     ) -> transport.CallOutcome:
-        """Make one call by the path that works; `wait` is what the call asks for."""
-        call = transport.Call(method, target, body, CALL_TIMEOUT + wait, wait)
+        """Make one call by the path that works; `wait` is what the call asks for.
+
+        The direct path's answer to a read may take long while its bytes keep coming:
+        begun anew, a large one would never come over a narrow link.
+        """
+        timeout = CALL_TIMEOUT + wait
+        longest = LONGEST_READ if method == "GET" else timeout
+        call = transport.Call(method, target, body, timeout, longest, wait)
         outcome: transport.CallOutcome = transport.NotSent(
             "the store failed lately", self._address
         )
@@ -82,7 +89,7 @@
         if isinstance(outcome, transport.NoAnswer) and method != "GET":
             return outcome
         if self._direct_failed:
-            relayed = call._replace(timeout=CALL_TIMEOUT)
+            relayed = call._replace(timeout=CALL_TIMEOUT, longest=CALL_TIMEOUT)
             return await self._call_relayed(relayed, outcome)
         return outcome
 
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -59,13 +59,14 @@
 
 
 class Call(typing.NamedTuple):
-    """A call, and how long its answer may take."""
+    """A call, and how long its answer may take; times are in seconds."""
 
     method: str
     target: str
     body: bytes
-    timeout: float  # seconds
-    wait: float = 0.0  # seconds of them for which the call asks to be held open
+    timeout: float  # in which bytes must come
+    longest: float  # in which the whole answer must have come
+    wait: float = 0.0  # for which the call asks to be held open
 
     @property
     def kind(self) -> str:
@@ -137,7 +138,9 @@
 
 
 def _timeout(call: Call) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=call.timeout, sock_connect=CONNECT_TIMEOUT)
+    return aiohttp.ClientTimeout(
+        total=call.longest, sock_connect=CONNECT_TIMEOUT, sock_read=call.timeout
+    )
 
 
 def _note(address: str, call: Call, progress: _Progress, outcome: CallOutcome) -> None:
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -11,6 +11,7 @@
 from dogwoodchute.gateway import rows
 
 HISTORY = 10_000  # changes kept for feeds
+SLOW_STEP = 0.1  # seconds between the pieces of a slow answer
 
 
 class Fault(typing.NamedTuple):
@@ -18,13 +19,14 @@
 
     `status` answers without doing anything; `silent` never answers; `lose` does the
     call and then resets the connection; `late` does it after some seconds and never
-    answers.
+    answers; `rate` sends the answer's body slowly, as over a narrow link.
     """
 
     status: int = 0
     silent: bool = False
     lose: bool = False
     late: float = 0.0  # seconds
+    rate: float = 0.0  # bytes a second
 
 
 NO_FAULT = Fault()
@@ -140,7 +142,7 @@
 
     async def act(
         request: sanic.Request, kind: str, work: abc.Callable[[], sanic.HTTPResponse]
-    ) -> sanic.HTTPResponse:
+    ) -> sanic.HTTPResponse | None:
         fault = faults(kind)
         if fault.status:
             return sanic.empty(status=fault.status)
@@ -152,6 +154,9 @@
         response = work()
         if fault.lose:
             request.transport.abort()
+        if fault.rate:
+            await _send_slowly(request, response, fault.rate)
+            return None
         return response
 
     async def get(request: sanic.Request) -> sanic.HTTPResponse:
@@ -204,6 +209,21 @@
     app.add_route(transact, "/api/rows-tx", methods=["POST"], name="transact")
 
 
+async def _send_slowly(
+    request: sanic.Request, response: sanic.HTTPResponse, rate: float
+) -> None:
+    stream = await request.respond(
+        status=response.status,
+        headers={"Content-Length": str(len(response.body))},
+        content_type=response.content_type,
+    )
+    size = max(1, int(rate * SLOW_STEP))
+    for begin in range(0, len(response.body), size):
+        await stream.send(response.body[begin : begin + size])
+        await asyncio.sleep(SLOW_STEP)
+    await stream.eof()
+
+
 def _answer(store: RowStore, plain: dict, *, status: int = 200) -> sanic.HTTPResponse:
     stamp = {"ver": store.version, "nowMs": int(store.now() * 1000)}
     return sanic.json({**plain, **stamp}, status=status)
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -129,6 +129,34 @@
 
         asyncio.run(story())
 
+    def test_a_large_row_over_a_narrow_link_is_not_begun_anew(self):
+        """Hosts that begin it anew never get it, and hold up all other calls."""
+
+        async def story():
+            async with running() as site:
+                site.rows.commit("", [], [rows.Put("t", "k", b"v" * 30_000)])
+                site.fault = row_store.Fault(rate=20_000)
+                found = await site.store.read("t", "", None, None)
+                self.assertIsInstance(found, rows.Rows)
+                changed = await site.store.feed("t", 0, 0.0)
+                self.assertIsInstance(changed, rows.Rows)
+                self.assertTrue(site.client.direct)
+
+        self.run_async(story())
+
+    def test_an_answer_that_stops_midway_is_given_up(self):
+        async def story():
+            async with running() as site:
+                site.rows.commit("", [], [rows.Put("t", "k", b"v" * 30_000)])
+                self.patch(row_store, "SLOW_STEP", 5.0)
+                site.fault = row_store.Fault(rate=1_000)
+                began = clock.monotonic()
+                found = await site.store.read("t", "", None, None)
+                self.assertIsInstance(found, rows.Unavailable)
+                self.assertLess(clock.monotonic() - began, 2 * store.CALL_TIMEOUT)
+
+        self.run_async(story())
+
     def test_garbage_is_no_answer(self):
         async def story():
             async with running() as site:
