Publish each host's link speed in its row

The settings' link speed is read and goes into the host's row; rows of older hosts, which lack it, are still read.

Tests: test_decode, test_hosts (both fail before: no such field).

--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -31,6 +31,7 @@
     gossip: str  # address for other hosts' datagrams
     state: str
     beat: int
+    link_mbps: float = 1000.0  # of the host's own link
 
 
 class Hosts:
@@ -157,6 +158,7 @@
             gossip=place.gossip,
             state=self._state(),
             beat=self._beat,
+            link_mbps=place.link_mbps,
         )
         await self._store.commit("", [], [rows.Put(TABLE, self.id, encode(host))])
 
@@ -200,6 +202,7 @@
                 "state",
             )
         }
-        return Host(id=name, beat=int(plain["beat"]), **texts)
+        link = float(plain.get("link_mbps", 1000.0))  # rows of older hosts lack it
+        return Host(id=name, beat=int(plain["beat"]), link_mbps=link, **texts)
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -34,6 +34,7 @@
     store: str  # address of the platform's store
     bounds: Bounds
     row_bytes: int = 65536  # largest value of a row in the store
+    link_mbps: float = 1000.0  # megabits a second of this host's own link
 
 
 class Route(typing.NamedTuple):
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -39,6 +39,7 @@
     listen = plain["listen"]
     platform = plain["platform"]
     given = plain.get("bounds", {})
+    limits = plain.get("limits", {})
     default = model.Bounds()
     bounds = model.Bounds(
         grace=float(given.get("graceS", default.grace)),
@@ -63,4 +64,5 @@
         store=str(platform["address"]),
         bounds=bounds,
         row_bytes=int(platform.get("rowBytes", 65536)),
+        link_mbps=float(limits.get("linkMbps", 1000.0)),
     )
--- a/dogwoodchute/tests/test_decode.py
+++ b/dogwoodchute/tests/test_decode.py
@@ -97,6 +97,8 @@
 [bounds]
 graceS = 8
 retrySlack = 54
+[limits]
+linkMbps = 7.5
 [platform]
 address = "10.9.9.9:1"
 """
@@ -118,6 +120,9 @@
         self.assertEqual("10.0.0.1:7000", found.gossip)
         self.assertEqual((8.0, 54.0), (found.bounds.grace, found.bounds.retry_slack))
         self.assertEqual({"z1": "r1", "z2": "r2"}, found.regions)
+        self.assertEqual(7.5, found.link_mbps)
+        without = self.load(SETTINGS.replace("linkMbps = 7.5", ""))
+        self.assertEqual(1000.0, without.link_mbps)
 
     def test_bad_settings_get_a_clear_error(self):
         for text, word in [
--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -1,5 +1,7 @@
 """Membership by rows in the store, on passed-in time."""
 
+import json
+
 from dogwoodchute.gateway import hosts, model, rows
 from dogwoodchute.tests import support
 
@@ -87,3 +89,13 @@
     def test_an_unreadable_row_is_left_out(self):
         self.hosts.changed({}, [rows.Row("h4-a", b"{", 9)])
         self.assertEqual([], self.live())
+
+    def test_a_row_tells_the_link_and_one_of_an_older_host_is_still_read(self):
+        self.beat("h2-a", 1)
+        (host,) = self.hosts.live
+        value = hosts.encode(host._replace(link_mbps=7.5))
+        self.assertEqual(7.5, hosts.decode("h2-a", value).link_mbps)
+        older = json.loads(value)
+        del older["link_mbps"]
+        found = hosts.decode("h2-a", json.dumps(older).encode())
+        self.assertEqual(1000.0, found.link_mbps)
