Decide from where a host gets the store's tables

This is the decision alone, on passed-in time: three sources per region by rendezvous hashing weighted with the link, followers spread over them, when an answer is too old, which sources rest, and in which groups hosts go to the store when all sources fail, so that they don't ask for the same bytes at once.

Tests: test_sources (new).

--- /dev/null
+++ b/dogwoodchute/tests/test_sources.py
@@ -0,0 +1,109 @@
+"""Who follows the store, who follows another host, and when that changes."""
+
+from dogwoodchute.coordination import sources
+from dogwoodchute.tests import support
+
+NOW = 100.0
+
+
+def peers(region, count, *, link=1000.0):
+    return [
+        sources.Peer(f"{region}-{n}", region, f"{region}-{n}:1", link)
+        for n in range(count)
+    ]
+
+
+def chooser(peer):
+    return sources.Sources(name=peer.name, region=peer.region)
+
+
+class SourcesTest(support.TestCase):
+    def plans(self, known, *, direct=True):
+        return {p: chooser(p).plan(known, direct=direct, now=NOW) for p in known}
+
+    def test_three_hosts_of_each_region_follow_the_store(self):
+        known = peers("r1", 31) + peers("r2", 31)
+        for region in ("r1", "r2"):
+            plans = {
+                p.name: plan
+                for p, plan in self.plans(known).items()
+                if p.region == region
+            }
+            direct = {name for name, plan in plans.items() if plan.group == 0}
+            self.assertEqual(sources.SOURCES, len(direct))
+            asked = {p.name for plan in plans.values() for p in plan.peers}
+            self.assertEqual(direct, asked)
+
+    def test_followers_are_spread_over_the_sources(self):
+        known = peers("r1", 31)
+        first = [plan.peers[0] for plan in self.plans(known).values() if plan.peers]
+        self.assertEqual(sources.SOURCES, len(set(first)))
+
+    def test_a_small_region_has_no_followers(self):
+        for plan in self.plans(peers("r1", 3)).values():
+            self.assertEqual(sources.Plan([], 0), plan)
+
+    def test_a_narrow_link_makes_no_source(self):
+        known = peers("r1", 20, link=5.0) + peers("r1-fast", 3)
+        known = [peer._replace(region="r1") for peer in known]
+        found = sources.rank(known)[: sources.SOURCES]
+        self.assertEqual([1000.0] * 3, [peer.link_mbps for peer in found])
+
+    def test_a_starting_host_that_knows_no_source_reads_from_the_store(self):
+        one = chooser(peers("r1", 1)[0])
+        self.assertEqual(
+            sources.Plan([], 0), one.plan(peers("r2", 9), direct=True, now=NOW)
+        )
+        self.assertTrue(one.store_due(None, group=5, now=NOW))
+
+    def test_a_source_that_did_not_answer_rests(self):
+        known = peers("r1", 9)
+        follower = next(p for p, plan in self.plans(known).items() if plan.group)
+        one = chooser(follower)
+        first, second = one.plan(known, direct=True, now=NOW).peers
+        one.note_peer(first.name, answered=False, now=NOW)
+        later = NOW + sources.FAILED_REST - 0.1
+        asked = one.plan(known, direct=True, now=later).peers
+        self.assertEqual(second, asked[0])
+        self.assertNotIn(first, asked)
+        back = NOW + sources.FAILED_REST
+        self.assertEqual(first, one.plan(known, direct=True, now=back).peers[0])
+
+    def test_a_source_that_rests_is_asked_when_all_do(self):
+        known = peers("r1", 9)
+        follower = next(p for p, plan in self.plans(known).items() if plan.group)
+        one = chooser(follower)
+        for peer in sources.rank(known)[: sources.SOURCES]:
+            one.note_peer(peer.name, answered=False, now=NOW)
+        self.assertEqual(1, len(one.plan(known, direct=True, now=NOW).peers))
+
+    def test_followers_go_to_the_store_in_groups_when_all_sources_fail(self):
+        known = peers("r2", 31)
+        due = {}
+        for peer, plan in self.plans(known).items():
+            if plan.group == 0:
+                continue
+            age = 0.0
+            while not chooser(peer).store_due(age, group=plan.group, now=NOW):
+                age += 0.05
+            due.setdefault(round(age, 1), []).append(peer)
+        self.assertLessEqual(max(map(len, due.values())), sources.SOURCES)
+        self.assertLess(min(due), 1.7)
+        self.assertLess(max(due), 4.0)
+
+    def test_a_store_that_fails_is_asked_with_pauses(self):
+        one = chooser(peers("r1", 1)[0])
+        one.note_store(answered=False, group=2, now=NOW)
+        self.assertFalse(one.store_due(60.0, group=2, now=NOW + 0.9))
+        self.assertTrue(one.store_due(60.0, group=2, now=NOW + 1.0))
+
+    def test_a_host_that_the_store_turns_away_asks_its_peers(self):
+        known = peers("r1", 9) + peers("r2", 9)
+        for peer, plan in self.plans(known, direct=False).items():
+            self.assertNotIn(peer, plan.peers)
+            self.assertTrue(plan.peers)
+
+    def test_a_region_that_is_cut_from_the_store_asks_the_other_one(self):
+        known = peers("r1", 2) + peers("r2", 9)
+        plan = chooser(known[0]).plan(known, direct=False, now=NOW)
+        self.assertIn("r2", {peer.region for peer in plan.peers})
