Log and count connections that this host cuts with work under way

A connection that ended without an answer left no line: neither an answer that was broken off, nor a caller that the timer closed, nor a stop. Each now logs its reason, the stage of the request, its id where it is known, and how many bytes were unread or unsent; a counter has reason and stage. Bytes that were read and not looked at yet no longer count as an idle connection.

--- a/dogwoodchute/platform/ingress.py
+++ b/dogwoodchute/platform/ingress.py
@@ -7,7 +7,7 @@
 import sanic
 from sanic import compat
 
-from dogwoodchute import clock, log, outcomes
+from dogwoodchute import clock, connection, log, outcomes
 from dogwoodchute.gateway import calls, model
 from dogwoodchute.platform import names
 
@@ -187,8 +187,8 @@
 
     def abort() -> None:
         request.stream.keep_alive = False
-        if request.transport is not None:
-            request.transport.abort()
+        attempt_id = request.headers.get(names.ATTEMPT_ID)
+        request.stream.protocol.cut(connection.ABORT, request=attempt_id)
 
     return calls.Reply(whole=whole, start=start, chunk=chunk, end=end, abort=abort)
 
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -6,6 +6,8 @@
 import sanic
 from sanic.server import async_server
 
+from dogwoodchute import connection
+
 
 class Server:
     """One listening HTTP application."""
@@ -44,7 +46,11 @@
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
         self._server = await self.app.create_server(
-            sock=listener, ssl=tls, return_asyncio_server=True, access_log=False
+            sock=listener,
+            ssl=tls,
+            protocol=connection.Connection,
+            return_asyncio_server=True,
+            access_log=False,
         )
         await self._server.startup()
         await self._server.before_start()
--- a/dogwoodchute/standins/attempt_endpoint.py
+++ b/dogwoodchute/standins/attempt_endpoint.py
@@ -35,6 +35,8 @@
         self.id = id
         self.events = events  # of each stream
         self.pause = pause  # seconds between events
+        self.size = 0  # bytes added to each plain answer
+        self.delay = 0.0  # seconds before each plain answer
         self.modes: list[str] = []
         self.seen: list[Seen] = []
         self.cancelled = 0
@@ -80,7 +82,9 @@
         elif "stream" in path:
             await self._stream(request, reply, mode)
         else:
-            await self._whole(request, 200, reply, b"answer of " + self.id.encode())
+            await asyncio.sleep(self.delay)
+            content = b"answer of " + self.id.encode() + bytes(self.size)
+            await self._whole(request, 200, reply, content)
 
     async def _whole(
         self, request: sanic.Request, status: int, headers: dict, body: bytes
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -13,6 +13,7 @@
 from dogwoodchute.tools import dogwoodgate
 
 KEY = "key-of-ann"
+BROKEN = (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
 LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
 ENGINE = {"slots": 8, "kvCapacity": 100_000, "stride": 4}
 ROUTES = [
@@ -78,12 +79,17 @@
         place = {"service": service, "address": f"127.0.0.1:{port}", "zone": "z1"}
         self.put("servers", name, {**place, "slots": 8, "state": state, "sequence": 1})
 
-    async def start(self):
+    async def start_store(self):
+        """Listen as the store; return its address."""
         listener = await self.listen("store")
         row_store.add_routes(
             listener.app, self.store, faults=lambda kind: self.faults(kind)
         )
         await listener.start("127.0.0.1", 0)
+        return f"127.0.0.1:{listener.port}"
+
+    async def start(self):
+        store = await self.start_store()
         deployment = model.Deployment(
             host="h1",
             data_centre="z1",
@@ -95,7 +101,7 @@
             gossip="127.0.0.1:0",
             directory="127.0.0.1:0",
             seeds=(),
-            store=f"127.0.0.1:{listener.port}",
+            store=store,
             bounds=model.Bounds(grace=3.0),
         )
         self.gate = dogwoodgate.Process(
@@ -109,6 +115,10 @@
     async def stop(self):
         await self.session.close()
         await self.gate.stop()
+        await self.stop_listeners()
+
+    async def stop_listeners(self):
+        """Stop the store and the endpoints."""
         for listener in self._servers:
             await listener.stop()
 
