Answer what was taken before a host closes its connections, and end in time

What callers saw: requests passed on to an endpoint and cut or answered 502 as the host stopped; large answers that lost their end; processes that were killed since they outlived the grace time.

Cause: a stopping host wrote its bills, up to 0.7 s while the store is silent, with its listener open; then it closed the endpoints' connections under the requests that had come since. Answers that waited for slow readers were dropped with the loop. A caller's body that had not come whole kept the process alive without bound, since Sanic reads on after a cancellation.

Evidence: three tests with real processes and sockets, each of which failed before: a request sent 3.3 s after SIGTERM with a silent store got 502; a reader of 15 MB missed its end; half a body held the process past 20 s.

Now the callers' listener closes first, its connections end once their answers have been written or the time is up, and the bills are written after that. What is left is cut with a log line, and each wait has a bound.

A SIGHUP while the process starts ended it; it is ignored until the loop has its handler, and the settings are then read again. The test failed before.

--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -31,9 +31,9 @@
 HOSTS_PAUSE = 0.8  # seconds between looks at the other hosts
 LINGER = 3.0  # seconds after SIGTERM in which callers that don't know yet still come
 STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
-POLL = 0.05  # seconds between looks at what is in flight
+POLL = 0.02  # seconds between looks at what is in flight
 SMALL_FLEET = 16  # hosts, each of which has enough of an account's requests itself
-FLUSH_BOUND = 0.7  # seconds to write bills and return tokens
+FLUSH_BOUND = 0.5  # seconds to write bills and return tokens
 
 
 class Platform(typing.NamedTuple):
@@ -66,6 +66,8 @@
         self._ask_peer = ask_peer
         self._now = now
         self._in_flight = 0
+        self._idle = asyncio.Event()  # set while nothing is in flight
+        self._idle.set()
         self._leaving = False
         self._stop_began: float | None = None  # monotonic seconds
         self._tasks: list[asyncio.Task] = []
@@ -164,6 +166,7 @@
     async def serve(self, call: calls.Call) -> outcomes.Outcome:
         """Pass a call through the filter chain."""
         self._in_flight += 1
+        self._idle.clear()
         try:
             return await self._chain(call)
         except Exception:
@@ -171,6 +174,8 @@
             return outcomes.router_failed(step="chain")
         finally:
             self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
 
     async def start(self) -> None:
         """Begin to follow the store."""
@@ -181,19 +186,32 @@
         work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
         self._tasks = [asyncio.create_task(each) for each in work]
 
-    async def stop(self) -> None:
-        """Leave the directory, finish what is in flight, write what must last."""
+    async def leave(self) -> None:
+        """Leave the directory, and serve until callers have had time to hear of it.
+
+        Returns once nothing is in flight, or when connections are to be closed.
+        """
         began = self._stop_began = self._now()
         self._leaving = True
         self._hosts.beat_now()
         log.info("stop_begun", in_flight=self._in_flight)
-        last = self._stop_time
-        while self._now() - began < last:
+        while self.left:
             if self._now() - began >= LINGER and self._in_flight == 0:
                 break
             await asyncio.sleep(POLL)
+
+    @property
+    def left(self) -> float:
+        """Seconds until connections are closed, once this host leaves."""
+        return max(0.0, self._stop_began + self._stop_time - self._now())
+
+    async def stop(self) -> None:
+        """Break off what is in flight, and write what must last."""
+        log.info("stop_closing", in_flight=self._in_flight)
         try:
             async with asyncio.timeout(FLUSH_BOUND):
+                await self._upstream.stop()
+                await self._idle.wait()
                 await self._accounts.flush()
                 await self._hosts.leave()
         except TimeoutError:
@@ -201,7 +219,6 @@
         for task in self._tasks:
             task.cancel()
         self._gossip.stop()
-        await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
     @property
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -169,6 +169,8 @@
 
         `left` is the time in seconds that the endpoint is told to have.
         """
+        if self._session.closed:
+            return NotSent(reason="this host stops", peer=endpoint.id)
         request = call.request
         target = request.path + (f"?{request.query}" if request.query else "")
         try:
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -1,5 +1,6 @@
 """Runs Sanic applications inside the daemon's own event loop."""
 
+import asyncio
 import socket
 import ssl
 
@@ -8,6 +9,9 @@
 
 from dogwoodchute import connection
 
+POLL = 0.02  # seconds between looks at connections that are to end
+END_BOUND = 0.2  # seconds in which connections end that were cut
+
 
 class Server:
     """One listening HTTP application."""
@@ -71,16 +75,29 @@
             return
         if self._server.is_serving():
             self._server.close()
-        for connection in list(self._server.connections):
-            if not connection.close_if_idle():
-                connection.http.keep_alive = False
+        for each in list(self._server.connections):
+            if not each.close_if_idle():
+                each.http.keep_alive = False
+
+    async def drain(self, *, within: float) -> None:
+        """Close, and wait at most `within` seconds until callers have their answers."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + within
+        await self.close()
+        while self.busy and loop.time() < deadline:
+            await asyncio.sleep(POLL)
+            await self.close()
 
-    async def stop(self) -> None:
-        """Close the listener and all idle connections."""
+    async def stop(self, *, within: float = 0.0) -> None:
+        """Close the listener and all connections, busy ones after `within` seconds."""
         if self._server is None:
             return
         await self._server.before_stop()
-        await self.close()
+        await self.drain(within=within)
+        for each in list(self._server.connections):
+            each.cut(connection.STOP)
+        # The tasks of connections that were cut must not outlast the loop.
+        await self.drain(within=END_BOUND)
         await self._server.after_stop()
         sanic.Sanic.unregister_app(self.app)
         self._server = None
--- /dev/null
+++ b/dogwoodchute/tests/gate_process.py
@@ -0,0 +1,115 @@
+"""A gateway as a real process, beside a store and endpoints in the test's process."""
+
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from dogwoodchute.tests import gateway_site, support
+
+SETTINGS = """
+node = "h1"
+ip = "{ip}"
+zone = "z1"
+region = "r1"
+portRange = [7340, 7355]
+seeds = []
+[zones]
+z1 = "r1"
+[listen]
+front = "{ip}:8227"
+ready = "{ip}:8220"
+control = "{ip}:8229"
+directory = "{ip}:8224"
+[bounds]
+graceS = {grace}
+[platform]
+address = "{store}"
+"""
+GRACE = 5  # seconds
+
+
+class Gate(gateway_site.Site):
+    """A site whose gateway is a process on a loopback address of its own."""
+
+    def __init__(self, **known):
+        super().__init__(**known)
+        self.process = None
+        self._folder = tempfile.TemporaryDirectory()
+        self._log = None
+
+    async def start(self):
+        self._run(await self.start_store())
+        self.session = aiohttp.ClientSession()
+        await support.until_async(self.serves)
+
+    def _run(self, store):
+        # Ports are the same on all hosts, so that tests in parallel need other numbers.
+        ip = (
+            f"127.{random.randint(1, 250)}.{random.randint(0, 250)}.{os.getpid() % 250}"
+        )
+        folder = pathlib.Path(self._folder.name)
+        settings = folder / "settings.toml"
+        text = SETTINGS.format(ip=ip, grace=GRACE, store=store)
+        settings.write_text(text, encoding="utf-8")
+        self._log = folder / "log"
+        with self._log.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "dogwoodchute.tools.dogwoodgate"],
+                env={**os.environ, "DOGWOODCHUTE_SETTINGS": str(settings)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.address = f"{ip}:8227"
+
+    async def serves(self):
+        """Return whether the process answers requests."""
+        try:
+            return (await self.ask("/look/x", attempt="probe"))[0] == 200
+        except aiohttp.ClientError:
+            return False
+
+    def terminate(self):
+        """Send SIGTERM; return when, in monotonic seconds."""
+        self.process.send_signal(signal.SIGTERM)
+        return time.monotonic()
+
+    async def gone(self, *, seconds=20.0):
+        """Wait for the process to end; return its exit code."""
+        await support.until(lambda: self.process.poll() is not None, seconds=seconds)
+        return self.process.returncode
+
+    @property
+    def log(self):
+        """What the process wrote."""
+        return self._log.read_text(encoding="utf-8")
+
+    async def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        if self.session is not None:
+            await self.session.close()
+        await self.stop_listeners()
+        self._folder.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def running(**known):
+    """Run a site with one engine, one plain endpoint and a gateway's process."""
+    gate = Gate(**known)
+    gate.put("op", "config", gateway_site.config())
+    await gate.add_endpoint("e1", "engines")
+    await gate.add_endpoint("p1", "plain")
+    try:
+        await gate.start()
+        yield gate
+    finally:
+        await gate.stop()
--- a/dogwoodchute/tests/support.py
+++ b/dogwoodchute/tests/support.py
@@ -35,6 +35,17 @@
     raise AssertionError("the condition did not come to hold")
 
 
+async def until_async(
+    condition: abc.Callable[[], abc.Awaitable[object]], *, seconds: float = 20.0
+) -> None:
+    """Wait until the coroutine function `condition` returns true."""
+    for _ in range(int(seconds / 0.05)):
+        if await condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("the condition did not come to hold")
+
+
 def fuzz_settings(examples: int, steps: int = 50) -> hypothesis.settings:
     """Return settings that are derandomized unless a fuzz seed is set."""
     return hypothesis.settings(
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -13,6 +13,11 @@
 }
 
 
+async def stop(gateway):
+    await gateway.leave()
+    await gateway.stop()
+
+
 class GatewayTest(support.TestCase):
     def test_an_answer_passes_unchanged_and_headers_are_clean(self):
         async def story():
@@ -196,7 +201,7 @@
                 engine.events, engine.pause = 10, 0.05
                 asking = asyncio.create_task(site.ask("/s/stream", **TOKENS))
                 await support.until(lambda: engine.runs)
-                stopping = asyncio.create_task(site.gate.gateway.stop())
+                stopping = asyncio.create_task(stop(site.gate.gateway))
                 await asyncio.sleep(0.05)
                 self.assertFalse(site.gate.gateway.ready())
                 status, headers, body = await asking
--- /dev/null
+++ b/dogwoodchute/tests/test_planned_stop.py
@@ -0,0 +1,167 @@
+"""A gateway's process that is told to stop while callers use it."""
+
+import asyncio
+import signal
+import socket
+import time
+
+import aiohttp
+
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import gate_process, support
+
+HEAD = (
+    "POST /look/x HTTP/1.1\r\nHost: site.example\r\n"
+    "X-Dogwoodchute-Attempt-Id: {attempt}\r\nX-Dogwoodchute-Deadline-Ms: {wait}\r\n"
+    "X-Dogwoodchute-Credential: key-of-ann\r\nContent-Length: {length}\r\n\r\n"
+)
+SIZE = 15 * 1024 * 1024  # bytes, more than the system keeps for a connection
+SILENT = row_store.Fault(silent=True)
+
+
+async def dial(gate, *, limit=1 << 16):
+    host, _, port = gate.address.partition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, limit)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return await asyncio.open_connection(sock=sock, limit=limit)
+
+
+class PlannedStopTest(support.TestCase):
+    def test_half_a_request_does_not_hold_the_process(self):
+        """Hosts outlived the grace time while a caller's body had not come whole."""
+
+        async def story():
+            async with gate_process.running() as gate:
+                _, writer = await dial(gate)
+                head = HEAD.format(attempt="half", wait=2500, length=10)
+                writer.write(head.encode() + b"12345")
+                await asyncio.sleep(0.2)
+                began = gate.terminate()
+                self.assertEqual(0, await gate.gone())
+                self.assertLess(time.monotonic() - began, gate_process.GRACE)
+                self.assertIn("event=connection_cut", gate.log)
+                writer.close()
+
+        self.run_async(story())
+
+    def test_a_silent_store_does_not_hold_the_process(self):
+        async def story():
+            async with gate_process.running() as gate:
+                gate.faults = lambda kind: SILENT
+                began = gate.terminate()
+                self.assertEqual(0, await gate.gone())
+                self.assertLess(time.monotonic() - began, gate_process.GRACE)
+
+        self.run_async(story())
+
+    def test_a_slow_reader_gets_its_whole_answer(self):
+        """What a host had not written yet was lost when it exited."""
+
+        async def story():
+            async with gate_process.running() as gate:
+                gate.endpoints["p1"].size = SIZE
+                reader, writer = await dial(gate, limit=1024)
+                head = HEAD.format(attempt="big", wait=2500, length=0)
+                writer.write(head.encode())
+                await asyncio.sleep(0.5)
+                began = gate.terminate()
+                got = 0
+                while data := await reader.read(1 << 16):
+                    got += len(data)
+                    # The last bytes are read after the time in which callers may come.
+                    ahead = got / SIZE * 3.6 - (time.monotonic() - began)
+                    await asyncio.sleep(max(0.0, ahead))
+                self.assertGreater(got, SIZE)
+                writer.close()
+                self.assertEqual(0, await gate.gone())
+
+        self.run_async(story())
+
+    def test_what_was_passed_on_is_answered_while_the_store_is_silent(self):
+        """Requests were cut that came while a stopping host waited for the store."""
+
+        async def story():
+            async with gate_process.running() as gate:
+                gate.endpoints["p1"].delay = 0.5
+                gate.faults = lambda kind: SILENT
+                began = gate.terminate()
+                await asyncio.sleep(began + 3.3 - time.monotonic())
+                answered = set()
+                await self.ask(gate, gate.session, "late", answered)
+                ran = set(gate.endpoints["p1"].runs) - {"probe"}
+                self.assertEqual(set(), ran - answered, gate.log)
+                self.assertEqual(0, await gate.gone())
+
+        self.run_async(story())
+
+    def test_what_was_passed_on_is_answered_through_a_stop(self):
+        async def story():
+            async with gate_process.running() as gate:
+                gate.endpoints["p1"].delay = 0.05
+                answered = await self.ask_until_gone(gate, callers=8)
+                ran = set(gate.endpoints["p1"].runs)
+                self.assertEqual(set(), ran - answered, gate.log)
+
+        self.run_async(story())
+
+    async def ask_until_gone(self, gate, *, callers):
+        """Ask through a stop of the process; return the attempts with an answer."""
+        answered = {"probe"}
+
+        async def caller(name):
+            number = 0
+            while gate.process.poll() is None:
+                number += 1
+                await self.ask(gate, session, f"{name}-{number}", answered)
+                await asyncio.sleep(0.02)
+
+        async with aiohttp.ClientSession() as session:
+            asking = [asyncio.create_task(caller(f"c{n}")) for n in range(callers)]
+            await asyncio.sleep(0.3)
+            began = gate.terminate()
+            self.assertEqual(0, await gate.gone())
+            self.assertLess(time.monotonic() - began, gate_process.GRACE)
+            await asyncio.gather(*asking)
+        return answered
+
+    async def ask(self, gate, session, attempt, answered):
+        headers = {
+            "Host": "site.example",
+            "X-Dogwoodchute-Attempt-Id": attempt,
+            "X-Dogwoodchute-Deadline-Ms": "650",
+            "X-Dogwoodchute-Credential": "key-of-ann",
+        }
+        url = f"http://{gate.address}/order/x"
+        try:
+            async with session.post(url, headers=headers) as response:
+                if response.status == 200:
+                    await response.read()
+                    answered.add(attempt)
+        except aiohttp.ClientError:
+            # The host is gone or going; what matters is what it passed on before.
+            return
+
+
+class SignalTest(support.TestCase):
+    def test_reloads_while_starting_do_not_end_the_process(self):
+        """The default action of SIGHUP ends a process that has no handler yet."""
+
+        async def story():
+            gate = gate_process.Gate()
+            starting = asyncio.create_task(gate.start())
+            try:
+                await support.until(lambda: gate.process is not None)
+                ended = time.monotonic() + 1.0
+                # Until the interpreter runs the first line, nothing can be done.
+                await asyncio.sleep(0.15)
+                while time.monotonic() < ended:
+                    gate.process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.01)
+                self.assertIsNone(gate.process.poll())
+            finally:
+                starting.cancel()
+                await gate.stop()
+
+        self.run_async(story())
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -4,10 +4,15 @@
 
 BEGAN = time.clock_gettime(time.CLOCK_BOOTTIME)  # seconds; before all other imports
 
+import signal
+
+# Until the loop handles it, the default action would end the process. What changes
+# before the settings are read needs no signal.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import dataclasses
 import pathlib
-import signal
 import sys
 import typing
 
@@ -25,6 +30,8 @@
 DIRECTORY_TTL = 2.0  # seconds that callers keep an answer
 BODY_BYTES = 4 * 1024 * 1024  # until a configuration says otherwise
 HEADER_BYTES = 16 * 1024  # until a configuration says otherwise
+LAST_ANSWERS = 0.1  # seconds to write the answers of what was broken off
+CLOSE_BOUND = 0.1  # seconds to close connections to the store and to other hosts
 IDLE_TIMEOUT = 60.0  # seconds, until a configuration says otherwise
 
 
@@ -125,12 +132,23 @@
         )
 
     async def stop(self) -> None:
-        """Finish what is in flight, then close all connections."""
+        """Finish what is in flight, then close all connections.
+
+        Callers' connections end before the bills are written, so that no request comes
+        that could not be answered any more.
+        """
+        await self.gateway.leave()
+        await self._callers.drain(within=self.gateway.left)
         await self.gateway.stop()
+        await self._callers.stop(within=LAST_ANSWERS)
         for each in self._servers:
             await each.stop()
-        await self._client.close()
-        await self._asker.close()
+        try:
+            async with asyncio.timeout(CLOSE_BOUND):
+                await self._client.close()
+                await self._asker.close()
+        except TimeoutError:
+            log.warning("stop_unclosed")
 
     def reload(self) -> None:
         """Read the settings file again and say what changed; listeners stay."""
@@ -185,6 +203,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
+    # The settings were read before this process could hear of a change.
+    process.reload()
     await process.start()
     await stopping.wait()
     await process.stop()
