Keep the commits of account rows below the rate of their part

Callers were refused for want of tokens from the 14th second on, before any fault of the store: all rows of all accounts were in one part, which takes 200 commits a second, one after another, and answers 429 when over a second of them waits. 63 hosts filled it with checkpoints, bills and above all with draws: each host with two requests of an account held tokens of its own, drew against a version of the account's row that another host had changed, and tried again at once, so conflicts filled the queue, and the longer queue made more conflicts.

Accounts are now spread over three parts by a hash of the name, all rows of an account in one. A host's interval follows from the hosts that write, the parts and the store's rates of the settings file: homes' rows first, other rows with granted tokens next, bills alone last; one commit takes all accounts of a part. Draws pause for a random, growing time after two conflicts and read the row just before. A host holds tokens for its own requests only when it really had six in a horizon. A stopping host returns its accounts of a part together.

The stand-in of the store has the rate of a part and its 429. With it 62 hosts, 24 accounts and 200 requests a second refused requests by 429 on the code before; now all are served, and no part gets more than three quarters of its rate.

--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -43,6 +43,13 @@
         age = max(MIN_AGE, now - self._first)
         return self._decayed(now) / -math.expm1(-age / self._window)
 
+    def lower_rate(self, now: float) -> float:
+        """Return the rate at `now` as if there was no use before the first one.
+
+        A few uses in a new window don't make it high.
+        """
+        return self._decayed(now)
+
     def _decayed(self, now: float) -> float:
         elapsed = max(0.0, now - self._at)
         return self._rate * math.exp(-elapsed / self._window)
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -6,14 +6,16 @@
 import typing
 from collections import abc
 
+import xxhash
+
 from dogwoodchute import log
-from dogwoodchute.coordination import escrow, sizing
+from dogwoodchute.coordination import checkpoints, escrow, sizing
 from dogwoodchute.gateway import commit_counts, rows
 
 ACCOUNTS = "accounts"
 HOLDINGS = "holdings"  # one row for each account and holder
 BILLS = "bills"  # some requests of one account in each row
-PART = "tokens"
+PART = "tokens"  # the first word of the parts' names
 DEMAND_WINDOW = 8.0  # seconds over which the use is averaged
 MEAN_WEIGHT = 0.1  # of the newest request
 MAX_BILLS = 300  # in one row, of some 40 bytes each
@@ -44,6 +46,7 @@
 
     def __init__(self, *, name: str) -> None:
         self.name = name
+        self.part = part_of(name)
         self.ledger = escrow.Ledger()
         self.demand = sizing.Demand(window=DEMAND_WINDOW, quick=True)
         self.mean_request = 0.0  # tokens, the newest requests weighing most
@@ -54,8 +57,12 @@
         self.read_at: float | None = None  # monotonic seconds of the last whole read
         self.waiters: list[Waiter] = []
         self.bills: list[Bill] = []
+        self.billed_at = -math.inf  # monotonic seconds of the oldest of them
         self.home_failed_at = -math.inf  # monotonic seconds: its home gave nothing
         self.asked_in_vain_at = -math.inf  # monotonic seconds: no other host gave any
+        self.conflicts = 0  # of draws, in a row
+        self.conflict_at = -math.inf  # monotonic seconds of the last one
+        self.draw_after = -math.inf  # monotonic seconds, after conflicts
         self.asked = 0  # tokens that other hosts ask for now
         self.bill_rows = 0
         self.task: asyncio.Task | None = None
@@ -105,23 +112,37 @@
         While no answer comes, `waiting` is awaited as in `commit`.
         """
         name = account.name
-        shared = await _serving(
-            self._store.read(ACCOUNTS, PART, name, name + "\0"), [account], waiting
-        )
-        if isinstance(shared, rows.Unavailable):
-            return shared
+        failed = await self.refresh(account, waiting=waiting)
+        if failed is not None:
+            return failed
         held = await _serving(
-            self._store.read(HOLDINGS, PART, f"{name}/", f"{name}0"), [account], waiting
+            self._store.read(HOLDINGS, account.part, f"{name}/", f"{name}0"),
+            [account],
+            waiting,
         )
         if isinstance(held, rows.Unavailable):
             return held
-        self._take_in(account, shared.rows)
         account.holdings = {
             row.key.partition("/")[2]: holding_of(row.value) for row in held.rows
         }
         account.read_at = self._now()
         return None
 
+    async def refresh(
+        self, account: Account, *, waiting: Waiting
+    ) -> rows.Unavailable | None:
+        """Read the account's row alone; `waiting` as in `commit`."""
+        name = account.name
+        shared = await _serving(
+            self._store.read(ACCOUNTS, account.part, name, name + "\0"),
+            [account],
+            waiting,
+        )
+        if isinstance(shared, rows.Unavailable):
+            return shared
+        self._take_in(account, shared.rows)
+        return None
+
     async def commit(
         self,
         changes: list[Change],
@@ -129,7 +150,7 @@
         kind: str,
         waiting: Waiting,
     ) -> bool:
-        """Make one commit of some accounts whose locks are held.
+        """Make one commit of some accounts of one part, whose locks are held.
 
         `kind` tells the log what it is for.
 
@@ -151,7 +172,7 @@
         sent = self._now()
         outcome = await self._definite(checks, puts, accounts, waiting)
         ended = type(outcome).__name__.lower()
-        self._counts.note(kind, PART, ended, self._now() - sent)
+        self._counts.note(kind, accounts[0].part, ended, self._now() - sent)
         if isinstance(outcome, rows.Unavailable):
             for change, _ in begun:
                 change.account.ledger.end(applied=False)
@@ -202,7 +223,7 @@
         pause = RETRY_PAUSE
         while True:
             outcome = await _serving(
-                self._store.commit(PART, checks, puts), accounts, waiting
+                self._store.commit(accounts[0].part, checks, puts), accounts, waiting
             )
             if isinstance(outcome, rows.Committed | rows.Conflict):
                 return outcome
@@ -242,10 +263,17 @@
             applied = account.own_version != before
         ledger.end(applied=applied)
         if not applied:
+            account.conflicts += 1
+            pause = checkpoints.conflict_pause(account.conflicts)
+            account.conflict_at = self._now()
+            account.draw_after = self._now() + pause
             return
+        if draw:
+            account.conflicts = 0
         if bills:
             del account.bills[:bills]
             account.bill_rows += 1
+            account.billed_at = self._now()
         if draw:
             log.info(
                 "tokens_drawn",
@@ -274,8 +302,12 @@
         `began` is the monotonic time at which this process began, when all earlier
         ones of its host had ended.
         """
+        for part in parts():
+            await self._reclaim(part, host, began)
+
+    async def _reclaim(self, part: str, host: str, began: float) -> None:
         sent = self._now()
-        found = await self._store.read(HOLDINGS, PART, None, None)
+        found = await self._store.read(HOLDINGS, part, None, None)
         if isinstance(found, rows.Unavailable):
             log.warning("reclaim_put_off", reason=found.reason)
             raise ConnectionError(found.reason)
@@ -293,7 +325,7 @@
         account = Account(name=name)
         outcome: rows.CommitOutcome | None = None
         for _ in range(RECLAIM_TRIES):
-            shared = await self._store.read(ACCOUNTS, PART, name, name + "\0")
+            shared = await self._store.read(ACCOUNTS, account.part, name, name + "\0")
             if isinstance(shared, rows.Unavailable) or not shared.rows:
                 continue
             self._take_in(account, shared.rows)
@@ -302,7 +334,7 @@
                 closed_spent=account.shared.closed_spent + holding.spent,
             )
             outcome = await self._store.commit(
-                PART,
+                account.part,
                 [
                     rows.Check(ACCOUNTS, name, account.shared_version),
                     rows.Check(HOLDINGS, row.key, row.version),
@@ -349,6 +381,17 @@
             await waiting(account, reason)
 
 
+def parts() -> list[str]:
+    """Return the names of all parts that hold account rows."""
+    return [f"{PART}-{number}" for number in range(checkpoints.PARTS)]
+
+
+def part_of(name: str) -> str:
+    """Return the part that holds all rows of an account."""
+    number = xxhash.xxh3_64_intdigest(name.encode()) % checkpoints.PARTS
+    return f"{PART}-{number}"
+
+
 def encode(plain: object) -> bytes:
     """Return the value of a row."""
     return json.dumps(plain, separators=(",", ":")).encode()
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import escrow, grants, sizing
+from dogwoodchute.coordination import checkpoints, escrow, grants, sizing
 from dogwoodchute.gateway import (
     account_rows,
     commit_counts,
@@ -23,10 +23,9 @@
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
-CHECKPOINT_INTERVAL = 0.35  # seconds, so that a dead process's row is recent
-HOSTS_PER_INTERVAL = 16  # hosts whose checkpoints an interval takes; more, longer ones
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
+CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
 OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
 HOME_PAUSE = 0.3  # seconds after an account's home had nothing to give
@@ -53,6 +52,8 @@
         home: reservations.Home,
         now: abc.Callable[[], float],
         began: float,
+        regions: int = 1,
+        rates: checkpoints.Rates | None = None,
     ) -> None:
         self._holder = holder
         self._host = host
@@ -62,6 +63,9 @@
         self._home = home
         self._now = now
         self._began = began
+        self._regions = regions
+        self._rates = rates or checkpoints.Rates()
+        self._checkpoints: dict[str, asyncio.Task] = {}  # by part
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
@@ -108,8 +112,11 @@
         account = self._account(name)
         used = 0 if bill is None else bill.input_tokens + bill.output_tokens
         account.ledger.settle(reserved, used)
-        if bill is not None:
-            account.bills.append(bill)
+        if bill is None:
+            return
+        if not account.bills:
+            account.billed_at = self._now()
+        account.bills.append(bill)
 
     async def give(self, name: str, tokens: int) -> int:
         """Give up to `tokens` of an account to another host; return how many."""
@@ -134,18 +141,21 @@
     async def run(self) -> None:
         """Draw, return and bill until cancelled."""
         await self._reclaim()
-        while True:
-            for account in list(self._accounts.values()):
-                self._kick_if_due(account)
-            try:
-                await self._checkpoint()
-            except Exception:
-                log.exception("checkpoint_failed")
-            await asyncio.sleep(CHECK_INTERVAL)
+        try:
+            while True:
+                for account in list(self._accounts.values()):
+                    self._kick_if_due(account)
+                self._begin_checkpoints()
+                await asyncio.sleep(CHECK_INTERVAL)
+        finally:
+            for task in self._checkpoints.values():
+                task.cancel()
 
     async def flush(self) -> None:
         """Return all idle tokens and write all bills."""
         self._returning = True
+        await asyncio.gather(*(self._checkpoint(part) for part in account_rows.parts()))
+        # What a conflict, a commit under way or the size of a commit left out.
         for account in self._accounts.values():
             self._kick(account)
         tasks = [a.task for a in self._accounts.values() if a.task is not None]
@@ -163,35 +173,70 @@
                 log.exception("reclaim_failed")
             return
 
-    async def _checkpoint(self) -> None:
-        """Write what was used since the last commit, of many accounts at once."""
+    def _begin_checkpoints(self) -> None:
+        """Begin a checkpoint of each part in which one is due and none under way."""
         now = self._now()
+        accounts = list(self._accounts.values())
+        for part in {a.part for a in accounts if self._checkpoint_due(a, now)}:
+            running = self._checkpoints.get(part)
+            if running is None or running.done():
+                task = asyncio.create_task(self._checkpoint(part))
+                self._checkpoints[part] = task
+
+    async def _checkpoint(self, part: str) -> None:
+        """Write what was used of a part's accounts, those first that wait longest."""
         due = [
             account
             for account in self._accounts.values()
-            if not account.lock.locked() and self._checkpoint_due(account, now)
+            if account.part == part
+            and not account.lock.locked()
+            and _unwritten(account)
+        ]
+        due.sort(key=lambda account: account.ledger.sent_at())
+        batch = due[: account_rows.MAX_ACCOUNTS]
+        if not batch:
+            return
+        changes = [
+            account_rows.Change(
+                account,
+                self._draw(account) if self._returning else 0,
+                self._ahead(account),
+            )
+            for account in batch
         ]
-        for start in range(0, len(due), account_rows.MAX_ACCOUNTS):
-            batch = due[start : start + account_rows.MAX_ACCOUNTS]
-            changes = [
-                account_rows.Change(account, 0, self._ahead(account))
-                for account in batch
-            ]
+        granted = any(account.ledger.granted for account in batch)
+        kind = commit_counts.CHECKPOINT if granted else commit_counts.BILLS
+        for account in batch:
+            await account.lock.acquire()
+        try:
+            await self._commits.commit(changes, kind=kind, waiting=self._bridge)
+        except Exception:
+            log.exception("checkpoint_failed", part=part)
+        finally:
             for account in batch:
-                await account.lock.acquire()
-            granted = any(account.ledger.granted for account in batch)
-            kind = commit_counts.CHECKPOINT if granted else commit_counts.BILLS
-            try:
-                await self._commits.commit(changes, kind=kind, waiting=self._bridge)
-            finally:
-                for account in batch:
-                    account.lock.release()
+                account.lock.release()
 
     def _checkpoint_due(self, account: account_rows.Account, now: float) -> bool:
-        if not account.bills and not account.ledger.granted:
+        if not _unwritten(account):
             return False
-        interval = CHECKPOINT_INTERVAL * max(1.0, self._hosts() / HOSTS_PER_INTERVAL)
-        return now - account.ledger.sent_at() >= interval
+        if self._returning:
+            return bool(account.bills)
+        hosts = self._hosts()
+        pace, writers = checkpoints.OWN, hosts
+        if not account.ledger.granted:
+            pace = checkpoints.BILLS
+        elif self._home.is_here(account.name):
+            pace, writers = checkpoints.AHEAD, self._home_hosts(hosts)
+        last = account.ledger.sent_at()
+        if pace is checkpoints.BILLS:
+            last = max(last, account.billed_at)
+        interval = checkpoints.interval(pace, writers=writers, rates=self._rates)
+        return now - last >= interval
+
+    def _home_hosts(self, hosts: int) -> int:
+        config = self._config()
+        accounts = len(config.accounts) if config is not None else 1
+        return checkpoints.homes(accounts=accounts, regions=self._regions, hosts=hosts)
 
     def _account(self, name: str) -> account_rows.Account:
         account = self._accounts.get(name)
@@ -287,6 +332,7 @@
         self._grant(account)
         if await self._get_from_home(account):
             return True
+        await self._prepare_draw(account)
         draw = self._draw(account)
         waiting = account.waiting()
         limited = waiting and account.ledger.idle >= waiting[0].tokens
@@ -299,6 +345,16 @@
             return False
         return await self._refuse(account)
 
+    async def _prepare_draw(self, account: account_rows.Account) -> None:
+        """Read the account's row anew if other hosts draw from it too."""
+        if not self._draw(account):
+            return
+        pause = account.draw_after - self._now()
+        if pause > 0:
+            await asyncio.sleep(pause)
+        if self._now() - account.conflict_at < CONTENDED_FOR:
+            await self._commits.refresh(account, waiting=self._bridge)
+
     def _grant(self, account: account_rows.Account) -> None:
         """Reserve for the waiters that the ledger covers, in order."""
         if not self._may_spend(account):
@@ -342,6 +398,8 @@
                 share=HELD_SHARE,
             )
             return whole or self._draw_for_first(account, balance)
+        if now < account.draw_after:
+            return 0
         refill = sizing.refill_size(
             balance=balance,
             available=max(0, idle),
@@ -364,7 +422,7 @@
         """Whether this host holds tokens of an account for requests to come."""
         if not self._home.is_elsewhere(account.name):
             return True
-        ahead = account.demand.rate(self._now()) * HORIZON
+        ahead = account.demand.lower_rate(self._now()) * HORIZON
         return ahead >= OWN_REQUESTS * account.mean_request
 
     def _draw_for_first(
@@ -499,3 +557,8 @@
             if beyond < 0:
                 waiter.done.set_result(reservations.OutOfReach(reason=reason))
                 account.waiters.remove(waiter)
+
+
+def _unwritten(account: account_rows.Account) -> bool:
+    """Whether an account's row should tell of what was used."""
+    return bool(account.bills) or account.ledger.granted > 0
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, outcomes
-from dogwoodchute.coordination import ranking
+from dogwoodchute.coordination import checkpoints, ranking
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -110,6 +110,10 @@
             ),
             now=now,
             began=began,
+            regions=len(set(deployment.regions.values())),
+            rates=checkpoints.Rates(
+                part=deployment.part_commits, fleet=deployment.commits
+            ),
         )
         self._upstream = upstream.Upstream(wire=platform.wire)
         self._mirrors = self._make_mirrors(platform)
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -34,6 +34,8 @@
     store: str  # address of the platform's store
     bounds: Bounds
     row_bytes: int = 65536  # largest value of a row in the store
+    commits: float = 600.0  # a second that the store takes of the whole fleet
+    part_commits: float = 200.0  # a second that the store takes to one part
 
 
 class Route(typing.NamedTuple):
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -1,5 +1,6 @@
 """Decodes the settings file that the platform gives to a process."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -63,4 +64,13 @@
         store=str(platform["address"]),
         bounds=bounds,
         row_bytes=int(platform.get("rowBytes", 65536)),
+        commits=_rate(platform.get("writesPerS", 600)),
+        part_commits=_rate(platform.get("partWritesPerS", 200)),
     )
+
+
+def _rate(value: object) -> float:
+    rate = float(value)
+    if not 0 < rate < math.inf:
+        raise ValueError(f"a rate of {value} a second")
+    return rate
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -11,6 +11,8 @@
 from dogwoodchute.gateway import rows
 
 HISTORY = 10_000  # changes kept for feeds
+MAX_QUEUE = 1.0  # seconds of commits that may wait in one part
+OVERLOADED = 429  # status of an answer to a commit beyond that
 
 
 class Fault(typing.NamedTuple):
@@ -32,11 +34,19 @@
 
 
 class RowStore:
-    """The rows, and the operations on them, each done at once."""
+    """The rows, and the operations on them, each done at once.
 
-    def __init__(self, *, now: abc.Callable[[], float]) -> None:
+    With `part_rate`, a part takes so many commits a second, one after another.
+    """
+
+    def __init__(
+        self, *, now: abc.Callable[[], float], part_rate: float | None = None
+    ) -> None:
         self.version = 0
         self.oldest = 0  # version since which changes are known
+        self.arrivals: collections.Counter[tuple[str, int]] = collections.Counter()
+        self._part_rate = part_rate
+        self._free: dict[str, float] = {}  # seconds at which each part is idle
         self._now = now
         self._rows: dict[tuple[str, str, str], rows.Row] = {}
         self._changes: collections.deque[rows.Row] = collections.deque(maxlen=HISTORY)
@@ -69,6 +79,21 @@
         ]
         return rows.Rows(rows=changed, version=self.version, now=self._now())
 
+    def queue(self, part: str) -> float | None:
+        """Put a commit into a part's queue; return its seconds there, None if full.
+
+        `arrivals` counts all of them by part and second.
+        """
+        now = self._now()
+        self.arrivals[part, int(now)] += 1
+        if self._part_rate is None:
+            return 0.0
+        free = max(now, self._free.get(part, now))
+        if free - now > MAX_QUEUE:
+            return None
+        self._free[part] = free + 1 / self._part_rate
+        return self._free[part] - now
+
     def commit(
         self, part: str, checks: list[rows.Check], puts: list[rows.Put]
     ) -> rows.Committed | rows.Conflict:
@@ -121,6 +146,11 @@
         await asyncio.sleep(0.005)
         if fault.status:
             return rows.Unavailable(reason=f"status {fault.status}")
+        waits = store.queue(part)
+        if waits is None:
+            return rows.Unavailable(reason=f"status {OVERLOADED}")
+        if waits:
+            await asyncio.sleep(waits)
         if fault.silent:
             return rows.Unknown(reason="no answer")
         if fault.late:
@@ -197,6 +227,11 @@
                 return _answer(store, {"rows": found}, status=412)
             return _answer(store, {})
 
+        waits = store.queue(_transaction(request.json)[0])
+        if waits is None:
+            return sanic.empty(status=OVERLOADED)
+        if waits:
+            await asyncio.sleep(waits)
         return await act(request, "commit", work)
 
     app.add_route(get, "/api/rows-get", name="get")
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -1,6 +1,6 @@
 """Reserving tokens while the store is away, on passed-in time."""
 
-from dogwoodchute.gateway import accounts, model, reservations, rows
+from dogwoodchute.gateway import account_rows, accounts, model, reservations, rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -64,7 +64,9 @@
         return self.loop.run_until_complete(self.hosts[name].reserve("ann", tokens))
 
     def drawn(self):
-        found = self.store.read("accounts", "tokens", None, None).rows
+        found = self.store.read(
+            "accounts", account_rows.part_of("ann"), None, None
+        ).rows
         return int(found[0].value.strip(b"[]").split(b",")[0]) if found else 0
 
 
@@ -124,7 +126,9 @@
         for name in names:
             self.assertIsInstance(fleet.reserve(name, 5_000), reservations.Reserved)
             fleet.loop.run_for(0.2)
-        holders = fleet.store.read("holdings", "tokens", None, None).rows
+        holders = fleet.store.read(
+            "holdings", account_rows.part_of("ann"), None, None
+        ).rows
         self.assertEqual(["ann/h0"], [row.key.rpartition("-")[0] for row in holders])
         fleet.fault = row_store.Fault(silent=True)
         for name in names:
@@ -175,7 +179,9 @@
         fleet.start("a")
         fleet.loop.run_for(0.5)
         self.assertEqual(drawn, fleet.drawn())
-        self.assertEqual([], fleet.store.read("holdings", "tokens", "a", "b").rows)
+        self.assertEqual(
+            [], fleet.store.read("holdings", account_rows.part_of("ann"), "a", "b").rows
+        )
 
     def test_a_late_commit_counts_once(self):
         fleet = self.fleet("a")
@@ -185,7 +191,9 @@
         fleet.fault = row_store.NO_FAULT
         fleet.loop.run_for(3)
         self.assertIsInstance(fleet.reserve("a", 1000), reservations.Reserved)
-        held = fleet.store.read("holdings", "tokens", None, None).rows
+        held = fleet.store.read(
+            "holdings", account_rows.part_of("ann"), None, None
+        ).rows
         self.assertEqual(1, len(held))
         self.assertIsInstance(held[0], rows.Row)
         self.assertLessEqual(fleet.drawn(), 100_000)
--- /dev/null
+++ b/dogwoodchute/tests/test_checkpoints.py
@@ -0,0 +1,156 @@
+"""How often account rows are written, by the sums and on a fleet in passed-in time."""
+
+import collections
+import random
+
+from dogwoodchute.coordination import checkpoints, ranking
+from dogwoodchute.gateway import account_rows, accounts, model, reservations
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import support, virtual
+
+HEARTBEATS = 1.0  # a second of each host, in the fleet's rate
+REGIONS = 2
+
+
+class Fleet:
+    """Hosts of two regions on one store with a rate for each part."""
+
+    def __init__(self, *, hosts, clients, prepaid, seed):
+        self.random = random.Random(seed)
+        self.loop = virtual.Loop()
+        rates = checkpoints.Rates()
+        self.store = row_store.RowStore(now=self.loop.time, part_rate=rates.part)
+        self.names = [f"h{number}" for number in range(hosts)]
+        self.clients = [f"client{number}" for number in range(clients)]
+        self.config = model.Config(
+            version=1,
+            routes={},
+            services={},
+            accounts={
+                name: model.Account(name, frozenset(), None, prepaid)
+                for name in self.clients
+            },
+            accounts_by_key={},
+            limits=model.Limits(),
+        )
+        self.hosts = {}
+        self.outcomes = collections.Counter()
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        made = accounts.Accounts(
+            holder=f"{name}-1",
+            host=name,
+            store=row_store.direct(self.store),
+            config=lambda: self.config,
+            hosts=lambda: len(self.names),
+            ask=lambda *asked: self.ask(name, *asked),
+            home=reservations.Home(
+                is_here=lambda account: self.home(account, name) == name,
+                is_elsewhere=lambda account: self.home(account, name) != name,
+                ask=lambda account, tokens: self.give(
+                    self.home(account, name), account, tokens
+                ),
+            ),
+            now=self.loop.time,
+            began=self.loop.time(),
+            regions=REGIONS,
+        )
+        self.hosts[name] = made
+        self.loop.create_task(made.run())
+
+    def home(self, account, name):
+        """Return the account's home in the region of a host."""
+        region = self.names[int(name[1:]) % REGIONS :: REGIONS]
+        return max(region, key=lambda other: ranking.score(account, other, 1.0))
+
+    async def give(self, name, account, tokens):
+        return await self.hosts[name].give(account, tokens)
+
+    async def ask(self, name, account, tokens, holders):
+        got = 0
+        known = [holder.rpartition("-")[0] for holder in holders]
+        for other in [*known, *self.names][: accounts.MAX_ASKED]:
+            if other != name:
+                got += await self.give(other, account, tokens - got)
+        return reservations.Collected(got, False)
+
+    async def request(self, name, client):
+        tokens = self.random.randrange(500, 20_000)
+        outcome = await self.hosts[name].reserve(client, tokens)
+        self.outcomes[type(outcome).__name__] += 1
+        if not isinstance(outcome, reservations.Reserved):
+            return
+        self.loop.call_later(
+            self.random.uniform(0.5, 4.0),
+            self.hosts[name].settle,
+            client,
+            tokens,
+            account_rows.Bill("request", tokens // 2, tokens // 4),
+        )
+
+    def play(self, *, rate, seconds):
+        """Play requests of accounts of which a few make most requests."""
+        weights = [1 / (1 + number) for number in range(len(self.clients))]
+        for _ in range(int(rate * seconds)):
+            client = self.random.choices(self.clients, weights)[0]
+            name = self.random.choice(self.names)
+            self.loop.create_task(self.request(name, client))
+            self.loop.run_for(1 / rate)
+        self.loop.run_for(3)
+
+
+class CheckpointsTest(support.TestCase):
+    def test_checkpoints_of_62_hosts_stay_below_the_rate_of_a_part(self):
+        """Its commits filled the one part of all accounts: 429, and no tokens."""
+        fleet = Fleet(hosts=62, clients=24, prepaid=30_000_000, seed=1)
+        self.addCleanup(fleet.loop.finish)
+        fleet.play(rate=200, seconds=8)
+        rates = checkpoints.Rates()
+        self.assertEqual({"Reserved": 1600}, dict(fleet.outcomes))
+        self.assertLess(max(fleet.store.arrivals.values()), 0.75 * rates.part)
+        by_second = collections.Counter()
+        for (_, second), count in fleet.store.arrivals.items():
+            by_second[second] += count
+        self.assertLess(max(by_second.values()) + 62 * HEARTBEATS, 0.75 * rates.fleet)
+
+    def test_hosts_that_empty_a_budget_do_not_fill_its_part(self):
+        """Draws met one another's, and all hosts tried again at once."""
+        fleet = Fleet(hosts=62, clients=24, prepaid=2_000_000, seed=2)
+        self.addCleanup(fleet.loop.finish)
+        fleet.play(rate=200, seconds=6)
+        self.assertGreater(fleet.outcomes["OutOfReach"], 0)
+        rate = checkpoints.Rates().part
+        self.assertLess(max(fleet.store.arrivals.values()), 0.75 * rate)
+
+    def test_all_paces_together_leave_room_for_draws(self):
+        for hosts in (1, 7, 16, 62, 340):
+            for rates in (checkpoints.Rates(), checkpoints.Rates(part=50, fleet=90)):
+                homes = checkpoints.homes(accounts=24, regions=2, hosts=hosts)
+                self.assertLessEqual(homes, hosts)
+                commits = 0.0
+                for pace, writers in [
+                    (checkpoints.AHEAD, homes),
+                    (checkpoints.OWN, hosts),
+                    (checkpoints.BILLS, hosts),
+                ]:
+                    seconds = checkpoints.interval(pace, writers=writers, rates=rates)
+                    self.assertGreaterEqual(seconds, pace.least)
+                    commits += writers / seconds
+                self.assertLess(commits, 0.61 * rates.part)
+                self.assertLess(commits * checkpoints.PARTS, 0.61 * rates.fleet)
+
+    def test_homes_write_often_enough_for_a_restart_in_a_second(self):
+        homes = checkpoints.homes(accounts=24, regions=2, hosts=340)
+        seconds = checkpoints.interval(
+            checkpoints.AHEAD, writers=homes, rates=checkpoints.Rates()
+        )
+        self.assertLess(seconds, 1.0)
+
+    def test_accounts_spread_over_all_parts(self):
+        parts = collections.Counter(
+            account_rows.part_of(f"client{number}") for number in range(300)
+        )
+        self.assertEqual(set(account_rows.parts()), set(parts))
+        self.assertLess(max(parts.values()), 130)
--- a/dogwoodchute/tests/test_decode.py
+++ b/dogwoodchute/tests/test_decode.py
@@ -119,6 +119,14 @@
         self.assertEqual((8.0, 54.0), (found.bounds.grace, found.bounds.retry_slack))
         self.assertEqual({"z1": "r1", "z2": "r2"}, found.regions)
 
+    def test_the_store_s_rates_are_decoded(self):
+        found = self.load(SETTINGS)
+        self.assertEqual((600.0, 200.0), (found.commits, found.part_commits))
+        found = self.load(SETTINGS + "writesPerS = 300\npartWritesPerS = 50\n")
+        self.assertEqual((300.0, 50.0), (found.commits, found.part_commits))
+        bad = SETTINGS + "partWritesPerS = 0\n"
+        self.assertRaises(boot.SettingsError, self.load, bad)
+
     def test_bad_settings_get_a_clear_error(self):
         for text, word in [
             (SETTINGS.replace('node = "h1"', ""), "node"),
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from dogwoodchute.gateway import account_rows
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gateway_site, support
 
@@ -203,11 +204,12 @@
                 self.assertEqual(200, status)
                 self.assertEqual(10, body.count(b"data:"))
                 await stopping
-                held = site.store.read("holdings", "tokens", None, None).rows
-                shared = site.store.read("accounts", "tokens", None, None).rows
+                part = account_rows.part_of("ann")
+                held = site.store.read("holdings", part, None, None).rows
+                shared = site.store.read("accounts", part, None, None).rows
                 self.assertEqual(1, len(held))
                 self.assertEqual(b"[1040,0]", shared[0].value)
-                bills = site.store.read("bills", "tokens", None, None).rows
+                bills = site.store.read("bills", part, None, None).rows
                 self.assertEqual(b'[["a1",1000,40]]', bills[0].value)
 
         self.run_async(story())
