Refuse a request at once when no tokens can come, and wait for a part of its target

Callers that got 503 'budget_out_of_reach' had been held for 2.5 s in most cases (458 of the refusals of ten seconds took 2.0 to 2.5 s), and their time was gone: a request waited until WRITE_AHEAD was over even when the store had failed and all hosts that were asked had nothing.

It is now refused as soon as the store's last call has failed and other hosts have just been asked in vain; so are the next ones that are as large, without asking. While a first call is under way, which may bring tokens, it waits for a quarter of its route's target latency, 0.15 s at the least. Retry-After is the time until this host's own tokens may be used where these cover the request, else half a second, with jitter so that callers refused together don't return together. Requests that this host's tokens cover stay when a larger one before them is refused, and are served as soon as it leaves; until now all behind it were refused with it.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -103,6 +103,12 @@
         self._store = store
         self._now = now
         self._counts = commit_counts.Counts(now=now)
+        self._away = False
+
+    @property
+    def away(self) -> bool:
+        """Whether the store did not serve the last call that ended."""
+        return self._away
 
     async def read(
         self, account: Account, *, waiting: Waiting
@@ -120,6 +126,7 @@
             [account],
             waiting,
         )
+        self._away = isinstance(held, rows.Unavailable)
         if isinstance(held, rows.Unavailable):
             return held
         account.holdings = {
@@ -138,6 +145,7 @@
             [account],
             waiting,
         )
+        self._away = isinstance(shared, rows.Unavailable)
         if isinstance(shared, rows.Unavailable):
             return shared
         self._take_in(account, shared.rows)
@@ -225,6 +233,7 @@
             outcome = await _serving(
                 self._store.commit(accounts[0].part, checks, puts), accounts, waiting
             )
+            self._away = not isinstance(outcome, rows.Committed | rows.Conflict)
             if isinstance(outcome, rows.Committed | rows.Conflict):
                 return outcome
             uncertain = uncertain or isinstance(outcome, rows.Unknown)
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -72,8 +72,13 @@
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
 
-    async def reserve(self, name: str, tokens: int) -> reservations.ReserveOutcome:
-        """Reserve tokens of a client account, drawing them first if need be."""
+    async def reserve(
+        self, name: str, tokens: int, *, wait: float = WAIT
+    ) -> reservations.ReserveOutcome:
+        """Reserve tokens of a client account, drawing them first if need be.
+
+        The request waits for up to `wait` seconds while some may come.
+        """
         account = self._account(name)
         now = self._now()
         account.note_request(now, tokens)
@@ -86,19 +91,20 @@
             return reservations.Reserved()
         shortage = self._shortages.get(name)
         if shortage is not None and now < shortage.until and tokens >= shortage.tokens:
-            self._note_refusal(account, tokens, shortage.outcome, now)
-            return shortage.outcome
+            outcome = shortage.outcome
+            if isinstance(outcome, reservations.OutOfReach):
+                outcome = self._out_of_reach(account, tokens, outcome.reason)
+            self._note_refusal(account, tokens, outcome, now)
+            return outcome
         waiter = account_rows.Waiter(tokens, asyncio.get_running_loop().create_future())
         account.waiters.append(waiter)
         self._kick(account)
         try:
-            await asyncio.wait([waiter.done], timeout=WAIT)
+            await asyncio.wait([waiter.done], timeout=min(wait, WAIT))
         except asyncio.CancelledError:
             self._give_up(account, waiter)
             raise
-        outcome: reservations.ReserveOutcome = reservations.OutOfReach(
-            reason="no draw in time"
-        )
+        outcome = self._out_of_reach(account, tokens, "no draw in time")
         if waiter.done.done():
             outcome = waiter.done.result()
         else:
@@ -266,6 +272,19 @@
             waiter.done.cancel()
         elif isinstance(waiter.done.result(), reservations.Reserved):
             account.ledger.settle(waiter.tokens, 0)
+        # Smaller requests may have waited behind it.
+        self._grant(account)
+
+    def _out_of_reach(
+        self, account: account_rows.Account, tokens: int, reason: str
+    ) -> reservations.ReserveOutcome:
+        """Return a refusal that says when to try again."""
+        usable_in = 0.0
+        if account.ledger.idle >= tokens:
+            usable_in = account.ledger.sent_at() + escrow.WRITE_AHEAD - self._now()
+        return reservations.OutOfReach(
+            reason=reason, retry_after=reservations.retry_after(usable_in=usable_in)
+        )
 
     def _note_refusal(
         self,
@@ -474,8 +493,8 @@
             return bool(waiting)
         if account.ledger.idle >= waiting[0].tokens:
             return True
-        outcome: reservations.ReserveOutcome = reservations.OutOfReach(
-            reason="not all hosts could be asked"
+        outcome = self._out_of_reach(
+            account, waiting[0].tokens, "not all hosts could be asked"
         )
         if collected.whole:
             left = (self._prepaid(account) or 0) - account.shared.drawn
@@ -525,38 +544,53 @@
         return sorted(idle, key=lambda name: (-idle[name], name))
 
     async def _bridge(self, account: account_rows.Account, reason: str) -> None:
-        """Serve the waiters with other hosts' tokens while the store is away.
+        """Serve the waiters with other hosts' tokens while the store has no answer.
 
-        Those that this host's own tokens cover wait until they may be used. Just after
-        the store was lost all wait, as the other hosts' tokens may not be used yet.
+        Those that this host's own tokens cover wait until they may be used. While a
+        first call is under way all others wait too, as it may bring what they lack.
         """
         self._away_at = self._now()
         self._grant(account)
         while account.waiting() and self._may_ask(account):
-            available = account.ledger.available(self._now())
-            collected = await self._collect(account, available)
+            collected = await self._collect(
+                account, account.ledger.available(self._now())
+            )
             self._grant(account)
             if collected is None:
                 break
             if collected.tokens == 0:
                 account.asked_in_vain_at = self._now()
-                break
-        if self._now() - account.ledger.sent_at() >= escrow.WRITE_AHEAD:
-            self._fail(account, reason, beyond=account.ledger.idle)
+        if self._commits.away and not self._may_ask(account):
+            self._fail(account, reason)
 
     def _may_ask(self, account: account_rows.Account) -> bool:
         """Return False just after other hosts had nothing to give."""
         return self._now() - account.asked_in_vain_at >= ASK_PAUSE
 
-    def _fail(
-        self, account: account_rows.Account, reason: str, *, beyond: int = 0
-    ) -> None:
-        """Refuse the waiters after those that `beyond` tokens cover."""
+    def _fail(self, account: account_rows.Account, reason: str) -> None:
+        """Refuse the waiters that this host's tokens do not cover, in their order."""
+        idle = account.ledger.idle
         for waiter in account.waiting():
-            beyond -= waiter.tokens
-            if beyond < 0:
-                waiter.done.set_result(reservations.OutOfReach(reason=reason))
-                account.waiters.remove(waiter)
+            if waiter.tokens <= idle:
+                idle -= waiter.tokens
+                continue
+            outcome = self._out_of_reach(account, waiter.tokens, reason)
+            self._end(account, waiter, outcome)
+            known = self._shortages.get(account.name)
+            until = self._now() + SHORTAGE
+            if known is None or known.until < self._now():
+                self._shortages[account.name] = reservations.Shortage(
+                    until, waiter.tokens, outcome
+                )
+
+    def _end(
+        self,
+        account: account_rows.Account,
+        waiter: account_rows.Waiter,
+        outcome: reservations.ReserveOutcome,
+    ) -> None:
+        account.waiters.remove(waiter)
+        waiter.done.set_result(outcome)
 
 
 def _unwritten(account: account_rows.Account) -> bool:
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -1,10 +1,15 @@
 """How a request for tokens of a prepaid budget may end."""
 
 import dataclasses
+import random
 import typing
 from collections import abc
 
 RETRY_AFTER = 0.5  # seconds: requests under way give back what they don't use
+MAX_RETRY_AFTER = 1.0  # seconds
+RETRY_JITTER = 0.3  # share by which callers that were refused together come apart
+WAIT_SHARE = 0.25  # of a request's target latency, that it may wait for tokens
+MIN_WAIT = 0.15  # seconds, for a draw by way of the store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,6 +35,21 @@
 ReserveOutcome = Reserved | Exhausted | OutOfReach
 
 
+def longest_wait(target_latency: float) -> float:
+    """Return the seconds that a request may wait for tokens."""
+    return max(MIN_WAIT, WAIT_SHARE * target_latency)
+
+
+def retry_after(*, usable_in: float) -> float:
+    """Return the seconds after which a refused caller best returns.
+
+    `usable_in` are the seconds until tokens of this host that cover the request may be
+    used, 0 if there are none.
+    """
+    seconds = min(MAX_RETRY_AFTER, usable_in) if usable_in > 0 else RETRY_AFTER
+    return seconds * random.uniform(1.0, 1.0 + RETRY_JITTER)
+
+
 class Shortage(typing.NamedTuple):
     """How requests of at least `tokens` end until a monotonic time in seconds."""
 
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -60,8 +60,10 @@
     async def ask_home(self, account, tokens):
         return await self.hosts[self.home].give(account, tokens)
 
-    def reserve(self, name, tokens):
-        return self.loop.run_until_complete(self.hosts[name].reserve("ann", tokens))
+    def reserve(self, name, tokens, **known):
+        return self.loop.run_until_complete(
+            self.hosts[name].reserve("ann", tokens, **known)
+        )
 
     def drawn(self):
         found = self.store.read(
@@ -156,6 +158,61 @@
     async def give_nothing(self, account, tokens):
         return 0
 
+    def test_a_request_is_refused_at_once_if_the_store_is_away_and_others_lack(self):
+        """It was held for 2.5 s and then refused."""
+        fleet = self.fleet("a", "b", "c")
+        for name in "abc":
+            fleet.reserve(name, 500)
+        fleet.loop.run_for(3)
+        fleet.fault = row_store.Fault(status=503)
+        fleet.loop.run_for(1)
+        began = fleet.loop.time()
+        outcome = fleet.reserve("a", 50_000)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.05)
+        again = fleet.reserve("a", 60_000)
+        self.assertIsInstance(again, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.05)
+
+    def test_a_request_waits_for_a_silent_store_no_longer_than_it_may(self):
+        fleet = self.fleet("a")
+        fleet.reserve("a", 500)
+        fleet.loop.run_for(1)
+        fleet.fault = row_store.Fault(silent=True)
+        began = fleet.loop.time()
+        wait = reservations.longest_wait(0.8)
+        outcome = fleet.reserve("a", 90_000, wait=wait)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.21)
+
+    def test_a_smaller_request_is_not_refused_because_a_larger_one_was(self):
+        fleet = self.fleet("a", "b")
+        for name in "ab":
+            fleet.reserve(name, 2_000)
+        fleet.loop.run_for(3)
+        fleet.fault = row_store.Fault(status=503)
+        fleet.loop.run_for(3)
+        large = fleet.loop.create_task(fleet.hosts["a"].reserve("ann", 80_000))
+        small = fleet.loop.create_task(fleet.hosts["a"].reserve("ann", 600))
+        self.assertIsInstance(
+            fleet.loop.run_until_complete(large), reservations.OutOfReach
+        )
+        self.assertIsInstance(
+            fleet.loop.run_until_complete(small), reservations.Reserved
+        )
+
+    def test_a_refusal_tells_when_this_host_s_tokens_may_be_used(self):
+        fleet = self.fleet("a")
+        fleet.reserve("a", 4_000)
+        fleet.loop.run_for(2)
+        fleet.fault = row_store.Fault(status=503)
+        idle = fleet.drawn() - 4_000
+        outcome = fleet.reserve("a", idle - 10, wait=0.15)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertGreaterEqual(outcome.retry_after, reservations.MAX_RETRY_AFTER)
+        fleet.loop.run_for(2.6)
+        self.assertIsInstance(fleet.reserve("a", idle - 10), reservations.Reserved)
+
     def test_a_quick_restart_gives_back_what_was_not_used(self):
         fleet = self.fleet("a")
         fleet.reserve("a", 1000)
