--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -1,6 +1,6 @@
 """Reserving tokens while the store is away, on passed-in time."""
 
-from dogwoodchute.gateway import accounts, model, reservations, rows
+from dogwoodchute.gateway import account_rows, accounts, model, reservations, rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -60,11 +60,15 @@
     async def ask_home(self, account, tokens):
         return await self.hosts[self.home].give(account, tokens)
 
-    def reserve(self, name, tokens):
-        return self.loop.run_until_complete(self.hosts[name].reserve("ann", tokens))
+    def reserve(self, name, tokens, **known):
+        return self.loop.run_until_complete(
+            self.hosts[name].reserve("ann", tokens, **known)
+        )
 
     def drawn(self):
-        found = self.store.read("accounts", "tokens", None, None).rows
+        found = self.store.read(
+            "accounts", account_rows.part_of("ann"), None, None
+        ).rows
         return int(found[0].value.strip(b"[]").split(b",")[0]) if found else 0
 
 
@@ -124,7 +128,9 @@
         for name in names:
             self.assertIsInstance(fleet.reserve(name, 5_000), reservations.Reserved)
             fleet.loop.run_for(0.2)
-        holders = fleet.store.read("holdings", "tokens", None, None).rows
+        holders = fleet.store.read(
+            "holdings", account_rows.part_of("ann"), None, None
+        ).rows
         self.assertEqual(["ann/h0"], [row.key.rpartition("-")[0] for row in holders])
         fleet.fault = row_store.Fault(silent=True)
         for name in names:
@@ -152,6 +158,61 @@
     async def give_nothing(self, account, tokens):
         return 0
 
+    def test_a_request_is_refused_at_once_if_the_store_is_away_and_others_lack(self):
+        """It was held for 2.5 s and then refused."""
+        fleet = self.fleet("a", "b", "c")
+        for name in "abc":
+            fleet.reserve(name, 500)
+        fleet.loop.run_for(3)
+        fleet.fault = row_store.Fault(status=503)
+        fleet.loop.run_for(1)
+        began = fleet.loop.time()
+        outcome = fleet.reserve("a", 50_000)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.05)
+        again = fleet.reserve("a", 60_000)
+        self.assertIsInstance(again, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.05)
+
+    def test_a_request_waits_for_a_silent_store_no_longer_than_it_may(self):
+        fleet = self.fleet("a")
+        fleet.reserve("a", 500)
+        fleet.loop.run_for(1)
+        fleet.fault = row_store.Fault(silent=True)
+        began = fleet.loop.time()
+        wait = reservations.longest_wait(0.8)
+        outcome = fleet.reserve("a", 90_000, wait=wait)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertLess(fleet.loop.time() - began, 0.21)
+
+    def test_a_smaller_request_is_not_refused_because_a_larger_one_was(self):
+        fleet = self.fleet("a", "b")
+        for name in "ab":
+            fleet.reserve(name, 2_000)
+        fleet.loop.run_for(3)
+        fleet.fault = row_store.Fault(status=503)
+        fleet.loop.run_for(3)
+        large = fleet.loop.create_task(fleet.hosts["a"].reserve("ann", 80_000))
+        small = fleet.loop.create_task(fleet.hosts["a"].reserve("ann", 600))
+        self.assertIsInstance(
+            fleet.loop.run_until_complete(large), reservations.OutOfReach
+        )
+        self.assertIsInstance(
+            fleet.loop.run_until_complete(small), reservations.Reserved
+        )
+
+    def test_a_refusal_tells_when_this_host_s_tokens_may_be_used(self):
+        fleet = self.fleet("a")
+        fleet.reserve("a", 4_000)
+        fleet.loop.run_for(2)
+        fleet.fault = row_store.Fault(status=503)
+        idle = fleet.drawn() - 4_000
+        outcome = fleet.reserve("a", idle - 10, wait=0.15)
+        self.assertIsInstance(outcome, reservations.OutOfReach)
+        self.assertGreaterEqual(outcome.retry_after, reservations.MAX_RETRY_AFTER)
+        fleet.loop.run_for(2.6)
+        self.assertIsInstance(fleet.reserve("a", idle - 10), reservations.Reserved)
+
     def test_a_quick_restart_gives_back_what_was_not_used(self):
         fleet = self.fleet("a")
         fleet.reserve("a", 1000)
@@ -175,7 +236,9 @@
         fleet.start("a")
         fleet.loop.run_for(0.5)
         self.assertEqual(drawn, fleet.drawn())
-        self.assertEqual([], fleet.store.read("holdings", "tokens", "a", "b").rows)
+        self.assertEqual(
+            [], fleet.store.read("holdings", account_rows.part_of("ann"), "a", "b").rows
+        )
 
     def test_a_late_commit_counts_once(self):
         fleet = self.fleet("a")
@@ -185,7 +248,9 @@
         fleet.fault = row_store.NO_FAULT
         fleet.loop.run_for(3)
         self.assertIsInstance(fleet.reserve("a", 1000), reservations.Reserved)
-        held = fleet.store.read("holdings", "tokens", None, None).rows
+        held = fleet.store.read(
+            "holdings", account_rows.part_of("ann"), None, None
+        ).rows
         self.assertEqual(1, len(held))
         self.assertIsInstance(held[0], rows.Row)
         self.assertLessEqual(fleet.drawn(), 100_000)
