--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -24,12 +24,22 @@
         self._format_error = format_error
         self._adopted = adopted
         self._current: model.Config | None = None
+        self._read_at: abc.Callable[[], float | None] = lambda: None
+
+    def follow(self, read_at: abc.Callable[[], float | None]) -> None:
+        """Set what tells when the table was last read, in monotonic seconds."""
+        self._read_at = read_at
 
     @property
     def current(self) -> model.Config | None:
         """The configuration in force, None before the first one."""
         return self._current
 
+    @property
+    def read_at(self) -> float | None:
+        """Monotonic seconds of the last successful look at the table."""
+        return self._read_at()
+
     def changed(self, all_rows: dict[str, rows.Row], changed: list[rows.Row]) -> None:
         """Take in changed rows of the configuration's table."""
         row = all_rows.get(self._key)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from dogwoodchute import clock, exchange, log, outcomes
+from dogwoodchute import clock, exchange, log, loop_watch, outcomes
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -183,6 +183,7 @@
         await self._gossip.start(ip, int(port))
         work = [each.run() for each in self._mirrors]
         work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
+        work.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in work]
 
     async def stop(self) -> None:
@@ -278,7 +279,8 @@
                     now=self._now,
                 )
             )
-        _, list_mirror, hosts_mirror = made
+        config_mirror, list_mirror, hosts_mirror = made
+        self._configuration.follow(lambda: config_mirror.read_at)
         self._endpoints.follow(lambda: list_mirror.regained_at)
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
@@ -289,7 +291,9 @@
         )
         return exchange.chain(
             [
-                observe.observe(now=self._now),
+                observe.observe(
+                    now=self._now, config_read_at=lambda: self._configuration.read_at
+                ),
                 filters.admit(
                     config=lambda: self._configuration.current, ready=self._informed
                 ),
--- a/dogwoodchute/gateway/observe.py
+++ b/dogwoodchute/gateway/observe.py
@@ -29,21 +29,34 @@
 )
 
 
-def observe(*, now: abc.Callable[[], float]) -> filters.Filter:
-    """Return the filter, the first of the chain."""
+def observe(
+    *,
+    now: abc.Callable[[], float],
+    config_read_at: abc.Callable[[], float | None],
+) -> filters.Filter:
+    """Return the filter, the first of the chain.
+
+    `config_read_at` returns when the configuration's table was last read, in monotonic
+    seconds.
+    """
 
     async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
         outcome: outcomes.Outcome | None = None
         try:
             outcome = await proceed()
         finally:
-            _report(call, outcome, now())
+            _report(call, outcome, now(), config_read_at())
         return outcome
 
     return run
 
 
-def _report(call: calls.Call, outcome: outcomes.Outcome | None, at: float) -> None:
+def _report(
+    call: calls.Call,
+    outcome: outcomes.Outcome | None,
+    at: float,
+    read_at: float | None,
+) -> None:
     """Log one line; `outcome` is None for a caller that left."""
     service = call.service.name if call.service is not None else ""
     label = "caller_left" if outcome is None else outcomes.label(outcome)
@@ -61,6 +74,7 @@
         route=call.route.name if call.route is not None else None,
         account=call.account.name if call.account is not None else None,
         config=call.config.version if call.config is not None else None,
+        config_age=f"{at - read_at:.3f}" if read_at is not None else None,
         outcome=label,
         status=getattr(outcome, "status", None),
         code=code or None,
--- a/dogwoodchute/tests/test_gateway_filters.py
+++ b/dogwoodchute/tests/test_gateway_filters.py
@@ -1,9 +1,10 @@
 """Filters of the gateway's chain, on passed-in time."""
 
 import asyncio
+from unittest import mock
 
-from dogwoodchute import outcomes
-from dogwoodchute.gateway import calls, filters
+from dogwoodchute import log, outcomes
+from dogwoodchute.gateway import calls, filters, observe
 from dogwoodchute.tests import support
 
 REQUEST = calls.Request(
@@ -44,3 +45,21 @@
         self.assertIsInstance(refused, outcomes.NotRun)
         self.assertEqual(503, refused.status)
         self.assertLess(refused.retry_after, 0.1)
+
+
+class ObserveTest(support.TestCase):
+    def age(self, read_at):
+        """Return the age of the configuration in the line of a request at 9 s."""
+        call = calls.Call(request=REQUEST, reply=None, received=8.0)
+
+        async def proceed():
+            return ANSWERED
+
+        run = observe.observe(now=lambda: 9.0, config_read_at=lambda: read_at)
+        with mock.patch.object(log, "info") as info:
+            asyncio.run(run(call, proceed))
+        return info.call_args.kwargs["config_age"]
+
+    def test_the_line_tells_when_the_configuration_was_last_looked_at(self):
+        self.assertEqual("1.500", self.age(7.5))
+        self.assertIsNone(self.age(None))
