Add a bench of one gateway host's processor time by the size of its fleet

`python -m bench host` runs one gateway beside a process that holds the store, the rows and heartbeats of 6, 62 and 339 other hosts, 36 endpoints, their datagrams, and callers with keys of 24 accounts. It prints the share of a core at rest and with 5 streams a second, slopes over the hosts, and the time of each module's own lines in a profile.

The log's output got a `close`: at exit the library closed a stream without one, and printed a traceback on standard error.

--- /dev/null
+++ b/bench/_host_world.py
@@ -0,0 +1,198 @@
+"""What surrounds one host: store, other hosts, endpoints and callers, in one process.
+
+Started by `bench.host` as a process of its own. Each line on its input is a rate of
+requests a second and the address to send them to.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+import socket
+import sys
+
+import aiohttp
+import uvloop
+
+from dogwoodchute import clock, server
+from dogwoodchute.gateway import gossip, hosts, rows
+from dogwoodchute.platform import names
+from dogwoodchute.standins import attempt_endpoint, row_store
+
+DATA_CENTRES = 6
+REGIONS = 2
+ACCOUNTS = 24
+ROUTES = 45
+ENDPOINTS = 36
+ENDPOINT_HEARTBEAT = 1.2  # seconds
+PREPAID = 10**9  # tokens of each account, more than a run can use
+LOADED = 6  # endpoints at which each other host has requests
+EVENTS = 10  # of each answer
+LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 60.0}
+SITE = "site.example"
+PROMPT = {
+    names.TOKEN_COUNT: "1000,40",
+    names.PROMPT_PREFIX: "aa:800,bb:200",
+}
+
+
+class World:
+    """The store and those who write to it, for a fleet of `count` hosts."""
+
+    def __init__(self, *, count: int, gossip_address: str) -> None:
+        self._count = count
+        self._gossip_address = gossip_address
+        self._store = row_store.RowStore(now=clock.monotonic)
+        self._addresses: list[str] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> int:
+        """Begin to write; return the store's port."""
+        self._put(names.CONFIG_TABLE, names.CONFIG_KEY, _config())
+        for number in range(ENDPOINTS):
+            listener = server.Server(name=f"endpoint-{number}", **LIMITS)
+            endpoint = attempt_endpoint.Endpoint(id=f"e{number}", events=EVENTS)
+            endpoint.add_routes(listener.app)
+            await listener.start("127.0.0.1", 0)
+            self._addresses.append(f"127.0.0.1:{listener.port}")
+        listener = server.Server(name="store", **LIMITS)
+        row_store.add_routes(listener.app, self._store)
+        await listener.start("127.0.0.1", 0)
+        for number in range(ENDPOINTS):
+            self._go(_repeat(ENDPOINT_HEARTBEAT, self._beat_endpoint, number))
+        pause = gossip.INTERVAL * max(1.0, self._count / gossip.HOSTS_PER_INTERVAL)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for number in range(self._count - 1):
+            self._go(_repeat(hosts.HEARTBEAT, self._beat_host, number))
+            self._go(_repeat(pause, self._tell_load, datagrams, number))
+        return listener.port
+
+    def _go(self, work) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _put(self, table: str, key: str, value: dict) -> None:
+        self._store.commit("", [], [rows.Put(table, key, json.dumps(value).encode())])
+
+    def _beat_host(self, beat: int, number: int) -> None:
+        host = hosts.Host(
+            id=f"host-{number:03d}-a",
+            name=f"host-{number:03d}",
+            data_centre=f"z{number % DATA_CENTRES}",
+            region=f"r{number % REGIONS}",
+            callers=f"10.0.0.{number % 250}:8000",
+            control=f"127.0.0.1:{20_000 + number}",
+            gossip=f"127.0.0.1:{21_000 + number}",
+            state=hosts.READY,
+            beat=beat,
+        )
+        put = rows.Put(hosts.TABLE, host.id, hosts.encode(host))
+        self._store.commit("", [], [put])
+
+    def _beat_endpoint(self, beat: int, number: int) -> None:
+        plain = {
+            "service": "engines",
+            "address": self._addresses[number],
+            "zone": f"z{number % DATA_CENTRES}",
+            "state": "ready",
+            "slots": 64,
+            "sequence": beat,
+        }
+        self._put(names.ENDPOINTS_TABLE, f"e{number}", plain)
+
+    def _tell_load(self, beat: int, datagrams: socket.socket, number: int) -> None:
+        used = [f"e{(number + n) % ENDPOINTS}" for n in range(LOADED)]
+        data = gossip.encode(f"host-{number:03d}-a", beat, dict.fromkeys(used, (1, 50)))
+        ip, _, port = self._gossip_address.rpartition(":")
+        datagrams.sendto(data, (ip, int(port)))
+
+
+class Callers:
+    """Asks a host again and again, with the keys of all accounts in turn."""
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._numbers = itertools.count()
+        self._asking: set[asyncio.Task] = set()
+
+    async def run(self, rate: float, address: str) -> None:
+        """Send `rate` requests a second until cancelled."""
+        while True:
+            await asyncio.sleep(random.expovariate(rate))
+            task = asyncio.create_task(self._ask(address, next(self._numbers)))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, address: str, number: int) -> None:
+        headers = {
+            "Host": SITE,
+            names.ATTEMPT_ID: f"a{number}",
+            names.DEADLINE_MS: "2500",
+            names.KEY: f"key-{number % ACCOUNTS}",
+            **PROMPT,
+        }
+        url = f"http://{address}/p{number % ROUTES}/stream"
+        async with self._session.post(url, headers=headers) as answer:
+            await answer.read()
+        if answer.status != 200:
+            raise RuntimeError(f"answered {answer.status}")
+
+
+def _config() -> dict:
+    routes = [
+        {
+            "name": f"route-{number}",
+            "hostname": SITE,
+            "prefix": f"/p{number}/",
+            "kind": "streaming",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 800,
+            "service": "engines",
+            "maxAttempts": 2,
+            "resumable": True,
+        }
+        for number in range(ROUTES)
+    ]
+    engine = {"slots": 64, "kvCapacity": 400_000, "stride": 4}
+    accounts = [
+        {"name": f"account-{n}", "apiKeys": [f"key-{n}"], "prepaid": PREPAID}
+        for n in range(ACCOUNTS)
+    ]
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": [{"name": "engines", "engine": engine}],
+        "tenants": accounts,
+        "limits": {},
+    }
+
+
+async def _repeat(pause: float, act, *arguments) -> None:
+    await asyncio.sleep(random.uniform(0.0, pause / 10))
+    for beat in itertools.count(1):
+        act(beat, *arguments)
+        await asyncio.sleep(pause * random.uniform(0.9, 1.1))
+
+
+async def _main(count: int, gossip_address: str) -> None:
+    world = World(count=count, gossip_address=gossip_address)
+    print(await world.start(), flush=True)
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    async with aiohttp.ClientSession() as session:
+        callers = Callers(session=session)
+        sending: asyncio.Task | None = None
+        while line := (await reader.readline()).decode():
+            if sending is not None:
+                sending.cancel()
+            rate, address = line.split()
+            if float(rate) > 0:
+                sending = asyncio.create_task(callers.run(float(rate), address))
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        uvloop.run(_main(int(sys.argv[1]), sys.argv[2]))
--- a/dogwoodchute/log.py
+++ b/dogwoodchute/log.py
@@ -67,6 +67,10 @@
                 return
             del self._waiting[:written]
 
+    def close(self) -> None:
+        """Write what waits; the descriptor stays open, as it belongs to the process."""
+        self.flush()
+
 
 class _Bucket:
     """The lines that one kind of event may still write."""
