--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -29,7 +29,7 @@
         self._read_at: abc.Callable[[], float | None] = lambda: None
 
     def follow(self, read_at: abc.Callable[[], float | None]) -> None:
-        """Set what tells when the call began that brought the newest rows."""
+        """Set what tells when the table was last read, in monotonic seconds."""
         self._read_at = read_at
 
     @property
@@ -37,6 +37,11 @@
         """The configuration in force, None before the first one."""
         return self._current
 
+    @property
+    def read_at(self) -> float | None:
+        """Monotonic seconds of the last successful look at the table."""
+        return self._read_at()
+
     def changed(self, all_rows: dict[str, rows.Row], changed: list[rows.Row]) -> None:
         """Take in changed rows of the configuration's table."""
         row = all_rows.get(self._key)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from dogwoodchute import clock, exchange, log, outcomes
+from dogwoodchute import clock, exchange, log, loop_watch, outcomes
 from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
     accounts,
@@ -194,6 +194,7 @@
         await self._gossip.start(ip, int(port))
         work = [each.run() for each in self._mirrors]
         work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
+        work.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in work]
 
     async def leave(self) -> None:
@@ -313,7 +314,9 @@
         )
         return exchange.chain(
             [
-                observe.observe(now=self._now),
+                observe.observe(
+                    now=self._now, config_read_at=lambda: self._configuration.read_at
+                ),
                 filters.admit(
                     config=lambda: self._configuration.current, ready=self._informed
                 ),
