Keep idle connections for as long as the limit says, old ones too

What callers saw: a connection closed in the instant of its next use, within the time for which the limits let them keep it.

Cause: a limit with fractions of a second was cut to whole seconds, so 1.9 s became 1 s; and a raised limit reached only connections that opened after it.

Evidence: two tests with sockets, both of which failed before. The timer now has the limit as it is, and a change reaches open connections as well.

--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -9,6 +9,7 @@
 
 from dogwoodchute import connection
 
+MIN_IDLE_TIMEOUT = 1.0  # seconds
 POLL = 0.02  # seconds between looks at connections that are to end
 END_BOUND = 0.2  # seconds in which connections end that were cut
 
@@ -22,8 +23,8 @@
         self.app = sanic.Sanic(name, configure_logging=False)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.REQUEST_MAX_HEADER_SIZE = header_bytes
-        self.app.config.KEEP_ALIVE_TIMEOUT = int(idle_timeout)
-        self.app.config.REQUEST_TIMEOUT = int(idle_timeout)
+        self.app.config.KEEP_ALIVE_TIMEOUT = idle_timeout
+        self.app.config.REQUEST_TIMEOUT = idle_timeout
         self.app.config.RESPONSE_TIMEOUT = 86_400
         # The end of an answer may still be on its way to a slow caller.
         self.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT = idle_timeout
@@ -35,9 +36,15 @@
         self.port = 0
 
     def limit(self, *, body_bytes: int, idle_timeout: float) -> None:
-        """Set limits, in bytes and seconds, for connections that open from now on."""
+        """Set limits, in bytes and seconds, for all connections."""
+        kept = max(MIN_IDLE_TIMEOUT, idle_timeout)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
-        self.app.config.KEEP_ALIVE_TIMEOUT = max(1, int(idle_timeout))
+        self.app.config.KEEP_ALIVE_TIMEOUT = kept
+        if self._server is None:
+            return
+        for each in self._server.connections:
+            each.request_max_size = body_bytes
+            each.keep_alive_timeout = kept
 
     async def start(
         self, address: str, port: int, *, tls: ssl.SSLContext | None = None
--- a/dogwoodchute/tests/test_server.py
+++ b/dogwoodchute/tests/test_server.py
@@ -1,5 +1,7 @@
 """The listeners, with and without TLS."""
 
+import asyncio
+import contextlib
 import datetime
 import ipaddress
 import pathlib
@@ -46,6 +48,53 @@
     return [str(path) for path in paths]
 
 
+@contextlib.asynccontextmanager
+async def kept(*, idle_timeout):
+    """Listen, and use a connection; yields the listener and another use of it."""
+    listener = server.Server(
+        name="idle-test", body_bytes=1000, header_bytes=4096, idle_timeout=idle_timeout
+    )
+
+    async def answer(request):
+        return sanic.text("hello")
+
+    listener.app.add_route(answer, "/")
+    await listener.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+
+    async def ask():
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        return (await reader.readuntil(b"hello")).endswith(b"hello")
+
+    await ask()
+    yield listener, ask
+    writer.close()
+    await listener.stop()
+
+
+class IdleTest(support.TestCase):
+    def test_a_connection_is_kept_for_fractions_of_a_second(self):
+        """A limit of 1.9 s closed connections after 1 s, as callers used them."""
+
+        async def story():
+            async with kept(idle_timeout=1.9) as (_, ask):
+                await asyncio.sleep(1.6)
+                self.assertTrue(await ask())
+
+        self.run_async(story())
+
+    def test_a_raised_limit_holds_for_open_connections(self):
+        """Open connections were closed by the limit that they had opened under."""
+
+        async def story():
+            async with kept(idle_timeout=1.0) as (listener, ask):
+                listener.limit(body_bytes=1000, idle_timeout=30.0)
+                await asyncio.sleep(1.7)
+                self.assertTrue(await ask())
+
+        self.run_async(story())
+
+
 class TLSTest(support.TestCase):
     def test_listener_speaks_tls_and_refuses_plain(self):
         async def run():
