Tell loads to a group of hosts and its sum to the rest, so that they are young and few

Seen: with 340 hosts a host waits 5.3 s between datagrams to the same other one, longer than the 1.5 s for which a load counts. And each request walks the loads of all hosts once for each endpoint: 2.5 of some 8 ms of a request at 63 hosts, by a profile.

Cause: every host told every other one its own load, so the tellings of a host grow with the fleet, and its loads get as old.

Now hosts form groups of about the square root of the fleet. A host tells its own load to its group; each host outside hears the group's sum from one member, found by hash from the group's known members. Up to 16 hosts there are no groups, as before. `loads` returns one sum, worked out after a change. An empty load is told once and then lapses, so an idle fleet is silent.

Why it works: with groups of the root of n, a host tells and hears some two roots of n, and each load passes one relay at most.

Not covered: datagrams hold 256 endpoints at most, those with most requests; a sum at the two-year size (2,600 endpoints) would lose the rest. Hosts whose number of groups differs, as their counts of the fleet do around a power of two, leave out one another's sums until they agree. Datagrams have a new format; during an upgrade those of the other one are left out.

Tests: plans cover each pair once for 2 to 340 hosts; 340 hosts played, with the ages of loads and each host's datagrams; lost datagrams; an idle fleet; what can't be read.

--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -16,6 +16,7 @@
 import uvloop
 
 from dogwoodchute import clock, server
+from dogwoodchute.coordination import load_groups
 from dogwoodchute.gateway import gossip, hosts, rows
 from dogwoodchute.platform import names
 from dogwoodchute.standins import attempt_endpoint, row_store
@@ -46,6 +47,8 @@
         self._store = row_store.RowStore(now=clock.monotonic)
         self._addresses: list[str] = []
         self._tasks: list[asyncio.Task] = []
+        self._own: str | None = None  # lifetime of the measured host
+        self._plans: dict[int, load_groups.Plan] = {}  # by number of the other hosts
 
     async def start(self) -> int:
         """Begin to write; return the store's port."""
@@ -61,7 +64,8 @@
         await listener.start("127.0.0.1", 0)
         for number in range(ENDPOINTS):
             self._go(_repeat(ENDPOINT_HEARTBEAT, self._beat_endpoint, number))
-        pause = gossip.INTERVAL * max(1.0, self._count / gossip.HOSTS_PER_INTERVAL)
+        grouped = load_groups.group_count(self._count) > 1
+        pause = gossip.GROUPS_INTERVAL if grouped else gossip.INTERVAL
         datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for number in range(self._count - 1):
             self._go(_repeat(hosts.HEARTBEAT, self._beat_host, number))
@@ -76,7 +80,7 @@
 
     def _beat_host(self, beat: int, number: int) -> None:
         host = hosts.Host(
-            id=f"host-{number:03d}-a",
+            id=_id(number),
             name=f"host-{number:03d}",
             data_centre=f"z{number % DATA_CENTRES}",
             region=f"r{number % REGIONS}",
@@ -101,11 +105,41 @@
         self._put(names.ENDPOINTS_TABLE, f"e{number}", plain)
 
     def _tell_load(self, beat: int, datagrams: socket.socket, number: int) -> None:
+        """Send what this host tells the measured one, if anything."""
+        plan = self._plan(number)
+        if plan is None:
+            return
+        near, far = self._own in plan.near, self._own in plan.far
         used = [f"e{(number + n) % ENDPOINTS}" for n in range(LOADED)]
-        data = gossip.encode(f"host-{number:03d}-a", beat, dict.fromkeys(used, (1, 50)))
+        load = dict.fromkeys(used, (1, 50))
+        if near:
+            data = gossip.encode(gossip.Told(_id(number), beat, 0, 0, load))
+        elif far:
+            # As many requests as the hosts of its group have.
+            members = 1 + len(plan.near)
+            load = {
+                f"e{n}": (members * LOADED // ENDPOINTS, 50) for n in range(ENDPOINTS)
+            }
+            told = gossip.Told(_id(number), beat, plan.groups, plan.group, load)
+            data = gossip.encode(told)
+        else:
+            return
         ip, _, port = self._gossip_address.rpartition(":")
         datagrams.sendto(data, (ip, int(port)))
 
+    def _plan(self, number: int) -> load_groups.Plan | None:
+        """Return whom a host tells what, None until the measured one has a row."""
+        if self._own is None:
+            known = self._store.read(hosts.TABLE, "", None, None).rows
+            written = {_id(each) for each in range(self._count)}
+            self._own = next((r.key for r in known if r.key not in written), None)
+        if self._own is None:
+            return None
+        if number not in self._plans:
+            others = [_id(n) for n in range(self._count - 1) if n != number]
+            self._plans[number] = load_groups.plan(_id(number), [*others, self._own])
+        return self._plans[number]
+
 
 class Callers:
     """Asks a host again and again, with the keys of all accounts in turn."""
@@ -138,6 +172,10 @@
             raise RuntimeError(f"answered {answer.status}")
 
 
+def _id(number: int) -> str:
+    return f"host-{number:03d}-a"
+
+
 def _config() -> dict:
     routes = [
         {
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -89,7 +89,7 @@
         self._gossip = gossip.Gossip(
             id=self._hosts.id,
             load=lambda: self._endpoints.load(),
-            peers=lambda: [host.gossip for host in self._hosts.live],
+            peers=lambda: {host.id: host.gossip for host in self._hosts.live},
             now=now,
         )
         self._endpoints = endpoints.Endpoints(
--- /dev/null
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -0,0 +1,172 @@
+"""How hosts tell one another their loads, on passed-in time."""
+
+import collections
+import random
+
+from dogwoodchute.coordination import load_groups
+from dogwoodchute.gateway import gossip
+from dogwoodchute.tests import support, virtual
+
+SECONDS = 4.0
+
+
+def name_of(number):
+    return f"host-{number:03d}-a1b2"
+
+
+class PlanTest(support.TestCase):
+    def plans(self, count):
+        names = [name_of(number) for number in range(count)]
+        return {
+            name: load_groups.plan(name, [n for n in names if n != name])
+            for name in names
+        }
+
+    def test_each_host_hears_each_other_once(self):
+        for count in (2, 16, 17, 63, 340):
+            plans = self.plans(count)
+            heard = collections.defaultdict(list)  # groups and members, by hearer
+            for name, plan in plans.items():
+                for hearer in plan.near:
+                    heard[hearer].append(name)
+                for hearer in plan.far:
+                    heard[hearer].extend([name, *plan.near])
+            for name in plans:
+                expected = sorted(other for other in plans if other != name)
+                self.assertEqual(expected, sorted(heard[name]), (count, name))
+
+    def test_a_small_fleet_has_no_groups(self):
+        for name, plan in self.plans(load_groups.SMALL_FLEET).items():
+            self.assertEqual(load_groups.SMALL_FLEET - 1, len(plan.near))
+            self.assertEqual((), plan.far, name)
+
+    def test_what_a_host_tells_grows_with_the_root_of_the_fleet(self):
+        for count in (63, 340, 1360):
+            told = [
+                len(plan.near) + len(plan.far) for plan in self.plans(count).values()
+            ]
+            self.assertLess(sum(told) / count, 2.5 * count**0.5)
+            self.assertLess(max(told), 4 * count**0.5)
+
+
+class Fleet:
+    """Hosts that each have one request, whose prompt tokens tell the time in ms."""
+
+    def __init__(self, count, *, loss=0.0):
+        self.loop = virtual.Loop()
+        self.rng = random.Random(3)
+        self.loss = loss  # share of datagrams
+        self.busy = True
+        self.sent = collections.Counter()
+        self.hosts = {}
+        self.tasks = []
+        for number in range(count):
+            name = name_of(number)
+            made = gossip.Gossip(
+                id=name,
+                load=lambda number=number: self.load(number),
+                peers=lambda name=name: {
+                    other: f"{other}:1" for other in self.hosts if other != name
+                },
+                now=self.loop.time,
+            )
+            made.connection_made(Transport(self, name))
+            self.hosts[name] = made
+        for made in self.hosts.values():
+            self.loop.call_later(self.rng.uniform(0, 0.5), self.begin, made)
+
+    def begin(self, made):
+        self.tasks.append(self.loop.create_task(made.run()))
+
+    def load(self, number):
+        if not self.busy:
+            return {}
+        return {f"e{number}": (1, int(1000 * self.loop.time()))}
+
+    def ages(self, made):
+        """Return the seconds since each load was so that a host counts."""
+        (load,) = made.loads()
+        now = self.loop.time()
+        return [now - told / 1000 for requests, told in load.values() if requests == 1]
+
+
+class Transport:
+    """Passes datagrams on, unless they are lost."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+
+    def sendto(self, data, address):
+        fleet = self.fleet
+        fleet.sent[self.name] += 1
+        if fleet.rng.random() >= fleet.loss:
+            fleet.loop.call_later(
+                0.02, fleet.hosts[address[0]].datagram_received, data, (self.name, 1)
+            )
+
+
+class FleetTest(support.TestCase):
+    def fleet(self, count, **known):
+        fleet = Fleet(count, **known)
+        self.addCleanup(fleet.loop.finish)
+        return fleet
+
+    def check(self, count, *, loss=0.0):
+        """Play a fleet; return the share of loads that hosts count, and their ages."""
+        fleet = self.fleet(count, loss=loss)
+        fleet.loop.run_for(SECONDS)
+        # Pauses are shorter by up to a tenth; the first telling has none before it.
+        most = SECONDS * gossip.DATAGRAMS_PER_SECOND / 0.9
+        for name, made in fleet.hosts.items():
+            self.assertLessEqual(fleet.sent[name], most + made.told_hosts, name)
+        ages = [age for made in fleet.hosts.values() for age in fleet.ages(made)]
+        return len(ages) / (count * (count - 1)), sorted(ages)
+
+    def test_a_host_of_the_largest_fleet_counts_all_loads(self):
+        """With 340 hosts three loads of four were too old to count."""
+        share, ages = self.check(340)
+        self.assertEqual(1.0, share)
+        self.assertLess(ages[-1], gossip.MAX_AGE)
+
+    def test_lost_datagrams_make_loads_a_little_older(self):
+        share, ages = self.check(63, loss=0.1)
+        self.assertGreater(share, 0.98)
+        self.assertLess(ages[len(ages) // 2], 0.7)
+
+    def test_a_small_fleet_hears_all_at_once(self):
+        share, ages = self.check(7)
+        self.assertEqual(1.0, share)
+        self.assertLess(ages[-1], 0.35)
+
+    def test_an_idle_fleet_is_silent_and_counts_nothing(self):
+        fleet = self.fleet(63)
+        fleet.loop.run_for(SECONDS)
+        fleet.busy = False
+        fleet.loop.run_for(2.5 * gossip.MAX_AGE)
+        before = fleet.sent.total()
+        fleet.loop.run_for(SECONDS)
+        self.assertEqual(before, fleet.sent.total())
+        for made in fleet.hosts.values():
+            self.assertEqual([{}], made.loads())
+
+
+class DatagramTest(support.TestCase):
+    def test_what_is_encoded_is_decoded(self):
+        told = gossip.Told("h1-a", 7, 8, 3, {"e1": (2, 300)})
+        self.assertEqual(told, gossip.decode(gossip.encode(told)))
+
+    def test_what_cannot_be_read_is_left_out(self):
+        for data in (
+            b"",
+            b"\xc1",
+            b"\x93\x01\x02\x03",
+            b"\x96\x02\xa1a\x01\x00\x00\x05",
+        ):
+            self.assertIsNone(gossip.decode(data))
+
+    def test_of_too_many_endpoints_those_with_most_requests_are_told(self):
+        load = {f"e{n}": (n, 0) for n in range(2 * gossip.MAX_ENDPOINTS)}
+        kept = gossip.decode(gossip.encode(gossip.Told("h", 1, 0, 0, load))).load
+        self.assertEqual(gossip.MAX_ENDPOINTS, len(kept))
+        self.assertEqual(gossip.MAX_ENDPOINTS, min(n for n, _ in kept.values()))
