--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -113,14 +113,22 @@
         used = [f"e{(number + n) % ENDPOINTS}" for n in range(LOADED)]
         load = dict.fromkeys(used, (1, 50))
         if near:
-            data = gossip.encode(gossip.Told(_id(number), beat, 0, 0, load))
+            data = gossip.encode(gossip.Told(_id(number), beat, 0, 0, 1, 0.0, load))
         elif far:
             # As many requests as the hosts of its group have.
             members = 1 + len(plan.near)
             load = {
                 f"e{n}": (members * LOADED // ENDPOINTS, 50) for n in range(ENDPOINTS)
             }
-            told = gossip.Told(_id(number), beat, plan.groups, plan.group, load)
+            told = gossip.Told(
+                sender=_id(number),
+                count=beat,
+                groups=plan.groups,
+                group=plan.group,
+                hosts=members,
+                age=gossip.GROUPS_INTERVAL / 2,
+                load=load,
+            )
             data = gossip.encode(told)
         else:
             return
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -32,6 +32,8 @@
     count: int  # rises with each telling of the sender
     groups: int  # that the sender divides the fleet into; 0 for its own load
     group: int  # whose sum this is; 0 for the sender's own load
+    hosts: int  # whose loads are summed
+    age: float  # seconds, the mean of those loads as this was sent
     load: Load
 
     @property
@@ -47,6 +49,21 @@
     told: Told
 
 
+class Loads(typing.NamedTuple):
+    """The loads that other hosts told, summed, and their mean age in seconds."""
+
+    told: list[Load]
+    age: float
+
+
+class _Sum(typing.NamedTuple):
+    """What counts of what was heard, as long as nothing is heard or lapses."""
+
+    load: Load
+    as_of: float | None  # monotonic seconds, the mean over hosts; None without any
+    holds_until: float  # monotonic seconds
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The loads that other hosts told, and this host's telling."""
 
@@ -66,23 +83,22 @@
         self._known: dict[str, str] = {}  # `peers` as last seen
         self._addresses: dict[str, tuple[str, int]] = {}  # by lifetime
         self._plan = load_groups.plan(id, ())
-        self._sum: Load | None = None  # of all that counts; None after a change
-        self._sum_holds_until = 0.0  # monotonic seconds
+        self._sum: _Sum | None = None  # None after a change
         self._count = 0
         self._quiet_near = True  # an empty load was told last, or nothing yet
         self._quiet_far = True
         self._transport: asyncio.DatagramTransport | None = None
 
-    def loads(self) -> list[Load]:
-        """Return the loads of other hosts that are recent enough to count, summed."""
+    def loads(self) -> Loads:
+        """Return the loads of other hosts that are recent enough to count."""
         now = self._now()
-        if self._sum is None or now > self._sum_holds_until:
+        if self._sum is None or now > self._sum.holds_until:
             self._forget(now)
-            counted = [each for each in self._heard.values() if self._counts(each.told)]
-            self._sum = total(each.told.load for each in counted)
-            oldest = min((each.at for each in counted), default=now)
-            self._sum_holds_until = oldest + MAX_AGE
-        return [self._sum]
+            self._sum = self._add_up(now)
+        if self._sum.as_of is not None:
+            return Loads([self._sum.load], now - self._sum.as_of)
+        # Hosts that tell nothing had nothing to tell in their last pause.
+        return Loads([], self._pause() / 2 if self._known else 0.0)
 
     @property
     def told_hosts(self) -> int:
@@ -146,21 +162,43 @@
         plan = self._plan
         own = self._load()
         if own or not self._quiet_near:
-            self._send(Told(self._id, self._count, 0, 0, own), plan.near)
+            self._send(Told(self._id, self._count, 0, 0, 1, 0.0, own), plan.near)
         self._quiet_near = not own
         if not plan.far:
             return
         now = self._now()
-        group = [own]
-        for heard in self._heard.values():
-            if now - heard.at <= MAX_AGE and self._is_member(heard.told):
-                group.append(heard.told.load)
-        summed = total(group)
+        heard = self._from_group(now)
+        summed = total([own, *(each.told.load for each in heard)])
+        told = Told(
+            sender=self._id,
+            count=self._count,
+            groups=plan.groups,
+            group=plan.group,
+            hosts=1 + len(heard),
+            age=sum(now - each.at for each in heard) / (1 + len(heard)),
+            load=summed,
+        )
         if summed or not self._quiet_far:
-            told = Told(self._id, self._count, plan.groups, plan.group, summed)
             self._send(told, plan.far)
         self._quiet_far = not summed
 
+    def _from_group(self, now: float) -> list[_Heard]:
+        """Return the recent own loads of the other hosts of this host's group."""
+        return [
+            each
+            for each in self._heard.values()
+            if now - each.at <= MAX_AGE and self._is_member(each.told)
+        ]
+
+    def _add_up(self, now: float) -> _Sum:
+        counted = [each for each in self._heard.values() if self._counts(each.told)]
+        if not counted:
+            return _Sum({}, None, now + MAX_AGE)
+        load = total(each.told.load for each in counted)
+        known = sum(each.told.hosts for each in counted)
+        as_of = sum(e.told.hosts * (e.at - e.told.age) for e in counted) / known
+        return _Sum(load, as_of, min(each.at for each in counted) + MAX_AGE)
+
     def _send(self, told: Told, names: abc.Iterable[str]) -> None:
         data = encode(told)
         for name in names:
@@ -215,10 +253,18 @@
 def decode(data: bytes) -> Told | None:
     """Return what a datagram tells, None if it can't be read."""
     try:
-        version, sender, count, groups, group, plain = msgpack.unpackb(data)
+        version, sender, count, groups, group, known, age, plain = msgpack.unpackb(data)
         if version != FORMAT:
             return None
         load = {str(k): (int(n), int(t)) for k, (n, t) in plain.items()}
-        return Told(str(sender), int(count), int(groups), int(group), load)
+        return Told(
+            sender=str(sender),
+            count=int(count),
+            groups=int(groups),
+            group=int(group),
+            hosts=max(1, int(known)),
+            age=float(age),
+            load=load,
+        )
     except (ValueError, TypeError, AttributeError):
         return None
--- a/dogwoodchute/log.py
+++ b/dogwoodchute/log.py
@@ -68,7 +68,7 @@
             del self._waiting[:written]
 
     def close(self) -> None:
-        """Write what waits; the descriptor stays open, as it belongs to the process."""
+        """Write what waits; the descriptor stays open."""
         self.flush()
 
 
--- a/dogwoodchute/tests/test_decode.py
+++ b/dogwoodchute/tests/test_decode.py
@@ -97,6 +97,8 @@
 [bounds]
 graceS = 8
 retrySlack = 54
+[limits]
+linkMbps = 7.5
 [platform]
 address = "10.9.9.9:1"
 """
@@ -118,6 +120,17 @@
         self.assertEqual("10.0.0.1:7000", found.gossip)
         self.assertEqual((8.0, 54.0), (found.bounds.grace, found.bounds.retry_slack))
         self.assertEqual({"z1": "r1", "z2": "r2"}, found.regions)
+        self.assertEqual(7.5, found.link_mbps)
+        without = self.load(SETTINGS.replace("linkMbps = 7.5", ""))
+        self.assertEqual(1000.0, without.link_mbps)
+
+    def test_the_store_s_rates_are_decoded(self):
+        found = self.load(SETTINGS)
+        self.assertEqual((600.0, 200.0), (found.commits, found.part_commits))
+        found = self.load(SETTINGS + "writesPerS = 300\npartWritesPerS = 50\n")
+        self.assertEqual((300.0, 50.0), (found.commits, found.part_commits))
+        bad = SETTINGS + "partWritesPerS = 0\n"
+        self.assertRaises(boot.SettingsError, self.load, bad)
 
     def test_bad_settings_get_a_clear_error(self):
         for text, word in [
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from dogwoodchute.gateway import account_rows
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gateway_site, support
 
@@ -13,6 +14,11 @@
 }
 
 
+async def stop(gateway):
+    await gateway.leave()
+    await gateway.stop()
+
+
 class GatewayTest(support.TestCase):
     def test_an_answer_passes_unchanged_and_headers_are_clean(self):
         async def story():
@@ -196,18 +202,19 @@
                 engine.events, engine.pause = 10, 0.05
                 asking = asyncio.create_task(site.ask("/s/stream", **TOKENS))
                 await support.until(lambda: engine.runs)
-                stopping = asyncio.create_task(site.gate.gateway.stop())
+                stopping = asyncio.create_task(stop(site.gate.gateway))
                 await asyncio.sleep(0.05)
                 self.assertFalse(site.gate.gateway.ready())
                 status, headers, body = await asking
                 self.assertEqual(200, status)
                 self.assertEqual(10, body.count(b"data:"))
                 await stopping
-                held = site.store.read("holdings", "tokens", None, None).rows
-                shared = site.store.read("accounts", "tokens", None, None).rows
+                part = account_rows.part_of("ann")
+                held = site.store.read("holdings", part, None, None).rows
+                shared = site.store.read("accounts", part, None, None).rows
                 self.assertEqual(1, len(held))
                 self.assertEqual(b"[1040,0]", shared[0].value)
-                bills = site.store.read("bills", "tokens", None, None).rows
+                bills = site.store.read("bills", part, None, None).rows
                 self.assertEqual(b'[["a1",1000,40]]', bills[0].value)
 
         self.run_async(story())
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -85,7 +85,7 @@
 
     def ages(self, made):
         """Return the seconds since each load was so that a host counts."""
-        (load,) = made.loads()
+        (load,) = made.loads().told
         now = self.loop.time()
         return [now - told / 1000 for requests, told in load.values() if requests == 1]
 
@@ -129,6 +129,16 @@
         self.assertEqual(1.0, share)
         self.assertLess(ages[-1], gossip.MAX_AGE)
 
+    def test_the_age_of_sums_counts_from_when_their_loads_were_told(self):
+        for count in (7, 63):
+            fleet = self.fleet(count)
+            fleet.loop.run_for(SECONDS)
+            for made in fleet.hosts.values():
+                ages = fleet.ages(made)
+                mean = sum(ages) / len(ages)
+                # Less the time on the way, once for a host's own load, twice in sums.
+                self.assertAlmostEqual(mean - 0.03, made.loads().age, delta=0.015)
+
     def test_lost_datagrams_make_loads_a_little_older(self):
         share, ages = self.check(63, loss=0.1)
         self.assertGreater(share, 0.98)
@@ -148,12 +158,12 @@
         fleet.loop.run_for(SECONDS)
         self.assertEqual(before, fleet.sent.total())
         for made in fleet.hosts.values():
-            self.assertEqual([{}], made.loads())
+            self.assertEqual([], made.loads().told)
 
 
 class DatagramTest(support.TestCase):
     def test_what_is_encoded_is_decoded(self):
-        told = gossip.Told("h1-a", 7, 8, 3, {"e1": (2, 300)})
+        told = gossip.Told("h1-a", 7, 8, 3, 9, 0.25, {"e1": (2, 300)})
         self.assertEqual(told, gossip.decode(gossip.encode(told)))
 
     def test_what_cannot_be_read_is_left_out(self):
@@ -161,12 +171,14 @@
             b"",
             b"\xc1",
             b"\x93\x01\x02\x03",
-            b"\x96\x02\xa1a\x01\x00\x00\x05",
+            b"\x98\x02\xa1a\x01\x00\x00\x01\x00\x05",
         ):
             self.assertIsNone(gossip.decode(data))
 
     def test_of_too_many_endpoints_those_with_most_requests_are_told(self):
         load = {f"e{n}": (n, 0) for n in range(2 * gossip.MAX_ENDPOINTS)}
-        kept = gossip.decode(gossip.encode(gossip.Told("h", 1, 0, 0, load))).load
+        kept = gossip.decode(
+            gossip.encode(gossip.Told("h", 1, 0, 0, 1, 0.0, load))
+        ).load
         self.assertEqual(gossip.MAX_ENDPOINTS, len(kept))
         self.assertEqual(gossip.MAX_ENDPOINTS, min(n for n, _ in kept.values()))
