--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -135,6 +135,7 @@
         task = loop.create_task(made.run())
         loop.run_for(0.1)
         task.cancel()
+        loop.run_for(0.1)
         found = store.read(hosts.TABLE, "", None, None).rows
         told = hosts.decode(found[0].key, found[0].value)
         made.changed({}, found)
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -56,6 +56,7 @@
         task = self.loop.create_task(made.run())
         self.loop.run_for(seconds)
         task.cancel()
+        self.loop.run_for(0.1)
 
     def drawn(self, account):
         part = account_rows.part_of(account)
@@ -88,6 +89,7 @@
         site.loop.run_for(10.0)
         for task in tasks:
             task.cancel()
+        site.loop.run_for(0.1)
         self.assertEqual([], site.held())
         for account in ACCOUNTS:
             self.assertEqual(LIMIT * len(HOSTS), site.drawn(account).drawn)
