Send no more to an endpoint that ended, and what it refused to another one

An endpoint that another one answered for (421) was taken for alive again after 4 s, by each host for itself: 200 sends in 6 s. It stays out now until its row changes, which a heartbeat does.

Such a refusal used up the one send of a route with maxAttempts 1, so the caller got 503 endpoint_busy (130 in 6 s) while other engines had room. The endpoint that was meant got nothing, so it counts as no send; the retry budget and the list of endpoints tried bound the tries.

The new tests fail on the code before.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -132,6 +132,8 @@
                 result = await self._take(call, endpoint, answer, first_token)
                 if isinstance(result, _Refused):
                     call.may_have_run = ran_before
+                    # The endpoint that was meant is not there, so it got nothing.
+                    call.sends -= result.status == ANOTHER_INSTANCE
         finally:
             if self._began(call, endpoint, answer, result):
                 call.consumed = True
@@ -170,12 +172,18 @@
         elif isinstance(result, upstream.NotSent | upstream.Lost):
             self._known.failed(endpoint, result.reason)
 
+    def _may_go_elsewhere(self, call: calls.Call) -> bool:
+        """Return whether a call that gets no answer could be sent once more."""
+        if not call.repeatable or call.sends >= call.route.max_attempts:
+            return False
+        return self._known.can_repeat(call)
+
     async def _head(
         self, call: calls.Call, endpoint: model.Endpoint
     ) -> upstream.Answer | upstream.NotSent | upstream.Lost:
         left = self._left(call)
         patience = left
-        if call.repeatable and call.sends < call.route.max_attempts:
+        if self._may_go_elsewhere(call):
             stream = call.route.kind == model.STREAM
             patience = min(left, HEAD_PATIENCE if stream else PLAIN_PATIENCE)
         try:
@@ -253,7 +261,7 @@
             await call.reply.start(answer.head.status, answer.head.headers)
         while True:
             bound = None
-            if call.repeatable and call.sends < call.route.max_attempts:
+            if self._may_go_elsewhere(call):
                 bound = SILENCE if call.first_byte is not None else HEAD_PATIENCE
             data = await self._within(
                 call, answer.next(endpoint.id), endpoint, bound=bound
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -7,7 +7,6 @@
 from dogwoodchute.gateway import calls, gossip, model, rows
 
 RETURN_TIME = 2.5  # seconds after an outage in which lapsed entries come back
-ENDED_TIME = 4.0  # seconds; an endpoint that ended is off the list after three beats
 READ_RATE_WINDOW = 4.0  # seconds over which the prompts sent to engines are averaged
 BUDGET_SHARE = 0.5  # of the fleet's slack that hosts hand out, for those that restart
 
@@ -48,7 +47,7 @@
         self._read_rate = sizing.Demand(window=READ_RATE_WINDOW, quick=True)
         self._all: dict[str, model.Endpoint] = {}
         self._lapsed: dict[str, float] = {}  # monotonic seconds when it went missing
-        self._ended: dict[str, float] = {}  # monotonic seconds when that was noticed
+        self._ended: set[str] = set()  # until their rows change
         self._uses: dict[str, _Use] = {}
         self._ejectors: dict[str, ejection.Ejector] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -62,6 +61,7 @@
         """Take in changed rows of the endpoints' table."""
         self.known = True
         for row in changed:
+            self._ended.discard(row.key)
             if row.value is None:
                 self._remove(row.key)
                 continue
@@ -181,8 +181,11 @@
         self._ejector(endpoint.service).succeed(endpoint.id)
 
     def ended(self, endpoint: model.Endpoint) -> None:
-        """Leave out an endpoint at whose address another one answered."""
-        self._ended[endpoint.id] = self._now()
+        """Leave out an endpoint at whose address another one answered.
+
+        A heartbeat of it would show that it is there all the same.
+        """
+        self._ended.add(endpoint.id)
         log.warning("endpoint_ended", endpoint=endpoint.id, address=endpoint.address)
 
     def failed(self, endpoint: model.Endpoint, reason: str) -> None:
@@ -190,6 +193,12 @@
         if self._ejector(endpoint.service).fail(endpoint.id, self._now()):
             log.warning("endpoint_ejected", endpoint=endpoint.id, reason=reason)
 
+    def can_repeat(self, call: calls.Call) -> bool:
+        """Return whether a call could be sent to one more endpoint."""
+        service = call.service.name
+        others = (e for e in self.ready(service) if e.id not in call.tried)
+        return any(others) and self._budget(service).balance >= 1.0
+
     def note_request(self, service: str) -> None:
         """Pay into a service's budget of repeats."""
         self._budget(service).count_request()
@@ -289,9 +298,6 @@
         self._drop(name)
 
     def _expire(self) -> None:
-        now = self._now()
-        for name in [n for n, at in self._ended.items() if now - at >= ENDED_TIME]:
-            del self._ended[name]
         if not self._lapsed or self._now() - self._regained_at() < RETURN_TIME:
             return
         for name in list(self._lapsed):
@@ -300,6 +306,7 @@
 
     def _drop(self, name: str) -> None:
         endpoint = self._all.pop(name, None)
+        self._ended.discard(name)
         if endpoint is not None:
             log.info("endpoint_gone", endpoint=name, service=endpoint.service)
         use = self._uses.get(name)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -149,6 +149,10 @@
         """Endpoints that are registered."""
         return self._endpoints.count
 
+    def ready_endpoints(self, service: str) -> int:
+        """Return how many endpoints of a service take new requests."""
+        return len(self._endpoints.ready(service))
+
     @property
     def in_flight(self) -> int:
         """Requests that are under way."""
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -115,6 +115,59 @@
 
         self.run_async(story())
 
+    def test_an_endpoint_that_ended_gets_one_request_while_the_store_is_away(self):
+        """After 4 s it was taken for alive again, with nothing that showed so."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                plain = site.endpoints["p1"]
+                port = int(site.addresses["p1"].rpartition(":")[2])
+                site.register("ended", "plain", port)
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                site.faults = lambda kind: row_store.Fault(status=503)
+                for number in range(16):
+                    await site.ask("/look/x", method="GET", attempt=f"n{number}")
+                    await asyncio.sleep(0.3)
+                self.assertEqual(1, plain.misdirected)
+                site.faults = lambda kind: row_store.NO_FAULT
+                site.register("ended", "plain", port)
+                await support.until(
+                    lambda: site.gate.gateway.ready_endpoints("plain") == 2
+                )
+
+        self.run_async(story())
+
+    def test_a_request_to_an_endpoint_that_ended_goes_on_at_another(self):
+        """A route with one send in all answered 503, though nothing had been run."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                engine = site.endpoints["e1"]
+                port = int(site.addresses["e1"].rpartition(":")[2])
+                site.register("ended", "engines", port)
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                for number in range(12):
+                    prompt = {**TOKENS, "X_Dogwoodchute_Prompt_Prefix": f"{number}:90"}
+                    asked = await site.ask("/o/stream", attempt=f"n{number}", **prompt)
+                    self.assertEqual(200, asked[0])
+                self.assertEqual(1, engine.misdirected)
+                self.assertEqual(12, len(engine.runs))
+
+        self.run_async(story())
+
+    def test_the_last_endpoint_of_an_idempotent_call_gets_all_its_time(self):
+        """Given up after 0.3 s for a second try that had nowhere to go."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                plain = site.endpoints["p1"]
+                plain.delay = 1.0
+                answer = await site.ask("/look/x", method="GET")
+                self.assertEqual(200, answer[0])
+                self.assertEqual(["a1"], plain.runs)
+
+        self.run_async(story())
+
     def test_not_run_is_only_said_of_what_did_not_run(self):
         async def story():
             async with gateway_site.running() as site:
