Bound answers without end, and answer callers in spite of them

What callers saw: where an endpoint sent bytes that are no answer and went on for ever, the host quoted up to 64 KB of them in its own 502; kept idempotent calls until their time was up though another endpoint was ready; lost a whole answer when more bytes came in its segment.

Cause: the parser bounds lines and headers and the reader bounds the body, but nothing bounded interim answers, empty lines, and the sizes and extensions of chunks. Patience was counted anew with each byte, so a byte now and then kept a stream; a body had no patience at all.

Now a connection closes once its framing exceeds 64 KB and eight times its body; the wait for an event is counted from the last whole event; an idempotent call keeps half of its time for another endpoint; bytes after a length are dropped with the connection; an error quotes 120 characters at most. An event that grows by small pieces is no longer copied and searched anew with each. Answers of hosts that give tokens are bounded to 64 bytes.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -15,6 +15,7 @@
 
 HEAD_PATIENCE = 2.5  # seconds to a stream's first event, if it can go elsewhere
 PLAIN_PATIENCE = 0.3  # seconds to an idempotent answer, if another endpoint is left
+BODY_SHARE = 0.5  # of the time left for a body, if the call can go elsewhere after it
 SILENCE = 1.2  # seconds between events; a longer pause moves a resumable stream
 NO_ANSWER = "no answer in time"
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
@@ -89,6 +90,10 @@
     def _left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
 
+    def _may_move(self, call: calls.Call) -> bool:
+        """Return whether a call that was sent may be sent to another endpoint."""
+        return call.repeatable and call.sends < call.route.max_attempts
+
     def _next(self, call: calls.Call, last: Try | None) -> model.Endpoint | None:
         """Return the endpoint of the next try, None if there must be none."""
         if last is not None:
@@ -175,7 +180,7 @@
     ) -> upstream.Answer | upstream.NotSent | upstream.Lost:
         left = self._left(call)
         patience = left
-        if call.repeatable and call.sends < call.route.max_attempts:
+        if self._may_move(call):
             stream = call.route.kind == model.STREAM
             patience = min(left, HEAD_PATIENCE if stream else PLAIN_PATIENCE)
         try:
@@ -206,7 +211,8 @@
             return upstream.Lost(reason="the answer has no signature", peer=endpoint.id)
         if whole and call.route.kind == model.STREAM:
             return await self._stream(call, endpoint, answer, first_token)
-        body = await self._within(call, answer.read(endpoint.id), endpoint)
+        bound = BODY_SHARE * self._left(call) if self._may_move(call) else None
+        body = await self._within(call, answer.read(endpoint.id), endpoint, bound=bound)
         if isinstance(body, upstream.Lost):
             return body
         answer.done()
@@ -251,10 +257,12 @@
         if not call.started:
             call.started = True
             await call.reply.start(answer.head.status, answer.head.headers)
+        since = self._now()
         while True:
             bound = None
-            if call.repeatable and call.sends < call.route.max_attempts:
+            if self._may_move(call):
                 bound = SILENCE if call.first_byte is not None else HEAD_PATIENCE
+                bound = max(0.0, since + bound - self._now())
             data = await self._within(
                 call, answer.next(endpoint.id), endpoint, bound=bound
             )
@@ -269,6 +277,7 @@
                 return upstream.Lost(reason=str(error), peer=endpoint.id)
             if events:
                 await self._pass_on(call, events)
+                since = self._now()
         if cutter.rest:
             return upstream.Lost(reason="half an event", peer=endpoint.id)
         answer.done()
--- a/dogwoodchute/gateway/tokens.py
+++ b/dogwoodchute/gateway/tokens.py
@@ -14,6 +14,7 @@
 
 PATH = "/tokens"
 ASK_TIMEOUT = 0.25  # seconds: the way there and back, and a commit of the giver
+MAX_ANSWER = 64  # bytes; a number takes nine at the most
 FORMAT = "application/msgpack"
 
 # Asks the host at a control address for an account's tokens; returns what it gave, None
@@ -47,7 +48,8 @@
             async with self._session.post(
                 f"http://{address}{PATH}", data=body, headers={"Content-Type": FORMAT}
             ) as response:
-                if response.status != 200:
+                size = response.content_length
+                if response.status != 200 or size is None or size > MAX_ANSWER:
                     return None
                 given = msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 import functools
+import http
 import typing
 from collections import abc
 
 import aiohttp
 import yarl
-from aiohttp import client_proto
+from aiohttp import client_proto, streams
 
 from dogwoodchute import send_once
 from dogwoodchute.gateway import calls, model
@@ -17,6 +18,10 @@
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
 IDLE_MARGIN = 0.5  # seconds before the endpoint's own idle timeout
 MAX_ANSWER = 16 * 1024 * 1024  # bytes of an answer that is read before it is sent on
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD = 64 * 1024  # bytes of an answer's head, with interim answers before it
+MAX_FRAMING = 8  # bytes of framing for each byte of a body; 5 for chunks of one byte
+MAX_REASON = 120  # characters of an error's text, which may quote the endpoint
 
 
 class Head(typing.NamedTuple):
@@ -65,6 +70,9 @@
         super().__init__(loop)
         self.reset = False  # ended otherwise than by the endpoint's closing it
         self.idle_until: float | None = None  # loop time
+        self._received = 0  # bytes since the request
+        self._head_came = False
+        self._length: int | None = None  # bytes of the body to come, if it is told
 
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -72,9 +80,73 @@
             return False
         return self.idle_until is None or self._loop.time() < self.idle_until
 
+    def set_response_params(self, **known: object) -> None:
+        """Begin to wait for an answer."""
+        self._received = 0
+        self._length = None
+        self._head_came = False
+        self._payload = None
+        super().set_response_params(**known)
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """Take in the head of an answer."""
+        message, payload = data
+        self._head_came = message.code >= http.HTTPStatus.OK
+        if not self._head_came:
+            super().feed_data(data, size)
+            return
+        length = message.headers.get("Content-Length", "")
+        if payload is streams.EMPTY_PAYLOAD:
+            self._length = 0
+        elif length.isdecimal():
+            self._length = int(length)
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes, and close once they can't be an answer any more.
+
+        The parser bounds lines and headers, and the reader bounds the body. Between
+        them are bytes without end that are neither: interim answers, empty lines, the
+        size and the extensions of a chunk.
+        """
+        self._received += len(data)
+        while not self._head_came:
+            before, found, after = data.partition(HEAD_END)
+            if not found:
+                break
+            super().data_received(before + found)
+            data = after
+        if self._length is None:
+            if data:
+                super().data_received(data)
+            self._bound(len(data))
+            return
+        whole = data[: self._length]
+        self._length -= len(whole)
+        if len(data) > len(whole):
+            # Bytes after the answer belong to nothing, and would fail its parser.
+            self.force_close()
+        if whole:
+            super().data_received(whole)
+        if len(data) > len(whole) and self.transport is not None:
+            self.transport.abort()
+
+    def _bound(self, fresh: int) -> None:
+        body = self._payload.total_bytes if self._payload is not None else 0
+        if self._received - body <= MAX_HEAD + fresh + MAX_FRAMING * body:
+            return
+        if self.transport is None:
+            return
+        self.reset = True
+        error = aiohttp.ClientPayloadError("too many bytes that are no answer")
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note how the connection ended; a body without length needs to know."""
-        self.reset = exc is not None
+        self.reset = self.reset or exc is not None
         super().connection_lost(exc)
 
 
@@ -113,7 +185,7 @@
         try:
             data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=str(error) or type(error).__name__, peer=peer)
+            return Lost(reason=_reason(error), peer=peer)
         if data or self._framed:
             return data
         if self._channel is None or self._channel.reset:
@@ -184,11 +256,18 @@
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return NotSent(reason=str(error) or type(error).__name__, peer=endpoint.id)
+            return NotSent(reason=_reason(error), peer=endpoint.id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=str(error) or type(error).__name__, peer=endpoint.id)
+            return Lost(reason=_reason(error), peer=endpoint.id)
         head = self._wire.head(response.status, response.headers, response.raw_headers)
         # The response lets go of its connection as soon as the body has come; the
         # body's reader still knows it.
         channel = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, channel=channel)
+
+
+def _reason(error: Exception) -> str:
+    """Return what an error says, without what the endpoint sent in full."""
+    text = str(error) or type(error).__name__
+    first = text.splitlines()[0] if text.strip() else type(error).__name__
+    return first[:MAX_REASON]
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -23,33 +23,36 @@
     """Cuts a byte stream after its last whole event, changing no byte."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def rest(self) -> bytes:
         """The beginning of an event that is not whole."""
-        return self._rest
+        return bytes(self._rest)
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events in `data` so far.
 
         Raises `FormatError` if an event grows past `MAX_EVENT`.
         """
-        if self._rest:
-            data = self._rest + data
-        end = data.rfind(BOUNDARY)
+        if not self._rest and data.endswith(BOUNDARY):
+            return data
+        # A boundary may begin with the last byte of what was there before.
+        start = max(0, len(self._rest) - 1)
+        self._rest += data
+        end = self._rest.rfind(BOUNDARY, start)
         if end < 0:
-            if len(data) > MAX_EVENT:
+            if len(self._rest) > MAX_EVENT:
                 raise FormatError("an event is too large")
-            self._rest = data
             return b""
         end += len(BOUNDARY)
-        self._rest = data[end:]
-        return data[:end]
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
+        return whole
 
     def drop(self) -> None:
         """Drop the half event that a broken connection left."""
-        self._rest = b""
+        self._rest.clear()
 
 
 class Splitter:
