Let the endpoints' parser go on after its reader was full

The new test shows it for bodies with a length and in chunks, and failed before.

Besides: heads are searched without copying what follows them; a length beside chunks is left out of account; a connection to an endpoint that does not read takes at most 0.1 s of a stop.

--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -1,6 +1,7 @@
 """Connections to endpoints, and single requests over them."""
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import http
@@ -16,6 +17,7 @@
 
 CONNECT_TIMEOUT = 0.7  # seconds; a new connection takes some 20 ms at the most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
+CLOSE_BOUND = 0.1  # seconds to write what is left of requests, at a stop
 IDLE_MARGIN = 0.5  # seconds before the endpoint's own idle timeout
 MAX_ANSWER = 16 * 1024 * 1024  # bytes of an answer that is read before it is sent on
 HEAD_END = b"\r\n\r\n"
@@ -98,7 +100,7 @@
         length = message.headers.get("Content-Length", "")
         if payload is streams.EMPTY_PAYLOAD:
             self._length = 0
-        elif length.isdecimal():
+        elif length.isdecimal() and not message.chunked:
             self._length = int(length)
         super().feed_data(data, size)
 
@@ -109,26 +111,41 @@
         them are bytes without end that are neither: interim answers, empty lines, the
         size and the extensions of a chunk.
         """
+        if not data:
+            # The parser goes on with what it kept while its reader was full.
+            super().data_received(data)
+            return
         self._received += len(data)
-        while not self._head_came:
-            before, found, after = data.partition(HEAD_END)
-            if not found:
-                break
-            super().data_received(before + found)
-            data = after
-        if self._length is None:
-            if data:
-                super().data_received(data)
-            self._bound(len(data))
+        data = self._take_heads(data)
+        if self._length is not None:
+            self._take_body(data)
             return
+        if data:
+            super().data_received(data)
+        self._bound(len(data))
+
+    def _take_heads(self, data: bytes) -> bytes:
+        """Parse up to the end of the answer's head; return what follows it."""
+        start = 0
+        while not self._head_came and super().is_connected():
+            end = data.find(HEAD_END, start)
+            if end < 0 or start > MAX_HEAD:
+                break
+            end += len(HEAD_END)
+            super().data_received(data[start:end])
+            start = end
+        return data[start:]
+
+    def _take_body(self, data: bytes) -> None:
+        """Pass on what belongs to the answer; more bytes belong to nothing."""
         whole = data[: self._length]
         self._length -= len(whole)
-        if len(data) > len(whole):
-            # Bytes after the answer belong to nothing, and would fail its parser.
+        over = len(data) > len(whole)
+        if over:
             self.force_close()
         if whole:
             super().data_received(whole)
-        if len(data) > len(whole) and self.transport is not None:
+        if over and self.transport is not None and self._payload.is_eof():
             self.transport.abort()
 
     def _bound(self, fresh: int) -> None:
@@ -225,9 +242,12 @@
         )
 
     async def stop(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        """Close all connections, without waiting for endpoints that do not read."""
+        if self._session is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_BOUND):
+                await self._session.close()
 
     async def send(
         self,
--- a/dogwoodchute/tests/test_upstream.py
+++ b/dogwoodchute/tests/test_upstream.py
@@ -86,6 +86,33 @@
 
         self.run_async(story())
 
+    def test_a_long_answer_goes_on_after_its_reader_was_full(self):
+        """The parser keeps what it has while its reader is full, and is asked again."""
+
+        async def story():
+            body = bytes(range(256)) * 16384
+            sized = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+            chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+            chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+            small = b"1\r\nx\r\n" * 200_000 + b"0\r\n\r\n"
+            tiny = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + small
+            kinds = [(sized + body, body), (chunked, body), (tiny, b"x" * 200_000)]
+            for sent, wanted in kinds:
+                async with endpoint([(sent, False)]) as (connections, known, _):
+                    answer = await connections.send(
+                        call(), known, left=1.0, last_event_id=None
+                    )
+                    await asyncio.sleep(0.1)
+                    got = b""
+                    while data := await asyncio.wait_for(answer.next("e1"), 5.0):
+                        self.assertIsInstance(data, bytes)
+                        got += data
+                        await asyncio.sleep(0.001)
+                    self.assertEqual(wanted, got)
+                    answer.close()
+
+        self.run_async(story())
+
     def test_after_unasked_bytes_a_connection_is_not_used_again(self):
         async def story():
             answers = [(SIZED + SIZED, False), (SIZED, False)]
