--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -1,22 +1,29 @@
 """Connections to endpoints, and single requests over them."""
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
+import http
 import typing
 from collections import abc
 
 import aiohttp
 import yarl
-from aiohttp import client_proto
+from aiohttp import client_proto, streams
 
 from dogwoodchute import send_once
 from dogwoodchute.gateway import calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; a new connection takes some 20 ms at the most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
+CLOSE_BOUND = 0.1  # seconds to write what is left of requests, at a stop
 IDLE_MARGIN = 0.5  # seconds before the endpoint's own idle timeout
 MAX_ANSWER = 16 * 1024 * 1024  # bytes of an answer that is read before it is sent on
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD = 64 * 1024  # bytes of an answer's head, with interim answers before it
+MAX_FRAMING = 8  # bytes of framing for each byte of a body; 5 for chunks of one byte
+MAX_REASON = 120  # characters of an error's text, which may quote the endpoint
 
 
 class Head(typing.NamedTuple):
@@ -65,6 +72,9 @@
         super().__init__(loop)
         self.reset = False  # ended otherwise than by the endpoint's closing it
         self.idle_until: float | None = None  # loop time
+        self._received = 0  # bytes since the request
+        self._head_came = False
+        self._length: int | None = None  # bytes of the body to come, if it is told
 
     def is_connected(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -72,9 +82,88 @@
             return False
         return self.idle_until is None or self._loop.time() < self.idle_until
 
+    def set_response_params(self, **known: object) -> None:
+        """Begin to wait for an answer."""
+        self._received = 0
+        self._length = None
+        self._head_came = False
+        self._payload = None
+        super().set_response_params(**known)
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """Take in the head of an answer."""
+        message, payload = data
+        self._head_came = message.code >= http.HTTPStatus.OK
+        if not self._head_came:
+            super().feed_data(data, size)
+            return
+        length = message.headers.get("Content-Length", "")
+        if payload is streams.EMPTY_PAYLOAD:
+            self._length = 0
+        elif length.isdecimal() and not message.chunked:
+            self._length = int(length)
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes, and close once they can't be an answer any more.
+
+        The parser bounds lines and headers, and the reader bounds the body. Between
+        them are bytes without end that are neither: interim answers, empty lines, the
+        size and the extensions of a chunk.
+        """
+        if not data:
+            # The parser goes on with what it kept while its reader was full.
+            super().data_received(data)
+            return
+        self._received += len(data)
+        data = self._take_heads(data)
+        if self._length is not None:
+            self._take_body(data)
+            return
+        if data:
+            super().data_received(data)
+        self._bound(len(data))
+
+    def _take_heads(self, data: bytes) -> bytes:
+        """Parse up to the end of the answer's head; return what follows it."""
+        start = 0
+        while not self._head_came and super().is_connected():
+            end = data.find(HEAD_END, start)
+            if end < 0 or start > MAX_HEAD:
+                break
+            end += len(HEAD_END)
+            super().data_received(data[start:end])
+            start = end
+        return data[start:]
+
+    def _take_body(self, data: bytes) -> None:
+        """Pass on what belongs to the answer; more bytes belong to nothing."""
+        whole = data[: self._length]
+        self._length -= len(whole)
+        over = len(data) > len(whole)
+        if over:
+            self.force_close()
+        if whole:
+            super().data_received(whole)
+        if over and self.transport is not None and self._payload.is_eof():
+            self.transport.abort()
+
+    def _bound(self, fresh: int) -> None:
+        body = self._payload.total_bytes if self._payload is not None else 0
+        if self._received - body <= MAX_HEAD + fresh + MAX_FRAMING * body:
+            return
+        if self.transport is None:
+            return
+        self.reset = True
+        error = aiohttp.ClientPayloadError("too many bytes that are no answer")
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note how the connection ended; a body without length needs to know."""
-        self.reset = exc is not None
+        self.reset = self.reset or exc is not None
         super().connection_lost(exc)
 
 
@@ -113,7 +202,7 @@
         try:
             data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=str(error) or type(error).__name__, peer=peer)
+            return Lost(reason=_reason(error), peer=peer)
         if data or self._framed:
             return data
         if self._channel is None or self._channel.reset:
@@ -153,9 +242,12 @@
         )
 
     async def stop(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        """Close all connections, without waiting for endpoints that do not read."""
+        if self._session is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_BOUND):
+                await self._session.close()
 
     async def send(
         self,
@@ -184,11 +276,18 @@
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return NotSent(reason=str(error) or type(error).__name__, peer=endpoint.id)
+            return NotSent(reason=_reason(error), peer=endpoint.id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=str(error) or type(error).__name__, peer=endpoint.id)
+            return Lost(reason=_reason(error), peer=endpoint.id)
         head = self._wire.head(response.status, response.headers, response.raw_headers)
         # The response lets go of its connection as soon as the body has come; the
         # body's reader still knows it.
         channel = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, channel=channel)
+
+
+def _reason(error: Exception) -> str:
+    """Return what an error says, without what the endpoint sent in full."""
+    text = str(error) or type(error).__name__
+    first = text.splitlines()[0] if text.strip() else type(error).__name__
+    return first[:MAX_REASON]
