Let homes hold enough for nine seconds without the store, and say no at once

While the store was cut from all hosts, callers were refused by hosts whose home had nothing left, though the same region had tokens before, or whose other home had some: a home drew again only below 7 s of its region's use, and outages last 9 s; and a home without tokens waited 0.1 s for the store for each host that asked, so that the asker had no time left to ask the next one. For the first 2.4 s of an outage homes may use a quarter of what is idle, which was less than 2.4 s of use.

A home now draws again below 10.5 s of use, other hosts below 7 s as before, since their draws meet one another's; and a home that knows that the store failed answers at once.

--- a/dogwoodchute/coordination/sizing.py
+++ b/dogwoodchute/coordination/sizing.py
@@ -90,17 +90,19 @@
     rate: float,
     horizon: float,
     share: float,
+    below: float = 0.5,
 ) -> int:
     """Return how many tokens to draw ahead of need, 0 while the grant lasts.
 
     A host keeps the use of one horizon, up to the fraction `share` of what it and the
-    budget have left. Below half of that, the draw fills it up. So a host that is cut
-    off has at least half of it, few requests wait for a draw, and one draw after the
-    other does not empty the budget. Less than `MIN_REFILL` is not worth a commit.
+    budget have left. Below the fraction `below` of that, the draw fills it up. So a
+    host that is cut off has at least that fraction, few requests wait for a draw, and
+    one draw after the other does not empty the budget. Less than `MIN_REFILL` is not
+    worth a commit.
     """
     left = balance.remaining + available
     wanted = min(math.ceil(rate * horizon), int(left * share))
-    if 2 * (available + reserved) >= wanted:
+    if available + reserved >= below * wanted:
         return 0
     size = min(wanted - available - reserved, balance.remaining)
     return size if size >= MIN_REFILL else 0
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -21,6 +21,8 @@
 )
 
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
+HOME_REFILL = 0.75  # of the use kept ahead, below which a home draws again
+OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
@@ -133,7 +135,7 @@
         if self._home.is_here(name):
             account.demand.note(self._now(), tokens)
             wanted = tokens
-        away = self._now() - self._away_at < AWAY_MEMORY
+        away = self._commits.away or self._now() - self._away_at < AWAY_MEMORY
         if account.ledger.available(self._now()) < wanted and not away:
             account.asked += tokens
             self._kick(account)
@@ -183,7 +185,8 @@
         """Begin a checkpoint of each part in which one is due and none under way."""
         now = self._now()
         accounts = list(self._accounts.values())
-        for part in {a.part for a in accounts if self._checkpoint_due(a, now)}:
+        due = {a.part for a in accounts if self._checkpoint_due(a, now)}
+        for part in sorted(due):
             running = self._checkpoints.get(part)
             if running is None or running.done():
                 task = asyncio.create_task(self._checkpoint(part))
@@ -426,6 +429,7 @@
             rate=rate,
             horizon=HORIZON,
             share=HELD_SHARE,
+            below=HOME_REFILL if self._home.is_here(account.name) else OWN_REFILL,
         )
         if refill:
             return refill
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -213,6 +213,32 @@
         fleet.loop.run_for(2.6)
         self.assertIsInstance(fleet.reserve("a", idle - 10), reservations.Reserved)
 
+    def test_a_home_without_tokens_says_so_at_once_while_the_store_is_away(self):
+        """Each host that asked waited 0.1 s, then had no time to ask another."""
+        fleet = self.fleet("a", "b", home="a")
+        fleet.reserve("b", 1_000)
+        fleet.loop.run_for(1)
+        fleet.fault = row_store.Fault(silent=True)
+        fleet.loop.run_for(4)
+        home = fleet.hosts["a"]
+        while fleet.loop.run_until_complete(home.give("ann", 20_000)):
+            pass
+        fleet.loop.run_for(accounts.AWAY_MEMORY)
+        began = fleet.loop.time()
+        fleet.loop.run_until_complete(home.give("ann", 20_000))
+        self.assertLess(fleet.loop.time() - began, 0.01)
+
+    def test_a_home_keeps_more_than_nine_seconds_of_its_region_s_use(self):
+        names = [f"h{number}" for number in range(13)]
+        fleet = self.fleet(*names, prepaid=10_000_000, home="h0")
+        for number in range(80):
+            name = names[1 + number % 12]
+            self.assertIsInstance(fleet.reserve(name, 2_000), reservations.Reserved)
+            fleet.loop.run_for(0.25)
+            used = (number + 1) * 2_000
+            if number > 40:
+                self.assertGreater(fleet.drawn() - used, 9 * 2_000 / 0.25)
+
     def test_a_quick_restart_gives_back_what_was_not_used(self):
         fleet = self.fleet("a")
         fleet.reserve("a", 1000)
