--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -4,8 +4,8 @@
 import typing
 from collections import abc
 
-from dogwoodchute import clock, exchange, log, outcomes
-from dogwoodchute.coordination import checkpoints, ranking
+from dogwoodchute import clock, exchange, log, loop_watch, outcomes
+from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -15,10 +15,12 @@
     endpoints,
     filters,
     gossip,
+    homes,
     hosts,
     mirror,
     model,
     observe,
+    reclaim,
     reservations,
     rows,
     tokens,
@@ -31,9 +33,8 @@
 HOSTS_PAUSE = 0.8  # seconds between looks at the other hosts
 LINGER = 3.0  # seconds after SIGTERM in which callers that don't know yet still come
 STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
-POLL = 0.05  # seconds between looks at what is in flight
-SMALL_FLEET = 16  # hosts, each of which has enough of an account's requests itself
-FLUSH_BOUND = 0.7  # seconds to write bills and return tokens
+POLL = 0.02  # seconds between looks at what is in flight
+FLUSH_BOUND = 0.5  # seconds to write bills and return tokens
 
 
 class Platform(typing.NamedTuple):
@@ -66,6 +67,8 @@
         self._ask_peer = ask_peer
         self._now = now
         self._in_flight = 0
+        self._idle = asyncio.Event()  # set while nothing is in flight
+        self._idle.set()
         self._leaving = False
         self._stop_began: float | None = None  # monotonic seconds
         self._tasks: list[asyncio.Task] = []
@@ -75,17 +78,24 @@
             decode=platform.decode_config,
             format_error=platform.format_error,
             adopted=adopted,
+            now=now,
         )
         self._hosts = hosts.Hosts(
             deployment=deployment,
             store=store,
             state=self._state,
             now=now,
+            began=began,
+        )
+        self._homes = homes.Homes(
+            host=deployment.host,
+            region=deployment.region,
+            live=lambda: self._hosts.live,
         )
         self._gossip = gossip.Gossip(
             id=self._hosts.id,
             load=lambda: self._endpoints.load(),
-            peers=lambda: [host.gossip for host in self._hosts.live],
+            peers=lambda: {host.id: host.gossip for host in self._hosts.live},
             now=now,
         )
         self._endpoints = endpoints.Endpoints(
@@ -98,23 +108,27 @@
         )
         self._accounts = accounts.Accounts(
             holder=self._hosts.id,
-            host=deployment.host,
             store=store,
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
             ask=self._ask,
             home=reservations.Home(
-                is_here=self._is_home,
-                is_elsewhere=lambda account: self._home(account) is not None,
+                is_here=self._homes.is_here,
+                is_elsewhere=lambda name: self._homes.elsewhere(name) is not None,
                 ask=self._ask_home,
             ),
             now=now,
-            began=began,
             regions=len(set(deployment.regions.values())),
             rates=checkpoints.Rates(
                 part=deployment.part_commits, fleet=deployment.commits
             ),
         )
+        self._reclaimer = reclaim.Reclaimer(
+            store=store,
+            registered=lambda: self._hosts.registered,
+            is_closer=self._hosts.is_first,
+            now=now,
+        )
         self._upstream = upstream.Upstream(wire=platform.wire)
         self._mirrors = self._make_mirrors(platform)
         self._chain = self._make_chain()
@@ -168,6 +182,7 @@
     async def serve(self, call: calls.Call) -> outcomes.Outcome:
         """Pass a call through the filter chain."""
         self._in_flight += 1
+        self._idle.clear()
         try:
             return await self._chain(call)
         except Exception:
@@ -175,6 +190,8 @@
             return outcomes.router_failed(step="chain")
         finally:
             self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
 
     async def start(self) -> None:
         """Begin to follow the store."""
@@ -183,21 +200,35 @@
         await self._gossip.start(ip, int(port))
         work = [each.run() for each in self._mirrors]
         work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
+        work.extend((self._reclaimer.run(), loop_watch.watch(now=self._now)))
         self._tasks = [asyncio.create_task(each) for each in work]
 
-    async def stop(self) -> None:
-        """Leave the directory, finish what is in flight, write what must last."""
+    async def leave(self) -> None:
+        """Leave the directory, and serve until callers have had time to hear of it.
+
+        Returns once nothing is in flight, or when connections are to be closed.
+        """
         began = self._stop_began = self._now()
         self._leaving = True
         self._hosts.beat_now()
         log.info("stop_begun", in_flight=self._in_flight)
-        last = self._stop_time
-        while self._now() - began < last:
+        while self.left:
             if self._now() - began >= LINGER and self._in_flight == 0:
                 break
             await asyncio.sleep(POLL)
+
+    @property
+    def left(self) -> float:
+        """Seconds until connections are closed, once this host leaves."""
+        return max(0.0, self._stop_began + self._stop_time - self._now())
+
+    async def stop(self) -> None:
+        """Break off what is in flight, and write what must last."""
+        log.info("stop_closing", in_flight=self._in_flight)
         try:
             async with asyncio.timeout(FLUSH_BOUND):
+                await self._upstream.stop()
+                await self._idle.wait()
                 await self._accounts.flush()
                 await self._hosts.leave()
         except TimeoutError:
@@ -205,7 +236,6 @@
         for task in self._tasks:
             task.cancel()
         self._gossip.stop()
-        await self._upstream.stop()
         log.info("stopped", in_flight=self._in_flight)
 
     @property
@@ -232,8 +262,8 @@
         The account's homes come first, then `holders`.
         """
         live = {host.id: host for host in self._hosts.live}
-        homes = [host.id for host in self._homes(account).values()]
-        order = dict.fromkeys([*homes, *holders, *live])
+        first = [host.id for host in self._homes.others(account)]
+        order = dict.fromkeys([*first, *holders, *live])
         known = [live[name] for name in order if name in live]
         got = 0
         whole = len(known) <= accounts.MAX_ASKED
@@ -247,37 +277,11 @@
 
     async def _ask_home(self, account: str, tokens: int) -> int | None:
         """Ask the account's home for tokens; return what it gave."""
-        home = self._home(account)
+        home = self._homes.elsewhere(account)
         if home is None:
             return None
         return await self._ask_peer(home.control, account, tokens)
 
-    def _home(self, account: str) -> hosts.Host | None:
-        """Return the other host that is the account's home in this host's region."""
-        if self._hosts.count <= SMALL_FLEET:
-            return None
-        place = self._deployment
-        best = self._homes(account).get(place.region)
-        if best is None:
-            return None
-        own = ranking.score(account, place.host, 1.0)
-        return best if ranking.score(account, best.name, 1.0) > own else None
-
-    def _is_home(self, account: str) -> bool:
-        """Whether this host holds the account's tokens for others of its region."""
-        return self._hosts.count > SMALL_FLEET and self._home(account) is None
-
-    def _homes(self, account: str) -> dict[str, hosts.Host]:
-        """Return the best other host for the account in each region."""
-        best: dict[str, tuple[float, hosts.Host]] = {}
-        for host in self._hosts.live:
-            if host.state != hosts.READY:
-                continue
-            score = ranking.score(account, host.name, 1.0)
-            if host.region not in best or score > best[host.region][0]:
-                best[host.region] = (score, host)
-        return {region: host for region, (_, host) in best.items()}
-
     def _state(self) -> str:
         if self._leaving:
             return hosts.LEAVING
@@ -304,7 +308,8 @@
                     now=self._now,
                 )
             )
-        _, list_mirror, hosts_mirror = made
+        config_mirror, list_mirror, hosts_mirror = made
+        self._configuration.follow(lambda: config_mirror.read_at)
         self._endpoints.follow(lambda: list_mirror.regained_at)
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
@@ -315,7 +320,9 @@
         )
         return exchange.chain(
             [
-                observe.observe(now=self._now),
+                observe.observe(
+                    now=self._now, config_read_at=lambda: self._configuration.read_at
+                ),
                 filters.admit(
                     config=lambda: self._configuration.current, ready=self._informed
                 ),
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -1,11 +1,18 @@
 """Runs Sanic applications inside the daemon's own event loop."""
 
+import asyncio
 import socket
 import ssl
 
 import sanic
 from sanic.server import async_server
 
+from dogwoodchute import connection
+
+MIN_IDLE_TIMEOUT = 1.0  # seconds
+POLL = 0.02  # seconds between looks at connections that are to end
+END_BOUND = 0.2  # seconds in which connections end that were cut
+
 
 class Server:
     """One listening HTTP application."""
@@ -16,8 +23,8 @@
         self.app = sanic.Sanic(name, configure_logging=False)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.REQUEST_MAX_HEADER_SIZE = header_bytes
-        self.app.config.KEEP_ALIVE_TIMEOUT = int(idle_timeout)
-        self.app.config.REQUEST_TIMEOUT = int(idle_timeout)
+        self.app.config.KEEP_ALIVE_TIMEOUT = idle_timeout
+        self.app.config.REQUEST_TIMEOUT = idle_timeout
         self.app.config.RESPONSE_TIMEOUT = 86_400
         # The end of an answer may still be on its way to a slow caller.
         self.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT = idle_timeout
@@ -29,9 +36,15 @@
         self.port = 0
 
     def limit(self, *, body_bytes: int, idle_timeout: float) -> None:
-        """Set limits, in bytes and seconds, for connections that open from now on."""
+        """Set limits, in bytes and seconds, for all connections."""
+        kept = max(MIN_IDLE_TIMEOUT, idle_timeout)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
-        self.app.config.KEEP_ALIVE_TIMEOUT = max(1, int(idle_timeout))
+        self.app.config.KEEP_ALIVE_TIMEOUT = kept
+        if self._server is None:
+            return
+        for each in self._server.connections:
+            each.request_max_size = body_bytes
+            each.keep_alive_timeout = kept
 
     async def start(
         self, address: str, port: int, *, tls: ssl.SSLContext | None = None
@@ -44,7 +57,11 @@
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
         self._server = await self.app.create_server(
-            sock=listener, ssl=tls, return_asyncio_server=True, access_log=False
+            sock=listener,
+            ssl=tls,
+            protocol=connection.Connection,
+            return_asyncio_server=True,
+            access_log=False,
         )
         await self._server.startup()
         await self._server.before_start()
@@ -65,16 +82,29 @@
             return
         if self._server.is_serving():
             self._server.close()
-        for connection in list(self._server.connections):
-            if not connection.close_if_idle():
-                connection.http.keep_alive = False
+        for each in list(self._server.connections):
+            if not each.close_if_idle():
+                each.http.keep_alive = False
 
-    async def stop(self) -> None:
-        """Close the listener and all idle connections."""
+    async def drain(self, *, within: float) -> None:
+        """Close, and wait at most `within` seconds until callers have their answers."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + within
+        await self.close()
+        while self.busy and loop.time() < deadline:
+            await asyncio.sleep(POLL)
+            await self.close()
+
+    async def stop(self, *, within: float = 0.0) -> None:
+        """Close the listener and all connections, busy ones after `within` seconds."""
         if self._server is None:
             return
         await self._server.before_stop()
-        await self.close()
+        await self.drain(within=within)
+        for each in list(self._server.connections):
+            each.cut(connection.STOP)
+        # The tasks of connections that were cut must not outlast the loop.
+        await self.drain(within=END_BOUND)
         await self._server.after_stop()
         sanic.Sanic.unregister_app(self.app)
         self._server = None
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -11,6 +11,7 @@
 from dogwoodchute.gateway import rows
 
 HISTORY = 10_000  # changes kept for feeds
+SLOW_STEP = 0.1  # seconds between the pieces of a slow answer
 MAX_QUEUE = 1.0  # seconds of commits that may wait in one part
 OVERLOADED = 429  # status of an answer to a commit beyond that
 
@@ -20,13 +21,14 @@
 
     `status` answers without doing anything; `silent` never answers; `lose` does the
     call and then resets the connection; `late` does it after some seconds and never
-    answers.
+    answers; `rate` sends the answer's body slowly, as over a narrow link.
     """
 
     status: int = 0
     silent: bool = False
     lose: bool = False
     late: float = 0.0  # seconds
+    rate: float = 0.0  # bytes a second
 
 
 NO_FAULT = Fault()
@@ -170,7 +172,7 @@
 
     async def act(
         request: sanic.Request, kind: str, work: abc.Callable[[], sanic.HTTPResponse]
-    ) -> sanic.HTTPResponse:
+    ) -> sanic.HTTPResponse | None:
         fault = faults(kind)
         if fault.status:
             return sanic.empty(status=fault.status)
@@ -182,6 +184,9 @@
         response = work()
         if fault.lose:
             request.transport.abort()
+        if fault.rate:
+            await _send_slowly(request, response, fault.rate)
+            return None
         return response
 
     async def get(request: sanic.Request) -> sanic.HTTPResponse:
@@ -239,6 +244,21 @@
     app.add_route(transact, "/api/rows-tx", methods=["POST"], name="transact")
 
 
+async def _send_slowly(
+    request: sanic.Request, response: sanic.HTTPResponse, rate: float
+) -> None:
+    stream = await request.respond(
+        status=response.status,
+        headers={"Content-Length": str(len(response.body))},
+        content_type=response.content_type,
+    )
+    size = max(1, int(rate * SLOW_STEP))
+    for begin in range(0, len(response.body), size):
+        await stream.send(response.body[begin : begin + size])
+        await asyncio.sleep(SLOW_STEP)
+    await stream.eof()
+
+
 def _answer(store: RowStore, plain: dict, *, status: int = 200) -> sanic.HTTPResponse:
     stamp = {"ver": store.version, "nowMs": int(store.now() * 1000)}
     return sanic.json({**plain, **stamp}, status=status)
--- a/dogwoodchute/tests/test_checkpoints.py
+++ b/dogwoodchute/tests/test_checkpoints.py
@@ -44,7 +44,6 @@
     def start(self, name):
         made = accounts.Accounts(
             holder=f"{name}-1",
-            host=name,
             store=row_store.direct(self.store, faults=lambda kind: self.fault),
             config=lambda: self.config,
             hosts=lambda: len(self.names),
@@ -57,7 +56,6 @@
                 ),
             ),
             now=self.loop.time,
-            began=self.loop.time(),
             regions=REGIONS,
         )
         self.hosts[name] = made
--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -1,7 +1,10 @@
 """Membership by rows in the store, on passed-in time."""
 
+import json
+
 from dogwoodchute.gateway import hosts, model, rows
-from dogwoodchute.tests import support
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import support, virtual
 
 PLACE = model.Deployment(
     host="h1",
@@ -78,6 +81,22 @@
         self.assertEqual(["h2-b"], self.live())
         self.assertEqual(2, self.hosts.count)
 
+    def test_live_hosts_are_found_once_for_each_change(self):
+        self.beat("h2-a", 1)
+        first = self.hosts.live
+        self.now += hosts.DEAD_AFTER / 2
+        self.assertIs(first, self.hosts.live)
+        self.beat("h3-a", 1, name="h3")
+        second = self.hosts.live
+        self.assertEqual(["h2-a", "h3-a"], self.live())
+        self.assertIs(second, self.hosts.live)
+        self.now += hosts.DEAD_AFTER / 2 + 0.1
+        self.assertEqual(["h3-a"], self.live())
+        self.now += hosts.DEAD_AFTER
+        self.assertEqual([], self.live())
+        self.hosts.changed({}, [rows.Row("h3-a", None, self.version + 1)])
+        self.assertEqual([], self.live())
+
     def test_relays_are_live_hosts_else_the_seeds_of_others(self):
         self.assertEqual(["10.0.0.9:3"], self.hosts.relays())
         self.beat("h2-a", 1)
@@ -87,3 +106,49 @@
     def test_an_unreadable_row_is_left_out(self):
         self.hosts.changed({}, [rows.Row("h4-a", b"{", 9)])
         self.assertEqual([], self.live())
+
+    def test_a_row_tells_the_link_and_one_of_an_older_host_is_still_read(self):
+        self.beat("h2-a", 1)
+        (host,) = self.hosts.live
+        value = hosts.encode(host._replace(link_mbps=7.5))
+        self.assertEqual(7.5, hosts.decode("h2-a", value).link_mbps)
+        older = json.loads(value)
+        del older["link_mbps"]
+        found = hosts.decode("h2-a", json.dumps(older).encode())
+        self.assertEqual(1000.0, found.link_mbps)
+
+
+class RegistrationTest(support.TestCase):
+    def test_a_new_lifetime_tells_since_when_earlier_ones_had_ended(self):
+        loop = virtual.Loop()
+        loop.run_for(5.0)
+        began = loop.time()
+        store = row_store.RowStore(now=lambda: loop.time() + 1000.0)
+        made = hosts.Hosts(
+            deployment=PLACE,
+            store=row_store.direct(store),
+            state=lambda: "ready",
+            now=loop.time,
+            began=began,
+        )
+        loop.run_for(0.3)
+        task = loop.create_task(made.run())
+        loop.run_for(0.1)
+        task.cancel()
+        loop.run_for(0.1)
+        found = store.read(hosts.TABLE, "", None, None).rows
+        told = hosts.decode(found[0].key, found[0].value)
+        made.changed({}, found)
+        self.assertEqual({"h1": told}, made.registered)
+        self.assertEqual(1, told.registered)
+        self.assertGreaterEqual(told.began, began + 1000.0)
+        self.assertLess(told.began, began + 1000.1)
+
+    def test_an_unregistered_lifetime_succeeds_nobody(self):
+        made = hosts.Hosts(
+            deployment=PLACE, store=None, state=lambda: "ready", now=lambda: 0.0
+        )
+        place = {**dict.fromkeys(hosts.TEXTS, ""), "name": "h2"}
+        host = hosts.Host(id="h2-a", beat=1, **place)
+        made.changed({}, [rows.Row(host.id, hosts.encode(host), 7)])
+        self.assertEqual({}, made.registered)
