Look at quiet accounts each 0.8 s, not each 0.2 s

Now an account is looked at again after 0.2 s only if requests wait, something was due at the last look, tokens were given away, or the configuration changed; otherwise after 0.8 s, or when a pause after conflicts ends. Each reservation looks by itself, as before. What remains for the periodic look is the slow decay of the demand, over 14 s and more.

Tests: looks at a quiet account are counted; a lowered budget is looked at at once.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -62,6 +62,7 @@
         self.conflicts = 0  # of draws, in a row
         self.conflict_at = -math.inf  # monotonic seconds of the last one
         self.draw_after = -math.inf  # monotonic seconds, after conflicts
+        self.look_at = -math.inf  # monotonic seconds of the next look at what is due
         self.asked = 0  # tokens that other hosts ask for now
         self.bill_rows = 0
         self.task: asyncio.Task | None = None
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -23,6 +23,7 @@
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
+QUIET_INTERVAL = 0.8  # seconds between looks at an account where nothing was due
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
 CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
@@ -67,6 +68,7 @@
         self._shortages: dict[str, reservations.Shortage] = {}
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
+        self._config_seen: model.Config | None = None  # at the last look
 
     async def reserve(
         self, name: str, tokens: int, *, wait: float = WAIT
@@ -137,6 +139,7 @@
             account.asked -= tokens
         given = account.ledger.give(tokens, self._now())
         if given:
+            account.look_at = float("-inf")
             log.info("tokens_given", account=name, tokens=given, asked=tokens)
         return given
 
@@ -144,8 +147,7 @@
         """Draw, return and bill until cancelled."""
         try:
             while True:
-                for account in list(self._accounts.values()):
-                    self._kick_if_due(account)
+                self._look()
                 self._begin_checkpoints()
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
@@ -302,13 +304,29 @@
             **{name: f"{age:.2f}" for name, age in ages.items() if age is not None},
         )
 
+    def _look(self) -> None:
+        """Look at accounts with waiters, those due lately, and the others in turn."""
+        config, now = self._config(), self._now()
+        for account in list(self._accounts.values()):
+            quiet = config is self._config_seen and not account.waiters
+            if quiet and now < account.look_at:
+                continue
+            self._kick_if_due(account)
+        self._config_seen = config
+
     def _kick(self, account: account_rows.Account) -> None:
+        account.look_at = float("-inf")
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._work(account))
 
     def _kick_if_due(self, account: account_rows.Account) -> None:
         if account.waiters or self._draw(account) or self._limit_is_low(account):
             self._kick(account)
+            return
+        now = self._now()
+        account.look_at = now + QUIET_INTERVAL
+        if account.draw_after > now:
+            account.look_at = min(account.look_at, account.draw_after)
 
     def _limit_is_low(self, account: account_rows.Account) -> bool:
         """Whether requests may soon have to wait for a commit, though tokens are here.
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -1,5 +1,8 @@
 """Reserving tokens while the store is away, on passed-in time."""
 
+from unittest import mock
+
+from dogwoodchute.coordination import sizing
 from dogwoodchute.gateway import (
     account_rows,
     accounts,
@@ -122,6 +125,31 @@
         self.assertGreater(fleet.drawn() - 2_000, 500)
         self.assertIsInstance(fleet.reserve("b", 500), reservations.Reserved)
 
+    def test_quiet_accounts_are_looked_at_now_and_then(self):
+        """Each account was worked out five times a second, with requests or not."""
+        fleet = self.fleet("a")
+        fleet.reserve("a", 1000)
+        fleet.hosts["a"].settle("ann", 1000, None)
+        fleet.loop.run_for(2)
+        seconds = 8.0
+        with mock.patch.object(
+            sizing, "return_size", wraps=sizing.return_size
+        ) as looks:
+            fleet.loop.run_for(seconds)
+        # A few more follow the looks at which some tokens are returned.
+        self.assertLess(looks.call_count, 0.6 * seconds / accounts.CHECK_INTERVAL)
+        self.assertGreater(looks.call_count, seconds / accounts.QUIET_INTERVAL / 2)
+
+    def test_a_lowered_budget_is_looked_at_at_once(self):
+        fleet = self.fleet("a")
+        fleet.reserve("a", 1000)
+        fleet.loop.run_for(5)
+        self.assertGreater(fleet.drawn(), 3_000)
+        lowered = model.Account("ann", frozenset(), None, 2_000)
+        fleet.config = fleet.config._replace(accounts={"ann": lowered})
+        fleet.loop.run_for(2 * accounts.CHECK_INTERVAL)
+        self.assertEqual(1_000, fleet.drawn())
+
     def test_requests_are_served_while_a_checkpoint_has_no_answer(self):
         """A checkpoint without an answer held all accounts until the store was back."""
         fleet = self.fleet("a", "b")
