Wait for a slow endpoint while a call has nowhere else to go

What callers saw: streams broken off midway, and idempotent calls answered 502, though their endpoint was sound and only slow.

Cause: patience (0.3 s for an idempotent answer, 1.2 s between events, 2.5 s to the first) ended a try by itself. Whether another endpoint was left, and whether the retry budget covered another try, was looked at after the connection had been closed. So when an endpoint paused, all its streams were cut at once and the budget let a few of them go on.

Evidence: two tests that failed before: a pause of 1.4 s with one endpoint, and twelve streams at two endpoints that pause, more than the budget covers.

Now patience first pays for the other try, if there is an endpoint that was not tried; otherwise the answer is awaited further, to the call's deadline.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import http
+import typing
 from collections import abc
 
 from dogwoodchute import log, outcomes, sse
@@ -17,7 +18,9 @@
 PLAIN_PATIENCE = 0.3  # seconds to an idempotent answer, if another endpoint is left
 BODY_SHARE = 0.5  # of the time left for a body, if the call can go elsewhere after it
 SILENCE = 1.2  # seconds between events; a longer pause moves a resumable stream
+LOOK_AGAIN = 0.1  # seconds until a call that could not go elsewhere may
 NO_ANSWER = "no answer in time"
+SILENT = "the answer went silent"
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
 RETRY_AFTER = 0.2  # seconds: about the time in which a place comes free
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
@@ -45,7 +48,18 @@
     step: str = "answer"
 
 
-Try = outcomes.Answered | upstream.NotSent | upstream.Lost | _Refused | _Erred
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Abandoned:
+    """The endpoint was too slow, and the budget has paid for another try."""
+
+    reason: str
+    peer: str
+    step: str = "answer"
+
+
+Failure = upstream.NotSent | upstream.Lost | _Abandoned
+Try = outcomes.Answered | Failure | _Refused | _Erred
+T = typing.TypeVar("T")
 
 
 class Dispatcher:
@@ -90,10 +104,6 @@
     def _left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
 
-    def _may_move(self, call: calls.Call) -> bool:
-        """Return whether a call that was sent may be sent to another endpoint."""
-        return call.repeatable and call.sends < call.route.max_attempts
-
     def _next(self, call: calls.Call, last: Try | None) -> model.Endpoint | None:
         """Return the endpoint of the next try, None if there must be none."""
         if last is not None:
@@ -106,7 +116,7 @@
         endpoint = self._known.choose(call)
         if endpoint is None or last is None:
             return endpoint
-        if isinstance(last, upstream.NotSent):
+        if isinstance(last, upstream.NotSent | _Abandoned):
             return endpoint
         return endpoint if self._known.may_repeat(call.service.name) else None
 
@@ -152,7 +162,7 @@
         self,
         call: calls.Call,
         endpoint: model.Endpoint,
-        answer: upstream.Answer | upstream.NotSent | upstream.Lost | None,
+        answer: upstream.Answer | Failure | None,
         result: Try | None,
     ) -> bool:
         """Return whether the endpoint began to work on the call, as far as is known.
@@ -163,7 +173,7 @@
             return not isinstance(result, _Refused)
         if isinstance(answer, upstream.NotSent):
             return False
-        if isinstance(answer, upstream.Lost) and answer.reason != NO_ANSWER:
+        if answer is not None and answer.reason != NO_ANSWER:
             return True
         return self._known.passed_over(call, endpoint.id)
 
@@ -172,24 +182,21 @@
             self._known.ended(endpoint)
         elif isinstance(result, outcomes.Answered):
             self._known.succeeded(endpoint)
-        elif isinstance(result, upstream.NotSent | upstream.Lost):
+        elif isinstance(result, Failure):
             self._known.failed(endpoint, result.reason)
 
     async def _head(
         self, call: calls.Call, endpoint: model.Endpoint
-    ) -> upstream.Answer | upstream.NotSent | upstream.Lost:
+    ) -> upstream.Answer | Failure:
         left = self._left(call)
-        patience = left
-        if self._may_move(call):
-            stream = call.route.kind == model.STREAM
-            patience = min(left, HEAD_PATIENCE if stream else PLAIN_PATIENCE)
-        try:
-            async with asyncio.timeout(patience):
-                return await self._upstream.send(
-                    call, endpoint, left=left, last_event_id=call.last_event_id
-                )
-        except TimeoutError:
-            return upstream.Lost(reason=NO_ANSWER, peer=endpoint.id)
+        sending = self._upstream.send(
+            call, endpoint, left=left, last_event_id=call.last_event_id
+        )
+        stream = call.route.kind == model.STREAM
+        patience = HEAD_PATIENCE if stream else PLAIN_PATIENCE
+        return await self._within(
+            call, sending, endpoint, patience=patience, reason=NO_ANSWER
+        )
 
     async def _take(
         self,
@@ -211,9 +218,11 @@
             return upstream.Lost(reason="the answer has no signature", peer=endpoint.id)
         if whole and call.route.kind == model.STREAM:
             return await self._stream(call, endpoint, answer, first_token)
-        bound = BODY_SHARE * self._left(call) if self._may_move(call) else None
-        body = await self._within(call, answer.read(endpoint.id), endpoint, bound=bound)
-        if isinstance(body, upstream.Lost):
+        patience = BODY_SHARE * self._left(call)
+        body = await self._within(
+            call, answer.read(endpoint.id), endpoint, patience=patience
+        )
+        if isinstance(body, Failure):
             return body
         answer.done()
         if not whole:
@@ -226,24 +235,59 @@
     async def _drain(
         self, call: calls.Call, answer: upstream.Answer, endpoint: model.Endpoint
     ) -> None:
-        body = await self._within(call, answer.read(endpoint.id), endpoint)
-        if not isinstance(body, upstream.Lost):
+        patience = self._left(call)
+        body = await self._within(
+            call, answer.read(endpoint.id), endpoint, patience=patience
+        )
+        if not isinstance(body, Failure):
             answer.done()
 
     async def _within(
         self,
         call: calls.Call,
-        work: abc.Awaitable[bytes | upstream.Lost],
+        work: abc.Awaitable[T],
         endpoint: model.Endpoint,
         *,
-        bound: float | None = None,
-    ) -> bytes | upstream.Lost:
-        left = max(0.001, self._left(call))
+        patience: float,
+        reason: str = SILENT,
+    ) -> T | upstream.Lost | _Abandoned:
+        """Await what an endpoint sends, in the time that the call has left.
+
+        After `patience` seconds the endpoint is given up, if the call can go elsewhere;
+        if not, it is waited for.
+        """
+        loop = asyncio.get_running_loop()
+        abandoned = False
+
+        def look() -> None:
+            nonlocal abandoned, looking
+            if limit.expired():
+                return
+            abandoned = self._take_repeat(call)
+            if abandoned:
+                limit.reschedule(loop.time())
+                return
+            looking = loop.call_later(LOOK_AGAIN, look)
+
+        looking = loop.call_later(max(0.0, patience), look)
         try:
-            async with asyncio.timeout(left if bound is None else min(left, bound)):
+            async with asyncio.timeout(max(0.001, self._left(call))) as limit:
                 return await work
         except TimeoutError:
-            return upstream.Lost(reason="the answer went silent", peer=endpoint.id)
+            if abandoned:
+                return _Abandoned(reason=reason, peer=endpoint.id)
+            return upstream.Lost(reason=reason, peer=endpoint.id)
+        finally:
+            looking.cancel()
+
+    def _take_repeat(self, call: calls.Call) -> bool:
+        """Pay for another try of a call that was sent; return whether there is one."""
+        if not call.repeatable or call.sends >= call.route.max_attempts:
+            return False
+        ready = self._known.ready(call.service.name)
+        if all(endpoint.id in call.tried for endpoint in ready):
+            return False
+        return self._known.may_repeat(call.service.name)
 
     async def _stream(
         self,
@@ -259,14 +303,14 @@
             await call.reply.start(answer.head.status, answer.head.headers)
         since = self._now()
         while True:
-            bound = None
-            if self._may_move(call):
-                bound = SILENCE if call.first_byte is not None else HEAD_PATIENCE
-                bound = max(0.0, since + bound - self._now())
+            patience = SILENCE if call.first_byte is not None else HEAD_PATIENCE
             data = await self._within(
-                call, answer.next(endpoint.id), endpoint, bound=bound
+                call,
+                answer.next(endpoint.id),
+                endpoint,
+                patience=since + patience - self._now(),
             )
-            if isinstance(data, upstream.Lost):
+            if isinstance(data, Failure):
                 return data
             if not data:
                 break
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -194,6 +194,39 @@
 
         self.run_async(story())
 
+    def test_a_slow_endpoint_is_waited_for_if_there_is_no_other(self):
+        """Streams were broken off for a pause, with no endpoint to go on at."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                site.endpoints["e1"].events, site.endpoints["e1"].pause = 2, 1.4
+                site.endpoints["p1"].delay = 0.6
+                wait = {"X_Dogwoodchute_Deadline_Ms": "3000"}
+                status, _, body = await site.ask("/s/stream", **TOKENS, **wait)
+                self.assertEqual((200, 2), (status, body.count(b"data:")))
+                self.assertEqual(200, (await site.ask("/look/x"))[0])
+                self.assertEqual(1, len(site.endpoints["e1"].seen))
+
+        self.run_async(story())
+
+    def test_a_slow_stream_is_waited_for_if_the_retry_budget_is_spent(self):
+        """Streams were broken off for a pause that the budget let only some repeat."""
+
+        async def story():
+            async with gateway_site.running() as site:
+                await site.add_endpoint("e2", "engines")
+                await support.until(lambda: site.gate.gateway.endpoint_count == 3)
+                for name in ("e1", "e2"):
+                    site.endpoints[name].events, site.endpoints[name].pause = 2, 1.4
+                wait = {"X_Dogwoodchute_Deadline_Ms": "3000"}
+                asked = [
+                    site.ask("/s/stream", attempt=f"t{n}", **wait) for n in range(12)
+                ]
+                for status, _, body in await asyncio.gather(*asked):
+                    self.assertEqual((200, 2), (status, body.count(b"data:")))
+
+        self.run_async(story())
+
     def test_a_planned_stop_finishes_what_is_under_way(self):
         async def story():
             async with gateway_site.running() as site:
