--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -193,12 +193,6 @@
         if self._ejector(endpoint.service).fail(endpoint.id, self._now()):
             log.warning("endpoint_ejected", endpoint=endpoint.id, reason=reason)
 
-    def can_repeat(self, call: calls.Call) -> bool:
-        """Return whether a call could be sent to one more endpoint."""
-        service = call.service.name
-        others = (e for e in self.ready(service) if e.id not in call.tried)
-        return any(others) and self._budget(service).balance >= 1.0
-
     def note_request(self, service: str) -> None:
         """Pay into a service's budget of repeats."""
         self._budget(service).count_request()
