Keep what changed in a table, so that other hosts can follow the copy

A mirror held rows without their history and knew only the store. Its rows are now a copy of their own that tells what changed since a version, or the whole table without that history, and takes no older version of a row or of the table. The mirror gets its table from a function it is given, so that it may come from another host, and tells others its copy with the time at which it was right. The store is still the only place it comes from.

--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -21,6 +21,7 @@
     observe,
     reservations,
     rows,
+    table_source,
     tokens,
     upstream,
 )
@@ -293,8 +294,10 @@
         for table, pause, wait, follower in follow:
             made.append(
                 mirror.Mirror(
-                    store=platform.store,
                     table=table,
+                    fetch=table_source.from_store(
+                        store=platform.store, table=table, now=self._now
+                    ),
                     pause=pause,
                     wait=wait,
                     changed=follower.changed,
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -1,111 +1,150 @@
-"""Keeps a copy of one table of the store, by a read and then by its feed."""
+"""Follows one table of the store and keeps a copy of it."""
 
 import asyncio
+import dataclasses
 import random
+import typing
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import rows
+from dogwoodchute.gateway import rows, table_copy
 
 RETRY_INTERVAL = 0.25  # seconds after a failed call
 JITTER = 0.2  # share of a pause by which hosts spread their calls
+FOLLOWING_PAUSE = 0.02  # seconds between calls of a host that answers when it has news
 
 Changed = abc.Callable[[dict[str, rows.Row], list[rows.Row]], None]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Fetched:
+    """What a call brought, known to be so at `read_at`, in monotonic seconds.
+
+    `regained_at` tells when the store answered the source again after a failure.
+    """
+
+    changes: table_copy.Changes
+    read_at: float
+    regained_at: float = 0.0
+    fresh: bool = True  # whether the knowledge is recent
+    peer: str | None = None  # the host that told it, None for the store
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Postponed:
+    """No other host knew anything fresh, and it is not yet time to ask the store."""
+
+
+Outcome = Fetched | Postponed | rows.Unavailable
+
+# Fetches what changed after a version, waiting up to some seconds for a change. Told
+# the copy's version and the age of its knowledge in seconds, both None without any.
+Fetch = abc.Callable[[int | None, float | None, float], abc.Awaitable[Outcome]]
+
+
+class Told(typing.NamedTuple):
+    """What this host tells others of a table; times are in monotonic seconds."""
+
+    changes: table_copy.Changes
+    read_at: float
+    regained_at: float
+
+
 class Mirror:
-    """The rows of a table's unnamed part, by key.
+    """The copy of a table, and when it was last known to be right.
 
     `changed` is called with all rows and the changed ones after each successful call
-    that brought changes. With `wait` above 0 the feed is held open at the store.
+    that brought changes. With `wait` above 0 the calls are held open at the store.
     """
 
     def __init__(
         self,
         *,
-        store: rows.Store,
         table: str,
+        fetch: Fetch,
         pause: float,
         wait: float,
         changed: Changed,
         now: abc.Callable[[], float],
     ) -> None:
-        self.rows: dict[str, rows.Row] = {}
         self.read_at: float | None = None  # monotonic seconds of the last answer
         self.regained_at = 0.0  # monotonic seconds: answers came back after a failure
-        self._store = store
         self._table = table
+        self._fetch = fetch
         self._pause = pause
         self._wait = wait
         self._changed = changed
         self._now = now
-        self._version: int | None = None
+        self._copy = table_copy.Copy()
         self._failing = False
+        self._stepped = asyncio.Event()  # replaced after each successful call
+
+    @property
+    def age(self) -> float | None:
+        """Seconds since the table was known to be so, None if it never was."""
+        return None if self.read_at is None else self._now() - self.read_at
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
             try:
-                reached = await self.step()
+                pause = await self.step()
             except Exception:
                 log.exception("mirror_step_failed", table=self._table)
-                reached = False
-            pause = self._pause if reached else RETRY_INTERVAL
+                pause = RETRY_INTERVAL
             await asyncio.sleep(pause * random.uniform(1 - JITTER, 1 + JITTER))
 
-    async def step(self) -> bool:
-        """Make one call; return whether the store answered."""
-        began = self._now()
-        if self._version is None:
-            outcome = await self._store.read(self._table, "", None, None)
-        else:
-            outcome = await self._store.feed(self._table, self._version, self._wait)
-        if isinstance(outcome, rows.Compacted):
-            log.info("history_lost", table=self._table, version=self._version)
-            self._version = None
-            return await self.step()
+    async def step(self) -> float:
+        """Make one call; return the seconds until the next one."""
+        outcome = await self._fetch(self._copy.version, self.age, self._wait)
+        if isinstance(outcome, Postponed):
+            return RETRY_INTERVAL
         if isinstance(outcome, rows.Unavailable):
             self._note_failure(outcome)
-            return False
-        if self._failing:
+            return RETRY_INTERVAL
+        self._note_answer(outcome)
+        changed = self._copy.take(outcome.changes)
+        if changed:
+            self._changed(self._copy.rows, changed)
+        self._stepped.set()
+        self._stepped = asyncio.Event()
+        if not outcome.fresh:
+            return RETRY_INTERVAL
+        return self._pause if outcome.peer is None else FOLLOWING_PAUSE
+
+    async def tell(self, since: int | None, hold: float) -> Told | None:
+        """Return what changed after `since`, None before the first answer.
+
+        Without news, wait for the next answer of the store, up to `hold` seconds.
+        """
+        changes = self._copy.since(since)
+        if changes is not None and not changes.rows and hold > 0:
+            await self._next_step(hold)
+            changes = self._copy.since(since)
+        if changes is None or self.read_at is None:
+            return None
+        return Told(changes, self.read_at, self.regained_at)
+
+    async def _next_step(self, hold: float) -> None:
+        try:
+            async with asyncio.timeout(hold):
+                await self._stepped.wait()
+        except TimeoutError:
+            return
+
+    def _note_answer(self, outcome: Fetched) -> None:
+        if outcome.fresh and self._failing:
+            self._failing = False
             self.regained_at = self._now()
             log.info(
                 "table_regained",
                 table=self._table,
-                version=outcome.version,
-                age=self._age(),
+                version=outcome.changes.version,
+                peer=outcome.peer,
+                age=self._rounded_age(),
             )
-        self._failing = False
-        self.read_at = began
-        whole = self._version is None
-        self._version = max(outcome.version, self._version or 0)
-        if whole:
-            self._replace(outcome.rows)
-        else:
-            self._update(outcome.rows)
-        return True
-
-    def _replace(self, found: list[rows.Row]) -> None:
-        fresh = {row.key: row for row in found}
-        removed = [rows.Row(key, None, 0) for key in self.rows if key not in fresh]
-        changed = [
-            row
-            for row in found
-            if row.key not in self.rows or self.rows[row.key].version < row.version
-        ]
-        self.rows = fresh
-        if changed or removed:
-            self._changed(self.rows, changed + removed)
-
-    def _update(self, changed: list[rows.Row]) -> None:
-        kept = [row for row in changed if not row.part]
-        for row in kept:
-            if row.value is None:
-                self.rows.pop(row.key, None)
-                continue
-            self.rows[row.key] = row
-        if kept:
-            self._changed(self.rows, kept)
+        self.regained_at = max(outcome.regained_at, self.regained_at)
+        self.read_at = max(outcome.read_at, self.read_at or 0.0)
 
     def _note_failure(self, outcome: rows.Unavailable) -> None:
         if not self._failing:
@@ -114,13 +153,10 @@
                 table=self._table,
                 reason=outcome.reason,
                 peer=outcome.peer,
-                version=self._version,
-                age=self._age(),
+                version=self._copy.version,
+                age=self._rounded_age(),
             )
         self._failing = True
 
-    def _age(self) -> float | None:
-        """Return the seconds since the table was read, None if it never was."""
-        if self.read_at is None:
-            return None
-        return round(self._now() - self.read_at, 3)
+    def _rounded_age(self) -> float | None:
+        return None if self.age is None else round(self.age, 3)
--- a/dogwoodchute/tests/test_store_metrics.py
+++ b/dogwoodchute/tests/test_store_metrics.py
@@ -6,7 +6,7 @@
 import prometheus_client
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import configuration, mirror, rows
+from dogwoodchute.gateway import configuration, mirror, rows, table_source
 from dogwoodchute.platform import decode, store, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support
@@ -65,8 +65,12 @@
         faults = [row_store.NO_FAULT]
         kept = row_store.RowStore(now=lambda: now[0])
         followed = mirror.Mirror(
-            store=row_store.direct(kept, faults=lambda kind: faults[0]),
             table="t",
+            fetch=table_source.from_store(
+                store=row_store.direct(kept, faults=lambda kind: faults[0]),
+                table="t",
+                now=lambda: now[0],
+            ),
             pause=1.0,
             wait=0.0,
             changed=lambda all_rows, changed: None,
