Pass the store's tables on inside a region

Each host fetched each row for itself over one link of 30 Mbit/s.

Three hosts of a region now follow the store, the others one of them, by a call between hosts that is held open until there is news and packed once for all that lack the same rows. An answer tells the age of the source's knowledge and whether bytes are coming in there. A follower turns to the other sources when its own fails or knows nothing fresh, to the store when its knowledge is too old, in groups; the next hosts of the ranking take the place of sources that don't answer.

The configuration's feed is held 0.6 s rather than 0.8 s: beside load, sources' knowledge passed the bound of 1.5 s with 0.8 s and followers went to the store.

--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -18,11 +18,11 @@
 
 SOURCES = 3  # of a region
 MAX_AGE = 1.5  # seconds of knowledge that is fresh, under the bound of small sites
+MAX_RECEIVING_AGE = 4.0  # seconds, while the news are on their way to the source
 GROUP_DELAY = 0.25  # seconds of age between the groups of `SOURCES` hosts
-RETRY_DELAY = 0.5  # seconds between calls of a store that failed, times the group
-TRIES = 2  # sources that are asked before the store
-STALE_REST = 0.5  # seconds without calls of a source that knew nothing fresh
-FAILED_REST = 5.0  # seconds without calls of a source that did not answer
+RETRY_DELAY = 1.0  # seconds between calls of a store that failed, times the group
+STALE_REST = 1.0  # seconds without calls of a source that knew nothing fresh
+FAILED_REST = 3.0  # seconds without calls of a source that did not answer
 KEY = "tables"  # of the ranking of sources
 
 
@@ -46,9 +46,13 @@
     group: int
 
 
-def fresh(age: float) -> bool:
-    """Return whether knowledge of this age, in seconds, may be acted on."""
-    return age <= MAX_AGE
+def fresh(age: float, *, receiving: bool = False) -> bool:
+    """Return whether to follow a source whose knowledge has this age, in seconds.
+
+    While bytes are coming in at the source, one more host that fetched them would only
+    make them late for all.
+    """
+    return age <= (MAX_RECEIVING_AGE if receiving else MAX_AGE)
 
 
 def rank(peers: abc.Iterable[Peer]) -> list[Peer]:
@@ -66,6 +70,8 @@
         self._name = name
         self._region = region
         self._rest_until: dict[str, float] = {}  # monotonic seconds by host
+        self._failed_until: dict[str, float] = {}  # likewise, without an answer
+        self._failed_at = 0.0  # monotonic seconds: the last time that a source failed
         self._store_after = 0.0  # monotonic seconds: the store is asked again
 
     def plan(self, peers: list[Peer], *, direct: bool, now: float) -> Plan:
@@ -74,7 +80,12 @@
         `peers` are the ready hosts, this one included once it is ready. `direct` tells
         whether the store answers this host.
         """
-        near = rank(peer for peer in peers if peer.region == self._region)
+        near = rank(
+            peer
+            for peer in peers
+            if peer.region == self._region
+            and now >= self._failed_until.get(peer.name, 0.0)
+        )
         sources = [peer for peer in near[:SOURCES] if peer.name != self._name]
         if len(sources) < len(near[:SOURCES]) or not sources:
             asked = [] if direct else [*sources, *self._far_sources(peers)]
@@ -86,8 +97,16 @@
         return Plan(self._order(sources, now), group=place // SOURCES)
 
     def note_peer(self, name: str, *, answered: bool, now: float) -> None:
-        """Take in that a source did not answer, or knew nothing fresh."""
-        self._rest_until[name] = now + (STALE_REST if answered else FAILED_REST)
+        """Take in that a source knew nothing fresh, or did not answer.
+
+        In the place of one that did not answer the next host of the ranking is a
+        source: that one learns of it in the same way.
+        """
+        if answered:
+            self._rest_until[name] = now + STALE_REST
+        else:
+            self._failed_at = now
+            self._failed_until[name] = now + FAILED_REST
 
     def note_store(self, *, answered: bool, group: int, now: float) -> None:
         """Take in how a call of the store went."""
@@ -96,11 +115,13 @@
     def store_due(self, age: float | None, *, group: int, now: float) -> bool:
         """Return whether to go to the store after no source knew anything fresh.
 
-        `age` is that of this host's own knowledge in seconds, None without any.
+        `age` is that of this host's own knowledge in seconds, None without any. The
+        hosts that take the place of failed sources get some time before others follow.
         """
         if group == 0 or age is None:
             return True
-        return age > MAX_AGE + GROUP_DELAY * (group - 1) and now >= self._store_after
+        first = max(self._store_after, self._failed_at + GROUP_DELAY * group)
+        return age > MAX_AGE + GROUP_DELAY * (group - 1) and now >= first
 
     def _far_sources(self, peers: list[Peer]) -> list[Peer]:
         """Return the first source of each other region."""
@@ -108,7 +129,7 @@
         return [rank(p for p in peers if p.region == region)[0] for region in regions]
 
     def _order(self, sources: list[Peer], now: float) -> list[Peer]:
-        """Return the sources to ask, those that rest only when no other is left."""
+        """Return the sources to ask, near ones first, without those that rest."""
         ordered = sorted(
             sources,
             key=lambda p: (
@@ -117,7 +138,4 @@
                 p.name,
             ),
         )
-        awake = [p for p in ordered if now >= self._rest_until.get(p.name, 0.0)]
-        if awake:
-            return awake[:TRIES]
-        return sorted(ordered, key=lambda p: self._rest_until[p.name])[:1]
+        return [p for p in ordered if now >= self._rest_until.get(p.name, 0.0)]
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -1,11 +1,12 @@
 """Assembles one host's gateway from its parts, and stops it in order."""
 
 import asyncio
+import functools
 import typing
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, outcomes
-from dogwoodchute.coordination import ranking
+from dogwoodchute.coordination import ranking, sources
 from dogwoodchute.gateway import (
     accounts,
     calls,
@@ -22,11 +23,12 @@
     reservations,
     rows,
     table_source,
+    tables,
     tokens,
     upstream,
 )
 
-CONFIG_WAIT = 0.8  # seconds that the store holds the configuration's feed open
+CONFIG_WAIT = 0.6  # seconds that the store holds the configuration's feed open
 CONFIG_PAUSE = 0.05  # seconds between two such calls
 ENDPOINTS_PAUSE = 0.6  # seconds between looks at the list, a quarter of its bound
 HOSTS_PAUSE = 0.8  # seconds between looks at the other hosts
@@ -48,6 +50,7 @@
     config_table: str
     config_key: str
     endpoints_table: str
+    direct: abc.Callable[[], bool]  # whether the store answers this host
 
 
 class Gateway:
@@ -59,12 +62,14 @@
         deployment: model.Deployment,
         platform: Platform,
         ask_peer: tokens.AskPeer,
+        ask_table: tables.Ask,
         adopted: abc.Callable[[model.Config], None],
         began: float,
         now: abc.Callable[[], float] = clock.monotonic,
     ) -> None:
         self._deployment = deployment
         self._ask_peer = ask_peer
+        self._ask_table = ask_table
         self._now = now
         self._in_flight = 0
         self._leaving = False
@@ -163,6 +168,18 @@
         """Give up to `tokens` of a client account to another host."""
         return await self._accounts.give(account, tokens)
 
+    async def tell_table(
+        self, table: str, since: int | None, hold: float
+    ) -> mirror.Told | None:
+        """Tell another host what changed in a table, None if it should ask elsewhere.
+
+        Without news the answer may come up to `hold` seconds later.
+        """
+        known = self._mirrors.get(table)
+        if known is None or self._leaving:
+            return None
+        return await known.tell(since, min(hold, table_source.HOLD))
+
     async def serve(self, call: calls.Call) -> outcomes.Outcome:
         """Pass a call through the filter chain."""
         self._in_flight += 1
@@ -179,7 +196,7 @@
         await self._upstream.start()
         ip, _, port = self._deployment.gossip.rpartition(":")
         await self._gossip.start(ip, int(port))
-        work = [each.run() for each in self._mirrors]
+        work = [each.run() for each in self._mirrors.values()]
         work.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
         self._tasks = [asyncio.create_task(each) for each in work]
 
@@ -284,32 +301,57 @@
     def _informed(self) -> bool:
         return self._configuration.current is not None and self._endpoints.known
 
-    def _make_mirrors(self, platform: Platform) -> list[mirror.Mirror]:
+    def _make_mirrors(self, platform: Platform) -> dict[str, mirror.Mirror]:
         follow = [
             (platform.config_table, CONFIG_PAUSE, CONFIG_WAIT, self._configuration),
             (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints),
             (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
-        made = []
+        made = {}
         for table, pause, wait, follower in follow:
-            made.append(
-                mirror.Mirror(
-                    table=table,
-                    fetch=table_source.from_store(
-                        store=platform.store, table=table, now=self._now
-                    ),
-                    pause=pause,
-                    wait=wait,
-                    changed=follower.changed,
-                    now=self._now,
-                )
+            made[table] = mirror.Mirror(
+                table=table,
+                fetch=self._source(platform, table),
+                pause=pause,
+                wait=wait,
+                changed=follower.changed,
+                receiving=functools.partial(platform.store.receiving, table),
+                now=self._now,
             )
-        config_mirror, list_mirror, hosts_mirror = made
+        config_mirror, list_mirror, hosts_mirror = made.values()
         self._configuration.follow(lambda: config_mirror.read_at)
         self._endpoints.follow(lambda: list_mirror.regained_at)
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
 
+    def _source(self, platform: Platform, table: str) -> mirror.Fetch:
+        place = self._deployment
+        follower = table_source.Follower(
+            chooser=sources.Sources(name=place.host, region=place.region),
+            peers=self._table_peers,
+            direct=platform.direct,
+            ask=self._ask_table,
+            table=table,
+            store=table_source.from_store(
+                store=platform.store, table=table, now=self._now
+            ),
+            now=self._now,
+        )
+        return follower.fetch
+
+    def _table_peers(self) -> list[sources.Peer]:
+        """Return the ready hosts, this one included if it is ready."""
+        found = [
+            sources.Peer(host.name, host.region, host.control, host.link_mbps)
+            for host in self._hosts.live
+            if host.state == hosts.READY
+        ]
+        if self.ready():
+            place = self._deployment
+            own = (place.host, place.region, place.control, place.link_mbps)
+            found.append(sources.Peer(*own))
+        return found
+
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
         dispatcher = dispatch.Dispatcher(
             known=self._endpoints, connections=self._upstream, now=self._now
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from dogwoodchute import log
+from dogwoodchute.coordination import sources
 from dogwoodchute.gateway import rows, table_copy
 
 RETRY_INTERVAL = 0.25  # seconds after a failed call
@@ -37,8 +38,9 @@
 
 Outcome = Fetched | Postponed | rows.Unavailable
 
-# Fetches what changed after a version, waiting up to some seconds for a change. Told
-# the copy's version and the age of its knowledge in seconds, both None without any.
+# Fetches what changed after the copy's version, which was known to be right at a time
+# in monotonic seconds (both None before the first answer). Waits up to some seconds for
+# a change.
 Fetch = abc.Callable[[int | None, float | None, float], abc.Awaitable[Outcome]]
 
 
@@ -48,6 +50,7 @@
     changes: table_copy.Changes
     read_at: float
     regained_at: float
+    receiving: bool  # whether news are coming in just now
 
 
 class Mirror:
@@ -55,6 +58,7 @@
 
     `changed` is called with all rows and the changed ones after each successful call
     that brought changes. With `wait` above 0 the calls are held open at the store.
+    `receiving` tells whether the store's bytes are coming in just now.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         pause: float,
         wait: float,
         changed: Changed,
+        receiving: abc.Callable[[], bool],
         now: abc.Callable[[], float],
     ) -> None:
         self.read_at: float | None = None  # monotonic seconds of the last answer
@@ -74,16 +79,12 @@
         self._pause = pause
         self._wait = wait
         self._changed = changed
+        self._receiving = receiving
         self._now = now
         self._copy = table_copy.Copy()
         self._failing = False
         self._stepped = asyncio.Event()  # replaced after each successful call
 
-    @property
-    def age(self) -> float | None:
-        """Seconds since the table was known to be so, None if it never was."""
-        return None if self.read_at is None else self._now() - self.read_at
-
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -96,7 +97,7 @@
 
     async def step(self) -> float:
         """Make one call; return the seconds until the next one."""
-        outcome = await self._fetch(self._copy.version, self.age, self._wait)
+        outcome = await self._fetch(self._copy.version, self.read_at, self._wait)
         if isinstance(outcome, Postponed):
             return RETRY_INTERVAL
         if isinstance(outcome, rows.Unavailable):
@@ -115,15 +116,24 @@
     async def tell(self, since: int | None, hold: float) -> Told | None:
         """Return what changed after `since`, None before the first answer.
 
-        Without news, wait for the next answer of the store, up to `hold` seconds.
+        Without news, wait for the next answer of the store, up to `hold` seconds, as
+        long as what is known is fresh.
         """
         changes = self._copy.since(since)
-        if changes is not None and not changes.rows and hold > 0:
+        news = changes is None or changes.whole or changes.rows
+        if not news and hold > 0 and self._is_fresh:
             await self._next_step(hold)
             changes = self._copy.since(since)
         if changes is None or self.read_at is None:
             return None
-        return Told(changes, self.read_at, self.regained_at)
+        return Told(changes, self.read_at, self.regained_at, self._receiving())
+
+    @property
+    def _is_fresh(self) -> bool:
+        if self.read_at is None:
+            return False
+        age = self._now() - self.read_at
+        return sources.fresh(age, receiving=self._receiving())
 
     async def _next_step(self, hold: float) -> None:
         try:
@@ -159,4 +169,6 @@
         self._failing = True
 
     def _rounded_age(self) -> float | None:
-        return None if self.age is None else round(self.age, 3)
+        if self.read_at is None:
+            return None
+        return round(self._now() - self.read_at, 3)
--- a/dogwoodchute/gateway/rows.py
+++ b/dogwoodchute/gateway/rows.py
@@ -102,3 +102,5 @@
     feed: abc.Callable[[str, int, float], abc.Awaitable[FeedOutcome]]
     now: abc.Callable[[], float]  # seconds, not above the store's steady clock
     commit: abc.Callable[[str, list[Check], list[Put]], abc.Awaitable[CommitOutcome]]
+    # Whether bytes of a table's rows are coming in just now.
+    receiving: abc.Callable[[str], bool] = lambda table: False
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -66,8 +66,18 @@
         call = transport.Call(method, target, body, CALL_TIMEOUT, CALL_TIMEOUT)
         return await self._transport.send(self._address, call)
 
+    def receiving(self, table: str) -> bool:
+        """Return whether bytes of a table's rows are coming in just now."""
+        return self._transport.receiving(table)
+
     async def call(
-        self, method: str, target: str, body: bytes = b"", *, wait: float = 0.0
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        wait: float = 0.0,
+        table: str = "",
     ) -> transport.CallOutcome:
         """Make one call by the path that works; `wait` is what the call asks for.
 
@@ -76,7 +86,7 @@
         """
         timeout = CALL_TIMEOUT + wait
         longest = LONGEST_READ if method == "GET" else timeout
-        call = transport.Call(method, target, body, timeout, longest, wait)
+        call = transport.Call(method, target, body, timeout, longest, wait, table)
         outcome: transport.CallOutcome = transport.NotSent(
             "the store failed lately", self._address
         )
@@ -152,7 +162,9 @@
         found: list[rows.Row] = []
         version = 0
         for _ in range(MAX_PAGES):
-            answer = await client.call("GET", _target(names.GET_PATH, query))
+            answer = await client.call(
+                "GET", _target(names.GET_PATH, query), table=table
+            )
             page = _rows_in(answer, client)
             if isinstance(page, rows.Unavailable | rows.Compacted):
                 return _unavailable(answer)
@@ -170,7 +182,9 @@
             "sinceRev": str(since),
             "waitMs": str(int(wait * 1000)),
         }
-        answer = await client.call("GET", _target(names.FEED_PATH, query), wait=wait)
+        answer = await client.call(
+            "GET", _target(names.FEED_PATH, query), wait=wait, table=table
+        )
         page = _rows_in(answer, client)
         if isinstance(page, rows.Unavailable | rows.Compacted):
             return page
@@ -201,7 +215,13 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return rows.Unknown(reason=f"bad answer: {error!r}")
 
-    return rows.Store(read=read, feed=feed, commit=commit, now=client.store_now)
+    return rows.Store(
+        read=read,
+        feed=feed,
+        commit=commit,
+        now=client.store_now,
+        receiving=client.receiving,
+    )
 
 
 def _now(plain: dict) -> float:
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -12,6 +12,7 @@
 CONNECT_TIMEOUT = 0.6  # seconds
 SLOW_CALL = 0.5  # seconds beyond what a call waits for by itself
 LARGE_ANSWER = 100_000  # bytes
+RECEIVING_PAUSE = 0.6  # seconds without bytes, after which an answer counts as stuck
 KINDS = {
     names.GET_PATH: "read",
     names.FEED_PATH: "feed",
@@ -67,6 +68,7 @@
     timeout: float  # in which bytes must come
     longest: float  # in which the whole answer must have come
     wait: float = 0.0  # for which the call asks to be held open
+    table: str = ""  # that is read, if any
 
     @property
     def kind(self) -> str:
@@ -75,10 +77,12 @@
 
 
 class _Progress:
-    """How much of an answer has come, and when it began."""
+    """How much of a call's answer has come, and when."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, call: Call) -> None:
+        self.call = call
         self.began = clock.monotonic()
+        self.received_at = 0.0  # monotonic seconds of the last bytes of the body
         self.head_seconds: float | None = None
         self.content = bytearray()
 
@@ -93,6 +97,15 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._underway: set[_Progress] = set()
+
+    def receiving(self, table: str) -> bool:
+        """Return whether bytes of a table's rows are coming in just now."""
+        recent = clock.monotonic() - RECEIVING_PAUSE
+        return any(
+            progress.call.table == table and progress.received_at > recent
+            for progress in self._underway
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -101,8 +114,12 @@
 
     async def send(self, address: str, call: Call) -> CallOutcome:
         """Send a call to `address` and return what became of it."""
-        progress = _Progress()
-        outcome = await self._send(address, call, progress)
+        progress = _Progress(call=call)
+        self._underway.add(progress)
+        try:
+            outcome = await self._send(address, call, progress)
+        finally:
+            self._underway.discard(progress)
         _note(address, call, progress, outcome)
         return outcome
 
@@ -123,6 +140,7 @@
                 progress.head_seconds = progress.seconds
                 async for chunk in response.content.iter_any():
                     progress.content += chunk
+                    progress.received_at = clock.monotonic()
                 relayed = response.headers.get(RELAYED)
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error), address)
--- /dev/null
+++ b/dogwoodchute/tests/table_fleet.py
@@ -0,0 +1,209 @@
+"""Hosts of two regions that follow one table, played on virtual time.
+
+The store stands in region "near". All bytes from it to region "far" share one link; the
+hosts' calls to one another take the time of their way only.
+"""
+
+import asyncio
+
+from dogwoodchute.coordination import sources
+from dogwoodchute.gateway import gateway, mirror, rows, table_source, tables
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import virtual
+
+LINK_RATE = 30e6 / 8  # bytes a second, from region to region
+CHUNK = 16_000  # bytes that one answer sends before others have their turn
+BASE64 = 4 / 3  # bytes on the wire for one of a row's
+PROGRESS_TIMEOUT = 1.2  # seconds
+WAIT = gateway.CONFIG_WAIT  # seconds for which the store holds a feed
+TABLE = "t"
+KEY = "config"
+
+
+class Host:
+    """A host, its copy of the table and the faults that it has."""
+
+    def __init__(self, *, fleet, peer):
+        self.peer = peer
+        self.frozen = False
+        self.killed = False
+        self.cut_from_store = False
+        self.direct = True
+        self._receiving = False
+        self.adopted = {}  # virtual seconds by value's version
+        self.fetched = []  # versions of large rows that came from the store
+        self._fleet = fleet
+        self.view = fleet.peers  # the ready hosts as this one sees them
+        self.mirror = mirror.Mirror(
+            table=TABLE,
+            fetch=self._fetch(),
+            pause=0.05,
+            wait=WAIT,
+            changed=self._changed,
+            receiving=lambda: self._receiving,
+            now=fleet.loop.time,
+        )
+
+    @property
+    def stopped(self):
+        return self.frozen or self.killed
+
+    def _changed(self, all_rows, changed):
+        for row in changed:
+            self.adopted[row.version] = self._fleet.loop.time()
+
+    def _fetch(self):
+        fleet = self._fleet
+        place = self.peer
+        if fleet.alone:
+            return self._from_store()
+        follower = table_source.Follower(
+            chooser=sources.Sources(name=place.name, region=place.region),
+            peers=lambda: self.view(),
+            direct=lambda: self.direct,
+            ask=self._ask,
+            table=TABLE,
+            store=self._from_store(),
+            now=fleet.loop.time,
+        )
+        return follower.fetch
+
+    def _from_store(self):
+        store = rows.Store(
+            read=self._read, feed=self._feed, commit=None, now=self._fleet.loop.time
+        )
+        return table_source.from_store(
+            store=store, table=TABLE, now=self._fleet.loop.time
+        )
+
+    async def _read(self, table, part, first, stop):
+        return await self._call(lambda: self._fleet.store.read(table, "", None, None))
+
+    async def _feed(self, table, since, wait):
+        def look():
+            return self._fleet.store.feed(table, since)
+
+        end = self._fleet.loop.time() + wait
+        while self._fleet.loop.time() < end and not look().rows:
+            if self.cut_from_store or self._fleet.store_down:
+                break
+            await asyncio.sleep(0.02)
+        return await self._call(look)
+
+    async def _call(self, look):
+        if self.cut_from_store or self._fleet.store_down:
+            await asyncio.sleep(PROGRESS_TIMEOUT if self.direct else 0.05)
+            self.direct = False
+            return rows.Unavailable(reason="cut")
+        if self.stopped:
+            await asyncio.Event().wait()
+        found = look()
+        size = int(sum(len(row.value) for row in found.rows) * BASE64)
+        if size > CHUNK:
+            self.fetched.append(max(row.version for row in found.rows))
+            self._receiving = True
+        await self._fleet.carry(self.peer.region, size)
+        self._receiving = False
+        self.direct = True
+        return found
+
+    async def _ask(self, address, table, since, hold):
+        await asyncio.sleep(0.002)
+        other = self._fleet.hosts[address]
+        if other.killed:
+            return tables.NoAnswer("refused")
+        if other.frozen:
+            await asyncio.sleep(hold + tables.ANSWER_TIMEOUT)
+            return tables.NoAnswer("timed out")
+        telling = asyncio.ensure_future(other.mirror.tell(since, hold))
+        limit = hold + tables.ANSWER_TIMEOUT
+        end = self._fleet.loop.time() + limit
+        while not telling.done():
+            await asyncio.sleep(0.01)
+            if self._fleet.loop.time() >= end:
+                return tables.NoAnswer("timed out")
+            if other.killed:
+                return tables.NoAnswer("reset")
+        while other.stopped:
+            await asyncio.sleep(0.01)
+            if self._fleet.loop.time() >= end:
+                return tables.NoAnswer("timed out")
+        told = telling.result()
+        if told is None:
+            return tables.NoAnswer("status 503")
+        now = self._fleet.loop.time()
+        return tables.Answer(
+            told.changes,
+            now - told.read_at + 0.002,
+            now - told.regained_at,
+            told.receiving,
+        )
+
+    async def run(self):
+        while True:
+            if self.stopped:
+                await asyncio.sleep(0.01)
+                continue
+            await asyncio.sleep(await self.mirror.step())
+
+
+class Fleet:
+    """The hosts, the store and the link between the regions."""
+
+    def __init__(self, *, near, far, alone=False):
+        self.loop = virtual.Loop()
+        self.store = row_store.RowStore(now=self.loop.time)
+        self.store_down = False
+        self.alone = alone  # whether each host follows the store for itself
+        self.hosts = {}
+        self._link = asyncio.Lock()
+        for region, count in (("near", near), ("far", far)):
+            for number in range(count):
+                name = f"{region}-{number}"
+                peer = sources.Peer(name, region, name, 1000.0)
+                self.hosts[name] = Host(fleet=self, peer=peer)
+
+    def peers(self):
+        """Return the ready hosts; the dead and frozen are not missed so soon."""
+        return [host.peer for host in self.hosts.values()]
+
+    def start(self, *, size):
+        """Let all hosts read a table with one row of `size` bytes, and go on."""
+        self.put(size)
+        for host in self.hosts.values():
+            self.loop.create_task(host.run())
+        self.loop.run_for(15.0)
+
+    def put(self, size):
+        """Write the row anew and return its version."""
+        value = b"v" * size
+        return self.store.commit("", [], [rows.Put(TABLE, KEY, value)]).version
+
+    def sources_of(self, region):
+        """Return the hosts of a region that follow the store."""
+        peers = [peer for peer in self.peers() if peer.region == region]
+        return [
+            self.hosts[peer.name] for peer in sources.rank(peers)[: sources.SOURCES]
+        ]
+
+    def fetches(self, version, *, region="far"):
+        """Return how often a version of the row crossed to a region."""
+        found = [h for h in self.hosts.values() if h.peer.region == region]
+        return sum(host.fetched.count(version) for host in found)
+
+    def last_adopted(self, version):
+        """Return when the last host that runs had a version, None if one has not."""
+        times = [
+            host.adopted.get(version)
+            for host in self.hosts.values()
+            if not host.stopped
+        ]
+        return None if None in times else max(times)
+
+    async def carry(self, region, size):
+        """Take the time that bytes from the store need."""
+        await asyncio.sleep(0.008 if region == "far" else 0.001)
+        while region == "far" and size > 0:
+            async with self._link:
+                await asyncio.sleep(min(size, CHUNK) / LINK_RATE)
+            size -= CHUNK
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -144,6 +144,22 @@
 
         self.run_async(story())
 
+    def test_a_table_counts_as_coming_in_only_while_its_bytes_come(self):
+        """Else other hosts fetch it too, or wait for an answer that is stuck."""
+
+        async def story():
+            async with running() as site:
+                site.rows.commit("", [], [rows.Put("t", "k", b"v" * 30_000)])
+                site.fault = row_store.Fault(rate=40_000)
+                reading = asyncio.create_task(site.store.read("t", "", None, None))
+                await asyncio.sleep(0.4)
+                self.assertTrue(site.store.receiving("t"))
+                self.assertFalse(site.store.receiving("other"))
+                await reading
+                self.assertFalse(site.store.receiving("t"))
+
+        self.run_async(story())
+
     def test_an_answer_that_stops_midway_is_given_up(self):
         async def story():
             async with running() as site:
--- /dev/null
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -0,0 +1,121 @@
+"""How one change of a large table spreads over hosts of two regions."""
+
+from dogwoodchute.tests import support, table_fleet
+
+LARGE = 400_000  # bytes of a configuration of 1,600 routes
+SMALL_SITE_BOUND = 2.5  # seconds until all hosts must have a change
+LARGE_SITE_BOUND = 4.0  # seconds, on sites of 60 hosts and more
+
+
+class SpreadTest(support.TestCase):
+    def fleet(self, near=31, far=31, **known):
+        fleet = table_fleet.Fleet(near=near, far=far, **known)
+        self.addCleanup(fleet.loop.finish)
+        fleet.start(size=100)
+        return fleet
+
+    def spread(self, fleet, *, size=LARGE, seconds=6.0):
+        """Write a large row; return its version and how long the last host took."""
+        began = fleet.loop.time()
+        version = fleet.put(size)
+        fleet.loop.run_for(seconds)
+        last = fleet.last_adopted(version)
+        self.assertIsNotNone(last, "a host has not got it")
+        return version, last - began
+
+    def test_one_configuration_crosses_the_region_link_at_most_three_times(self):
+        fleet = self.fleet()
+        version, seconds = self.spread(fleet)
+        self.assertLessEqual(fleet.fetches(version), 3)
+        self.assertLessEqual(fleet.fetches(version, region="near"), 3)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
+    def test_without_sources_one_configuration_fills_the_region_link(self):
+        """The failure that the sources guard against."""
+        fleet = self.fleet(alone=True)
+        version, seconds = self.spread(fleet)
+        self.assertEqual(31, fleet.fetches(version))
+        self.assertGreater(seconds, LARGE_SITE_BOUND)
+
+    def test_a_slow_transfer_to_the_sources_draws_no_other_host_to_the_store(self):
+        """Else each one that joins makes it slower still, and the rest join too."""
+        fleet = self.fleet()
+        version, _ = self.spread(fleet, size=3 * LARGE)
+        self.assertLessEqual(fleet.fetches(version), 3)
+
+    def test_a_source_that_freezes_holds_no_configuration_back(self):
+        for number in range(3):
+            fleet = self.fleet()
+            source = fleet.sources_of("far")[number]
+            source.frozen = True
+            version, seconds = self.spread(fleet)
+            self.assertLessEqual(fleet.fetches(version), 3)
+            self.assertLess(seconds, SMALL_SITE_BOUND)
+
+    def test_a_source_that_is_killed_holds_no_configuration_back(self):
+        fleet = self.fleet()
+        fleet.sources_of("far")[0].killed = True
+        version, seconds = self.spread(fleet)
+        self.assertLessEqual(fleet.fetches(version), 3)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
+    def test_a_source_that_is_cut_from_the_store_holds_no_configuration_back(self):
+        fleet = self.fleet()
+        fleet.sources_of("far")[0].cut_from_store = True
+        version, seconds = self.spread(fleet)
+        self.assertLessEqual(fleet.fetches(version), 3)
+        self.assertLess(seconds, LARGE_SITE_BOUND)
+
+    def test_all_sources_of_a_small_site_freeze_at_once(self):
+        fleet = self.fleet(near=5, far=4)
+        for region in ("near", "far"):
+            for source in fleet.sources_of(region):
+                source.frozen = True
+        _, seconds = self.spread(fleet)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
+    def test_all_sources_of_a_large_site_freeze_at_once(self):
+        fleet = self.fleet()
+        for source in fleet.sources_of("far"):
+            source.frozen = True
+        _, seconds = self.spread(fleet)
+        self.assertLess(seconds, LARGE_SITE_BOUND)
+
+    def test_hosts_don_t_all_fetch_a_change_when_the_store_is_back(self):
+        fleet = self.fleet()
+        fleet.store_down = True
+        fleet.loop.run_for(6.0)
+        version = fleet.put(LARGE)
+        fleet.loop.run_for(3.0)
+        fleet.store_down = False
+        back = fleet.loop.time()
+        fleet.loop.run_for(6.0)
+        self.assertLess(fleet.last_adopted(version) - back, LARGE_SITE_BOUND)
+        self.assertLessEqual(fleet.fetches(version), 15)
+
+    def test_a_host_that_the_store_turns_away_gets_tables_from_its_peers(self):
+        fleet = self.fleet()
+        cut = [h for h in fleet.hosts.values() if h.peer.name.endswith(("1", "4"))]
+        for host in cut:
+            host.cut_from_store = True
+            host.direct = False
+        _, seconds = self.spread(fleet)
+        self.assertLess(seconds, LARGE_SITE_BOUND)
+
+    def test_hosts_that_take_each_other_for_a_source_still_ask_the_store(self):
+        fleet = self.fleet(near=0, far=2)
+        one, other = fleet.hosts.values()
+        one.view = lambda: [other.peer]
+        other.view = lambda: [one.peer]
+        fleet.loop.run_for(3.0)
+        _, seconds = self.spread(fleet)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
+    def test_hosts_that_start_together_read_from_the_store_at_once(self):
+        fleet = table_fleet.Fleet(near=31, far=31)
+        self.addCleanup(fleet.loop.finish)
+        for host in fleet.hosts.values():
+            host.view = lambda: []
+        fleet.start(size=100)
+        began = 1000.0  # of virtual time
+        self.assertLess(fleet.last_adopted(1) - began, 0.5)
--- /dev/null
+++ b/dogwoodchute/tests/test_tables.py
@@ -0,0 +1,238 @@
+"""Tables that hosts pass on to one another, over loopback sockets."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import socket
+
+from dogwoodchute import clock, server
+from dogwoodchute.gateway import mirror, model, rows, table_copy, tables
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import gateway_site, support
+from dogwoodchute.tools import dogwoodgate
+
+HOSTS = 6
+LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
+ENDPOINT = {
+    "service": "plain",
+    "address": "127.0.0.1:1",
+    "zone": "z1",
+    "slots": 8,
+    "state": "ready",
+    "sequence": 1,
+}
+
+
+def free_address():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+class Site:
+    """A store and some hosts of one region, each with a door of its own to it."""
+
+    def __init__(self):
+        self.store = row_store.RowStore(now=clock.monotonic)
+        self.gates = []
+        self.faults = []  # of each host's door
+        self.calls = []  # each host's calls of the store, by kind
+        self._servers = []
+
+    def put(self, table, key, value):
+        data = json.dumps(value).encode()
+        self.store.commit("", [], [rows.Put(table, key, data)])
+
+    async def add_host(self):
+        number = len(self.gates)
+        self.faults.append(row_store.NO_FAULT)
+        self.calls.append([])
+
+        def fault(kind):
+            self.calls[number].append(kind)
+            return self.faults[number]
+
+        door = server.Server(name=f"door{number}-{id(self)}", **LIMITS)
+        self._servers.append(door)
+        row_store.add_routes(door.app, self.store, faults=fault)
+        await door.start("127.0.0.1", 0)
+        gate = dogwoodgate.Process(
+            source=pathlib.Path("unused"),
+            deployment=deployment(number, f"127.0.0.1:{door.port}"),
+            metrics_port=0,
+        )
+        self.gates.append(gate)
+        await gate.start()
+
+    async def stop(self):
+        await asyncio.gather(*(gate.stop() for gate in self.gates))
+        for each in self._servers:
+            await each.stop()
+
+    def versions(self):
+        return {gate.gateway.config_version for gate in self.gates}
+
+    def readers(self):
+        """Return the hosts that followed a table of the store since the last look.
+
+        Reads are left out: hosts read the rows of accounts too.
+        """
+        found = [n for n, kinds in enumerate(self.calls) if "feed" in kinds]
+        for kinds in self.calls:
+            kinds.clear()
+        return found
+
+
+def deployment(number, store):
+    return model.Deployment(
+        host=f"h{number}",
+        data_centre="z1",
+        region="r1",
+        regions={"z1": "r1"},
+        callers="127.0.0.1:0",
+        readiness="127.0.0.1:0",
+        control=free_address(),
+        gossip="127.0.0.1:0",
+        directory="127.0.0.1:0",
+        seeds=(),
+        store=store,
+        bounds=model.Bounds(grace=3.0),
+    )
+
+
+@contextlib.asynccontextmanager
+async def running():
+    """Run hosts until all but the sources follow other hosts."""
+    site = Site()
+    site.put("op", "config", gateway_site.config())
+    site.put("servers", "e1", ENDPOINT)
+    for _ in range(HOSTS):
+        await site.add_host()
+    try:
+        await support.until(lambda: all(g.gateway.ready() for g in site.gates))
+        await asyncio.sleep(3.5)  # until all rows say that their hosts are ready
+        site.readers()
+        yield site
+    finally:
+        await site.stop()
+
+
+class TablesTest(support.TestCase):
+    def test_only_the_sources_of_a_region_read_from_the_store(self):
+        async def story():
+            async with running() as site:
+                await asyncio.sleep(1.5)
+                self.assertEqual(3, len(site.readers()))
+                site.put("op", "config", gateway_site.config(version=2))
+                began = clock.monotonic()
+                await support.until(lambda: site.versions() == {2})
+                self.assertLess(clock.monotonic() - began, 2.5)
+                self.assertEqual(3, len(site.readers()))
+
+        self.run_async(story())
+
+    def test_hosts_that_the_store_turns_away_get_tables_from_their_peers(self):
+        async def story():
+            async with running() as site:
+                await asyncio.sleep(1.5)
+                sources = site.readers()
+                followers = [n for n in range(HOSTS) if n not in sources]
+                for number in (sources[0], sources[1], followers[0]):
+                    site.faults[number] = row_store.Fault(status=503)
+                await asyncio.sleep(1.5)
+                site.put("op", "config", gateway_site.config(version=2))
+                began = clock.monotonic()
+                await support.until(lambda: site.versions() == {2})
+                self.assertLess(clock.monotonic() - began, 2.5)
+
+        self.run_async(story())
+
+    def test_a_source_that_stops_holds_no_configuration_back(self):
+        async def story():
+            async with running() as site:
+                await asyncio.sleep(1.5)
+                source = site.readers()[0]
+                stopping = asyncio.create_task(site.gates.pop(source).stop())
+                await asyncio.sleep(0.1)
+                site.put("op", "config", gateway_site.config(version=2))
+                began = clock.monotonic()
+                await support.until(lambda: site.versions() == {2})
+                self.assertLess(clock.monotonic() - began, 2.5)
+                await stopping
+
+        self.run_async(story())
+
+
+class CallTest(support.TestCase):
+    """One call between two hosts."""
+
+    async def ask(self, tell, *, since=None, hold=0.0, handle=None):
+        listener = server.Server(name=f"s-{id(tell)}", **LIMITS)
+        if handle is None:
+            tables.add_routes(listener.app, tell=tell)
+        else:
+            listener.app.add_route(handle, tables.PATH, methods=["POST"])
+        await listener.start("127.0.0.1", 0)
+        asker = tables.Asker()
+        try:
+            address = f"127.0.0.1:{listener.port}"
+            return await asker.ask(address, "t", since, hold)
+        finally:
+            await asker.close()
+            await listener.stop()
+
+    def test_an_answer_is_as_old_as_the_tellers_knowledge(self):
+        """Else hosts that are cut off take each other's old tables for news."""
+        told = table_copy.Changes(
+            [rows.Row("a", b"1", 7), rows.Row("b", None, 8)], 9, whole=False
+        )
+
+        async def tell(table, since, hold):
+            at = clock.monotonic()
+            await asyncio.sleep(0.2)
+            return mirror.Told(told, at - 5.0, at - 60.0, receiving=True)
+
+        answer = self.run_async(self.ask(tell, since=3))
+        self.assertEqual(told, answer.changes)
+        self.assertTrue(answer.receiving)
+        self.assertGreaterEqual(answer.age, 5.2)
+        self.assertLess(answer.age, 6.0)
+        self.assertGreaterEqual(answer.regained, 60.2)
+
+    def test_a_host_that_knows_nothing_or_hangs_gives_no_answer(self):
+        async def nothing(table, since, hold):
+            return None
+
+        async def hangs(table, since, hold):
+            await asyncio.sleep(30)
+
+        for tell in (nothing, hangs):
+            began = clock.monotonic()
+            answer = self.run_async(self.ask(tell, hold=0.2))
+            self.assertIsInstance(answer, tables.NoAnswer)
+            self.assertLess(clock.monotonic() - began, 1.5)
+
+    def test_garbage_is_no_answer(self):
+        bodies = [
+            b"",
+            b"\xc1",
+            tables.msgpack.packb([1, 2]),
+            tables.msgpack.packb([0.1, 0.1, 0.0, False, b"not compressed"]),
+            tables.msgpack.packb([0.1, 0.1, 0.0, False, tables.zlib.compress(b"x")]),
+        ]
+        for body in bodies:
+
+            async def handle(request, body=body):
+                return tables.sanic.raw(body)
+
+            answer = self.run_async(self.ask(body, handle=handle))
+            self.assertIsInstance(answer, tables.NoAnswer, body)
+
+    def test_what_many_hosts_lack_is_packed_once(self):
+        packer = tables.Packer()
+        changes = table_copy.Changes([rows.Row("a", b"1", 7)], 7, whole=False)
+        first = packer.pack("t", 3, changes)
+        self.assertIs(first, packer.pack("t", 3, changes))
+        newer = changes._replace(version=8)
+        self.assertNotEqual(first, packer.pack("t", 3, newer))
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import gateway, model, tokens
+from dogwoodchute.gateway import gateway, model, tables, tokens
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
 METRICS_PORT = 9464  # TCP, as `deploy/system.toml` tells the platform
@@ -60,6 +60,7 @@
         self._servers: list[server.Server] = []
         self._callers = self._server("callers")
         self._asker = tokens.Asker()
+        self._table_asker = tables.Asker()
         self._client = store.Client(
             address=deployment.store,
             relays=lambda: self.gateway.relays(),
@@ -76,8 +77,10 @@
                 config_table=names.CONFIG_TABLE,
                 config_key=names.CONFIG_KEY,
                 endpoints_table=names.ENDPOINTS_TABLE,
+                direct=lambda: self._client.direct,
             ),
             ask_peer=self._asker.ask,
+            ask_table=self._table_asker.ask,
             adopted=self._adopt_limits,
             began=BEGAN,
         )
@@ -88,6 +91,7 @@
         ip = place.callers.rpartition(":")[0]
         control = self._server("control")
         tokens.add_routes(control.app, give=self.gateway.give)
+        tables.add_routes(control.app, tell=self.gateway.tell_table)
         relay.add_routes(control.app, client=self._client)
         readiness = self._server("readiness")
         ingress.add_readiness(readiness.app, ready=self.gateway.ready)
@@ -131,6 +135,7 @@
             await each.stop()
         await self._client.close()
         await self._asker.close()
+        await self._table_asker.close()
 
     def reload(self) -> None:
         """Read the settings file again and say what changed; listeners stay."""
