Move checkpoints, amounts, asking and refusals out of the accounts module

Now 'checkpointer' writes many accounts' rows together, 'amounts' says how many tokens to draw, return or use ahead, 'asking' gets tokens from other hosts, and 'refusals' says when to try again and logs why. No change of behaviour, but for the field 'home' of the line 'reserve_refused', which is gone.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -11,27 +11,23 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import checkpoints, escrow, grants, sizing
+from dogwoodchute.coordination import checkpoints, escrow
 from dogwoodchute.gateway import (
     account_rows,
+    amounts,
+    asking,
+    checkpointer,
     commit_counts,
     model,
+    refusals,
     reservations,
     rows,
 )
 
-HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
-HOME_REFILL = 0.75  # of the use kept ahead, below which a home draws again
-OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
-HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
-AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
 CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
-OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
-HOME_PAUSE = 0.3  # seconds after an account's home had nothing to give
-ASK_PAUSE = 0.25  # seconds after other hosts had nothing to give
 MAX_ASKED = 8  # other hosts that are asked for tokens at once
 WAIT = escrow.WRITE_AHEAD + 0.1  # seconds that a request waits for tokens at the most
 ROW_AGE = 0.3  # seconds for which rows that were read may serve to refuse
@@ -55,20 +51,26 @@
         regions: int = 1,
         rates: checkpoints.Rates | None = None,
     ) -> None:
-        self._holder = holder
         self._config = config
-        self._hosts = hosts
-        self._ask = ask
+        self._asking = asking.Asking(holder=holder, ask=ask, home=home, now=now)
         self._home = home
         self._now = now
-        self._regions = regions
-        self._rates = rates or checkpoints.Rates()
-        self._checkpoints: dict[str, asyncio.Task] = {}  # by part
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
+        self._checkpointer = checkpointer.Checkpointer(
+            accounts=lambda: list(self._accounts.values()),
+            commits=self._commits,
+            waiting=self._bridge,
+            hosts=hosts,
+            known=self._count,
+            home=home,
+            regions=regions,
+            rates=rates or checkpoints.Rates(),
+            now=now,
+        )
 
     async def reserve(
         self, name: str, tokens: int, *, wait: float = WAIT
@@ -148,16 +150,17 @@
             while True:
                 for account in list(self._accounts.values()):
                     self._kick_if_due(account)
-                self._begin_checkpoints()
+                self._checkpointer.begin()
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
-            for task in self._checkpoints.values():
-                task.cancel()
+            self._checkpointer.cancel()
 
     async def flush(self) -> None:
         """Return all idle tokens and write all bills."""
         self._returning = True
-        await asyncio.gather(*(self._checkpoint(part) for part in account_rows.parts()))
+        parts = account_rows.parts()
+        writes = [self._checkpointer.write(part, draw=self._draw) for part in parts]
+        await asyncio.gather(*writes)
         # What a conflict, a commit under way or the size of a commit left out.
         for account in self._accounts.values():
             self._kick(account)
@@ -165,72 +168,6 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    def _begin_checkpoints(self) -> None:
-        """Begin a checkpoint of each part in which one is due and none under way."""
-        now = self._now()
-        accounts = list(self._accounts.values())
-        due = {a.part for a in accounts if self._checkpoint_due(a, now)}
-        for part in sorted(due):
-            running = self._checkpoints.get(part)
-            if running is None or running.done():
-                task = asyncio.create_task(self._checkpoint(part))
-                self._checkpoints[part] = task
-
-    async def _checkpoint(self, part: str) -> None:
-        """Write what was used of a part's accounts, those first that wait longest."""
-        due = [
-            account
-            for account in self._accounts.values()
-            if account.part == part
-            and not account.lock.locked()
-            and _unwritten(account)
-        ]
-        due.sort(key=lambda account: account.ledger.sent_at())
-        batch = due[: account_rows.MAX_ACCOUNTS]
-        if not batch:
-            return
-        changes = [
-            account_rows.Change(
-                account,
-                self._draw(account) if self._returning else 0,
-                self._ahead(account),
-            )
-            for account in batch
-        ]
-        granted = any(account.ledger.granted for account in batch)
-        kind = commit_counts.CHECKPOINT if granted else commit_counts.BILLS
-        for account in batch:
-            await account.lock.acquire()
-        try:
-            await self._commits.commit(changes, kind=kind, waiting=self._bridge)
-        except Exception:
-            log.exception("checkpoint_failed", part=part)
-        finally:
-            for account in batch:
-                account.lock.release()
-
-    def _checkpoint_due(self, account: account_rows.Account, now: float) -> bool:
-        if not _unwritten(account):
-            return False
-        if self._returning:
-            return bool(account.bills)
-        hosts = self._hosts()
-        pace, writers = checkpoints.OWN, hosts
-        if not account.ledger.granted:
-            pace = checkpoints.BILLS
-        elif self._home.is_here(account.name):
-            pace, writers = checkpoints.AHEAD, self._home_hosts(hosts)
-        last = account.ledger.sent_at()
-        if pace is checkpoints.BILLS:
-            last = max(last, account.billed_at)
-        interval = checkpoints.interval(pace, writers=writers, rates=self._rates)
-        return now - last >= interval
-
-    def _home_hosts(self, hosts: int) -> int:
-        config = self._config()
-        accounts = len(config.accounts) if config is not None else 1
-        return checkpoints.homes(accounts=accounts, regions=self._regions, hosts=hosts)
-
     def _account(self, name: str) -> account_rows.Account:
         account = self._accounts.get(name)
         if account is None:
@@ -265,13 +202,7 @@
     def _out_of_reach(
         self, account: account_rows.Account, tokens: int, reason: str
     ) -> reservations.ReserveOutcome:
-        """Return a refusal that says when to try again."""
-        usable_in = 0.0
-        if account.ledger.idle >= tokens:
-            usable_in = account.ledger.sent_at() + escrow.WRITE_AHEAD - self._now()
-        return reservations.OutOfReach(
-            reason=reason, retry_after=reservations.retry_after(usable_in=usable_in)
-        )
+        return refusals.out_of_reach(account, tokens, reason, now=self._now())
 
     def _note_refusal(
         self,
@@ -280,48 +211,41 @@
         outcome: reservations.ReserveOutcome,
         began: float,
     ) -> None:
-        """Log why a request got no tokens, and how old what was known is."""
         now = self._now()
-        ledger = account.ledger
-        ages = {
-            "waited": now - began,
-            "rows_age": now - account.read_at if account.read_at is not None else None,
-            "commit_age": now - ledger.sent_at(),
-            "home_age": now - account.home_failed_at,
-            "asked_age": now - account.asked_in_vain_at,
-            "away_age": now - self._away_at,
-        }
-        log.info(
-            "reserve_refused",
-            account=account.name,
-            tokens=tokens,
-            reason=getattr(outcome, "reason", "exhausted"),
-            idle=ledger.idle,
-            available=ledger.available(now),
-            drawn=account.shared.drawn,
-            waiting=len(account.waiters),
-            pending=ledger.pending is not None,
-            home="elsewhere" if self._home.is_elsewhere(account.name) else "here",
-            **{name: f"{age:.2f}" for name, age in ages.items() if age is not None},
+        waited, away_at = now - began, self._away_at
+        refusals.note(account, tokens, outcome, waited=waited, away_at=away_at, now=now)
+
+    def _draw(self, account: account_rows.Account) -> int:
+        """Return the tokens to draw now, negative to return some."""
+        place = amounts.Place(
+            prepaid=self._prepaid(account),
+            is_home=self._home.is_here(account.name),
+            has_home=self._home.is_elsewhere(account.name),
+            returning=self._returning,
         )
+        return amounts.draw(account, place, self._now())
+
+    def _is_due(self, account: account_rows.Account) -> bool:
+        if self._returning:
+            return bool(account.bills)
+        return self._checkpointer.is_due(account)
+
+    def _count(self) -> int:
+        config = self._config()
+        return len(config.accounts) if config is not None else 1
 
     def _kick(self, account: account_rows.Account) -> None:
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._work(account))
 
     def _kick_if_due(self, account: account_rows.Account) -> None:
-        if account.waiters or self._draw(account) or self._limit_is_low(account):
+        if (
+            account.waiters
+            or self._draw(account)
+            or amounts.limit_is_low(account, self._now())
+        ):
             self._kick(account)
 
-    def _limit_is_low(self, account: account_rows.Account) -> bool:
-        """Whether requests may soon have to wait for a commit, though tokens are here.
-
-        Only a new commit raises what may be used without one.
-        """
-        available = account.ledger.available(self._now())
-        wanted = max(account.asked, self._ahead(account) // 4)
-        return available < min(wanted, account.ledger.idle)
-
     async def _work(self, account: account_rows.Account) -> None:
         """Commit until nothing is due; fail the waiters if the store is away."""
         try:
@@ -336,15 +260,20 @@
     async def _step(self, account: account_rows.Account) -> bool:
         """Do what is due next; return whether there may be more."""
         self._grant(account)
-        if await self._get_from_home(account):
+        if await self._asking.get_from_home(account):
             return True
         await self._prepare_draw(account)
         draw = self._draw(account)
         waiting = account.waiting()
         limited = waiting and account.ledger.idle >= waiting[0].tokens
-        due = self._checkpoint_due(account, self._now())
-        if draw or limited or due or (not waiting and self._limit_is_low(account)):
-            change = account_rows.Change(account, draw, self._ahead(account))
+        due = self._is_due(account)
+        if (
+            draw
+            or limited
+            or due
+            or (not waiting and amounts.limit_is_low(account, self._now()))
+        ):
+            change = account_rows.Change(account, draw, amounts.ahead(account))
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit([change], kind=kind, waiting=self._bridge)
         if not waiting:
@@ -375,95 +304,6 @@
             account.waiters.remove(waiter)
             waiter.done.set_result(reservations.Reserved())
 
-    def _ahead(self, account: account_rows.Account) -> int:
-        """Return the tokens that may be used before the next commit."""
-        needed = sum(waiter.tokens for waiter in account.waiting())
-        ahead = int(AHEAD_SHARE * max(0, account.ledger.idle))
-        return needed + account.asked + ahead
-
-    def _draw(self, account: account_rows.Account) -> int:
-        """Return the tokens to draw now, negative to return some."""
-        prepaid = self._prepaid(account)
-        idle = account.ledger.idle
-        if prepaid is None or account.ledger.pending is not None:
-            return 0
-        if self._returning or account.shared.drawn > prepaid:
-            return -max(0, idle)
-        now = self._now()
-        balance = grants.Balance(prepaid, account.shared.drawn)
-        rate = account.demand.rate(now) if self._draws_ahead(account) else 0.0
-        needed = sum(w.tokens for w in account.waiting()) - max(0, idle)
-        if self._home.is_here(account.name):
-            needed += account.asked
-        if needed > 0:
-            whole = sizing.draw_size(
-                balance=balance,
-                needed=needed,
-                rate=rate,
-                horizon=HORIZON,
-                share=HELD_SHARE,
-            )
-            return whole or self._draw_for_first(account, balance)
-        if now < account.draw_after:
-            return 0
-        refill = sizing.refill_size(
-            balance=balance,
-            available=max(0, idle),
-            reserved=0,
-            rate=rate,
-            horizon=HORIZON,
-            share=HELD_SHARE,
-            below=HOME_REFILL if self._home.is_here(account.name) else OWN_REFILL,
-        )
-        if refill:
-            return refill
-        return -sizing.return_size(
-            available=idle,
-            reserved=account.ledger.reserved,
-            rate=account.demand.rate(now),
-            horizon=HORIZON,
-            idle=account.demand.idle(now),
-        )
-
-    def _draws_ahead(self, account: account_rows.Account) -> bool:
-        """Whether this host holds tokens of an account for requests to come."""
-        if not self._home.is_elsewhere(account.name):
-            return True
-        ahead = account.demand.lower_rate(self._now()) * HORIZON
-        return ahead >= OWN_REQUESTS * account.mean_request
-
-    def _draw_for_first(
-        self, account: account_rows.Account, balance: grants.Balance
-    ) -> int:
-        """Return what the first waiter lacks, or all that is left to draw.
-
-        Other hosts may have what is lacking then.
-        """
-        waiting = account.waiting()
-        first = waiting[0].tokens if waiting else account.asked
-        lacking = first - max(0, account.ledger.idle)
-        return max(0, min(lacking, balance.remaining))
-
-    async def _get_from_home(self, account: account_rows.Account) -> bool:
-        """Get the waiters' tokens from the account's home; return whether any came.
-
-        A fleet's hosts together need far fewer tokens in one place than each of them
-        for its own next requests.
-        """
-        waiting = account.waiting()
-        now = self._now()
-        if not waiting or not self._home.is_elsewhere(account.name):
-            return False
-        if now - account.home_failed_at < HOME_PAUSE:
-            return False
-        lacking = sum(w.tokens for w in waiting) - max(0, account.ledger.available(now))
-        got = await self._home.ask(account.name, lacking) if lacking > 0 else 0
-        if not got:
-            account.home_failed_at = self._now()
-            return False
-        account.ledger.take(got)
-        return True
-
     async def _refuse(self, account: account_rows.Account) -> bool:
         """Ask other hosts for the first waiter's tokens; refuse it if they lack.
 
@@ -499,37 +339,9 @@
     async def _collect(
         self, account: account_rows.Account, have: int
     ) -> reservations.Collected | None:
-        """Get what the first waiter lacks, beyond the tokens that this host has.
-
-        They come from other hosts. Return None if nothing lacks.
-        """
-        waiting = account.waiting()
-        if not waiting:
-            return None
-        if not self._may_spend(account):
+        if account.waiting() and not self._may_spend(account):
             return reservations.Collected(0, True)
-        lacking = waiting[0].tokens - max(0, have)
-        if lacking <= 0:
-            return None
-        collected = await self._ask(account.name, lacking, self._holders(account))
-        account.ledger.take(collected.tokens)
-        log.info(
-            "tokens_got",
-            account=account.name,
-            tokens=collected.tokens,
-            asked=lacking,
-            whole=collected.whole,
-        )
-        return collected
-
-    def _holders(self, account: account_rows.Account) -> list[str]:
-        """Return the other holders, those first that seem to hold most."""
-        idle = {
-            name: holding.granted - holding.spent
-            for name, holding in account.holdings.items()
-            if name != self._holder
-        }
-        return sorted(idle, key=lambda name: (-idle[name], name))
+        return await self._asking.collect(account, have)
 
     async def _bridge(self, account: account_rows.Account, reason: str) -> None:
         """Serve the waiters with other hosts' tokens while the store has no answer.
@@ -539,7 +351,7 @@
         """
         self._away_at = self._now()
         self._grant(account)
-        while account.waiting() and self._may_ask(account):
+        while account.waiting() and self._asking.may_ask(account):
             collected = await self._collect(
                 account, account.ledger.available(self._now())
             )
@@ -548,13 +360,9 @@
                 break
             if collected.tokens == 0:
                 account.asked_in_vain_at = self._now()
-        if self._commits.away and not self._may_ask(account):
+        if self._commits.away and not self._asking.may_ask(account):
             self._fail(account, reason)
 
-    def _may_ask(self, account: account_rows.Account) -> bool:
-        """Return False just after other hosts had nothing to give."""
-        return self._now() - account.asked_in_vain_at >= ASK_PAUSE
-
     def _fail(self, account: account_rows.Account, reason: str) -> None:
         """Refuse the waiters that this host's tokens do not cover, in their order."""
         idle = account.ledger.idle
@@ -579,8 +387,3 @@
     ) -> None:
         account.waiters.remove(waiter)
         waiter.done.set_result(outcome)
-
-
-def _unwritten(account: account_rows.Account) -> bool:
-    """Whether an account's row should tell of what was used."""
-    return bool(account.bills) or account.ledger.granted > 0
--- /dev/null
+++ b/dogwoodchute/gateway/amounts.py
@@ -0,0 +1,100 @@
+"""How many tokens of an account a host draws, returns and may use ahead."""
+
+import typing
+
+from dogwoodchute.coordination import grants, sizing
+from dogwoodchute.gateway import account_rows
+
+HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
+HOME_REFILL = 0.75  # of the use kept ahead, below which a home draws again
+OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
+HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
+AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
+OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
+
+
+class Place(typing.NamedTuple):
+    """What a host is to an account."""
+
+    prepaid: int | None  # tokens that may be used in all, None for no limit
+    is_home: bool  # it holds tokens for the other hosts of its region
+    has_home: bool  # another host holds tokens for it
+    returning: bool  # it stops and gives everything back
+
+
+def ahead(account: account_rows.Account) -> int:
+    """Return the tokens that may be used before the next commit."""
+    needed = sum(waiter.tokens for waiter in account.waiting())
+    return needed + account.asked + int(AHEAD_SHARE * max(0, account.ledger.idle))
+
+
+def limit_is_low(account: account_rows.Account, now: float) -> bool:
+    """Whether requests may soon have to wait for a commit, though tokens are here.
+
+    Only a new commit raises what may be used without one.
+    """
+    available = account.ledger.available(now)
+    wanted = max(account.asked, ahead(account) // 4)
+    return available < min(wanted, account.ledger.idle)
+
+
+def draw(account: account_rows.Account, place: Place, now: float) -> int:
+    """Return the tokens to draw now, negative to return some."""
+    idle = account.ledger.idle
+    if place.prepaid is None or account.ledger.pending is not None:
+        return 0
+    if place.returning or account.shared.drawn > place.prepaid:
+        return -max(0, idle)
+    balance = grants.Balance(place.prepaid, account.shared.drawn)
+    rate = account.demand.rate(now) if _draws_ahead(account, place, now) else 0.0
+    needed = sum(waiter.tokens for waiter in account.waiting()) - max(0, idle)
+    if place.is_home:
+        needed += account.asked
+    if needed > 0:
+        whole = sizing.draw_size(
+            balance=balance,
+            needed=needed,
+            rate=rate,
+            horizon=HORIZON,
+            share=HELD_SHARE,
+        )
+        return whole or _draw_for_first(account, balance)
+    if now < account.draw_after:
+        return 0
+    refill = sizing.refill_size(
+        balance=balance,
+        available=max(0, idle),
+        reserved=0,
+        rate=rate,
+        horizon=HORIZON,
+        share=HELD_SHARE,
+        below=HOME_REFILL if place.is_home else OWN_REFILL,
+    )
+    if refill:
+        return refill
+    return -sizing.return_size(
+        available=idle,
+        reserved=account.ledger.reserved,
+        rate=account.demand.rate(now),
+        horizon=HORIZON,
+        idle=account.demand.idle(now),
+    )
+
+
+def _draws_ahead(account: account_rows.Account, place: Place, now: float) -> bool:
+    """Whether this host holds tokens of an account for requests to come."""
+    if not place.has_home:
+        return True
+    used = account.demand.lower_rate(now) * HORIZON
+    return used >= OWN_REQUESTS * account.mean_request
+
+
+def _draw_for_first(account: account_rows.Account, balance: grants.Balance) -> int:
+    """Return what the first waiter lacks, or all that is left to draw.
+
+    Other hosts may have what is lacking then.
+    """
+    waiting = account.waiting()
+    first = waiting[0].tokens if waiting else account.asked
+    lacking = first - max(0, account.ledger.idle)
+    return max(0, min(lacking, balance.remaining))
