--- a/dogwoodchute/tests/test_planned_stop.py
+++ b/dogwoodchute/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from dogwoodchute.standins import row_store
+from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gate_process, support
 
 HEAD = (
@@ -96,6 +96,35 @@
 
         self.run_async(story())
 
+    def test_what_is_under_way_when_the_time_is_up_is_answered(self):
+        async def story():
+            async with gate_process.running() as gate:
+                gate.endpoints["p1"].modes = [attempt_endpoint.SILENT]
+                began = gate.terminate()
+                await asyncio.sleep(began + 2.5 - time.monotonic())
+                status, headers, body = await gate.ask("/order/x", attempt="last")
+                self.assertEqual(502, status)
+                self.assertEqual("close", headers["Connection"].lower())
+                self.assertIn(b"may have run", body)
+                self.assertEqual(0, await gate.gone())
+                self.assertLess(time.monotonic() - began, gate_process.GRACE)
+
+        self.run_async(story())
+
+    def test_an_idle_connection_serves_until_it_is_closed(self):
+        async def story():
+            async with gate_process.running() as gate:
+                reader, writer = await dial(gate)
+                began = gate.terminate()
+                await asyncio.sleep(began + 1.5 - time.monotonic())
+                writer.write(HEAD.format(attempt="k", wait=900, length=0).encode())
+                answer = await reader.read()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+                self.assertIn(b"connection: close", answer.lower())
+                writer.close()
+
+        self.run_async(story())
+
     def test_what_was_passed_on_is_answered_through_a_stop(self):
         async def story():
             async with gate_process.running() as gate:
