--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -26,6 +26,7 @@
 
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
 GIVE_WAIT = 0.1  # seconds for a commit that frees tokens for another host
+WAITING_PAUSE = 0.1  # seconds at most after conflicts, while requests wait
 CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
 MAX_ASKED = 8  # other hosts that are asked for tokens at once
@@ -285,6 +286,8 @@
         if not self._draw(account):
             return
         pause = account.draw_after - self._now()
+        if account.waiting():
+            pause = min(pause, WAITING_PAUSE)
         if pause > 0:
             await asyncio.sleep(pause)
         if self._now() - account.conflict_at < CONTENDED_FOR:
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -17,8 +17,8 @@
 from dogwoodchute.gateway import account_rows, hosts, rows
 
 LOOK_INTERVAL = 0.2  # seconds between looks at which hosts are new
-SETTLE_TIME = 0.4  # seconds without a further new host, before rows are read
-MAX_SETTLE_TIME = 1.5  # seconds from the first new host
+SETTLE_TIME = 0.3  # seconds without a further new host, before rows are read
+MAX_SETTLE_TIME = 0.9  # seconds from the first new host
 MAX_HOLDINGS = 40  # in one commit, with two entries each
 MAX_TRIES = 12  # of one commit, which draws may get in the way of
 RETRY_PAUSE = 0.2  # seconds on average, after a call without effect
