--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -17,7 +17,7 @@
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
-DATAGRAMS_PER_SECOND = 64  # of one host at most; more to tell takes longer pauses
+DATAGRAMS_PER_SECOND = 80  # of one host at most; more to tell takes longer pauses
 MAX_AGE = 1.5  # seconds for which a load counts, some intervals
 FORMAT = 2  # of the datagrams; others are left out
 MAX_ENDPOINTS = 256  # in one datagram
