Take from another source what the store is slow to bring

Cause: the host is one of its region's three sources. After the outage its own call brought the large configuration byte by byte, and while it went on the host asked nobody, though another source had had it since 14.9 s and all other hosts by 17.9 s.

Why this works: a call of the store that takes 0.8 s beyond its wait gets company: the other sources are asked each 0.5 s, and what one of them has newer ends the call, and its bytes. A source's staleness is logged when it begins, not at each look.

--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -7,6 +7,8 @@
 from dogwoodchute.coordination import sources
 from dogwoodchute.gateway import mirror, rows, table_copy, tables
 
+SLOW_STORE = 0.8  # seconds beyond its wait, after which a call gets company
+COMPANY_INTERVAL = 0.5  # seconds between looks at what sources have got meanwhile
 HOLD = 0.9  # seconds that a source holds a call, above its pause between two answers
 
 
@@ -67,6 +69,7 @@
         self._store = store
         self._now = now
         self._source: str | None = None  # the host that told the table last
+        self._stale: set[str] = set()  # hosts whose last answer was not fresh
 
     async def fetch(
         self, since: int | None, known_at: float | None, wait: float
@@ -80,13 +83,37 @@
         age = None if known_at is None else self._now() - known_at
         if not self._chooser.store_due(age, group=group, now=self._now()):
             return mirror.Postponed()
-        outcome = await self._store(since, known_at, wait)
+        outcome = await self._from_store(since, known_at, wait)
+        if isinstance(outcome, mirror.Fetched) and outcome.peer is not None:
+            self._note_source(outcome.peer)
+            return outcome
         answered = not isinstance(outcome, rows.Unavailable)
         self._chooser.note_store(answered=answered, group=group, now=self._now())
         if answered:
             self._note_source(None)
         return outcome
 
+    async def _from_store(
+        self, since: int | None, known_at: float | None, wait: float
+    ) -> mirror.Outcome:
+        """Fetch from the store; take what a source has got before, if this is slow."""
+        call = asyncio.create_task(self._store(since, known_at, wait))
+        timeout = wait + SLOW_STORE
+        try:
+            while True:
+                done, _ = await asyncio.wait([call], timeout=timeout)
+                if done:
+                    return call.result()
+                others = self._chooser.plan(
+                    self._peers(), direct=False, now=self._now()
+                )
+                found = await self._ask_all(others.peers, since, 0.0)
+                if found is not None and found.fresh and found.changes.rows:
+                    return found
+                timeout = COMPANY_INTERVAL
+        finally:
+            call.cancel()
+
     def _plan(self) -> sources.Plan:
         return self._chooser.plan(self._peers(), direct=self._direct(), now=self._now())
 
@@ -98,17 +125,23 @@
         The first source holds the call until it has news. If it fails, all others are
         asked at once, since much time is lost already.
         """
-        found = None
-        for asked, hold in ((peers[:1], HOLD), (peers[1:], 0.0)):
-            calls = [self._ask_one(peer, since, hold) for peer in asked]
-            for told in await asyncio.gather(*calls):
-                if told is None or not (told.fresh or told.changes.rows):
-                    continue
-                if found is None or _rank(told) > _rank(found):
-                    found = told
-            if found is not None and found.fresh:
-                return found
-        return found
+        first = await self._ask_all(peers[:1], since, HOLD)
+        if first is not None and first.fresh:
+            return first
+        second = await self._ask_all(peers[1:], since, 0.0)
+        return max((first, second), key=_rank)
+
+    async def _ask_all(
+        self, peers: list[sources.Peer], since: int | None, hold: float
+    ) -> mirror.Fetched | None:
+        """Return the best that these hosts tell, None if nothing is fresh or new."""
+        calls = [self._ask_one(peer, since, hold) for peer in peers]
+        best = None
+        for told in await asyncio.gather(*calls):
+            if told is None or not (told.fresh or told.changes.rows):
+                continue
+            best = max((best, told), key=_rank)
+        return best
 
     async def _ask_one(
         self, peer: sources.Peer, since: int | None, hold: float
@@ -127,8 +160,12 @@
             fresh=sources.fresh(answer.age, receiving=answer.receiving),
             peer=peer.name,
         )
-        if not told.fresh:
-            self._chooser.note_peer(peer.name, answered=True, now=self._now())
+        if told.fresh:
+            self._stale.discard(peer.name)
+            return told
+        self._chooser.note_peer(peer.name, answered=True, now=self._now())
+        if peer.name not in self._stale:
+            self._stale.add(peer.name)
             age = round(answer.age, 3)
             log.info("source_stale", table=self._table, peer=peer.name, age=age)
         return told
@@ -139,5 +176,7 @@
         self._source = name
 
 
-def _rank(told: mirror.Fetched) -> tuple[bool, int]:
-    return told.fresh, told.changes.version
+def _rank(told: mirror.Fetched | None) -> tuple[bool, bool, int]:
+    if told is None:
+        return False, False, 0
+    return True, told.fresh, told.changes.version
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -28,6 +28,7 @@
         self.frozen = False
         self.killed = False
         self.cut_from_store = False
+        self.slowness = 1.0  # times the bytes that the store's answers take to it
         self.direct = True
         self._receiving = False
         self.adopted = {}  # virtual seconds by value's version
@@ -103,6 +104,7 @@
             self.fetched.append(max(row.version for row in found.rows))
             self._receiving = True
         await self._fleet.carry(self.peer.region, size)
+        await asyncio.sleep((self.slowness - 1.0) * size / LINK_RATE)
         self._receiving = False
         self.direct = True
         return found
--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -66,6 +66,14 @@
         self.assertLessEqual(fleet.fetches(version), 3)
         self.assertLess(seconds, LARGE_SITE_BOUND)
 
+    def test_a_source_with_a_slow_way_to_the_store_takes_what_another_has_got(self):
+        """It went on with its own transfer, 8 s after the others had the row."""
+        fleet = self.fleet()
+        fleet.sources_of("far")[1].slowness = 60.0
+        version, seconds = self.spread(fleet, seconds=10.0)
+        self.assertLessEqual(fleet.fetches(version), 3)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
     def test_all_sources_of_a_small_site_freeze_at_once(self):
         fleet = self.fleet(near=5, far=4)
         for region in ("near", "far"):
