Give up an answer of the store that has no end

The class of the users' unending answers, at our other client: the body was read without a bound on its size until 15 s had passed. It ends at 16 MB now, far above a page of rows.

--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -12,6 +12,7 @@
 CONNECT_TIMEOUT = 0.6  # seconds
 SLOW_CALL = 0.5  # seconds beyond what a call waits for by itself
 LARGE_ANSWER = 100_000  # bytes
+MAX_ANSWER = 16 * 1024 * 1024  # bytes; a page of rows has a few megabytes at the most
 RECEIVING_PAUSE = 0.6  # seconds without bytes, after which an answer counts as stuck
 KINDS = {
     names.GET_PATH: "read",
@@ -140,6 +141,9 @@
                 progress.head_seconds = progress.seconds
                 async for chunk in response.content.iter_any():
                     progress.content += chunk
+                    if len(progress.content) > MAX_ANSWER:
+                        reason = f"the answer exceeds {MAX_ANSWER} bytes"
+                        return NoAnswer(reason, address)
                     progress.received_at = clock.monotonic()
                 relayed = response.headers.get(RELAYED)
         except aiohttp.ClientConnectorError as error:
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import rows
-from dogwoodchute.platform import relay, store
+from dogwoodchute.platform import relay, store, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support
 
@@ -252,3 +252,32 @@
                 self.assertIsInstance(outcome, rows.Unknown)
 
         self.run_async(story())
+
+    def test_an_answer_without_end_is_given_up_at_a_bound(self):
+        sent = []
+
+        async def endless(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"x" * 65536)
+                    sent.append(65536)
+                    await writer.drain()
+
+        async def story():
+            listening = await asyncio.start_server(endless, "127.0.0.1", 0)
+            port = listening.sockets[0].getsockname()[1]
+            client = store.Client(
+                address=f"127.0.0.1:{port}", relays=lambda: [], now=clock.monotonic
+            )
+            began = clock.monotonic()
+            found = await store.store(client).read("t", "", None, None)
+            self.assertIsInstance(found, rows.Unavailable)
+            self.assertIn("exceeds", found.reason)
+            self.assertLess(clock.monotonic() - began, store.LONGEST_READ / 2)
+            self.assertLess(sum(sent), 2 * transport.MAX_ANSWER)
+            await client.close()
+            listening.close()
+
+        self.run_async(story())
