--- /dev/null
+++ b/dogwoodchute/tests/test_review_follow.py
@@ -0,0 +1,295 @@
+"""Followers of tables, and what they take over from sources."""
+
+import asyncio
+import time
+
+from dogwoodchute.coordination import sources
+from dogwoodchute.gateway import (
+    endpoints,
+    gossip,
+    mirror,
+    model,
+    rows,
+    table_copy,
+    table_source,
+    tables,
+)
+from dogwoodchute.tests import support, virtual
+
+BOUND = 2.5  # seconds until all hosts must have a change
+SIZE = 2000  # bytes of a slow answer
+FAILED_CALL = 16  # of a source; in the same moment the endpoint goes
+PIECE_PAUSE = 0.1  # seconds between two pieces of it
+NEWS = table_copy.Changes([rows.Row("config", b"new", 7)], 7, whole=False)
+SMALL = table_copy.Changes([], 6, whole=False)
+
+
+class Trickle:
+    """A source whose answer comes a byte at a time."""
+
+    async def start(self):
+        self._listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._listening.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    def stop(self):
+        self._listening.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+        try:
+            while not writer.is_closing():
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(PIECE_PAUSE)
+        except OSError:
+            return
+
+
+def follower(names, ask, store):
+    """Return a host that follows `names`, as its chooser orders them."""
+    peers = [sources.Peer(n, "r1", n, 1000.0) for n in names]
+    own = sources.Peer("own", "r1", "own", 1.0)  # too narrow to be a source
+    chooser = sources.Sources(name="own", region="r1")
+    plan = chooser.plan([*peers, own], direct=True, now=time.monotonic())
+    made = table_source.Follower(
+        chooser=chooser,
+        peers=lambda: [*peers, own],
+        direct=lambda: True,
+        ask=ask,
+        table="op",
+        store=store,
+        now=time.monotonic,
+    )
+    return made, [peer.name for peer in plan.peers]
+
+
+class SlowSourceTest(support.TestCase):
+    def seconds_to_news(self, place, *, first_fails=False):
+        """Return how long news take while the source at `place` is slow."""
+
+        async def check():
+            trickle = Trickle()
+            address = await trickle.start()
+            asker = tables.Asker()
+            order = []
+
+            async def ask(name, table, since, hold):
+                number = order.index(name)
+                if number == place:
+                    return await asker.ask(address, table, since, hold)
+                if number == 0 and first_fails:
+                    return tables.NoAnswer("refused")
+                return tables.Answer(NEWS, 0.1, 100.0, False)
+
+            async def store(since, known_at, wait):
+                return mirror.Fetched(changes=NEWS, read_at=time.monotonic())
+
+            made, order[:] = follower(["a", "b", "c"], ask, store)
+            began = time.monotonic()
+            try:
+                async with asyncio.timeout(BOUND + 1.5):
+                    found = await made.fetch(6, began - 0.3, 0.6)
+                self.assertEqual(7, found.changes.version)
+            except TimeoutError:
+                pass
+            finally:
+                await asker.close()
+                trickle.stop()
+            return time.monotonic() - began
+
+        return asyncio.run(check())
+
+    def test_news_come_in_time_though_the_first_source_sends_slowly(self):
+        self.assertLess(self.seconds_to_news(0), BOUND)
+
+    def test_news_come_in_time_though_another_source_sends_slowly(self):
+        self.assertLess(self.seconds_to_news(1, first_fails=True), BOUND)
+
+    def test_a_source_with_a_slow_store_takes_company_that_answers(self):
+        """One of two other sources sends slowly; the other has the news."""
+
+        async def check():
+            trickle = Trickle()
+            address = await trickle.start()
+            asker = tables.Asker()
+
+            async def ask(name, table, since, hold):
+                if name == "b":
+                    return await asker.ask(address, table, since, hold)
+                return tables.Answer(NEWS, 0.1, 100.0, False)
+
+            async def store(since, known_at, wait):
+                await asyncio.sleep(30.0)
+
+            peers = [sources.Peer(n, "r1", n, 1000.0) for n in ("a", "b", "own")]
+            made = table_source.Follower(
+                chooser=sources.Sources(name="own", region="r1"),
+                peers=lambda: peers,
+                direct=lambda: True,
+                ask=ask,
+                table="op",
+                store=store,
+                now=time.monotonic,
+            )
+            began = time.monotonic()
+            try:
+                async with asyncio.timeout(BOUND + 1.5):
+                    await made.fetch(6, began - 0.3, 0.6)
+            except TimeoutError:
+                pass
+            finally:
+                await asker.close()
+                trickle.stop()
+            return time.monotonic() - began
+
+        self.assertLess(asyncio.run(check()), BOUND)
+
+
+class FirstCopyTest(support.TestCase):
+    def test_a_starting_host_takes_no_old_copy_while_the_store_answers(self):
+        async def check():
+            old = table_copy.Changes([rows.Row("config", b"old", 3)], 3, whole=True)
+
+            async def ask(name, table, since, hold):
+                return tables.Answer(old, 30.0, 100.0, False)
+
+            async def store(since, known_at, wait):
+                whole = NEWS._replace(whole=True)
+                return mirror.Fetched(changes=whole, read_at=time.monotonic())
+
+            made, _ = follower(["a", "b", "c"], ask, store)
+            found = await made.fetch(None, None, 0.6)
+            self.assertEqual(7, found.changes.version)
+
+        asyncio.run(check())
+
+
+def plain_endpoint(name, value):
+    return model.Endpoint(
+        id=name,
+        service="plain",
+        address="127.0.0.1:1",
+        data_centre="z1",
+        slots=8,
+        state=model.READY,
+    )
+
+
+class RegainedTest(support.TestCase):
+    """Entries that lapse while the store is away are kept for a while after it."""
+
+    def known(self, now):
+        return endpoints.Endpoints(
+            deployment=support_deployment(),
+            decode=plain_endpoint,
+            format_error=ValueError,
+            hosts_known=lambda: 62,
+            loads=lambda: gossip.Loads([], 0.0),
+            now=now,
+        )
+
+    def test_one_sources_failed_calls_keep_no_gone_endpoint_at_its_followers(self):
+        """The store answers others all the while, say, and refuses each fourth call."""
+        self.assertLessEqual(self.kept(lambda call: call % 4 == 0), BOUND)
+
+    def test_one_failed_call_of_a_source_keeps_no_gone_endpoint_at_its_followers(self):
+        self.assertLessEqual(self.kept(lambda call: call == FAILED_CALL), BOUND)
+
+    def test_without_failed_calls_a_gone_endpoint_goes(self):
+        self.assertLessEqual(self.kept(lambda call: False), BOUND)
+
+    def kept(self, fails):
+        """Return the seconds for which a follower keeps an endpoint that has gone."""
+        loop = virtual.Loop()
+        self.addCleanup(loop.finish)
+        now = loop.time
+        state = {"gone": False, "calls": 0}
+
+        async def from_store(since, known_at, wait):
+            state["calls"] += 1
+            if fails(state["calls"]):
+                return rows.Unavailable(reason="status 429")
+            if state["gone"]:
+                changes = table_copy.Changes([rows.Row("e1", None, 9)], 9, False)
+            else:
+                changes = table_copy.Changes([rows.Row("e1", b"", 5)], 5, True)
+            return mirror.Fetched(changes=changes, read_at=now())
+
+        source = self.mirror(from_store, lambda *args: None, now)
+
+        async def from_source(since, known_at, wait):
+            told = await source.tell(since, 0.9)
+            if told is None:
+                return rows.Unavailable(reason="starting")
+            return mirror.Fetched(
+                changes=told.changes,
+                read_at=told.read_at,
+                regained_at=told.regained_at,
+                peer="source",
+            )
+
+        known = self.known(now)
+        following = self.mirror(from_source, known.changed, now)
+        known.follow(lambda: following.regained_at)
+        loop.create_task(source.run())
+        loop.create_task(following.run())
+        while state["calls"] < FAILED_CALL:
+            loop.run_for(0.01)
+        self.assertEqual(1, len(known.ready("plain")))
+        state["gone"] = True
+        began = loop.time()
+        while known.ready("plain") and loop.time() - began < 20.0:
+            loop.run_for(0.05)
+        return round(loop.time() - began, 2)
+
+    def mirror(self, fetch, changed, now):
+        return mirror.Mirror(
+            table="servers",
+            fetch=fetch,
+            pause=0.6,
+            wait=0.0,
+            changed=changed,
+            receiving=lambda: False,
+            now=now,
+        )
+
+
+def support_deployment():
+    return model.Deployment(
+        host="h1",
+        data_centre="z1",
+        region="r1",
+        regions={"z1": "r1"},
+        callers="127.0.0.1:0",
+        readiness="127.0.0.1:0",
+        control="127.0.0.1:0",
+        gossip="127.0.0.1:0",
+        directory="127.0.0.1:0",
+        seeds=(),
+        store="127.0.0.1:1",
+        bounds=model.Bounds(grace=3.0),
+    )
+
+
+class RepeatsTest(support.TestCase):
+    def test_a_host_that_served_before_it_knew_the_fleet_keeps_to_its_share(self):
+        known = [1]
+        made = endpoints.Endpoints(
+            deployment=support_deployment(),
+            decode=plain_endpoint,
+            format_error=ValueError,
+            hosts_known=lambda: known[0],
+            loads=lambda: gossip.Loads([], 0.0),
+            now=time.monotonic,
+        )
+        made.note_request("plain")
+        known[0] = 62
+        for _ in range(2000):
+            made.note_request("plain")
+        repeats = 0
+        while made.may_repeat("plain"):
+            repeats += 1
+        share = endpoints.BUDGET_SHARE * model.Bounds().retry_slack / 62
+        self.assertLessEqual(repeats, max(1.0, share) + 1)
