--- a/dogwoodchute/coordination/retry_budget.py
+++ b/dogwoodchute/coordination/retry_budget.py
@@ -23,6 +23,11 @@
         """Retries that may be made now."""
         return self._balance
 
+    def limit(self, most: float) -> None:
+        """Set how many retries may be saved up, as a share of the fleet's changes."""
+        self._most = most
+        self._balance = min(self._balance, most)
+
     def count_request(self) -> None:
         """Pay in for a first try."""
         self._balance = min(self._most, self._balance + self._share)
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import dataclasses
 import http
 import typing
 from collections import abc
 
 from dogwoodchute import log, outcomes, sse
-from dogwoodchute.gateway import calls, endpoints, model, upstream
+from dogwoodchute.gateway import calls, endpoints, model, tries, upstream
 
 HEAD_PATIENCE = 2.5  # seconds to a stream's first event, if it can go elsewhere
 PLAIN_PATIENCE = 0.3  # seconds to an idempotent answer, if another endpoint is left
@@ -21,44 +20,13 @@
 LOOK_AGAIN = 0.1  # seconds until a call that could not go elsewhere may
 NO_ANSWER = "no answer in time"
 SILENT = "the answer went silent"
+DRAIN_TIME = 0.1  # seconds for the body of a refusal
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
 RETRY_AFTER = 0.2  # seconds: about the time in which a place comes free
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
 BUSY_STATUSES = frozenset({408, 421, 429, 503})  # each says that nothing was run
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Refused:
-    """The endpoint said that it did not run the call."""
-
-    status: int
-    peer: str
-    reason: str = "the endpoint refused"
-    step: str = "answer"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Erred:
-    """The endpoint answered with a failure of its own, which may be passed on."""
-
-    answer: upstream.Head
-    body: bytes
-    peer: str
-    reason: str = "the endpoint failed"
-    step: str = "answer"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Abandoned:
-    """The endpoint was too slow, and the budget has paid for another try."""
-
-    reason: str
-    peer: str
-    step: str = "answer"
-
-
-Failure = upstream.NotSent | upstream.Lost | _Abandoned
-Try = outcomes.Answered | Failure | _Refused | _Erred
 T = typing.TypeVar("T")
 
 
@@ -79,7 +47,7 @@
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Answer a call whose route, service and reservation are set."""
         self._known.note_request(call.service.name)
-        last: Try | None = None
+        last: tries.Try | None = None
         while True:
             if self._left(call) < MIN_LEFT:
                 return self._late(call)
@@ -104,23 +72,23 @@
     def _left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
 
-    def _next(self, call: calls.Call, last: Try | None) -> model.Endpoint | None:
+    def _next(self, call: calls.Call, last: tries.Try | None) -> model.Endpoint | None:
         """Return the endpoint of the next try, None if there must be none."""
         if last is not None:
             if call.may_have_run and not call.repeatable:
                 return None
-            if isinstance(last, _Erred) and last.answer.status < 500:
+            if isinstance(last, tries.Erred) and last.answer.status < 500:
                 return None
             if call.sends >= call.route.max_attempts:
                 return None
         endpoint = self._known.choose(call)
         if endpoint is None or last is None:
             return endpoint
-        if isinstance(last, upstream.NotSent | _Abandoned):
+        if isinstance(last, upstream.NotSent | tries.Abandoned):
             return endpoint
         return endpoint if self._known.may_repeat(call.service.name) else None
 
-    async def _try(self, call: calls.Call, endpoint: model.Endpoint) -> Try:
+    async def _try(self, call: calls.Call, endpoint: model.Endpoint) -> tries.Try:
         waiting = self._known.begin(call, endpoint)
         unread = [waiting]
         call.sent_at = self._now()
@@ -135,7 +103,7 @@
         call.sends += 1
         ran_before, call.may_have_run = call.may_have_run, True
         answer = None
-        result: Try | None = None
+        result: tries.Try | None = None
         try:
             answer = await self._head(call, endpoint)
             if not isinstance(answer, upstream.Answer):
@@ -145,7 +113,7 @@
                 result = answer
             else:
                 result = await self._take(call, endpoint, answer, first_token)
-                if isinstance(result, _Refused):
+                if isinstance(result, tries.Refused):
                     call.may_have_run = ran_before
                     # The endpoint that was meant is not there, so it got nothing.
                     call.sends -= result.status == ANOTHER_INSTANCE
@@ -164,32 +132,32 @@
         self,
         call: calls.Call,
         endpoint: model.Endpoint,
-        answer: upstream.Answer | Failure | None,
-        result: Try | None,
+        answer: upstream.Answer | tries.Failure | None,
+        result: tries.Try | None,
     ) -> bool:
         """Return whether the endpoint began to work on the call, as far as is known.
 
         `answer` and `result` are None where the caller left before they came.
         """
         if isinstance(answer, upstream.Answer):
-            return not isinstance(result, _Refused)
+            return not isinstance(result, tries.Refused)
         if isinstance(answer, upstream.NotSent):
             return False
         if answer is not None and answer.reason != NO_ANSWER:
             return True
         return self._known.passed_over(call, endpoint.id)
 
-    def _note(self, endpoint: model.Endpoint, result: Try) -> None:
-        if isinstance(result, _Refused) and result.status == ANOTHER_INSTANCE:
+    def _note(self, endpoint: model.Endpoint, result: tries.Try) -> None:
+        if isinstance(result, tries.Refused) and result.status == ANOTHER_INSTANCE:
             self._known.ended(endpoint)
         elif isinstance(result, outcomes.Answered):
             self._known.succeeded(endpoint)
-        elif isinstance(result, Failure):
+        elif isinstance(result, tries.Failure):
             self._known.failed(endpoint, result.reason)
 
     async def _head(
         self, call: calls.Call, endpoint: model.Endpoint
-    ) -> upstream.Answer | Failure:
+    ) -> upstream.Answer | tries.Failure:
         left = self._left(call)
         sending = self._upstream.send(
             call, endpoint, left=left, last_event_id=call.last_event_id
@@ -206,7 +174,7 @@
         endpoint: model.Endpoint,
         answer: upstream.Answer,
         first_token: abc.Callable[[], None],
-    ) -> Try:
+    ) -> tries.Try:
         head = answer.head
         if head.attempt_id is not None and head.attempt_id != call.request.attempt_id:
             return upstream.Lost(
@@ -214,7 +182,7 @@
             )
         if head.not_run:
             await self._drain(call, answer, endpoint)
-            return _Refused(status=head.status, peer=endpoint.id)
+            return tries.Refused(status=head.status, peer=endpoint.id)
         whole = http.HTTPStatus(200) <= head.status < 300
         if whole and not head.signed:
             return upstream.Lost(reason="the answer has no signature", peer=endpoint.id)
@@ -224,11 +192,11 @@
         body = await self._within(
             call, answer.read(endpoint.id), endpoint, patience=patience
         )
-        if isinstance(body, Failure):
+        if isinstance(body, tries.Failure):
             return body
         answer.done()
         if not whole:
-            return _Erred(answer=head, body=body, peer=endpoint.id)
+            return tries.Erred(answer=head, body=body, peer=endpoint.id)
         call.first_byte = self._now()
         call.started = True
         await call.reply.whole(head.status, head.headers, body)
@@ -237,11 +205,16 @@
     async def _drain(
         self, call: calls.Call, answer: upstream.Answer, endpoint: model.Endpoint
     ) -> None:
-        patience = self._left(call)
-        body = await self._within(
-            call, answer.read(endpoint.id), endpoint, patience=patience
-        )
-        if not isinstance(body, Failure):
+        """Read a refusal's body, so that its connection may be used again.
+
+        The head has decided already, so the call does not wait long for the rest.
+        """
+        try:
+            async with asyncio.timeout(min(DRAIN_TIME, self._left(call))):
+                body = await answer.read(endpoint.id)
+        except TimeoutError:
+            return
+        if not isinstance(body, tries.Failure):
             answer.done()
 
     async def _within(
@@ -252,7 +225,7 @@
         *,
         patience: float,
         reason: str = SILENT,
-    ) -> T | upstream.Lost | _Abandoned:
+    ) -> T | upstream.Lost | tries.Abandoned:
         """Await what an endpoint sends, in the time that the call has left.
 
         After `patience` seconds the endpoint is given up, if the call can go elsewhere;
@@ -277,7 +250,7 @@
                 return await work
         except TimeoutError:
             if abandoned:
-                return _Abandoned(reason=reason, peer=endpoint.id)
+                return tries.Abandoned(reason=reason, peer=endpoint.id)
             return upstream.Lost(reason=reason, peer=endpoint.id)
         finally:
             looking.cancel()
@@ -297,7 +270,7 @@
         endpoint: model.Endpoint,
         answer: upstream.Answer,
         first_token: abc.Callable[[], None],
-    ) -> Try:
+    ) -> tries.Try:
         """Pass events on as they come, each whole."""
         cutter = sse.Cutter()
         if not call.started:
@@ -312,7 +285,7 @@
                 endpoint,
                 patience=since + patience - self._now(),
             )
-            if isinstance(data, Failure):
+            if isinstance(data, tries.Failure):
                 return data
             if not data:
                 break
@@ -341,9 +314,9 @@
         await call.reply.chunk(events)
 
     async def _give_up(
-        self, call: calls.Call, last: Try | None
+        self, call: calls.Call, last: tries.Try | None
     ) -> outcomes.NotRun | outcomes.Unknown | outcomes.Answered:
-        if isinstance(last, _Erred) and not call.started:
+        if isinstance(last, tries.Erred) and not call.started:
             return await self._pass_failure(call, last)
         peer = getattr(last, "peer", None)
         reason = getattr(last, "reason", "no endpoint is ready")
@@ -365,7 +338,7 @@
         )
 
     async def _pass_failure(
-        self, call: calls.Call, last: _Erred
+        self, call: calls.Call, last: tries.Erred
     ) -> outcomes.Unknown | outcomes.Answered:
         """Pass an endpoint's own failure on, unless it would say "not run"."""
         if last.answer.status in BUSY_STATUSES:
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -203,12 +203,13 @@
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         bounds = self._deployment.bounds
+        most = max(1.0, BUDGET_SHARE * bounds.retry_slack / self._hosts_known())
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = retry_budget.RetryBudget(
-                share=bounds.retry_ratio,
-                most=max(1.0, BUDGET_SHARE * bounds.retry_slack / self._hosts_known()),
+                share=bounds.retry_ratio, most=most
             )
+        budget.limit(most)
         return budget
 
     def _candidates(
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -36,7 +36,7 @@
     beat: int
     link_mbps: float = 1000.0  # of the host's own link
     registered: int = 0  # version of the lifetime's first row, 0 until that is known
-    began: float = math.inf  # seconds of the store's clock, at the earliest
+    began: float = math.inf  # seconds of the store's clock, not before its begin
 
 
 class Living(typing.NamedTuple):
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import typing
 from collections import abc
@@ -11,6 +12,7 @@
 from dogwoodchute.gateway import rows, table_copy
 
 RETRY_INTERVAL = 0.25  # seconds after a failed call
+MIN_OUTAGE = 2.0  # seconds without an answer, in which entries may lapse
 JITTER = 0.2  # share of a pause by which hosts spread their calls
 FOLLOWING_PAUSE = 0.02  # seconds between calls of a host that answers when it has news
 
@@ -145,7 +147,9 @@
     def _note_answer(self, outcome: Fetched) -> None:
         if outcome.fresh and self._failing:
             self._failing = False
-            self.regained_at = self._now()
+            away = outcome.read_at - (self.read_at or -math.inf)
+            if away >= MIN_OUTAGE:
+                self.regained_at = self._now()
             log.info(
                 "table_regained",
                 table=self._table,
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -110,10 +110,16 @@
             ended = ended_by(row, newest)
             if ended is not None:
                 by_account.setdefault(row.key.partition("/")[0], []).append(ended)
+        closes = [
+            self._close_all(part, account, ended)
+            for account, ended in by_account.items()
+        ]
+        return all(await asyncio.gather(*closes))
+
+    async def _close_all(self, part: str, account: str, ended: list[Ended]) -> bool:
         whole = True
-        for account, ended in by_account.items():
-            for batch in batched(ended, MAX_HOLDINGS):
-                whole = await self._close(part, account, batch) and whole
+        for batch in batched(ended, MAX_HOLDINGS):
+            whole = await self._close(part, account, batch) and whole
         return whole
 
     async def _close(self, part: str, account: str, ended: list[Ended]) -> bool:
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -9,7 +9,10 @@
 
 SLOW_STORE = 0.8  # seconds beyond its wait, after which a call gets company
 COMPANY_INTERVAL = 0.5  # seconds between looks at what sources have got meanwhile
-HOLD = 0.9  # seconds that a source holds a call, above its pause between two answers
+HOLD = 0.9  # seconds that a source holds a call
+SLOW_SOURCE = 0.5  # seconds beyond that, after which the other sources are asked too
+LONGEST_ANSWER = 1.0  # seconds beyond a hold that any source is waited for
+FRESH = (True, True, 0)  # the least rank of a fresh answer
 
 
 def from_store(
@@ -76,7 +79,8 @@
     ) -> mirror.Outcome:
         """Fetch what changed after `since`; see `mirror.Fetch`."""
         found = await self._fetch_from(self._plan().peers, since)
-        if found is not None:
+        # An old copy is news to a host with an older one, and no start for one without.
+        if found is not None and (found.fresh or since is not None):
             self._note_source(found.peer)
             return found
         group = self._plan().group  # which failed sources may have changed
@@ -89,6 +93,8 @@
             return outcome
         answered = not isinstance(outcome, rows.Unavailable)
         self._chooser.note_store(answered=answered, group=group, now=self._now())
+        if not answered and found is not None:
+            return found
         if answered:
             self._note_source(None)
         return outcome
@@ -98,21 +104,33 @@
     ) -> mirror.Outcome:
         """Fetch from the store; take what a source has got before, if this is slow."""
         call = asyncio.create_task(self._store(since, known_at, wait))
+        company: asyncio.Task | None = None
         timeout = wait + SLOW_STORE
         try:
             while True:
-                done, _ = await asyncio.wait([call], timeout=timeout)
-                if done:
-                    return call.result()
-                others = self._chooser.plan(
-                    self._peers(), direct=False, now=self._now()
+                running = {call} if company is None else {call, company}
+                await asyncio.wait(
+                    running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
                 )
-                found = await self._ask_all(others.peers, since, 0.0)
-                if found is not None and found.fresh and found.changes.rows:
-                    return found
-                timeout = COMPANY_INTERVAL
+                if call.done():
+                    return call.result()
+                if company is not None and company.done():
+                    found, company = company.result(), None
+                    if found is not None and found.fresh and found.changes.rows:
+                        return found
+                    timeout = COMPANY_INTERVAL
+                    continue
+                if company is None:
+                    company = asyncio.create_task(self._ask_others(since))
+                timeout = None
         finally:
             call.cancel()
+            if company is not None:
+                company.cancel()
+
+    async def _ask_others(self, since: int | None) -> mirror.Fetched | None:
+        others = self._chooser.plan(self._peers(), direct=False, now=self._now())
+        return await self._ask_all(others.peers, since, 0.0)
 
     def _plan(self) -> sources.Plan:
         return self._chooser.plan(self._peers(), direct=self._direct(), now=self._now())
@@ -122,25 +140,42 @@
     ) -> mirror.Fetched | None:
         """Return what a source tells that is fresh, or at least new.
 
-        The first source holds the call until it has news. If it fails, all others are
-        asked at once, since much time is lost already.
+        The first source holds the call until it has news. If it fails or is slow, all
+        others are asked at once, since much time is lost already.
         """
-        first = await self._ask_all(peers[:1], since, HOLD)
-        if first is not None and first.fresh:
-            return first
-        second = await self._ask_all(peers[1:], since, 0.0)
-        return max((first, second), key=_rank)
+        first = asyncio.create_task(self._ask_all(peers[:1], since, HOLD))
+        try:
+            await asyncio.wait([first], timeout=HOLD + SLOW_SOURCE)
+            if first.done() and _rank(first.result()) >= FRESH:
+                return first.result()
+            second = await self._ask_all(peers[1:], since, 0.0)
+            return max((first.result() if first.done() else None, second), key=_rank)
+        finally:
+            first.cancel()
 
     async def _ask_all(
         self, peers: list[sources.Peer], since: int | None, hold: float
     ) -> mirror.Fetched | None:
-        """Return the best that these hosts tell, None if nothing is fresh or new."""
-        calls = [self._ask_one(peer, since, hold) for peer in peers]
+        """Return the first fresh answer of these hosts, else the best one.
+
+        None stands for nothing that is fresh or new. Hosts that take longer than
+        `hold` and `LONGEST_ANSWER` are not waited for.
+        """
+        calls = [
+            asyncio.create_task(self._ask_one(peer, since, hold)) for peer in peers
+        ]
         best = None
-        for told in await asyncio.gather(*calls):
-            if told is None or not (told.fresh or told.changes.rows):
-                continue
-            best = max((best, told), key=_rank)
+        try:
+            async with asyncio.timeout(hold + LONGEST_ANSWER):
+                for call in asyncio.as_completed(calls):
+                    best = max((best, await call), key=_rank)
+                    if _rank(best) >= FRESH:
+                        return best
+        except TimeoutError:
+            log.warning("sources_slow", table=self._table, asked=len(calls))
+        finally:
+            for call in calls:
+                call.cancel()
         return best
 
     async def _ask_one(
@@ -177,6 +212,7 @@
 
 
 def _rank(told: mirror.Fetched | None) -> tuple[bool, bool, int]:
-    if told is None:
+    """Return what orders answers: whether they tell anything, are fresh, how new."""
+    if told is None or not (told.fresh or told.changes.rows):
         return False, False, 0
     return True, told.fresh, told.changes.version
--- a/dogwoodchute/tests/test_review_calls.py
+++ b/dogwoodchute/tests/test_call_waits.py
@@ -71,7 +71,7 @@
         return self.run_async(story())
 
     def test_a_refused_call_goes_elsewhere_at_once(self):
-        for path, service in (("/look/x", "plain"), ("/s/x", "engines")):
+        for path, service in (("/look/x", "plain"), ("/s/stream", "engines")):
             took, status, asked = self.seconds(path, service, REFUSAL, beside=True)
             self.assertEqual(1, asked, path)
             self.assertEqual(200, status, f"{path} after {took:.2f} s")
