--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -1,5 +1,6 @@
 """Connections of callers, which log what they cut off."""
 
+import asyncio
 import time
 
 import prometheus_client
@@ -17,11 +18,19 @@
     "Connections that this host closed with a request under way or bytes unread.",
     ["reason", "stage"],
 )
+accepted = prometheus_client.Counter(
+    "dogwoodchute_connections_accepted", "Connections that this host has taken."
+)
 
 
 class Connection(http_protocol.HttpProtocol):
     """A caller's connection."""
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Count a connection that was taken."""
+        accepted.inc()
+        super().connection_made(transport)
+
     @property
     def idle(self) -> bool:
         """Whether no byte of a request has come that is not answered."""
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -21,6 +21,7 @@
     mirror,
     model,
     observe,
+    readiness,
     reclaim,
     reservations,
     rows,
@@ -72,6 +73,7 @@
         self._ask_peer = ask_peer
         self._ask_table = ask_table
         self._now = now
+        self._began = began
         self._in_flight = 0
         self._idle = asyncio.Event()  # set while nothing is in flight
         self._idle.set()
@@ -322,6 +324,9 @@
             (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints),
             (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
+        ready = readiness.Watch(
+            informed=self._informed, became_ready=self._became_ready
+        )
         made = {}
         for table, pause, wait, follower in follow:
             made[table] = mirror.Mirror(
@@ -329,7 +334,7 @@
                 fetch=self._source(platform, table),
                 pause=pause,
                 wait=wait,
-                changed=follower.changed,
+                changed=ready.after(follower.changed),
                 receiving=functools.partial(platform.store.receiving, table),
                 now=self._now,
             )
@@ -339,6 +344,15 @@
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
 
+    def _became_ready(self) -> None:
+        log.info(
+            "became_ready",
+            config=self.config_version,
+            endpoints=self.endpoint_count,
+            hosts=self._hosts.count,
+            seconds=f"{self._now() - self._began:.3f}",
+        )
+
     def _source(self, platform: Platform, table: str) -> mirror.Fetch:
         place = self._deployment
         follower = table_source.Follower(
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -12,6 +12,8 @@
 import typing
 from collections import abc
 
+import prometheus_client
+
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, escrow
 from dogwoodchute.gateway import account_rows, hosts, rows
@@ -22,6 +24,15 @@
 MAX_HOLDINGS = 40  # in one commit, with two entries each
 MAX_TRIES = 12  # of one commit, which draws may get in the way of
 RETRY_PAUSE = 0.2  # seconds on average, after a call without effect
+SPENT = "spent"  # by bills that were written
+RETURNED = "returned"  # to the account
+UNACCOUNTED = "unaccounted"  # may have been used; stays drawn
+
+closed_tokens = prometheus_client.Counter(
+    "dogwoodchute_closed_tokens",
+    "Tokens drawn by lifetimes that ended, by what became of them.",
+    ["end"],
+)
 
 
 class Ended(typing.NamedTuple):
@@ -36,6 +47,11 @@
         """Tokens that the lifetime certainly did not use."""
         return escrow.reclaimable(self.holding, began=self.began)
 
+    @property
+    def unaccounted(self) -> int:
+        """Tokens that stay drawn, though no bill tells of their use."""
+        return max(0, self.holding.granted - self.holding.spent - self.unused)
+
 
 class _Part:
     """What this host knows of one part."""
@@ -108,7 +124,9 @@
         by_account: dict[str, list[Ended]] = {}
         for row in found.rows:
             ended = ended_by(row, newest)
-            if ended is not None:
+            if ended is None:
+                _report_left(row, newest)
+            else:
                 by_account.setdefault(row.key.partition("/")[0], []).append(ended)
         closes = [
             self._close_all(part, account, ended)
@@ -190,6 +208,20 @@
     return Ended(row, account_rows.holding_of(row.value), successor.began)
 
 
+def _report_left(row: rows.Row, newest: dict[str, hosts.Host]) -> None:
+    """Log a holding of another lifetime of a host than its newest, which stays."""
+    holder = row.key.partition("/")[2]
+    newer = newest.get(holder.rpartition("-")[0])
+    if newer is not None and newer.id != holder:
+        log.warning(
+            "holding_left",
+            row=row.key,
+            version=row.version,
+            newest=newer.id,
+            registered=newer.registered,
+        )
+
+
 def batched(ended: list[Ended], size: int) -> abc.Iterator[list[Ended]]:
     """Return `ended` in lists of up to `size`."""
     left = iter(ended)
@@ -203,6 +235,9 @@
 
 def _report(ended: list[Ended]) -> None:
     for each in ended:
+        closed_tokens.labels(SPENT).inc(max(0, each.holding.spent))
+        closed_tokens.labels(RETURNED).inc(each.unused)
+        closed_tokens.labels(UNACCOUNTED).inc(each.unaccounted)
         log.info(
             "holding_closed",
             row=each.row.key,
@@ -210,5 +245,6 @@
             granted=each.holding.granted,
             limit=each.holding.limit,
             spent=each.holding.spent,
+            unaccounted=each.unaccounted,
             age=f"{each.began - each.holding.at:.2f}",
         )
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -1,5 +1,8 @@
 """Closing what ended processes held, of a whole fleet at once."""
 
+import prometheus_client
+
+from dogwoodchute import log
 from dogwoodchute.coordination import escrow
 from dogwoodchute.gateway import account_rows, hosts, reclaim, rows
 from dogwoodchute.standins import row_store
@@ -109,6 +112,25 @@
         self.assertEqual(2, len(site.held()))
         self.assertEqual(0, site.commits)
 
+    def test_what_became_of_a_dead_host_s_tokens_is_told(self):
+        told = []
+        self.patch(log, "info", lambda event, **fields: told.append((event, fields)))
+        before = {end: self.count(end) for end in ("spent", "returned", "unaccounted")}
+        site = Site(accounts=["ann"], names=HOSTS[:1])
+        site.run(site.reclaimer(), 3.0)
+        fields = dict(told)["holding_closed"]
+        self.assertEqual(
+            (GRANTED - LIMIT, LIMIT - SPENT),
+            (fields["reclaimed"], fields["unaccounted"]),
+        )
+        counted = {end: self.count(end) - before[end] for end in before}
+        expected = (SPENT, GRANTED - LIMIT, LIMIT - SPENT)
+        self.assertEqual(expected, tuple(counted.values()))
+
+    def count(self, end):
+        name = "dogwoodchute_closed_tokens_total"
+        return prometheus_client.REGISTRY.get_sample_value(name, {"end": end}) or 0
+
     def test_a_store_that_was_away_is_tried_again(self):
         site = Site(accounts=["ann"], names=HOSTS[:2])
         site.fault = row_store.Fault(status=503)
