--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -325,7 +325,7 @@
             (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
         ready = readiness.Watch(
-            informed=self._informed, became_ready=self._became_ready
+            informed=self._informed, began=self._began, now=self._now
         )
         made = {}
         for table, pause, wait, follower in follow:
@@ -344,15 +344,6 @@
         self._hosts.follow(lambda: hosts_mirror.read_at)
         return made
 
-    def _became_ready(self) -> None:
-        log.info(
-            "became_ready",
-            config=self.config_version,
-            endpoints=self.endpoint_count,
-            hosts=self._hosts.count,
-            seconds=f"{self._now() - self._began:.3f}",
-        )
-
     def _source(self, platform: Platform, table: str) -> mirror.Fetch:
         place = self._deployment
         follower = table_source.Follower(
--- a/dogwoodchute/gateway/readiness.py
+++ b/dogwoodchute/gateway/readiness.py
@@ -2,20 +2,26 @@
 
 from collections import abc
 
+from dogwoodchute import log
 from dogwoodchute.gateway import mirror, rows
 
 
 class Watch:
-    """Calls `became_ready` once, after the first change that makes `informed` true."""
+    """Logs the first change of a table after which `informed` is true.
+
+    `began` is the monotonic time in seconds at which the process began.
+    """
 
     def __init__(
         self,
         *,
         informed: abc.Callable[[], bool],
-        became_ready: abc.Callable[[], None],
+        began: float,
+        now: abc.Callable[[], float],
     ) -> None:
         self._informed = informed
-        self._became_ready = became_ready
+        self._began = began
+        self._now = now
         self._told = False
 
     def after(self, changed: mirror.Changed) -> mirror.Changed:
@@ -25,6 +31,6 @@
             changed(all_rows, changed_rows)
             if not self._told and self._informed():
                 self._told = True
-                self._became_ready()
+                log.info("became_ready", seconds=f"{self._now() - self._began:.3f}")
 
         return run
--- /dev/null
+++ b/dogwoodchute/tests/outage_play.py
@@ -0,0 +1,64 @@
+"""A fleet that spends one client account's budget, through outages of all hosts."""
+
+import asyncio
+import random
+
+from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.tests import test_accounts
+
+HOSTS = [f"edge-{number}" for number in range(7)]
+RATE = 3.6  # requests a second, a tenth of a site's
+SIZES = [17_140, 9_240, 1_632]  # tokens
+WEIGHTS = [11.1, 8.3, 16.5]  # requests a second of each size
+DEMAND = RATE * sum(s * w for s, w in zip(SIZES, WEIGHTS, strict=True)) / sum(WEIGHTS)
+WAIT = 0.2  # seconds that a request waits for tokens
+TAKES = 0.5  # seconds until an answer ends
+RESTART = 0.6  # seconds from a host's return until it is ready
+
+
+class Play(test_accounts.Fleet):
+    """Requests come to random hosts; `asked` holds when, and whether they ran."""
+
+    def __init__(self, *, budget, seed):
+        """Make a fleet whose budget is the use of so many seconds."""
+        self.asked = []
+        self.spent = 0  # tokens, by requests that ran
+        self._random = random.Random(seed)
+        super().__init__(HOSTS, prepaid=int(budget * DEMAND))
+
+    def serve(self, seconds):
+        """Let requests come for some seconds."""
+        task = self.loop.create_task(self._arrive())
+        self.loop.run_for(seconds)
+        task.cancel()
+
+    def outage(self, seconds):
+        """Cut the power of all hosts for some seconds, while requests fail."""
+        for name in HOSTS:
+            self.kill(name)
+        self.loop.run_for(seconds + RESTART)
+        for name in HOSTS:
+            self.start(name)
+
+    def served(self, first, last):
+        """Return the share of requests between two times that ran."""
+        ended = [ran for at, ran in self.asked if first <= at < last]
+        return sum(ended) / len(ended)
+
+    async def _arrive(self):
+        while True:
+            await asyncio.sleep(self._random.expovariate(RATE))
+            name = self._random.choice(HOSTS)
+            size = self._random.choices(SIZES, WEIGHTS)[0]
+            self.loop.create_task(self._request(self.hosts[name], size))
+
+    async def _request(self, host, tokens):
+        at = self.loop.time()
+        outcome = await host.reserve("ann", tokens, wait=WAIT)
+        ran = isinstance(outcome, reservations.Reserved)
+        self.asked.append((at, ran))
+        if not ran:
+            return
+        self.spent += tokens
+        await asyncio.sleep(TAKES)
+        host.settle("ann", tokens, account_rows.Bill("r", tokens, 0))
--- /dev/null
+++ b/dogwoodchute/tests/test_outages.py
@@ -0,0 +1,49 @@
+"""Service after outages of all hosts, as long as callers have balance left."""
+
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import outage_play, support
+
+BUDGET = 1.3 * 40  # seconds of use
+RECOVERY = 12.0  # seconds after a return, from which service is judged
+JUDGED = 5.0  # seconds
+SEEDS = range(6)
+
+
+class OutageTest(support.TestCase):
+    def check(self, story, *, budget=BUDGET):
+        """Play a story that ends with a return; at least a quarter is served."""
+        shares = []
+        for seed in SEEDS:
+            play = outage_play.Play(budget=budget, seed=seed)
+            self.addCleanup(play.loop.finish)
+            story(play)
+            back = play.loop.time()
+            play.serve(RECOVERY + JUDGED)
+            shares.append(play.served(back + RECOVERY, back + RECOVERY + JUDGED))
+            self.assertLess(play.spent, int(budget * outage_play.DEMAND))
+        self.assertGreaterEqual(min(shares), 0.25, shares)
+
+    def test_tokens_last_through_an_outage_of_5_s(self):
+        def story(play):
+            play.serve(30.0)
+            play.outage(5.0)
+
+        self.check(story)
+
+    def test_tokens_last_through_an_outage_beside_a_silent_store(self):
+        def story(play):
+            play.serve(27.0)
+            play.fault = row_store.Fault(silent=True)
+            play.serve(3.0)
+            play.outage(3.0)
+            play.fault = row_store.NO_FAULT
+
+        self.check(story)
+
+    def test_tokens_last_through_three_outages_of_3_s(self):
+        def story(play):
+            for _ in range(3):
+                play.serve(8.0)
+                play.outage(3.0)
+
+        self.check(story)
