Let what a host may use without a commit rise evenly, not to all at once

Cause: a holder may use its limit for 2.4 s after a commit, then all that it drew. So a successor that began later than that gave nothing back: each outage cost the fleet its whole holdings, some 14 s of use. Now the bound rises from the limit to all in 8 s, and the row tells so; the successor gives back what can't have been used by its begin. Rows of older hosts, without a ramp, are closed as before.

A first commit has a limit too; before, a host killed just after its first draw lost all of it.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -10,14 +10,19 @@
 
 A holder's row is written ahead: for `WRITE_AHEAD` seconds after it sent a commit, the
 holder uses no more than that commit's `limit`. Later, when it may be cut off from the
-store, it uses all that it drew. So a process that follows a dead one on the same host
-gives back what lies above the limit, if it began within that time of the last commit.
+store, what it may use rises evenly, in `ramp` seconds, to all that it drew. So a
+process that follows a dead one on the same host gives back what the dead one may not
+have used by the time at which its successor began. The row tells the ramp, so that
+hosts of different releases agree on it.
+
 Times are of steady clocks that count suspension.
 """
 
+import math
 import typing
 
 WRITE_AHEAD = 2.4  # seconds: a checkpoint's age, a restart's pause, and a margin
+RAMP = 8.0  # seconds; a host that is cut off for long uses all that it drew
 
 
 class Account(typing.NamedTuple):
@@ -35,6 +40,7 @@
     limit: int = 0  # upper bound of what is used, for `WRITE_AHEAD` after `at`
     commit: int = 0  # counts the holder's commits
     at: float = 0.0  # seconds of the store's clock, at the latest when it was sent
+    ramp: float = 0.0  # seconds in which the bound rises from `limit` to `granted`
 
 
 class _Sent(typing.NamedTuple):
@@ -42,15 +48,34 @@
     at: float  # monotonic seconds of this host
 
 
+def usable(holding: Holding, age: float) -> int:
+    """Return the tokens that a holder may have used `age` seconds after its commit."""
+    rising = age - WRITE_AHEAD
+    if rising < 0:
+        return holding.limit
+    if rising >= holding.ramp:
+        return holding.granted
+    above = holding.granted - holding.limit
+    return holding.limit + int(above * rising / holding.ramp)
+
+
 def reclaimable(holding: Holding, *, began: float) -> int:
     """Return the tokens that a dead holder certainly did not use.
 
     `began` is the time, by the store's clock, at which the process began that followed
     the holder's on its host.
     """
-    if began - holding.at >= WRITE_AHEAD:
-        return 0
-    return max(0, holding.granted - holding.limit)
+    return max(0, holding.granted - usable(holding, began - holding.at))
+
+
+def _usable_after(holding: Holding, tokens: int) -> float:
+    """Return the age in seconds from which `tokens` of a holding may be used."""
+    if tokens <= holding.limit:
+        return 0.0
+    if tokens > holding.granted:
+        return math.inf
+    above = holding.granted - holding.limit
+    return WRITE_AHEAD + holding.ramp * (tokens - holding.limit) / above
 
 
 class Ledger:
@@ -95,11 +120,18 @@
 
     def available(self, now: float) -> int:
         """Return the tokens that may be reserved at `now`, monotonic seconds."""
-        usable = self.granted
-        for sent in self._candidates():
-            if now - sent.at < WRITE_AHEAD:
-                usable = min(usable, sent.holding.limit)
-        return usable - self.used
+        bounds = [usable(sent.holding, now - sent.at) for sent in self._candidates()]
+        return min(self.granted, *bounds) - self.used
+
+    def usable_at(self, tokens: int) -> float:
+        """Return when `tokens` more may be reserved, infinite if not without a commit.
+
+        The time is in monotonic seconds, and may have passed.
+        """
+        needed = self.used + tokens
+        return max(
+            sent.at + _usable_after(sent.holding, needed) for sent in self._candidates()
+        )
 
     def reserve(self, tokens: int, now: float) -> bool:
         """Reserve `tokens` if they are available; return whether they were."""
@@ -136,14 +168,18 @@
         if self._pending is not None or granted < min(self.granted, self.used):
             return None
         self._commits += 1
-        # While the store is away a new limit would take back what is in use already.
-        open_ended = now - self._confirmed.at >= WRITE_AHEAD
+        limit = self.used + ahead
+        age = now - self._confirmed.at
+        if age >= WRITE_AHEAD:
+            # While the store is away a commit must not take back what may be used.
+            limit = max(limit, usable(self._confirmed.holding, age))
         holding = Holding(
             granted=granted,
             spent=self.spent,
-            limit=granted if open_ended else min(granted, self.used + ahead),
+            limit=min(granted, limit),
             commit=self._commits,
             at=store_now,
+            ramp=RAMP,
         )
         self._pending = _Sent(holding, now)
         return holding
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -352,5 +352,8 @@
 
 def holding_of(value: bytes) -> escrow.Holding:
     """Return the holding in a row's value; raise `ValueError` if it is none."""
-    granted, spent, limit, commit, at = json.loads(value)
-    return escrow.Holding(int(granted), int(spent), int(limit), int(commit), float(at))
+    granted, spent, limit, commit, at, *more = json.loads(value)
+    ramp = float(more[0]) if more else 0.0  # rows of older hosts lack it
+    return escrow.Holding(
+        int(granted), int(spent), int(limit), int(commit), float(at), ramp
+    )
--- a/dogwoodchute/gateway/refusals.py
+++ b/dogwoodchute/gateway/refusals.py
@@ -1,7 +1,6 @@
 """Refusals of requests for tokens: when to try again, and what the log tells."""
 
 from dogwoodchute import log
-from dogwoodchute.coordination import escrow
 from dogwoodchute.gateway import account_rows, reservations
 
 
@@ -11,7 +10,7 @@
     """Return a refusal that says when to try again."""
     usable_in = 0.0
     if account.ledger.idle >= tokens:
-        usable_in = account.ledger.sent_at() + escrow.WRITE_AHEAD - now
+        usable_in = account.ledger.usable_at(tokens) - now
     return reservations.OutOfReach(
         reason=reason, retry_after=reservations.retry_after(usable_in=usable_in)
     )
--- a/dogwoodchute/tests/outage_play.py
+++ b/dogwoodchute/tests/outage_play.py
@@ -24,6 +24,7 @@
         self.asked = []
         self.spent = 0  # tokens, by requests that ran
         self._random = random.Random(seed)
+        random.seed(seed)  # of the pauses after conflicts
         super().__init__(HOSTS, prepaid=int(budget * DEMAND))
 
     def serve(self, seconds):
