Hold less on a host whose process before was killed

Cause: hosts held 14 s of use ahead, and by early estimates up to 25 s, within seconds of their return. Now a host whose earlier process ended without leaving holds no more seconds of use than it has lived, 4 at the least; it looks at its own row of before. A host that was stopped in order holds 14 s at once, as before.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -49,12 +49,14 @@
         ask: reservations.Ask,
         home: reservations.Home,
         now: abc.Callable[[], float],
+        horizon: abc.Callable[[], float] = lambda: amounts.HORIZON,
         regions: int = 1,
         rates: checkpoints.Rates | None = None,
     ) -> None:
         self._config = config
         self._asking = asking.Asking(holder=holder, ask=ask, home=home, now=now)
         self._home = home
+        self._horizon = horizon  # seconds of use that this host keeps ahead
         self._now = now
         self._commits = account_rows.Commits(holder=holder, store=store, now=now)
         self._accounts: dict[str, account_rows.Account] = {}
@@ -223,6 +225,7 @@
             is_home=self._home.is_here(account.name),
             has_home=self._home.is_elsewhere(account.name),
             returning=self._returning,
+            horizon=self._horizon(),
         )
         return amounts.draw(account, place, self._now())
 
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -6,6 +6,7 @@
 from dogwoodchute.gateway import account_rows
 
 HORIZON = 14.0  # seconds of use that a host keeps ahead, for a time without the store
+MIN_HORIZON = 4.0  # seconds; the same just after its process before was killed
 HOME_REFILL = 0.75  # of the use kept ahead, below which a home draws again
 OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
@@ -20,6 +21,19 @@
     is_home: bool  # it holds tokens for the other hosts of its region
     has_home: bool  # another host holds tokens for it
     returning: bool  # it stops and gives everything back
+    horizon: float = HORIZON  # seconds of use that it keeps ahead
+
+
+def horizon(*, age: float, killed: bool) -> float:
+    """Return the seconds of use that a host keeps ahead.
+
+    `age` is its process's in seconds; `killed` tells whether the one before ended
+    without notice. Such a host may end so again soon, and what it holds is lost then:
+    it holds no more seconds of use than it has lived.
+    """
+    if not killed:
+        return HORIZON
+    return min(HORIZON, max(MIN_HORIZON, age))
 
 
 def ahead(account: account_rows.Account) -> int:
@@ -55,7 +69,7 @@
             balance=balance,
             needed=needed,
             rate=rate,
-            horizon=HORIZON,
+            horizon=place.horizon,
             share=HELD_SHARE,
         )
         return whole or _draw_for_first(account, balance)
@@ -66,7 +80,7 @@
         available=max(0, idle),
         reserved=0,
         rate=rate,
-        horizon=HORIZON,
+        horizon=place.horizon,
         share=HELD_SHARE,
         below=HOME_REFILL if place.is_home else OWN_REFILL,
     )
@@ -76,7 +90,7 @@
         available=idle,
         reserved=account.ledger.reserved,
         rate=account.demand.rate(now),
-        horizon=HORIZON,
+        horizon=place.horizon,
         idle=account.demand.idle(now),
     )
 
@@ -85,7 +99,7 @@
     """Whether this host holds tokens of an account for requests to come."""
     if not place.has_home:
         return True
-    used = account.demand.lower_rate(now) * HORIZON
+    used = account.demand.lower_rate(now) * place.horizon
     return used >= OWN_REQUESTS * account.mean_request
 
 
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -9,6 +9,7 @@
 from dogwoodchute.coordination import checkpoints, sources
 from dogwoodchute.gateway import (
     accounts,
+    amounts,
     calls,
     configuration,
     directory,
@@ -126,6 +127,7 @@
                 ask=self._ask_home,
             ),
             now=now,
+            horizon=self._horizon,
             regions=len(set(deployment.regions.values())),
             rates=checkpoints.Rates(
                 part=deployment.part_commits, fleet=deployment.commits
@@ -310,6 +312,10 @@
             return None
         return await self._ask_peer(home.control, account, tokens)
 
+    def _horizon(self) -> float:
+        age = self._now() - self._began
+        return amounts.horizon(age=age, killed=self._hosts.follows_a_kill)
+
     def _state(self) -> str:
         if self._leaving:
             return hosts.LEAVING
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -130,6 +130,18 @@
         """Hosts that live, this one included."""
         return 1 + len(self.live)
 
+    @property
+    def follows_a_kill(self) -> bool:
+        """Whether an earlier process of this host ended lately without leaving.
+
+        A process that leaves removes its row. True too before the rows are known.
+        """
+        if self._read_at() is None:
+            return True
+        name = self._deployment.host
+        earlier = [host for host in self._known.values() if host.name == name]
+        return any(host.id != self.id for host in earlier)
+
     @property
     def registered(self) -> dict[str, Host]:
         """The newest lifetime of each host by its name, of those that registered."""
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -4,6 +4,7 @@
 from dogwoodchute.gateway import (
     account_rows,
     accounts,
+    amounts,
     hosts,
     model,
     reclaim,
@@ -32,6 +33,7 @@
         )
         self.hosts = {}
         self.tasks = {}
+        self.killed = set()
         for name in names:
             self.start(name)
 
@@ -48,12 +50,22 @@
                 ask=self.ask_home,
             ),
             now=self.loop.time,
+            horizon=self.horizon(name),
         )
         self.hosts[name] = made
         self.tasks[name] = self.loop.create_task(made.run())
         self.loop.create_task(self.reclaim(name))
         return made
 
+    def horizon(self, name):
+        """Return what tells how many seconds of use a new process keeps ahead."""
+        began, killed = self.loop.time(), name in self.killed
+
+        def tell():
+            return amounts.horizon(age=self.loop.time() - began, killed=killed)
+
+        return tell
+
     async def reclaim(self, name):
         """Close what earlier processes of a host held, as its registering does."""
         began, version = self.loop.time(), self.store.version + 1
@@ -72,6 +84,7 @@
     def kill(self, name):
         self.tasks.pop(name).cancel()
         del self.hosts[name]
+        self.killed.add(name)
 
     async def ask(self, name, account, tokens, holders):
         got = 0
--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -51,6 +51,17 @@
     def live(self):
         return [host.id for host in self.hosts.live]
 
+    def test_a_host_knows_that_its_process_before_was_killed(self):
+        self.beat("h2-a", 1)
+        self.beat(self.hosts.id, 1, name="h1")
+        self.assertFalse(self.hosts.follows_a_kill)
+        self.beat("h1-a", 7, name="h1")
+        self.assertTrue(self.hosts.follows_a_kill)
+        self.hosts.changed({}, [rows.Row("h1-a", None, 9)])
+        self.assertFalse(self.hosts.follows_a_kill)
+        self.hosts.follow(lambda: None)
+        self.assertTrue(self.hosts.follows_a_kill)
+
     def test_a_host_lives_while_it_beats(self):
         self.beat("h2-a", 1)
         self.now += hosts.DEAD_AFTER
