Let what may be used rise sooner, and as fast as an account's pace

Cause: the rise began 2.4 s after a commit and took 8 s whatever a host held. Near the end of a budget a host holds few seconds of use, so an eighth of it a second is less than it needs; and large requests come in lumps. Now it begins after 1.5 s and takes 9 s at the most, less where 1.3 times the account's mean use would be above all that is held. The row tells the ramp.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -10,7 +10,8 @@
 
 A holder's row is written ahead: for `WRITE_AHEAD` seconds after it sent a commit, the
 holder uses no more than that commit's `limit`. Later, when it may be cut off from the
-store, what it may use rises evenly, in `ramp` seconds, to all that it drew. So a
+store, what it may use rises evenly, in `ramp` seconds, to all that it drew; fast
+enough for the pace at which it uses tokens. So a
 process that follows a dead one on the same host gives back what the dead one may not
 have used by the time at which its successor began. The row tells the ramp, so that
 hosts of different releases agree on it.
@@ -21,8 +22,8 @@
 import math
 import typing
 
-WRITE_AHEAD = 2.4  # seconds: a checkpoint's age, a restart's pause, and a margin
-RAMP = 8.0  # seconds; a host that is cut off for long uses all that it drew
+WRITE_AHEAD = 1.5  # seconds: a checkpoint's age and its time on the way, and a margin
+RAMP = 9.0  # seconds at the most; a host that is cut off for long uses all it drew
 
 
 class Account(typing.NamedTuple):
@@ -156,12 +157,19 @@
         self._moved -= tokens
 
     def propose(
-        self, *, draw: int, ahead: int, now: float, store_now: float
+        self,
+        *,
+        draw: int,
+        ahead: int,
+        now: float,
+        store_now: float,
+        pace: float = 0.0,
     ) -> Holding | None:
         """Begin a commit that draws `draw` tokens, or returns them if negative.
 
-        `ahead` are the tokens to be used before the next commit at most; `store_now`
-        is not above the store's clock. Return None while a commit is under way, or if
+        `ahead` are the tokens to be used before the next commit at most; `pace` are
+        those that may be needed in each second if none follows. `store_now` is not
+        above the store's clock. Return None while a commit is under way, or if
         more would be returned than is idle.
         """
         granted = self.granted + draw
@@ -173,13 +181,14 @@
         if age >= WRITE_AHEAD:
             # While the store is away a commit must not take back what may be used.
             limit = max(limit, usable(self._confirmed.holding, age))
+        limit = min(granted, limit)
         holding = Holding(
             granted=granted,
             spent=self.spent,
-            limit=min(granted, limit),
+            limit=limit,
             commit=self._commits,
             at=store_now,
-            ramp=RAMP,
+            ramp=min(RAMP, (granted - limit) / pace) if pace > 0 else RAMP,
         )
         self._pending = _Sent(holding, now)
         return holding
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -84,6 +84,7 @@
     account: Account
     draw: int = 0  # tokens, negative for a return
     ahead: int = 0  # tokens that may be used before the next commit
+    pace: float = 0.0  # tokens a second that may be needed if none follows
 
 
 _Outcome = typing.TypeVar("_Outcome")
@@ -195,9 +196,13 @@
 
         An account is left out while an earlier commit of it is unresolved.
         """
-        account, draw, ahead = change
+        account, draw, ahead, pace = change
         holding = account.ledger.propose(
-            draw=draw, ahead=ahead, now=self._now(), store_now=self._store.now()
+            draw=draw,
+            ahead=ahead,
+            pace=pace,
+            now=self._now(),
+            store_now=self._store.now(),
         )
         if holding is None:
             return None
@@ -255,7 +260,7 @@
     def _end(
         self, change: Change, bills: int, outcome: rows.Committed | rows.Conflict
     ) -> None:
-        account, draw, _ = change
+        account, draw = change.account, change.draw
         ledger = account.ledger
         if isinstance(outcome, rows.Committed):
             applied = True
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import checkpoints, escrow
+from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
     account_rows,
     amounts,
@@ -30,7 +30,7 @@
 CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
 MAX_ASKED = 8  # other hosts that are asked for tokens at once
-WAIT = escrow.WRITE_AHEAD + 0.1  # seconds that a request waits for tokens at the most
+WAIT = 2.5  # seconds that a request waits for tokens at the most
 ROW_AGE = 0.3  # seconds for which rows that were read may serve to refuse
 SHORTAGE = 0.3  # seconds for which requests as large as one refused are refused too
 USABLE_SHARE = 0.99  # of the prepaid total; the rest covers runs that were not noticed
@@ -277,7 +277,7 @@
             or due
             or (not waiting and amounts.limit_is_low(account, self._now()))
         ):
-            change = account_rows.Change(account, draw, amounts.ahead(account))
+            change = amounts.change(account, self._now(), draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit([change], kind=kind, waiting=self._bridge)
         if not waiting:
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -11,6 +11,7 @@
 OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
+PACE = 1.3  # times the mean use, that may be needed while the store is away
 OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
 
 
@@ -42,6 +43,14 @@
     return needed + account.asked + int(AHEAD_SHARE * max(0, account.ledger.idle))
 
 
+def change(
+    account: account_rows.Account, now: float, *, draw: int = 0
+) -> account_rows.Change:
+    """Return what a commit does to an account that draws so many tokens."""
+    pace = PACE * account.demand.lower_rate(now)
+    return account_rows.Change(account, draw, ahead(account), pace)
+
+
 def limit_is_low(account: account_rows.Account, now: float) -> bool:
     """Whether requests may soon have to wait for a commit, though tokens are here.
 
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -80,7 +80,7 @@
         if not batch:
             return
         changes = [
-            account_rows.Change(account, draw(account), amounts.ahead(account))
+            amounts.change(account, self._now(), draw=draw(account))
             for account in batch
         ]
         granted = any(account.ledger.granted for account in batch)
--- a/dogwoodchute/tests/test_escrow.py
+++ b/dogwoodchute/tests/test_escrow.py
@@ -14,6 +14,7 @@
 WHOLE = escrow.WRITE_AHEAD + escrow.RAMP  # seconds until all of a holding may be used
 HOSTS = st.sampled_from(["a", "b"])
 AMOUNTS = st.sampled_from([0, 50, 400])
+PACES = st.sampled_from([0, 0, 50, 1000])  # tokens a second
 PARTS = st.sampled_from([0.5, 1, 1])
 DRAWS = st.sampled_from([1, 1, 0.5, 0, -0.5, -1])  # of what is left, or is idle
 SPARES = st.sampled_from([True, True, False])
@@ -83,18 +84,22 @@
     def in_use(self):
         return sum(host.ledger.reserved for host in self.hosts.values())
 
-    @stateful.rule(name=HOSTS, part=DRAWS, ahead=AMOUNTS, fate=FATES)
-    def commit(self, name, part, ahead, fate):
+    @stateful.rule(name=HOSTS, part=DRAWS, ahead=AMOUNTS, fate=FATES, pace=PACES)
+    def commit(self, name, part, ahead, fate, pace=0):
         host = self.hosts[name]
         if host.copy is None:
-            self.propose(host, part, ahead)
+            self.propose(host, part, ahead, pace)
         self.send(host, fate)
 
-    def propose(self, host, part, ahead):
+    def propose(self, host, part, ahead, pace):
         whole = PREPAID - self.store.drawn if part > 0 else host.ledger.idle
         draw = int(part * max(0, whole))
         holding = host.ledger.propose(
-            draw=draw, ahead=ahead, now=self.now, store_now=self.now - 0.01
+            draw=draw,
+            ahead=ahead,
+            pace=pace,
+            now=self.now,
+            store_now=self.now - 0.01,
         )
         if holding is None:
             return
@@ -283,8 +288,9 @@
     def test_a_limit_rises_by_its_own_commit_and_not_by_a_later_one(self):
         """A commit without an answer held the limit of the one before for longer."""
         ledger = self.confirmed(draw=100, ahead=30)
-        ledger.propose(draw=0, ahead=80, now=1.9, store_now=1.9)
-        self.assertFalse(ledger.reserve(31, 2.0))
+        sent = 0.8 * escrow.WRITE_AHEAD
+        ledger.propose(draw=0, ahead=80, now=sent, store_now=sent)
+        self.assertFalse(ledger.reserve(31, 0.1 + escrow.WRITE_AHEAD))
         risen = 0.1 + escrow.WRITE_AHEAD + escrow.RAMP * 50 / 70
         self.assertTrue(ledger.reserve(80, risen + 0.01))
         self.assertFalse(ledger.reserve(1, risen + 0.01))
@@ -298,6 +304,17 @@
             self.assertGreaterEqual(ledger.available(at + 1e-6), tokens)
         self.assertEqual(math.inf, ledger.usable_at(101))
 
+    def test_an_account_s_pace_shortens_the_ramp(self):
+        ledger = escrow.Ledger()
+        known = {"draw": 100, "ahead": 30, "now": 0.0, "store_now": 0.0}
+        ledger.propose(**known, pace=35)
+        ledger.end(applied=True)
+        self.assertEqual(30, ledger.available(escrow.WRITE_AHEAD))
+        self.assertEqual(65, ledger.available(escrow.WRITE_AHEAD + 1))
+        self.assertEqual(100, ledger.available(escrow.WRITE_AHEAD + 2))
+        began = escrow.WRITE_AHEAD + 1
+        self.assertEqual(35, escrow.reclaimable(ledger.confirmed, began=began))
+
     def test_a_commit_while_the_store_is_away_takes_nothing_back(self):
         ledger = self.confirmed(draw=100, ahead=30)
         half = 0.1 + escrow.WRITE_AHEAD + 0.5 * escrow.RAMP
