Close holdings whose last commit lands after their host came back

Cause: a holding counted as its dead lifetime's only if it was written before the next one registered, and each part was looked at once for each restart. Rows now tell the version at which their holder registered, which orders the lifetimes of a host whenever a row lands; each part is looked at again 3 s and 8 s after it was closed. A holding whose sender did not know its registration still stays if it lands late; holding_left names it.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -42,6 +42,7 @@
     commit: int = 0  # counts the holder's commits
     at: float = 0.0  # seconds of the store's clock, at the latest when it was sent
     ramp: float = 0.0  # seconds in which the bound rises from `limit` to `granted`
+    registered: int = 0  # store's version when the holder registered, 0 if not known
 
 
 class _Sent(typing.NamedTuple):
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -97,9 +97,15 @@
     """Reads and changes the rows, for one holder."""
 
     def __init__(
-        self, *, holder: str, store: rows.Store, now: abc.Callable[[], float]
+        self,
+        *,
+        holder: str,
+        store: rows.Store,
+        now: abc.Callable[[], float],
+        registered: abc.Callable[[], int],
     ) -> None:
         self._holder = holder
+        self._registered = registered  # version of its registration, 0 before it
         self._store = store
         self._now = now
         self._counts = commit_counts.Counts(now=now)
@@ -206,6 +212,7 @@
         )
         if holding is None:
             return None
+        holding = holding._replace(registered=self._registered())
         key = f"{account.name}/{self._holder}"
         checks.append(rows.Check(HOLDINGS, key, account.own_version))
         puts.append(rows.Put(HOLDINGS, key, encode(list(holding))))
@@ -358,7 +365,13 @@
 def holding_of(value: bytes) -> escrow.Holding:
     """Return the holding in a row's value; raise `ValueError` if it is none."""
     granted, spent, limit, commit, at, *more = json.loads(value)
-    ramp = float(more[0]) if more else 0.0  # rows of older hosts lack it
+    ramp, registered = more or (0.0, 0)  # rows of older hosts lack them
     return escrow.Holding(
-        int(granted), int(spent), int(limit), int(commit), float(at), ramp
+        int(granted),
+        int(spent),
+        int(limit),
+        int(commit),
+        float(at),
+        float(ramp),
+        int(registered),
     )
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -50,6 +50,7 @@
         home: reservations.Home,
         now: abc.Callable[[], float],
         horizon: abc.Callable[[], float] = lambda: amounts.HORIZON,
+        registered: abc.Callable[[], int] = lambda: 0,
         regions: int = 1,
         rates: checkpoints.Rates | None = None,
     ) -> None:
@@ -58,7 +59,9 @@
         self._home = home
         self._horizon = horizon  # seconds of use that this host keeps ahead
         self._now = now
-        self._commits = account_rows.Commits(holder=holder, store=store, now=now)
+        self._commits = account_rows.Commits(
+            holder=holder, store=store, now=now, registered=registered
+        )
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages: dict[str, reservations.Shortage] = {}
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -128,6 +128,7 @@
             ),
             now=now,
             horizon=self._horizon,
+            registered=lambda: self._hosts.own_registration,
             regions=len(set(deployment.regions.values())),
             rates=checkpoints.Rates(
                 part=deployment.part_commits, fleet=deployment.commits
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -142,6 +142,11 @@
         earlier = [host for host in self._known.values() if host.name == name]
         return any(host.id != self.id for host in earlier)
 
+    @property
+    def own_registration(self) -> int:
+        """Version of this lifetime's first row, 0 until it is known."""
+        return self._registration.version if self._registration is not None else 0
+
     @property
     def registered(self) -> dict[str, Host]:
         """The newest lifetime of each host by its name, of those that registered."""
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -23,6 +23,7 @@
 MAX_SETTLE_TIME = 0.9  # seconds from the first new host
 MAX_HOLDINGS = 40  # in one commit, with two entries each
 MAX_TRIES = 12  # of one commit, which draws may get in the way of
+LOOK_AGAIN = (3.0, 8.0)  # seconds after a part was closed, for commits that land late
 RETRY_PAUSE = 0.2  # seconds on average, after a call without effect
 SPENT = "spent"  # by bills that were written
 RETURNED = "returned"  # to the account
@@ -61,6 +62,7 @@
         self.seen: frozenset[str] = frozenset()
         self.seen_at = 0.0  # monotonic seconds of the latest new lifetime
         self.first_at: float | None = None  # monotonic seconds of the first not done
+        self.again: list[float] = []  # monotonic seconds of further looks
 
 
 class Reclaimer:
@@ -93,13 +95,16 @@
     async def _look(self, name: str, part: _Part) -> None:
         newest = self._registered()
         lifetimes = frozenset(host.id for host in newest.values())
-        if lifetimes <= part.done or not self._is_closer(name):
+        if not self._is_closer(name):
             return
-        if not self._settled(part, lifetimes):
-            return
-        if await self.close(name, newest):
-            part.done = lifetimes
-            part.first_at = None
+        now = self._now()
+        if not lifetimes <= part.done:
+            if self._settled(part, lifetimes) and await self.close(name, newest):
+                part.done = lifetimes
+                part.first_at = None
+                part.again = [now + pause for pause in LOOK_AGAIN]
+        elif part.again and now >= part.again[0] and await self.close(name, newest):
+            del part.again[0]
 
     def _settled(self, part: _Part, lifetimes: frozenset[str]) -> bool:
         """Whether no further new lifetime is to be waited for."""
@@ -197,22 +202,26 @@
     """Return the holding in a row if its holder ended before one of `newest` began.
 
     What was written before a lifetime registered is of that one or of one that had
-    ended; a lifetime that came after it can't have written so early.
+    ended; a lifetime that came after it can't have written so early. A commit may land
+    after its sender has ended; then the row tells that its sender registered before.
     """
     holder = row.key.partition("/")[2]
     successor = newest.get(holder.rpartition("-")[0])
     if successor is None or holder == successor.id:
         return None
-    if row.version >= successor.registered:
+    holding = account_rows.holding_of(row.value)
+    came_before = 0 < holding.registered < successor.registered
+    if row.version >= successor.registered and not came_before:
         return None
-    return Ended(row, account_rows.holding_of(row.value), successor.began)
+    return Ended(row, holding, successor.began)
 
 
 def _report_left(row: rows.Row, newest: dict[str, hosts.Host]) -> None:
-    """Log a holding of another lifetime of a host than its newest, which stays."""
+    """Log a holding that stays, though its lifetime may have ended."""
     holder = row.key.partition("/")[2]
     newer = newest.get(holder.rpartition("-")[0])
-    if newer is not None and newer.id != holder:
+    unknown = not account_rows.holding_of(row.value).registered
+    if newer is not None and newer.id != holder and unknown:
         log.warning(
             "holding_left",
             row=row.key,
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -32,9 +32,9 @@
         put = rows.Put(table, key, account_rows.encode(plain))
         self.store.commit(account_rows.part_of(account), [], [put])
 
-    def hold(self, account, holder):
+    def hold(self, account, holder, *, registered=1):
         key = f"{account}/{holder}"
-        holding = [GRANTED, SPENT, LIMIT, 1, self.loop.time()]
+        holding = [GRANTED, SPENT, LIMIT, 1, self.loop.time(), 0.0, registered]
         self.put(account, account_rows.HOLDINGS, key, holding)
 
     def host(self, name):
@@ -99,12 +99,12 @@
 
     def test_holdings_of_living_and_unknown_lifetimes_stay(self):
         site = Site(accounts=["ann"], names=HOSTS[:2])
-        site.hold("ann", "edge-0-new")
-        site.hold("ann", "edge-0-newer")
-        site.hold("ann", "elsewhere-1")
+        for holder in ("edge-0-new", "edge-0-newer", "elsewhere-1"):
+            site.hold("ann", holder, registered=0)
+        site.hold("ann", "edge-0-newest", registered=site.store.version)
         site.run(site.reclaimer(), 3.0)
-        left = ["ann/edge-0-new", "ann/edge-0-newer", "ann/elsewhere-1"]
-        self.assertEqual(left, sorted(site.held()))
+        left = ["edge-0-new", "edge-0-newer", "edge-0-newest", "elsewhere-1"]
+        self.assertEqual([f"ann/{holder}" for holder in left], sorted(site.held()))
 
     def test_only_the_closer_of_a_part_closes(self):
         site = Site(accounts=["ann"], names=HOSTS[:2])
@@ -142,6 +142,15 @@
         self.assertEqual([], site.held())
         self.assertEqual(2 * LIMIT, site.drawn("ann").drawn)
 
+    def test_a_first_draw_that_lands_after_all_was_closed_comes_back(self):
+        site = Site(accounts=["ann"], names=HOSTS[:2])
+        made = site.reclaimer()
+        site.run(made, 2.0)
+        self.assertEqual([], site.held())
+        site.hold("ann", "edge-0-old")
+        site.run(made, 7.0)
+        self.assertEqual([], site.held())
+
     def test_a_lost_answer_gives_nothing_back_twice(self):
         site = Site(accounts=["ann"], names=HOSTS[:2])
         site.fault = row_store.Fault(lose=True)
