Pass answers to reads on through a relay while they come

Cause: the relay took the answer whole before it sent a byte, and both ends gave a relayed read 1.2 s in all, so it was begun anew each time. Now the relay sends bytes as they come, and a relayed read may take as long as a direct one, 15 s, while bytes come in each 1.2 s. An answer that breaks off behind the relay is cut there too, so it can't be taken for whole.

--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -66,11 +66,16 @@
         await self._transport.close()
 
     async def pass_on(
-        self, method: str, target: str, body: bytes
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        *,
+        sink: transport.Sink | None = None,
     ) -> transport.CallOutcome:
         """Make a call for another host, by the direct path alone."""
-        call = transport.Call(method, target, body, CALL_TIMEOUT, CALL_TIMEOUT)
-        return await self._transport.send(self._address, call)
+        call = transport.Call(method, target, body, CALL_TIMEOUT, _longest(method))
+        return await self._transport.send(self._address, call, sink=sink)
 
     def receiving(self, table: str) -> bool:
         """Return whether bytes of a table's rows are coming in just now."""
@@ -88,12 +93,12 @@
     ) -> transport.CallOutcome:
         """Make one call by the path that works; `wait` is what the call asks for.
 
-        `part` is the one that the call writes to, None for a read. The direct path's
-        answer to a read may take long while its bytes keep coming: begun anew, a large
-        one would never come over a narrow link.
+        `part` is the one that the call writes to, None for a read. The answer to a
+        read may take long while its bytes keep coming: begun anew, a large one would
+        never come over a narrow link.
         """
         timeout = CALL_TIMEOUT + wait
-        longest = LONGEST_READ if method == "GET" else timeout
+        longest = max(timeout, _longest(method))
         call = transport.Call(method, target, body, timeout, longest, wait, table)
         lane = self._lanes.setdefault(overload.lane_name(part), overload.Lane())
         pause = lane.left(self._now())
@@ -112,7 +117,7 @@
         if isinstance(outcome, transport.NoAnswer) and method != "GET":
             return outcome
         if self._direct_failed:
-            short = call._replace(timeout=CALL_TIMEOUT, longest=CALL_TIMEOUT)
+            short = call._replace(timeout=CALL_TIMEOUT, longest=_longest(method))
             relayed = await self._call_relayed(short, outcome)
             if relayed is not outcome and _overloaded(relayed):
                 self._pause_lane(lane, part)
@@ -179,6 +184,11 @@
         self._direct_failed = failed
 
 
+def _longest(method: str) -> float:
+    """Return the seconds in which the whole answer to a call must have come."""
+    return LONGEST_READ if method == "GET" else CALL_TIMEOUT
+
+
 def _turned_away(answer: transport.Answer) -> bool:
     return answer.status in (overload.STATUS, UNAVAILABLE)
 
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -2,6 +2,7 @@
 
 import typing
 import urllib.parse
+from collections import abc
 
 import aiohttp
 import prometheus_client
@@ -60,6 +61,13 @@
 CallOutcome = Answer | NotSent | NoAnswer
 
 
+class Sink(typing.NamedTuple):
+    """Takes an answer as it comes: its status first, then its bytes."""
+
+    begin: abc.Callable[[int], abc.Awaitable[None]]
+    write: abc.Callable[[bytes], abc.Awaitable[None]]
+
+
 class Call(typing.NamedTuple):
     """A call, and how long its answer may take; times are in seconds."""
 
@@ -113,18 +121,25 @@
         if self._session is not None:
             await self._session.close()
 
-    async def send(self, address: str, call: Call) -> CallOutcome:
-        """Send a call to `address` and return what became of it."""
+    async def send(
+        self, address: str, call: Call, *, sink: Sink | None = None
+    ) -> CallOutcome:
+        """Send a call to `address` and return what became of it.
+
+        With `sink`, the answer is handed on while it comes.
+        """
         progress = _Progress(call=call)
         self._underway.add(progress)
         try:
-            outcome = await self._send(address, call, progress)
+            outcome = await self._send(address, call, progress, sink)
         finally:
             self._underway.discard(progress)
         _note(address, call, progress, outcome)
         return outcome
 
-    async def _send(self, address: str, call: Call, progress: _Progress) -> CallOutcome:
+    async def _send(
+        self, address: str, call: Call, progress: _Progress, sink: Sink | None
+    ) -> CallOutcome:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
@@ -139,12 +154,16 @@
                 timeout=_timeout(call),
             ) as response:
                 progress.head_seconds = progress.seconds
+                if sink is not None:
+                    await sink.begin(response.status)
                 async for chunk in response.content.iter_any():
                     progress.content += chunk
                     if len(progress.content) > MAX_ANSWER:
                         reason = f"the answer exceeds {MAX_ANSWER} bytes"
                         return NoAnswer(reason, address)
                     progress.received_at = clock.monotonic()
+                    if sink is not None:
+                        await sink.write(chunk)
                 relayed = response.headers.get(RELAYED)
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error), address)
--- a/dogwoodchute/tests/test_call_waits.py
+++ b/dogwoodchute/tests/test_call_waits.py
@@ -6,7 +6,7 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import account_rows, reclaim, rows
-from dogwoodchute.platform import relay, store
+from dogwoodchute.platform import relay, store, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support, test_reclaim
 
@@ -136,6 +136,35 @@
 
         self.run_async(story())
 
+    def test_a_row_that_breaks_off_behind_a_relay_is_not_taken_for_whole(self):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"rows": []}')
+            await writer.drain()
+            writer.close()
+
+        async def story():
+            breaking = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = breaking.sockets[0].getsockname()[1]
+            direct = store.Client(
+                address=f"127.0.0.1:{port}", relays=lambda: [], now=clock.monotonic
+            )
+            relaying = server.Server(name=f"r-{id(direct)}", **LIMITS)
+            relay.add_routes(relaying.app, client=direct)
+            await relaying.start("127.0.0.1", 0)
+            asking = transport.Transport()
+            call = transport.Call("GET", "/api/rows-get?table=t", b"", 1.0, 1.0)
+            try:
+                outcome = await asking.send(f"127.0.0.1:{relaying.port}", call)
+                self.assertIsInstance(outcome, transport.NoAnswer)
+            finally:
+                await asking.close()
+                await direct.close()
+                await relaying.stop()
+                breaking.close()
+
+        self.run_async(story())
+
 
 class ReclaimTest(support.TestCase):
     def test_one_contended_account_does_not_hold_up_the_others(self):
