--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -10,11 +10,9 @@
 
 A holder's row is written ahead: for `WRITE_AHEAD` seconds after it sent a commit, the
 holder uses no more than that commit's `limit`. Later, when it may be cut off from the
-store, what it may use rises evenly, in `ramp` seconds, to all that it drew; fast
-enough for the pace at which it uses tokens. So a
-process that follows a dead one on the same host gives back what the dead one may not
-have used by the time at which its successor began. The row tells the ramp, so that
-hosts of different releases agree on it.
+store, what it may use rises evenly to all that it drew, as fast as it may need tokens.
+The row tells in how many seconds (`ramp`). So what a dead holder can't have used by the
+time at which the next process began on its host is given back.
 
 Times are of steady clocks that count suspension.
 """
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -29,7 +29,6 @@
 WAITING_PAUSE = 0.1  # seconds at most after conflicts, while requests wait
 CONTENDED_FOR = 10.0  # seconds after a draw that met another host's
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
-MAX_ASKED = 8  # other hosts that are asked for tokens at once
 WAIT = 2.5  # seconds that a request waits for tokens at the most
 ROW_AGE = 0.3  # seconds for which rows that were read may serve to refuse
 SHORTAGE = 0.3  # seconds for which requests as large as one refused are refused too
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -16,6 +16,7 @@
     dispatch,
     endpoints,
     filters,
+    givers,
     gossip,
     homes,
     hosts,
@@ -71,7 +72,6 @@
         now: abc.Callable[[], float] = clock.monotonic,
     ) -> None:
         self._deployment = deployment
-        self._ask_peer = ask_peer
         self._ask_table = ask_table
         self._now = now
         self._began = began
@@ -115,16 +115,19 @@
             loads=self._gossip.loads,
             now=now,
         )
+        giving = givers.Givers(
+            live=lambda: self._hosts.live, homes=self._homes, ask_peer=ask_peer
+        )
         self._accounts = accounts.Accounts(
             holder=self._hosts.id,
             store=store,
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
-            ask=self._ask,
+            ask=giving.ask,
             home=reservations.Home(
                 is_here=self._homes.is_here,
                 is_elsewhere=lambda name: self._homes.elsewhere(name) is not None,
-                ask=self._ask_home,
+                ask=giving.ask_home,
             ),
             now=now,
             horizon=self._horizon,
@@ -285,34 +288,6 @@
             return None
         return began + self._stop_time
 
-    async def _ask(
-        self, account: str, tokens: int, holders: list[str]
-    ) -> reservations.Collected:
-        """Ask other hosts for tokens, one after the other.
-
-        The account's homes come first, then `holders`.
-        """
-        live = {host.id: host for host in self._hosts.live}
-        first = [host.id for host in self._homes.others(account)]
-        order = dict.fromkeys([*first, *holders, *live])
-        known = [live[name] for name in order if name in live]
-        got = 0
-        whole = len(known) <= accounts.MAX_ASKED
-        for host in known[: accounts.MAX_ASKED]:
-            given = await self._ask_peer(host.control, account, tokens - got)
-            whole = whole and given is not None
-            got += given or 0
-            if got >= tokens:
-                break
-        return reservations.Collected(got, whole)
-
-    async def _ask_home(self, account: str, tokens: int) -> int | None:
-        """Ask the account's home for tokens; return what it gave."""
-        home = self._homes.elsewhere(account)
-        if home is None:
-            return None
-        return await self._ask_peer(home.control, account, tokens)
-
     def _horizon(self) -> float:
         age = self._now() - self._began
         return amounts.horizon(age=age, killed=self._hosts.follows_a_kill)
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -316,6 +316,11 @@
         self.assertEqual(sorted(set(kept)), kept)
         self.assertEqual(drawn, kept[-1])
 
+    def test_a_host_that_was_killed_holds_no_more_seconds_than_it_has_lived(self):
+        seconds = [amounts.horizon(age=age, killed=True) for age in (0, 9, 14, 60)]
+        self.assertEqual([amounts.MIN_HORIZON, 9, 14, amounts.HORIZON], seconds)
+        self.assertEqual(amounts.HORIZON, amounts.horizon(age=0, killed=False))
+
     def test_a_late_commit_counts_once(self):
         fleet = self.fleet("a")
         fleet.fault = row_store.Fault(late=1.0)
--- a/dogwoodchute/tests/test_checkpoints.py
+++ b/dogwoodchute/tests/test_checkpoints.py
@@ -4,7 +4,13 @@
 import random
 
 from dogwoodchute.coordination import checkpoints, ranking
-from dogwoodchute.gateway import account_rows, accounts, model, reservations
+from dogwoodchute.gateway import (
+    account_rows,
+    accounts,
+    givers,
+    model,
+    reservations,
+)
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -75,7 +81,7 @@
         homes.append(self.home(account, self.names[1]))
         known = [holder.rpartition("-")[0] for holder in holders]
         order = dict.fromkeys([*homes, *known, *self.names])
-        for other in [other for other in order if other != name][: accounts.MAX_ASKED]:
+        for other in [other for other in order if other != name][: givers.MAX_ASKED]:
             got += await self.give(other, account, tokens - got)
             if got >= tokens:
                 break
