--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -290,7 +290,8 @@
 
     def _horizon(self) -> float:
         age = self._now() - self._began
-        return amounts.horizon(age=age, killed=self._hosts.follows_a_kill)
+        killed = age < amounts.HORIZON and self._hosts.follows_a_kill
+        return amounts.horizon(age=age, killed=killed)
 
     def _state(self) -> str:
         if self._leaving:
--- a/dogwoodchute/tests/outage_play.py
+++ b/dogwoodchute/tests/outage_play.py
@@ -27,9 +27,11 @@
         random.seed(seed)  # of the pauses after conflicts
         super().__init__(HOSTS, prepaid=int(budget * DEMAND))
 
-    def serve(self, seconds):
-        """Let requests come for some seconds."""
-        task = self.loop.create_task(self._arrive())
+    def serve(self, seconds, *, plans=1):
+        """Let requests come for some seconds, the largest `plans` times as often."""
+        weights = [plans * WEIGHTS[0], *WEIGHTS[1:]]
+        rate = RATE * sum(weights) / sum(WEIGHTS)
+        task = self.loop.create_task(self._arrive(rate, weights))
         self.loop.run_for(seconds)
         task.cancel()
 
@@ -46,11 +48,11 @@
         ended = [ran for at, ran in self.asked if first <= at < last]
         return sum(ended) / len(ended)
 
-    async def _arrive(self):
+    async def _arrive(self, rate, weights):
         while True:
-            await asyncio.sleep(self._random.expovariate(RATE))
+            await asyncio.sleep(self._random.expovariate(rate))
             name = self._random.choice(HOSTS)
-            size = self._random.choices(SIZES, WEIGHTS)[0]
+            size = self._random.choices(SIZES, weights)[0]
             self.loop.create_task(self._request(self.hosts[name], size))
 
     async def _request(self, host, tokens):
--- a/dogwoodchute/tests/test_outages.py
+++ b/dogwoodchute/tests/test_outages.py
@@ -11,7 +11,7 @@
 
 
 class OutageTest(support.TestCase):
-    def check(self, story, *, seconds, spare=SPARE):
+    def check(self, story, *, seconds, spare=SPARE, plans=1):
         """Play a story that ends with a return; at least a quarter is served after it.
 
         The story takes so many seconds.
@@ -25,7 +25,7 @@
             story(play)
             back = play.loop.time()
             self.assertAlmostEqual(seconds, back - began)
-            play.serve(RECOVERY + JUDGED)
+            play.serve(RECOVERY + JUDGED, plans=plans)
             shares.append(play.served(back + RECOVERY, back + RECOVERY + JUDGED))
             self.assertLess(play.spent, int(budget * outage_play.DEMAND))
         self.assertGreaterEqual(min(shares), 0.25, shares)
@@ -55,3 +55,15 @@
 
         seconds = 3 * (8.0 + 3.0 + outage_play.RESTART)
         self.check(story, seconds=seconds, spare=PREPAID)
+
+    def test_tokens_last_through_three_outages_and_more_prompts(self):
+        def story(play):
+            play.serve(8.0)
+            play.outage(4.0)
+            play.serve(9.0)
+            play.outage(3.0)
+            play.serve(6.0, plans=2)
+            play.outage(4.0)
+
+        seconds = 8.0 + 9.0 + 6.0 + 4.0 + 3.0 + 4.0 + 3 * outage_play.RESTART
+        self.check(story, seconds=seconds, spare=PREPAID, plans=2)
