Play a slow store after an outage, from which no host gets tokens (fails)

The logs: draws end in 429 or after 1.2 s without an answer (each host 21 to 32 commits in 5 s, none committed). A part does one commit each 0.3 s, and refuses when more than a second of them wait.

--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import math
 import typing
 from collections import abc
 
@@ -21,7 +22,9 @@
 
     `status` answers without doing anything; `silent` never answers; `lose` does the
     call and then resets the connection; `late` does it after some seconds and never
-    answers; `rate` sends the answer's body slowly, as over a narrow link.
+    answers; `rate` sends the answer's body slowly, as over a narrow link. `delay` is
+    for stores without a network between: each call takes so much longer, and each
+    commit to a part in its turn.
     """
 
     status: int = 0
@@ -29,6 +32,7 @@
     lose: bool = False
     late: float = 0.0  # seconds
     rate: float = 0.0  # bytes a second
+    delay: float = 0.0  # seconds
 
 
 NO_FAULT = Fault()
@@ -81,19 +85,21 @@
         ]
         return rows.Rows(rows=changed, version=self.version, now=self._now())
 
-    def queue(self, part: str) -> float | None:
+    def queue(self, part: str, delay: float = 0.0) -> float | None:
         """Put a commit into a part's queue; return its seconds there, None if full.
 
-        `arrivals` counts all of them by part and second.
+        It takes `delay` seconds longer than usual. `arrivals` counts all of them by
+        part and second.
         """
         now = self._now()
         self.arrivals[part, int(now)] += 1
-        if self._part_rate is None:
+        if self._part_rate is None and not delay:
             return 0.0
         free = max(now, self._free.get(part, now))
         if free - now > MAX_QUEUE:
             return None
-        self._free[part] = free + 1 / self._part_rate
+        usual = 1 / self._part_rate if self._part_rate is not None else 0.0
+        self._free[part] = free + usual + delay
         return self._free[part] - now
 
     def commit(
@@ -125,15 +131,25 @@
         self._changes.append(row)
 
 
-def direct(store: RowStore, *, faults: Faults = lambda kind: NO_FAULT) -> rows.Store:
-    """Return the store as a client sees it, without a network between them."""
+def direct(
+    store: RowStore,
+    *,
+    faults: Faults = lambda kind: NO_FAULT,
+    timeout: float = math.inf,
+) -> rows.Store:
+    """Return the store as a client sees it, without a network between them.
+
+    The client waits for `timeout` seconds for the answer to a commit.
+    """
 
     async def read(
         table: str, part: str, first: str | None, stop: str | None
     ) -> rows.ReadOutcome:
         fault = faults("read")
-        if fault != NO_FAULT:
+        if fault._replace(delay=0.0) != NO_FAULT:
             return rows.Unavailable(reason="fault")
+        if fault.delay:
+            await asyncio.sleep(fault.delay)
         return store.read(table, part, first, stop)
 
     async def feed(table: str, since: int, wait: float) -> rows.FeedOutcome:
@@ -148,9 +164,15 @@
         await asyncio.sleep(0.005)
         if fault.status:
             return rows.Unavailable(reason=f"status {fault.status}")
-        waits = store.queue(part)
+        waits = store.queue(part, fault.delay)
         if waits is None:
             return rows.Unavailable(reason=f"status {OVERLOADED}")
+        waits += fault.delay
+        if waits > timeout:
+            loop = asyncio.get_running_loop()
+            loop.call_later(waits, store.commit, part, checks, puts)
+            await asyncio.sleep(timeout)
+            return rows.Unknown(reason="no answer")
         if waits:
             await asyncio.sleep(waits)
         if fault.silent:
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -11,6 +11,7 @@
     reservations,
     rows,
 )
+from dogwoodchute.platform import store
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -40,7 +41,11 @@
     def start(self, name):
         made = accounts.Accounts(
             holder=f"{name}-{len(self.tasks)}{self.loop.time():.0f}",
-            store=row_store.direct(self.store, faults=lambda kind: self.fault),
+            store=row_store.direct(
+                self.store,
+                faults=lambda kind: self.fault,
+                timeout=store.CALL_TIMEOUT,
+            ),
             config=lambda: self.config,
             hosts=lambda: len(self.hosts) or 1,
             ask=lambda *asked: self.ask(name, *asked),
--- a/dogwoodchute/tests/test_outages.py
+++ b/dogwoodchute/tests/test_outages.py
@@ -47,6 +47,14 @@
 
         self.check(story, seconds=27.0 + 3.0 + 3.0 + outage_play.RESTART)
 
+    def test_tokens_can_be_drawn_from_a_slow_store_after_an_outage(self):
+        def story(play):
+            play.serve(20.0)
+            play.fault = row_store.Fault(delay=0.3)
+            play.outage(3.0)
+
+        self.check(story, seconds=20.0 + 3.0 + outage_play.RESTART, spare=PREPAID)
+
     def test_tokens_last_through_three_outages_of_3_s(self):
         def story(play):
             for _ in range(3):
