Let homes draw and rows be written less often while the store is slow

Cause: each host drew for itself and wrote its rows at the pace of the rates that the store states. A part whose commits take 0.3 s does three a second and refuses with more than a second of them waiting. Seven hosts kept its queue full; what was accepted took 1.6 s and was given up after 1.2 s, and what got through conflicted with the others'. Now commits that are refused for too many, or answered after 0.2 s or more, are signs of strain for 10 s, a quick one ends it. Under strain accounts have homes in small fleets too, hosts whose home answers leave drawing to it, rows are written as often as the measured time allows, and a commit may take four times a read's latency longer. Not done: several accounts' draws in one commit.

--- a/dogwoodchute/coordination/checkpoints.py
+++ b/dogwoodchute/coordination/checkpoints.py
@@ -47,6 +47,13 @@
     return max(pace.least, by_part, by_fleet)
 
 
+def slowed(rates: Rates, seconds: float) -> Rates:
+    """Return the rates while a commit takes so many seconds, 0 for as usual."""
+    if seconds <= 0:
+        return rates
+    return rates._replace(part=min(rates.part, 1 / seconds))
+
+
 def conflict_pause(conflicts: int) -> float:
     """Return the seconds before a draw that met so many conflicts in a row.
 
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from dogwoodchute import log
-from dogwoodchute.coordination import checkpoints, escrow, sizing
+from dogwoodchute.coordination import checkpoints, escrow, sizing, strain
 from dogwoodchute.gateway import commit_counts, rows
 
 ACCOUNTS = "accounts"
@@ -58,6 +58,7 @@
         self.bills: list[Bill] = []
         self.billed_at = -math.inf  # monotonic seconds of the oldest of them
         self.home_failed_at = -math.inf  # monotonic seconds: its home gave nothing
+        self.home_answered_at = -math.inf  # monotonic seconds: it said that it had none
         self.asked_in_vain_at = -math.inf  # monotonic seconds: no other host gave any
         self.conflicts = 0  # of draws, in a row
         self.conflict_at = -math.inf  # monotonic seconds of the last one
@@ -109,6 +110,7 @@
         self._store = store
         self._now = now
         self._counts = commit_counts.Counts(now=now)
+        self._strain = strain.Strain()
         self._away = False
 
     @property
@@ -116,6 +118,10 @@
         """Whether the store did not serve the last call that ended."""
         return self._away
 
+    def slowness(self) -> float:
+        """Return the seconds that a commit takes, 0 unless the store is slow."""
+        return self._strain.seconds(self._now())
+
     async def read(
         self, account: Account, *, waiting: Waiting
     ) -> rows.Unavailable | None:
@@ -241,12 +247,16 @@
         uncertain = False
         pause = RETRY_PAUSE
         while True:
+            sent = self._now()
             outcome = await _serving(
                 self._store.commit(accounts[0].part, checks, puts), accounts, waiting
             )
             self._away = not isinstance(outcome, rows.Committed | rows.Conflict)
             if isinstance(outcome, rows.Committed | rows.Conflict):
+                self._strain.note_answered(self._now() - sent, self._now())
                 return outcome
+            if isinstance(outcome, rows.Unavailable) and outcome.overloaded:
+                self._strain.note_refused(self._now())
             uncertain = uncertain or isinstance(outcome, rows.Unknown)
             log.warning(
                 "commit_failed",
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -77,6 +77,11 @@
             now=now,
         )
 
+    @property
+    def strained(self) -> bool:
+        """Whether the store is too slow for draws by every host."""
+        return self._commits.slowness() > 0
+
     async def reserve(
         self, name: str, tokens: int, *, wait: float = WAIT
     ) -> reservations.ReserveOutcome:
@@ -268,6 +273,9 @@
         self._grant(account)
         if await self._asking.get_from_home(account):
             return True
+        if self.strained and self._asking.is_left_to_home(account):
+            await asyncio.sleep(asking.HOME_PAUSE)
+            return True
         await self._prepare_draw(account)
         draw = self._draw(account)
         waiting = account.waiting()
@@ -379,19 +387,11 @@
                 idle -= waiter.tokens
                 continue
             outcome = self._out_of_reach(account, waiter.tokens, reason)
-            self._end(account, waiter, outcome)
+            account.waiters.remove(waiter)
+            waiter.done.set_result(outcome)
             known = self._shortages.get(account.name)
             until = self._now() + SHORTAGE
             if known is None or known.until < self._now():
                 self._shortages[account.name] = reservations.Shortage(
                     until, waiter.tokens, outcome
                 )
-
-    def _end(
-        self,
-        account: account_rows.Account,
-        waiter: account_rows.Waiter,
-        outcome: reservations.ReserveOutcome,
-    ) -> None:
-        account.waiters.remove(waiter)
-        waiter.done.set_result(outcome)
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -63,7 +63,8 @@
         last = account.ledger.sent_at()
         if pace is checkpoints.BILLS:
             last = max(last, account.billed_at)
-        interval = checkpoints.interval(pace, writers=writers, rates=self._rates)
+        rates = checkpoints.slowed(self._rates, self._commits.slowness())
+        interval = checkpoints.interval(pace, writers=writers, rates=rates)
         return self._now() - last >= interval
 
     async def write(self, part: str, *, draw: Draw = lambda account: 0) -> None:
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -100,6 +100,7 @@
             host=deployment.host,
             region=deployment.region,
             live=lambda: self._hosts.live,
+            strained=lambda: self._accounts.strained,
         )
         self._gossip = gossip.Gossip(
             id=self._hosts.id,
--- a/dogwoodchute/gateway/homes.py
+++ b/dogwoodchute/gateway/homes.py
@@ -1,7 +1,8 @@
 """Tells which host holds a client account's tokens for the others of its region.
 
 Each account has a home in each region of a large fleet: the ready host that rendezvous
-hashing ranks first. In a small fleet accounts have none.
+hashing ranks first. In a small fleet accounts have none, as long as the store is quick
+enough for draws by every host.
 """
 
 import typing
@@ -29,10 +30,12 @@
         host: str,
         region: str,
         live: abc.Callable[[], tuple[hosts.Host, ...]],
+        strained: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._host = host
         self._region = region
         self._live = live  # the same tuple as long as nothing changed
+        self._strained = strained  # whether the store is too slow for draws by all
         self._seen: tuple[hosts.Host, ...] = ()
         self._ready: dict[str, hosts.Host] = {}  # by lifetime
         self._ranked: dict[str, Ranked] = {}  # by account
@@ -57,7 +60,7 @@
         return [self._ready[ranked.others[region]] for region in regions]
 
     def _is_large(self) -> bool:
-        return 1 + len(self._live()) > SMALL_FLEET
+        return 1 + len(self._live()) > SMALL_FLEET or self._strained()
 
     def _rank(self, account: str) -> Ranked:
         self._look()
--- a/dogwoodchute/gateway/rows.py
+++ b/dogwoodchute/gateway/rows.py
@@ -68,11 +68,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Unavailable:
-    """No answer to a read, or a commit that certainly has no effect."""
+    """No answer to a read, or a commit that certainly has no effect.
+
+    `overloaded` if the store has too many commits of the part.
+    """
 
     reason: str
     step: str = "store"
     peer: str | None = None
+    overloaded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -18,6 +18,8 @@
 from dogwoodchute.platform import names, overload, transport
 
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
+LATENCIES = 4  # of a read, that a commit may take longer than a call: it has its turn
+MAX_LATENCY = 0.5  # seconds; a longer read waited for its bytes
 LONGEST_READ = 15.0  # seconds for an answer whose bytes keep coming
 PROBE_INTERVAL = 0.5  # seconds between tries of a path that failed
 RELAY_PAUSE = 0.3  # seconds without calls after a relay did not reach the store
@@ -41,6 +43,7 @@
         self._direct_failed = False
         self._direct_answered = 0.0  # monotonic seconds of the last answer
         self._store_offset: float | None = None  # the store's clock less this host's
+        self._latency = 0.0  # seconds that the last read took by the direct path
         self._relay: str | None = None  # the one that worked last
         self._relay_after = 0.0  # monotonic seconds: relays are tried again
         self._seen = overload.Seen()  # by the direct path
@@ -98,6 +101,8 @@
         never come over a narrow link.
         """
         timeout = CALL_TIMEOUT + wait
+        if method != "GET":
+            timeout = commit_timeout(self._latency)
         longest = max(timeout, _longest(method))
         call = transport.Call(method, target, body, timeout, longest, wait, table)
         lane = self._lanes.setdefault(overload.lane_name(part), overload.Lane())
@@ -110,6 +115,8 @@
         if self._now() >= self._direct_after:
             sent = self._now()
             outcome = await self._transport.send(self._address, call)
+            if isinstance(outcome, transport.Answer) and method == "GET" and not wait:
+                self._latency = self._now() - sent
             self._note_lane(lane, outcome, part)
             self._note_direct(outcome, sent)
         if isinstance(outcome, transport.Answer) and not _turned_away(outcome):
@@ -184,6 +191,11 @@
         self._direct_failed = failed
 
 
+def commit_timeout(latency: float) -> float:
+    """Return the seconds to wait for a commit while a read takes `latency` seconds."""
+    return CALL_TIMEOUT + LATENCIES * min(latency, MAX_LATENCY)
+
+
 def _longest(method: str) -> float:
     """Return the seconds in which the whole answer to a call must have come."""
     return LONGEST_READ if method == "GET" else CALL_TIMEOUT
@@ -257,7 +269,9 @@
         if isinstance(answer, transport.NoAnswer):
             return rows.Unknown(reason=answer.reason, peer=answer.peer)
         if _turned_away(answer):
-            return rows.Unavailable(reason=f"status {answer.status}")
+            return rows.Unavailable(
+                reason=f"status {answer.status}", overloaded=_overloaded(answer)
+            )
         if answer.status not in (200, 412):
             text = answer.content[:200].decode(errors="replace")
             return rows.Unknown(reason=f"status {answer.status}: {text}")
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -135,11 +135,12 @@
     store: RowStore,
     *,
     faults: Faults = lambda kind: NO_FAULT,
-    timeout: float = math.inf,
+    timeout: abc.Callable[[float], float] = lambda latency: math.inf,
 ) -> rows.Store:
     """Return the store as a client sees it, without a network between them.
 
-    The client waits for `timeout` seconds for the answer to a commit.
+    `timeout` returns the seconds for which the client waits for a commit, from those
+    that a read takes.
     """
 
     async def read(
@@ -166,12 +167,12 @@
             return rows.Unavailable(reason=f"status {fault.status}")
         waits = store.queue(part, fault.delay)
         if waits is None:
-            return rows.Unavailable(reason=f"status {OVERLOADED}")
+            return rows.Unavailable(reason=f"status {OVERLOADED}", overloaded=True)
         waits += fault.delay
-        if waits > timeout:
+        if waits > timeout(fault.delay):
             loop = asyncio.get_running_loop()
             loop.call_later(waits, store.commit, part, checks, puts)
-            await asyncio.sleep(timeout)
+            await asyncio.sleep(timeout(fault.delay))
             return rows.Unknown(reason="no answer")
         if waits:
             await asyncio.sleep(waits)
--- a/dogwoodchute/tests/outage_play.py
+++ b/dogwoodchute/tests/outage_play.py
@@ -43,6 +43,10 @@
         for name in HOSTS:
             self.start(name)
 
+    def home_of(self, name):
+        """Return the host that draws for the others while the store is slow."""
+        return HOSTS[0] if self.hosts[name].strained else None
+
     def served(self, first, last):
         """Return the share of requests between two times that ran."""
         ended = [ran for at, ran in self.asked if first <= at < last]
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -44,15 +44,15 @@
             store=row_store.direct(
                 self.store,
                 faults=lambda kind: self.fault,
-                timeout=store.CALL_TIMEOUT,
+                timeout=store.commit_timeout,
             ),
             config=lambda: self.config,
             hosts=lambda: len(self.hosts) or 1,
             ask=lambda *asked: self.ask(name, *asked),
             home=reservations.Home(
-                is_here=lambda account: self.home == name,
-                is_elsewhere=lambda account: self.home not in (None, name),
-                ask=self.ask_home,
+                is_here=lambda account: self.home_of(name) == name,
+                is_elsewhere=lambda account: self.home_of(name) not in (None, name),
+                ask=lambda *asked: self.ask_home(name, *asked),
             ),
             now=self.loop.time,
             horizon=self.horizon(name),
@@ -98,8 +98,12 @@
                 got += await host.give(account, tokens - got)
         return reservations.Collected(got, True)
 
-    async def ask_home(self, account, tokens):
-        return await self.hosts[self.home].give(account, tokens)
+    def home_of(self, name):
+        """Return the host that a host takes for the account's home, None without."""
+        return self.home
+
+    async def ask_home(self, name, account, tokens):
+        return await self.hosts[self.home_of(name)].give(account, tokens)
 
     def reserve(self, name, tokens, **known):
         return self.loop.run_until_complete(
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -131,7 +131,7 @@
                 for _ in range(4):
                     outcome = await site.store.commit("p", [], [PUT])
                     self.assertEqual(
-                        rows.Unavailable(reason="status 429", peer=None), outcome
+                        rows.Unavailable(reason="status 429", overloaded=True), outcome
                     )
                     began = clock.monotonic()
                     found = await site.store.read("t", "p", None, None)
--- /dev/null
+++ b/dogwoodchute/tests/test_strain.py
@@ -0,0 +1,39 @@
+"""Signs of a store whose parts are slow, on passed-in time."""
+
+from dogwoodchute.coordination import checkpoints, strain
+from dogwoodchute.platform import store
+from dogwoodchute.tests import support
+
+
+class StrainTest(support.TestCase):
+    def test_a_slow_or_refused_commit_counts_for_a_while(self):
+        known = strain.Strain()
+        self.assertEqual(0.0, known.seconds(100.0))
+        known.note_answered(0.7, 100.0)
+        self.assertEqual(0.7, known.seconds(100.0 + strain.MEMORY - 0.1))
+        self.assertEqual(0.0, known.seconds(100.0 + strain.MEMORY))
+        known.note_refused(200.0)
+        self.assertGreaterEqual(known.seconds(201.0), strain.SLOW_COMMIT)
+
+    def test_a_quick_commit_ends_it_at_once(self):
+        known = strain.Strain()
+        known.note_refused(100.0)
+        known.note_answered(0.03, 101.0)
+        self.assertEqual(0.0, known.seconds(101.0))
+
+    def test_hosts_together_leave_room_at_a_slow_part(self):
+        for hosts in (2, 7, 16, 62):
+            for seconds in (0.3, 1.0):
+                rates = checkpoints.slowed(checkpoints.Rates(), seconds)
+                pause = checkpoints.interval(
+                    checkpoints.OWN, writers=hosts, rates=rates
+                )
+                self.assertLess(hosts / pause * seconds, 0.5)
+        usual = checkpoints.Rates()
+        self.assertEqual(usual, checkpoints.slowed(usual, 0.0))
+
+    def test_a_commit_may_wait_for_its_turn_at_a_slow_store(self):
+        self.assertEqual(store.CALL_TIMEOUT, store.commit_timeout(0.0))
+        # A second of others' commits, its own, and the ways there and back.
+        self.assertGreater(store.commit_timeout(0.24), 1.0 + 0.3 + 0.24)
+        self.assertEqual(store.commit_timeout(0.5), store.commit_timeout(9.0))
