--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -111,6 +111,7 @@
         self._now = now
         self._counts = commit_counts.Counts(now=now)
         self._strain = strain.Strain()
+        self._was_slow = False
         self._away = False
 
     @property
@@ -254,9 +255,11 @@
             self._away = not isinstance(outcome, rows.Committed | rows.Conflict)
             if isinstance(outcome, rows.Committed | rows.Conflict):
                 self._strain.note_answered(self._now() - sent, self._now())
+                self._log_slowness(accounts[0].part)
                 return outcome
             if isinstance(outcome, rows.Unavailable) and outcome.overloaded:
                 self._strain.note_refused(self._now())
+                self._log_slowness(accounts[0].part)
             uncertain = uncertain or isinstance(outcome, rows.Unknown)
             log.warning(
                 "commit_failed",
@@ -274,6 +277,14 @@
                 await _serve(accounts, outcome.reason, waiting)
             pause = min(MAX_RETRY_PAUSE, 2 * pause)
 
+    def _log_slowness(self, part: str) -> None:
+        seconds = self.slowness()
+        if self._was_slow == (seconds > 0):
+            return
+        self._was_slow = seconds > 0
+        event = "store_slow" if self._was_slow else "store_quick"
+        log.info(event, part=part, commit_seconds=f"{seconds:.3f}")
+
     def _end(
         self, change: Change, bills: int, outcome: rows.Committed | rows.Conflict
     ) -> None:
