Rank hosts for closing only when something is to be closed

A look of the reclaimer, five times a second for each part, ranked all hosts also while nothing was due: the change that made late commits come back had put the question who closes before the question whether. The order is as before; a test that no host is ranked in calm failed before. With it: the look-up of a holder's newest lifetime stands once, and whether an account's home answers is a flag, not a time that was only ever compared.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -58,7 +58,7 @@
         self.bills: list[Bill] = []
         self.billed_at = -math.inf  # monotonic seconds of the oldest of them
         self.home_failed_at = -math.inf  # monotonic seconds: its home gave nothing
-        self.home_answered_at = -math.inf  # monotonic seconds: it said that it had none
+        self.home_answers = True  # it did when it last gave nothing
         self.asked_in_vain_at = -math.inf  # monotonic seconds: no other host gave any
         self.conflicts = 0  # of draws, in a row
         self.conflict_at = -math.inf  # monotonic seconds of the last one
--- a/dogwoodchute/gateway/asking.py
+++ b/dogwoodchute/gateway/asking.py
@@ -41,17 +41,15 @@
         got = await self._home.ask(account.name, lacking) if lacking > 0 else 0
         if not got:
             account.home_failed_at = self._now()
-            if got is not None:
-                account.home_answered_at = account.home_failed_at
+            account.home_answers = got is not None
             return False
         account.ledger.take(got)
         return True
 
     def is_left_to_home(self, account: account_rows.Account) -> bool:
         """Whether the account's home answers, so that it may draw for the waiters."""
-        if not account.waiting() or not self._home.is_elsewhere(account.name):
-            return False
-        return account.home_answered_at >= account.home_failed_at
+        elsewhere = self._home.is_elsewhere(account.name)
+        return bool(account.waiting()) and elsewhere and account.home_answers
 
     async def collect(
         self, account: account_rows.Account, have: int
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -95,16 +95,22 @@
     async def _look(self, name: str, part: _Part) -> None:
         newest = self._registered()
         lifetimes = frozenset(host.id for host in newest.values())
-        if not self._is_closer(name):
-            return
         now = self._now()
-        if not lifetimes <= part.done:
-            if self._settled(part, lifetimes) and await self.close(name, newest):
-                part.done = lifetimes
-                part.first_at = None
-                part.again = [now + pause for pause in LOOK_AGAIN]
-        elif part.again and now >= part.again[0] and await self.close(name, newest):
+        is_new = not lifetimes <= part.done
+        is_again = bool(part.again) and now >= part.again[0]
+        # Ranking all hosts costs more than these looks.
+        if not (is_new or is_again) or not self._is_closer(name):
+            return
+        if is_new and not self._settled(part, lifetimes):
+            return
+        if not await self.close(name, newest):
+            return
+        if not is_new:
             del part.again[0]
+            return
+        part.done = lifetimes
+        part.first_at = None
+        part.again = [now + pause for pause in LOOK_AGAIN]
 
     def _settled(self, part: _Part, lifetimes: frozenset[str]) -> bool:
         """Whether no further new lifetime is to be waited for."""
@@ -205,9 +211,8 @@
     ended; a lifetime that came after it can't have written so early. A commit may land
     after its sender has ended; then the row tells that its sender registered before.
     """
-    holder = row.key.partition("/")[2]
-    successor = newest.get(holder.rpartition("-")[0])
-    if successor is None or holder == successor.id:
+    successor = _other_lifetime(row, newest)
+    if successor is None:
         return None
     holding = account_rows.holding_of(row.value)
     came_before = 0 < holding.registered < successor.registered
@@ -218,17 +223,23 @@
 
 def _report_left(row: rows.Row, newest: dict[str, hosts.Host]) -> None:
     """Log a holding that stays, though its lifetime may have ended."""
+    newer = _other_lifetime(row, newest)
+    if newer is None or account_rows.holding_of(row.value).registered:
+        return
+    log.warning(
+        "holding_left",
+        row=row.key,
+        version=row.version,
+        newest=newer.id,
+        registered=newer.registered,
+    )
+
+
+def _other_lifetime(row: rows.Row, newest: dict[str, hosts.Host]) -> hosts.Host | None:
+    """Return the newest lifetime of a holder's host, None if it is the holder."""
     holder = row.key.partition("/")[2]
-    newer = newest.get(holder.rpartition("-")[0])
-    unknown = not account_rows.holding_of(row.value).registered
-    if newer is not None and newer.id != holder and unknown:
-        log.warning(
-            "holding_left",
-            row=row.key,
-            version=row.version,
-            newest=newer.id,
-            registered=newer.registered,
-        )
+    found = newest.get(holder.rpartition("-")[0])
+    return None if found is None or found.id == holder else found
 
 
 def batched(ended: list[Ended], size: int) -> abc.Iterator[list[Ended]]:
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -142,6 +142,15 @@
         self.assertEqual([], site.held())
         self.assertEqual(2 * LIMIT, site.drawn("ann").drawn)
 
+    def test_hosts_are_not_ranked_while_nothing_is_to_be_closed(self):
+        asked = []
+        site = Site(accounts=["ann"], names=HOSTS[:2])
+        made = site.reclaimer(is_closer=lambda part: asked.append(part) or True)
+        site.run(made, 10.0)
+        asked.clear()
+        site.run(made, 10.0)
+        self.assertEqual([], asked)
+
     def test_a_first_draw_that_lands_after_all_was_closed_comes_back(self):
         site = Site(accounts=["ann"], names=HOSTS[:2])
         made = site.reclaimer()
