Tell what is lost of each account's tokens, by cause

Rows now say what was reserved and moved at their commit, so what stays drawn without a bill divides into requests in flight, headroom and rise; the account's row adds them up, and account_tokens tells them for each account and host. No decision changes.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -25,10 +25,29 @@
 
 
 class Account(typing.NamedTuple):
-    """A client account's row, in tokens. `closed_spent` was spent by closed holders."""
+    """A client account's row, in tokens.
+
+    What closed holders may have used without a bill stays drawn, and is told by cause.
+    """
 
     drawn: int = 0  # net of returns
-    closed_spent: int = 0
+    closed_spent: int = 0  # by closed holders, as their bills say
+    lost_reserved: int = 0
+    lost_headroom: int = 0
+    lost_risen: int = 0
+
+
+class Lost(typing.NamedTuple):
+    """Tokens that a dead holder may have used without a bill, by cause."""
+
+    reserved: int = 0  # by requests in flight at its last commit
+    headroom: int = 0  # up to the limit of that commit
+    risen: int = 0  # above the limit, until the next process began on its host
+
+    @property
+    def tokens(self) -> int:
+        """All of them."""
+        return sum(self)
 
 
 class Holding(typing.NamedTuple):
@@ -41,6 +60,8 @@
     at: float = 0.0  # seconds of the store's clock, at the latest when it was sent
     ramp: float = 0.0  # seconds in which the bound rises from `limit` to `granted`
     registered: int = 0  # store's version when the holder registered, 0 if not known
+    reserved: int = 0  # by requests in flight
+    moved: int = 0  # given to other holders less what they gave
 
 
 class _Sent(typing.NamedTuple):
@@ -68,6 +89,20 @@
     return max(0, holding.granted - usable(holding, began - holding.at))
 
 
+def lost(holding: Holding, *, began: float) -> Lost:
+    """Return what stays drawn of a dead holder's tokens without a bill.
+
+    `began` is as in `reclaimable`. What it gave to others is not lost.
+    """
+    used = holding.spent + holding.reserved + holding.moved
+    bound = usable(holding, began - holding.at)
+    return Lost(
+        reserved=holding.reserved,
+        headroom=max(0, holding.limit - used),
+        risen=max(0, bound - holding.limit),
+    )
+
+
 def _usable_after(holding: Holding, tokens: int) -> float:
     """Return the age in seconds from which `tokens` of a holding may be used."""
     if tokens <= holding.limit:
@@ -94,6 +129,11 @@
         """Tokens that are spent, reserved or given away, net of those got."""
         return self.spent + self.reserved + self._moved
 
+    @property
+    def moved(self) -> int:
+        """Tokens that were given to other hosts, less what they gave."""
+        return self._moved
+
     @property
     def granted(self) -> int:
         """Tokens that this host certainly drew, whichever way a commit ends."""
@@ -188,6 +228,8 @@
             commit=self._commits,
             at=store_now,
             ramp=min(RAMP, (granted - limit) / pace) if pace > 0 else RAMP,
+            reserved=self.reserved,
+            moved=self._moved,
         )
         self._pending = _Sent(holding, now)
         return holding
--- /dev/null
+++ b/dogwoodchute/gateway/account_report.py
@@ -0,0 +1,74 @@
+"""Tells what became of each client account's tokens, as far as this host knows."""
+
+import math
+from collections import abc
+
+import prometheus_client
+
+from dogwoodchute import log
+from dogwoodchute.gateway import account_rows
+
+INTERVAL = 5.0  # seconds between two lines of an account
+
+tokens = prometheus_client.Gauge(
+    "dogwoodchute_account_tokens",
+    "Tokens of a client account: what this host last read of its row (prepaid, drawn,"
+    " closed, lost), and what this host's own holding consists of.",
+    ["account", "state"],
+)
+
+
+class Reports:
+    """The lines on accounts, each of which is repeated only after a change."""
+
+    def __init__(self, *, now: abc.Callable[[], float]) -> None:
+        self._now = now
+        self._reported_at = -math.inf  # monotonic seconds
+        self._last: dict[str, dict[str, int | None]] = {}  # by account
+
+    def look(
+        self,
+        accounts: abc.Iterable[account_rows.Account],
+        prepaid: abc.Callable[[account_rows.Account], int | None],
+    ) -> None:
+        """Report what has changed, if the last report is old enough.
+
+        `prepaid` returns how many tokens of an account may be used in all.
+        """
+        if self._now() - self._reported_at < INTERVAL:
+            return
+        self._reported_at = self._now()
+        for account in accounts:
+            state = state_of(account, prepaid(account))
+            if state == self._last.get(account.name):
+                continue
+            self._last[account.name] = state
+            log.info("account_tokens", account=account.name, **state)
+            for name, value in state.items():
+                if value is not None:
+                    tokens.labels(account.name, name).set(value)
+
+
+def state_of(
+    account: account_rows.Account, prepaid: int | None
+) -> dict[str, int | None]:
+    """Return an account's tokens by name of their state; `None` stands for no limit.
+
+    The first ones are of the account's row at `version`, and cover all hosts; those
+    from `held` on are of this host. So drawn tokens are those of closed holdings, and
+    all that the hosts billed, reserved, moved and hold.
+    """
+    shared, ledger = account.shared, account.ledger
+    return {
+        "prepaid": prepaid,
+        "version": account.shared_version,
+        "drawn": shared.drawn,
+        "closed": shared.closed_spent,
+        "lost_reserved": shared.lost_reserved,
+        "lost_headroom": shared.lost_headroom,
+        "lost_risen": shared.lost_risen,
+        "held": ledger.idle,
+        "billed": ledger.spent,
+        "reserved": ledger.reserved,
+        "moved": ledger.moved,
+    }
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -379,20 +379,15 @@
 
 def shared_of(value: bytes) -> escrow.Account:
     """Return the account in a row's value; raise `ValueError` if it is none."""
-    drawn, closed_spent = json.loads(value)
-    return escrow.Account(int(drawn), int(closed_spent))
+    drawn, closed_spent, *lost = json.loads(value)  # rows of older hosts lack the rest
+    return escrow.Account(int(drawn), int(closed_spent), *map(int, lost))
 
 
 def holding_of(value: bytes) -> escrow.Holding:
-    """Return the holding in a row's value; raise `ValueError` if it is none."""
-    granted, spent, limit, commit, at, *more = json.loads(value)
-    ramp, registered = more or (0.0, 0)  # rows of older hosts lack them
-    return escrow.Holding(
-        int(granted),
-        int(spent),
-        int(limit),
-        int(commit),
-        float(at),
-        float(ramp),
-        int(registered),
-    )
+    """Return the holding in a row's value; raise `ValueError` if it is none.
+
+    Rows of older hosts lack some of the last fields.
+    """
+    types = escrow.Holding.__annotations__.values()
+    found = zip(types, json.loads(value), strict=False)
+    return escrow.Holding(*(to_type(each) for to_type, each in found))
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -13,6 +13,7 @@
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
+    account_report,
     account_rows,
     amounts,
     asking,
@@ -31,7 +32,6 @@
 AWAY_MEMORY = 0.5  # seconds after a store without an answer in which none is awaited
 WAIT = 2.5  # seconds that a request waits for tokens at the most
 ROW_AGE = 0.3  # seconds for which rows that were read may serve to refuse
-SHORTAGE = 0.3  # seconds for which requests as large as one refused are refused too
 USABLE_SHARE = 0.99  # of the prepaid total; the rest covers runs that were not noticed
 
 
@@ -62,7 +62,8 @@
             holder=holder, store=store, now=now, registered=registered
         )
         self._accounts: dict[str, account_rows.Account] = {}
-        self._shortages: dict[str, reservations.Shortage] = {}
+        self._shortages = refusals.Shortages(now=now)
+        self._reports = account_report.Reports(now=now)
         self._away_at = float("-inf")  # monotonic seconds: the store did not answer
         self._returning = False  # this host stops and gives everything back
         self._checkpointer = checkpointer.Checkpointer(
@@ -99,9 +100,8 @@
         if free and account.ledger.reserve(tokens, now):
             self._kick_if_due(account)
             return reservations.Reserved()
-        shortage = self._shortages.get(name)
-        if shortage is not None and now < shortage.until and tokens >= shortage.tokens:
-            outcome = shortage.outcome
+        outcome = self._shortages.find(name, tokens)
+        if outcome is not None:
             if isinstance(outcome, reservations.OutOfReach):
                 outcome = self._out_of_reach(account, tokens, outcome.reason)
             self._note_refusal(account, tokens, outcome, now)
@@ -161,6 +161,7 @@
                 for account in list(self._accounts.values()):
                     self._kick_if_due(account)
                 self._checkpointer.begin()
+                self._reports.look(self._accounts.values(), self._prepaid)
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._checkpointer.cancel()
@@ -344,8 +345,7 @@
             left = (self._prepaid(account) or 0) - account.shared.drawn
             outcome = reservations.Exhausted(remaining=max(0, left))
         least = waiting[0].tokens
-        until = self._now() + SHORTAGE
-        self._shortages[account.name] = reservations.Shortage(until, least, outcome)
+        self._shortages.note(account.name, least, outcome)
         for waiter in waiting:
             if waiter.tokens >= least:
                 account.waiters.remove(waiter)
@@ -389,9 +389,4 @@
             outcome = self._out_of_reach(account, waiter.tokens, reason)
             account.waiters.remove(waiter)
             waiter.done.set_result(outcome)
-            known = self._shortages.get(account.name)
-            until = self._now() + SHORTAGE
-            if known is None or known.until < self._now():
-                self._shortages[account.name] = reservations.Shortage(
-                    until, waiter.tokens, outcome
-                )
+            self._shortages.note_first(account.name, waiter.tokens, outcome)
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -27,7 +27,6 @@
 RETRY_PAUSE = 0.2  # seconds on average, after a call without effect
 SPENT = "spent"  # by bills that were written
 RETURNED = "returned"  # to the account
-UNACCOUNTED = "unaccounted"  # may have been used; stays drawn
 
 closed_tokens = prometheus_client.Counter(
     "dogwoodchute_closed_tokens",
@@ -49,9 +48,9 @@
         return escrow.reclaimable(self.holding, began=self.began)
 
     @property
-    def unaccounted(self) -> int:
+    def lost(self) -> escrow.Lost:
         """Tokens that stay drawn, though no bill tells of their use."""
-        return max(0, self.holding.granted - self.holding.spent - self.unused)
+        return escrow.lost(self.holding, began=self.began)
 
 
 class _Part:
@@ -189,9 +188,13 @@
         self, part: str, account: str, shared: rows.Row, ended: list[Ended]
     ) -> rows.CommitOutcome:
         before = account_rows.shared_of(shared.value)
+        lost = [each.lost for each in ended]
         after = escrow.Account(
             drawn=before.drawn - sum(each.unused for each in ended),
             closed_spent=before.closed_spent + sum(e.holding.spent for e in ended),
+            lost_reserved=before.lost_reserved + sum(each.reserved for each in lost),
+            lost_headroom=before.lost_headroom + sum(each.headroom for each in lost),
+            lost_risen=before.lost_risen + sum(each.risen for each in lost),
         )
         checks = [rows.Check(account_rows.ACCOUNTS, account, shared.version)]
         puts = [
@@ -257,7 +260,8 @@
     for each in ended:
         closed_tokens.labels(SPENT).inc(max(0, each.holding.spent))
         closed_tokens.labels(RETURNED).inc(each.unused)
-        closed_tokens.labels(UNACCOUNTED).inc(each.unaccounted)
+        for cause, tokens in each.lost._asdict().items():
+            closed_tokens.labels(cause).inc(tokens)
         log.info(
             "holding_closed",
             row=each.row.key,
@@ -265,6 +269,8 @@
             granted=each.holding.granted,
             limit=each.holding.limit,
             spent=each.holding.spent,
-            unaccounted=each.unaccounted,
+            moved=each.holding.moved,
+            lost=each.lost.tokens,
+            **each.lost._asdict(),
             age=f"{each.began - each.holding.at:.2f}",
         )
--- a/dogwoodchute/gateway/refusals.py
+++ b/dogwoodchute/gateway/refusals.py
@@ -1,8 +1,50 @@
 """Refusals of requests for tokens: when to try again, and what the log tells."""
 
+import typing
+from collections import abc
+
 from dogwoodchute import log
 from dogwoodchute.gateway import account_rows, reservations
 
+SHORTAGE = 0.3  # seconds for which requests as large as one refused are refused too
+
+
+class Shortage(typing.NamedTuple):
+    """How requests of at least `tokens` end until a monotonic time in seconds."""
+
+    until: float
+    tokens: int
+    outcome: reservations.ReserveOutcome
+
+
+class Shortages:
+    """The latest refusal of each account, which answers for those just after it."""
+
+    def __init__(self, *, now: abc.Callable[[], float]) -> None:
+        self._now = now
+        self._latest: dict[str, Shortage] = {}  # by account
+
+    def find(self, account: str, tokens: int) -> reservations.ReserveOutcome | None:
+        """Return how a request for `tokens` ends at once, None if it is to be tried."""
+        known = self._latest.get(account)
+        if known is None or self._now() >= known.until or tokens < known.tokens:
+            return None
+        return known.outcome
+
+    def note(
+        self, account: str, tokens: int, outcome: reservations.ReserveOutcome
+    ) -> None:
+        """Take in that a request for `tokens` was refused."""
+        self._latest[account] = Shortage(self._now() + SHORTAGE, tokens, outcome)
+
+    def note_first(
+        self, account: str, tokens: int, outcome: reservations.ReserveOutcome
+    ) -> None:
+        """Take in a refusal unless an earlier one still holds."""
+        known = self._latest.get(account)
+        if known is None or known.until < self._now():
+            self.note(account, tokens, outcome)
+
 
 def out_of_reach(
     account: account_rows.Account, tokens: int, reason: str, *, now: float
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -50,14 +50,6 @@
     return seconds * random.uniform(1.0, 1.0 + RETRY_JITTER)
 
 
-class Shortage(typing.NamedTuple):
-    """How requests of at least `tokens` end until a monotonic time in seconds."""
-
-    until: float
-    tokens: int
-    outcome: ReserveOutcome
-
-
 class Collected(typing.NamedTuple):
     """What other hosts gave; `whole` if all of them answered."""
 
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -10,7 +10,8 @@
 
 HOSTS = [f"edge-{n}" for n in range(62)]
 ACCOUNTS = [f"acc{n}" for n in range(24)]
-GRANTED, LIMIT, SPENT = 1000, 400, 300
+GRANTED, LIMIT, SPENT, RESERVED, MOVED = 1000, 400, 300, 45, 20
+HEADROOM = LIMIT - SPENT - RESERVED - MOVED
 
 
 class Site:
@@ -34,8 +35,17 @@
 
     def hold(self, account, holder, *, registered=1):
         key = f"{account}/{holder}"
-        holding = [GRANTED, SPENT, LIMIT, 1, self.loop.time(), 0.0, registered]
-        self.put(account, account_rows.HOLDINGS, key, holding)
+        holding = escrow.Holding(
+            granted=GRANTED,
+            spent=SPENT,
+            limit=LIMIT,
+            commit=1,
+            at=self.loop.time(),
+            registered=registered,
+            reserved=RESERVED,
+            moved=MOVED,
+        )
+        self.put(account, account_rows.HOLDINGS, key, list(holding))
 
     def host(self, name):
         place = {**dict.fromkeys(hosts.TEXTS, ""), "name": name}
@@ -80,7 +90,12 @@
         self.assertEqual([], site.held())
         self.assertLessEqual(site.commits, 2 * len(ACCOUNTS))
         for account in ACCOUNTS:
-            expected = escrow.Account(LIMIT * len(HOSTS), SPENT * len(HOSTS))
+            expected = escrow.Account(
+                drawn=LIMIT * len(HOSTS),
+                closed_spent=SPENT * len(HOSTS),
+                lost_reserved=RESERVED * len(HOSTS),
+                lost_headroom=HEADROOM * len(HOSTS),
+            )
             self.assertEqual(expected, site.drawn(account))
 
     def test_hosts_that_all_close_count_each_holding_once(self):
@@ -115,16 +130,17 @@
     def test_what_became_of_a_dead_host_s_tokens_is_told(self):
         told = []
         self.patch(log, "info", lambda event, **fields: told.append((event, fields)))
-        before = {end: self.count(end) for end in ("spent", "returned", "unaccounted")}
+        ends = ("spent", "returned", "reserved", "headroom", "risen")
+        before = {end: self.count(end) for end in ends}
         site = Site(accounts=["ann"], names=HOSTS[:1])
         site.run(site.reclaimer(), 3.0)
         fields = dict(told)["holding_closed"]
         self.assertEqual(
-            (GRANTED - LIMIT, LIMIT - SPENT),
-            (fields["reclaimed"], fields["unaccounted"]),
+            (GRANTED - LIMIT, RESERVED + HEADROOM, MOVED),
+            (fields["reclaimed"], fields["lost"], fields["moved"]),
         )
         counted = {end: self.count(end) - before[end] for end in before}
-        expected = (SPENT, GRANTED - LIMIT, LIMIT - SPENT)
+        expected = (SPENT, GRANTED - LIMIT, RESERVED, HEADROOM, 0)
         self.assertEqual(expected, tuple(counted.values()))
 
     def count(self, end):
