--- a/dogwoodchute/tests/outage_play.py
+++ b/dogwoodchute/tests/outage_play.py
@@ -35,14 +35,24 @@
         self.loop.run_for(seconds)
         task.cancel()
 
-    def outage(self, seconds):
-        """Cut the power of all hosts for some seconds, while requests fail."""
-        for name in HOSTS:
+    def outage(self, seconds, *, names=HOSTS):
+        """Cut the power of hosts, all by default, for some seconds.
+
+        The requests that they get then fail.
+        """
+        for name in names:
             self.kill(name)
         self.loop.run_for(seconds + RESTART)
-        for name in HOSTS:
+        for name in names:
             self.start(name)
 
+    def lost(self):
+        """Return the tokens that closed holdings lost, but for requests in flight."""
+        part = account_rows.part_of("ann")
+        found = self.store.read(account_rows.ACCOUNTS, part, None, None)
+        row = account_rows.shared_of(found.rows[0].value)
+        return row.lost_headroom + row.lost_risen
+
     def home_of(self, name):
         """Return the host that draws for the others while the store is slow."""
         return HOSTS[0] if self.hosts[name].strained else None
--- a/dogwoodchute/tests/test_outages.py
+++ b/dogwoodchute/tests/test_outages.py
@@ -5,6 +5,7 @@
 
 SPARE = 1.1  # a budget against the use of the whole play, its outages included
 PREPAID = 1.3  # the same on the users' sites
+BUDGET = 60.0  # seconds of use, about a day's on the users' sites
 RECOVERY = 12.0  # seconds after a return, from which service is judged
 JUDGED = 5.0  # seconds
 SEEDS = range(6)
@@ -30,6 +31,26 @@
             self.assertLess(play.spent, int(budget * outage_play.DEMAND))
         self.assertGreaterEqual(min(shares), 0.25, shares)
 
+    def lost(self, *, seconds, names=outage_play.HOSTS):
+        """Return what an outage of `names` loses at the most, in seconds of all use."""
+        lost = []
+        for seed in SEEDS:
+            play = outage_play.Play(budget=BUDGET, seed=seed)
+            self.addCleanup(play.loop.finish)
+            play.serve(30.0)
+            play.outage(seconds, names=names)
+            play.loop.run_for(1.0)
+            lost.append(play.lost() / outage_play.DEMAND)
+        return max(lost)
+
+    def test_an_outage_of_1_s_loses_at_most_2_in_100_of_a_budget(self):
+        self.assertLessEqual(self.lost(seconds=1.0), 0.02 * BUDGET)
+
+    def test_a_kill_loses_at_most_what_one_host_uses_in_a_second(self):
+        one = outage_play.HOSTS[:1]
+        hosts = len(outage_play.HOSTS)
+        self.assertLessEqual(self.lost(seconds=0.5, names=one), 1.0 / hosts)
+
     def test_tokens_last_through_an_outage_of_5_s(self):
         def story(play):
             play.serve(30.0)
