Don't let Sanic parse the sources of handlers

A test failed once in a whole run: adding a route raised SystemError (AST constructor recursion depth mismatch). Sanic reads and parses each handler's source to guess a format for errors; CPython 3.11's parser fails if a finalizer runs in the middle, here that of a StreamWriter. No error format is guessed any more, so nothing is parsed, at a process's start either. A test with a parser that fails failed before.

--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -14,13 +14,22 @@
 END_BOUND = 0.2  # seconds in which connections end that were cut
 
 
+class _App(sanic.Sanic):
+    """An application that does not read the sources of its handlers."""
+
+    def _determine_error_format(self, handler: object) -> str:
+        # Sanic parses the sources, which raises SystemError in CPython 3.11 if a
+        # finalizer runs meanwhile.
+        return ""
+
+
 class Server:
     """One listening HTTP application."""
 
     def __init__(
         self, *, name: str, body_bytes: int, header_bytes: int, idle_timeout: float
     ) -> None:
-        self.app = sanic.Sanic(name, configure_logging=False)
+        self.app = _App(name, configure_logging=False)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.REQUEST_MAX_HEADER_SIZE = header_bytes
         self.app.config.KEEP_ALIVE_TIMEOUT = idle_timeout
--- a/dogwoodchute/tests/test_server.py
+++ b/dogwoodchute/tests/test_server.py
@@ -14,6 +14,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
+from sanic.mixins import routes
 
 from dogwoodchute import server
 from dogwoodchute.tests import support
@@ -123,3 +124,16 @@
 
     def test_no_certificate_means_no_tls(self):
         self.assertIsNone(server.tls_context("", ""))
+
+    def test_routes_are_added_while_sources_can_t_be_parsed(self):
+        def parse(source):
+            raise SystemError("AST constructor recursion depth mismatch")
+
+        async def handle(request):
+            return sanic.response.text("")
+
+        self.patch(routes, "parse", parse)
+        made = server.Server(
+            name="unparsed", body_bytes=1, header_bytes=1, idle_timeout=1
+        )
+        made.app.add_route(handle, "/", name="handle")
