Let requests wait for their own commit instead of using headroom

In a small fleet all hosts together may now use 0.5 in 100 of a budget without a commit; a larger request waits for a commit of its own, 5 ms of the store and the way. Where accounts have homes (large fleets, slow stores) a host may use 2 s of its use, as that many commits would fill a part: bounds of test_checkpoints failed with less.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -40,7 +40,7 @@
 class Lost(typing.NamedTuple):
     """Tokens that a dead holder may have used without a bill, by cause."""
 
-    reserved: int = 0  # by requests in flight at its last commit
+    reserved: int = 0  # by requests that its last commit knew of
     headroom: int = 0  # up to the limit of that commit
     risen: int = 0  # above the limit, until the next process began on its host
 
@@ -60,7 +60,7 @@
     at: float = 0.0  # seconds of the store's clock, at the latest when it was sent
     ramp: float = 0.0  # seconds in which the bound rises from `limit` to `granted`
     registered: int = 0  # store's version when the holder registered, 0 if not known
-    reserved: int = 0  # by requests in flight
+    reserved: int = 0  # by requests in flight, and by those that wait for the commit
     moved: int = 0  # given to other holders less what they gave
 
 
@@ -180,6 +180,11 @@
         self.reserved += tokens
         return True
 
+    def spend(self, tokens: int) -> None:
+        """Count tokens of a reservation as spent before it ends."""
+        self.reserved -= tokens
+        self.spent += tokens
+
     def settle(self, reserved: int, used: int) -> None:
         """End a reservation of which `used` tokens were spent."""
         self.reserved -= reserved
@@ -203,19 +208,20 @@
         now: float,
         store_now: float,
         pace: float = 0.0,
+        waiting: int = 0,
     ) -> Holding | None:
         """Begin a commit that draws `draw` tokens, or returns them if negative.
 
-        `ahead` are the tokens to be used before the next commit at most; `pace` are
-        those that may be needed in each second if none follows. `store_now` is not
-        above the store's clock. Return None while a commit is under way, or if
-        more would be returned than is idle.
+        `waiting` are the tokens that requests wait for, and `ahead` those that others
+        may use before the next commit; `pace` are those that may be needed in each
+        second if none follows. `store_now` is not above the store's clock. Return None
+        while a commit is under way, or if more would be returned than is idle.
         """
         granted = self.granted + draw
         if self._pending is not None or granted < min(self.granted, self.used):
             return None
         self._commits += 1
-        limit = self.used + ahead
+        limit = self.used + waiting + ahead
         age = now - self._confirmed.at
         if age >= WRITE_AHEAD:
             # While the store is away a commit must not take back what may be used.
@@ -228,7 +234,7 @@
             commit=self._commits,
             at=store_now,
             ramp=min(RAMP, (granted - limit) / pace) if pace > 0 else RAMP,
-            reserved=self.reserved,
+            reserved=self.reserved + min(waiting, limit - self.used),
             moved=self._moved,
         )
         self._pending = _Sent(holding, now)
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -84,7 +84,8 @@
 
     account: Account
     draw: int = 0  # tokens, negative for a return
-    ahead: int = 0  # tokens that may be used before the next commit
+    waiting: int = 0  # tokens that requests wait for
+    ahead: int = 0  # tokens that others may use before the next commit
     pace: float = 0.0  # tokens a second that may be needed if none follows
 
 
@@ -209,11 +210,12 @@
 
         An account is left out while an earlier commit of it is unresolved.
         """
-        account, draw, ahead, pace = change
+        account, draw = change.account, change.draw
         holding = account.ledger.propose(
             draw=draw,
-            ahead=ahead,
-            pace=pace,
+            waiting=change.waiting,
+            ahead=change.ahead,
+            pace=change.pace,
             now=self._now(),
             store_now=self._store.now(),
         )
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -23,6 +23,7 @@
     refusals,
     reservations,
     rows,
+    waiters,
 )
 
 CHECK_INTERVAL = 0.2  # seconds between looks at what to draw, return or write
@@ -56,6 +57,8 @@
         self._config = config
         self._asking = asking.Asking(holder=holder, ask=ask, home=home, now=now)
         self._home = home
+        self._hosts = hosts
+        self._regions = regions
         self._horizon = horizon  # seconds of use that this host keeps ahead
         self._now = now
         self._commits = account_rows.Commits(
@@ -70,6 +73,7 @@
             accounts=lambda: list(self._accounts.values()),
             commits=self._commits,
             waiting=self._bridge,
+            change=self._change,
             hosts=hosts,
             known=self._count,
             home=home,
@@ -123,11 +127,25 @@
             self._note_refusal(account, tokens, outcome, now)
         return outcome
 
-    def settle(self, name: str, reserved: int, bill: account_rows.Bill | None) -> None:
-        """End a reservation; `bill` is None for a request that did not run."""
+    def spend(self, name: str, tokens: int) -> None:
+        """Count tokens of a reservation as spent, since its request began to run."""
+        self._account(name).ledger.spend(tokens)
+
+    def settle(
+        self,
+        name: str,
+        reserved: int,
+        bill: account_rows.Bill | None,
+        *,
+        spent: int = 0,
+    ) -> None:
+        """End a reservation; `bill` is None for a request that did not run.
+
+        `spent` tokens of it were counted before.
+        """
         account = self._account(name)
         used = 0 if bill is None else bill.input_tokens + bill.output_tokens
-        account.ledger.settle(reserved, used)
+        account.ledger.settle(reserved - spent, used - spent)
         if bill is None:
             return
         if not account.bills:
@@ -200,13 +218,7 @@
     def _give_up(
         self, account: account_rows.Account, waiter: account_rows.Waiter
     ) -> None:
-        """End a wait; free what was reserved just as it ended."""
-        if waiter in account.waiters:
-            account.waiters.remove(waiter)
-        if not waiter.done.done():
-            waiter.done.cancel()
-        elif isinstance(waiter.done.result(), reservations.Reserved):
-            account.ledger.settle(waiter.tokens, 0)
+        waiters.end(account, waiter)
         # Smaller requests may have waited behind it.
         self._grant(account)
 
@@ -222,20 +234,33 @@
         outcome: reservations.ReserveOutcome,
         began: float,
     ) -> None:
-        now = self._now()
-        waited, away_at = now - began, self._away_at
-        refusals.note(account, tokens, outcome, waited=waited, away_at=away_at, now=now)
+        ages = {"began": began, "away_at": self._away_at, "now": self._now()}
+        refusals.note(account, tokens, outcome, **ages)
 
-    def _draw(self, account: account_rows.Account) -> int:
-        """Return the tokens to draw now, negative to return some."""
-        place = amounts.Place(
+    def _place(self, account: account_rows.Account) -> amounts.Place:
+        """Return what this host is to an account now."""
+        is_home = self._home.is_here(account.name)
+        return amounts.Place(
             prepaid=self._prepaid(account),
-            is_home=self._home.is_here(account.name),
+            is_home=is_home,
             has_home=self._home.is_elsewhere(account.name),
             returning=self._returning,
             horizon=self._horizon(),
+            holders=self._regions if is_home else self._hosts(),
         )
-        return amounts.draw(account, place, self._now())
+
+    def _draw(self, account: account_rows.Account) -> int:
+        """Return the tokens to draw now, negative to return some."""
+        return amounts.draw(account, self._place(account), self._now())
+
+    def _change(
+        self, account: account_rows.Account, *, draw: int = 0
+    ) -> account_rows.Change:
+        place = self._place(account)
+        return amounts.change(account, place, self._now(), draw=draw)
+
+    def _is_low(self, account: account_rows.Account) -> bool:
+        return amounts.limit_is_low(account, self._place(account), self._now())
 
     def _is_due(self, account: account_rows.Account) -> bool:
         if self._returning:
@@ -243,19 +268,14 @@
         return self._checkpointer.is_due(account)
 
     def _count(self) -> int:
-        config = self._config()
-        return len(config.accounts) if config is not None else 1
+        return len(config.accounts) if (config := self._config()) is not None else 1
 
     def _kick(self, account: account_rows.Account) -> None:
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._work(account))
 
     def _kick_if_due(self, account: account_rows.Account) -> None:
-        if (
-            account.waiters
-            or self._draw(account)
-            or amounts.limit_is_low(account, self._now())
-        ):
+        if account.waiters or self._draw(account) or self._is_low(account):
             self._kick(account)
 
     async def _work(self, account: account_rows.Account) -> None:
@@ -282,13 +302,8 @@
         waiting = account.waiting()
         limited = waiting and account.ledger.idle >= waiting[0].tokens
         due = self._is_due(account)
-        if (
-            draw
-            or limited
-            or due
-            or (not waiting and amounts.limit_is_low(account, self._now()))
-        ):
-            change = amounts.change(account, self._now(), draw=draw)
+        if draw or limited or due or (not waiting and self._is_low(account)):
+            change = self._change(account, draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit([change], kind=kind, waiting=self._bridge)
         if not waiting:
@@ -309,17 +324,8 @@
 
     def _grant(self, account: account_rows.Account) -> None:
         """Reserve for the waiters that the ledger covers, in order."""
-        if not self._may_spend(account):
-            return
-        now = self._now()
-        for waiter in list(account.waiters):
-            if waiter.done.done():
-                account.waiters.remove(waiter)
-                continue
-            if not account.ledger.reserve(waiter.tokens, now):
-                return
-            account.waiters.remove(waiter)
-            waiter.done.set_result(reservations.Reserved())
+        if self._may_spend(account):
+            waiters.grant(account, self._now())
 
     async def _refuse(self, account: account_rows.Account) -> bool:
         """Ask other hosts for the first waiter's tokens; refuse it if they lack.
@@ -348,8 +354,7 @@
         self._shortages.note(account.name, least, outcome)
         for waiter in waiting:
             if waiter.tokens >= least:
-                account.waiters.remove(waiter)
-                waiter.done.set_result(outcome)
+                waiters.refuse(account, waiter, outcome)
         return True
 
     async def _collect(
@@ -387,6 +392,5 @@
                 idle -= waiter.tokens
                 continue
             outcome = self._out_of_reach(account, waiter.tokens, reason)
-            account.waiters.remove(waiter)
-            waiter.done.set_result(outcome)
+            waiters.refuse(account, waiter, outcome)
             self._shortages.note_first(account.name, waiter.tokens, outcome)
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -11,6 +11,8 @@
 OWN_REFILL = 0.5  # the same of other hosts, whose draws would meet one another's
 HELD_SHARE = 0.5  # of what a host and the budget have left, that it holds at most
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
+LOSS_SHARE = 0.005  # of a budget, that all hosts together may use without commits
+HOMES_AHEAD = 2.0  # seconds of a host's use, the same where accounts have homes
 PACE = 1.3  # times the mean use, that may be needed while the store is away
 OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
 
@@ -23,6 +25,7 @@
     has_home: bool  # another host holds tokens for it
     returning: bool  # it stops and gives everything back
     horizon: float = HORIZON  # seconds of use that it keeps ahead
+    holders: int = 1  # hosts that keep tokens of the account ahead
 
 
 def horizon(*, age: float, killed: bool) -> float:
@@ -37,27 +40,48 @@
     return min(HORIZON, max(MIN_HORIZON, age))
 
 
-def ahead(account: account_rows.Account) -> int:
-    """Return the tokens that may be used before the next commit."""
-    needed = sum(waiter.tokens for waiter in account.waiting())
-    return needed + account.asked + int(AHEAD_SHARE * max(0, account.ledger.idle))
+def headroom(account: account_rows.Account, place: Place, now: float) -> int:
+    """Return the tokens that requests to come may use before the next commit.
+
+    They are lost if the host dies before it. A request for more waits for a commit of
+    its own. Where accounts have homes, the store can't take so many of them.
+    """
+    most = int(AHEAD_SHARE * max(0, account.ledger.idle))
+    if place.prepaid is None:
+        return most
+    least = LOSS_SHARE * place.prepaid / place.holders
+    if place.is_home or place.has_home:
+        least = max(least, HOMES_AHEAD * account.demand.rate(now))
+    return min(most, int(least))
+
+
+def awaited(account: account_rows.Account) -> int:
+    """Return the tokens that requests wait for, of this host and of those that ask."""
+    return sum(waiter.tokens for waiter in account.waiting()) + account.asked
 
 
 def change(
-    account: account_rows.Account, now: float, *, draw: int = 0
+    account: account_rows.Account, place: Place, now: float, *, draw: int = 0
 ) -> account_rows.Change:
     """Return what a commit does to an account that draws so many tokens."""
     pace = PACE * account.demand.lower_rate(now)
-    return account_rows.Change(account, draw, ahead(account), pace)
+    return account_rows.Change(
+        account=account,
+        draw=draw,
+        waiting=awaited(account),
+        ahead=headroom(account, place, now),
+        pace=pace,
+    )
 
 
-def limit_is_low(account: account_rows.Account, now: float) -> bool:
+def limit_is_low(account: account_rows.Account, place: Place, now: float) -> bool:
     """Whether requests may soon have to wait for a commit, though tokens are here.
 
     Only a new commit raises what may be used without one.
     """
     available = account.ledger.available(now)
-    wanted = max(account.asked, ahead(account) // 4)
+    wanted = awaited(account) + headroom(account, place, now)
+    wanted = max(account.asked, wanted // 4)
     return available < min(wanted, account.ledger.idle)
 
 
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
-from dogwoodchute.gateway import account_rows, amounts, commit_counts, reservations
+from dogwoodchute.gateway import account_rows, commit_counts, reservations
 
 Draw = abc.Callable[[account_rows.Account], int]
 
@@ -19,6 +19,7 @@
         accounts: abc.Callable[[], list[account_rows.Account]],
         commits: account_rows.Commits,
         waiting: account_rows.Waiting,
+        change: abc.Callable[..., account_rows.Change],
         hosts: abc.Callable[[], int],
         known: abc.Callable[[], int],
         home: reservations.Home,
@@ -29,6 +30,7 @@
         self._accounts = accounts
         self._commits = commits
         self._waiting = waiting
+        self._change = change  # of an account, that draws `draw` tokens
         self._hosts = hosts
         self._known = known  # how many accounts there are, used here or not
         self._home = home
@@ -80,10 +82,7 @@
         batch = due[: account_rows.MAX_ACCOUNTS]
         if not batch:
             return
-        changes = [
-            amounts.change(account, self._now(), draw=draw(account))
-            for account in batch
-        ]
+        changes = [self._change(account, draw=draw(account)) for account in batch]
         granted = any(account.ledger.granted for account in batch)
         kind = commit_counts.CHECKPOINT if granted else commit_counts.BILLS
         for account in batch:
--- a/dogwoodchute/gateway/refusals.py
+++ b/dogwoodchute/gateway/refusals.py
@@ -63,17 +63,18 @@
     tokens: int,
     outcome: reservations.ReserveOutcome,
     *,
-    waited: float,
+    began: float,
     away_at: float,
     now: float,
 ) -> None:
     """Log why a request got no tokens, and how old what was known is.
 
-    `away_at` is the monotonic time at which the store last had no answer.
+    The request came at the monotonic time `began`; at `away_at` the store last had no
+    answer.
     """
     ledger = account.ledger
     ages = {
-        "waited": waited,
+        "waited": now - began,
         "rows_age": now - account.read_at if account.read_at is not None else None,
         "commit_age": now - ledger.sent_at(),
         "home_age": now - account.home_failed_at,
