Count a stream's input as spent when its first event comes

A request in flight at a host's death was reserved at its most in the row, so nothing told tokens that were used from those that were not, and no row ever counted the input of a stream whose host died. An engine's run begins with its first token; from then on the input is spent in the next row. A test at the socket: the row of a stream under way says 1000 spent and 40 reserved.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -52,6 +52,8 @@
         self.delivered_events = 0
         self.may_have_run = False  # at some endpoint
         self.consumed = False  # an endpoint began to work on it, as far as can be told
+        self.spent = 0  # tokens that were counted as used when it began to run
+        self.began: abc.Callable[[], None] = lambda: None  # called at its first token
         self.started = False  # the answer's head is on its way to the caller
         self.last_event_id = request.last_event_id  # of the last event delivered
         self.tried: list[str] = []  # endpoints, with those that were not reached
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -95,6 +95,7 @@
         call.unread = waiting
 
         def first_token() -> None:
+            call.began()
             if unread:
                 self._known.read(endpoint.id, unread.pop())
                 self._known.first_event(call, endpoint.id, waiting)
--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -138,10 +138,18 @@
                 retry_after=reserved.retry_after,
             )
         call.reserved = prompt.most
+
+        def begin() -> None:
+            if not call.spent:
+                call.spent = prompt.input_tokens
+                budgets.spend(name, call.spent)
+
+        call.began = begin
         try:
             return await proceed()
         finally:
-            budgets.settle(name, prompt.most, _bill(call, prompt))
+            bill = _bill(call, prompt)
+            budgets.settle(name, prompt.most, bill, spent=call.spent)
 
     return run
 
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from dogwoodchute.coordination import escrow
 from dogwoodchute.gateway import account_rows
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gateway_site, support
@@ -70,6 +71,26 @@
 
         self.run_async(story())
 
+    def test_a_row_tells_of_the_input_of_a_stream_that_has_begun(self):
+        async def story():
+            async with gateway_site.running() as site:
+                site.endpoints["e1"].pause = 0.3
+                part = account_rows.part_of("ann")
+                asking = asyncio.create_task(site.ask("/s/stream", **TOKENS))
+
+                def held():
+                    found = site.store.read("holdings", part, None, None).rows
+                    return found and account_rows.holding_of(found[0].value)
+
+                await support.until(lambda: held() and held().spent)
+                self.assertFalse(asking.done())
+                self.assertEqual((1000, 40), (held().spent, held().reserved))
+                await asking
+                await support.until(lambda: held().spent == 1020)
+                await support.until(lambda: held().reserved == 0)
+
+        self.run_async(story())
+
     def test_a_broken_stream_goes_on_at_another_engine_each_event_once(self):
         async def story():
             async with gateway_site.running() as site:
@@ -299,7 +320,8 @@
                 held = site.store.read("holdings", part, None, None).rows
                 shared = site.store.read("accounts", part, None, None).rows
                 self.assertEqual(1, len(held))
-                self.assertEqual(b"[1040,0]", shared[0].value)
+                row = account_rows.shared_of(shared[0].value)
+                self.assertEqual(escrow.Account(drawn=1040), row)
                 bills = site.store.read("bills", part, None, None).rows
                 self.assertEqual(b'[["a1",1000,40]]', bills[0].value)
 
