Don't bill a stream of which no byte came, unless a later one had begun

Callers got 402 after engines had crashed: each request that waited at one was billed its whole input. So the head is the sign, as far as no later request of the same engine had begun before: then the answer was lost on its way, and is billed as before.

Tests at the socket, with and without a byte, overtaken or not.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -138,13 +138,17 @@
     ) -> bool:
         """Return whether the endpoint began to work on the call, as far as is known.
 
-        `answer` and `result` are None where the caller left before they came.
+        `answer` and `result` are None where the caller left before they came. The head
+        of an engine's stream comes with the first token of its run.
         """
         if isinstance(answer, upstream.Answer):
             return not isinstance(result, tries.Refused)
         if isinstance(answer, upstream.NotSent):
             return False
-        if answer is not None and answer.reason != NO_ANSWER:
+        silent = answer is None or answer.reason == NO_ANSWER
+        if isinstance(answer, upstream.Lost) and call.route.kind == model.STREAM:
+            silent = silent or answer.silent
+        if not silent:
             return True
         return self._known.passed_over(call, endpoint.id)
 
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import dataclasses
 import functools
 import http
@@ -64,6 +65,18 @@
     reason: str
     peer: str
     step: str = "answer"
+    silent: bool = False  # not a byte of an answer came
+
+
+class _Exchange:
+    """What came on a connection since one request was sent."""
+
+    def __init__(self) -> None:
+        self.received = 0  # bytes
+
+
+# The library chooses a request's connection, so the connection looks for the request.
+_sending: contextvars.ContextVar[_Exchange] = contextvars.ContextVar("sending")
 
 
 class Channel(client_proto.ResponseHandler):
@@ -73,7 +86,7 @@
         super().__init__(loop)
         self.reset = False  # ended otherwise than by the endpoint's closing it
         self.idle_until: float | None = None  # loop time
-        self._received = 0  # bytes since the request
+        self._exchange = _Exchange()
         self._interim = 0  # answers since then before the one that counts
         self._head_came = False
         self._length: int | None = None  # bytes of the body to come, if it is told
@@ -86,7 +99,7 @@
 
     def set_response_params(self, **known: object) -> None:
         """Begin to wait for an answer."""
-        self._received = 0
+        self._exchange = _sending.get(_Exchange())
         self._interim = 0
         self._length = None
         self._head_came = False
@@ -119,7 +132,7 @@
             # The parser goes on with what it kept while its reader was full.
             super().data_received(data)
             return
-        self._received += len(data)
+        self._exchange.received += len(data)
         data = self._take_heads(data)
         if self._length is not None:
             self._take_body(data)
@@ -157,7 +170,7 @@
 
     def _bound(self, fresh: int) -> None:
         body = self._payload.total_bytes if self._payload is not None else 0
-        if self._received - body <= MAX_HEAD + fresh + MAX_FRAMING * body:
+        if self._exchange.received - body <= MAX_HEAD + fresh + MAX_FRAMING * body:
             return
         self._give_up("too many bytes that are no answer")
 
@@ -275,6 +288,8 @@
         if self._session.closed:
             return NotSent(reason="this host stops", peer=endpoint.id)
         request = call.request
+        exchange = _Exchange()
+        _sending.set(exchange)
         target = request.path + (f"?{request.query}" if request.query else "")
         try:
             response = await self._session.request(
@@ -289,7 +304,8 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(reason=_reason(error), peer=endpoint.id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=_reason(error), peer=endpoint.id)
+            silent = not exchange.received
+            return Lost(reason=_reason(error), peer=endpoint.id, silent=silent)
         head = self._wire.head(response.status, response.headers, response.raw_headers)
         # The response lets go of its connection as soon as the body has come; the
         # body's reader still knows it.
--- /dev/null
+++ b/dogwoodchute/tests/raw_endpoint.py
@@ -0,0 +1,59 @@
+"""An endpoint that writes raw bytes, as a faulty one may."""
+
+import asyncio
+import contextlib
+import re
+
+ATTEMPT = re.compile(rb"X-Dogwoodchute-Attempt-Id: (\S+)", re.IGNORECASE)
+HEAD_END = b"\r\n\r\n"
+
+
+class RawEndpoint:
+    """Answers each request with what `script` returns for it.
+
+    `script` takes the request's head and its number on the connection; it returns the
+    bytes to write, and whether the connection is closed after them.
+    """
+
+    def __init__(self, *, script):
+        self.script = script
+        self.got = []  # attempt ids, in order
+        self.connections = 0
+        self.port = 0
+        self._listening = None
+
+    async def start(self):
+        self._listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._listening.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._listening.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        number = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(HEAD_END)
+                number += 1
+                self.got.append(ATTEMPT.search(head).group(1).decode())
+                data, closes = self.script(head, number)
+                writer.write(data)
+                await writer.drain()
+                if closes:
+                    break
+        writer.close()
+
+
+def answer(head, *, status=b"200 OK", body=b"", headers=b"", framed=True):
+    """Return an endpoint's answer to the request with `head`."""
+    lines = [
+        b"HTTP/1.1 " + status,
+        b"X-Dogwoodchute-Attempt-Id: " + ATTEMPT.search(head).group(1),
+        b"X-Dogwoodchute-Response-Signature: sig",
+    ]
+    if headers:
+        lines.append(headers)
+    if framed:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + HEAD_END + body
--- /dev/null
+++ b/dogwoodchute/tests/test_unanswered.py
@@ -0,0 +1,49 @@
+"""What is billed of streams that an endpoint broke off."""
+
+from dogwoodchute.gateway import account_rows
+from dogwoodchute.tests import raw_endpoint, support, test_faulty_answers
+
+TOKENS = {"X_Dogwoodchute_Token_Count": "1000,40"}
+
+
+class UnansweredTest(support.TestCase):
+    def billed(self, data, *, before=False):
+        """Return the tokens that are spent once an engine wrote `data` and closed.
+
+        `before` tells whether the engine began a later request before that.
+        """
+
+        async def story():
+            async with test_faulty_answers.running(
+                lambda head, number: (data(head), True), service="engines"
+            ) as (site, _):
+                if before:
+                    known = site.gate.gateway._endpoints
+                    self.patch(known, "passed_over", lambda call, endpoint: True)
+                status, _, _ = await site.ask("/o/stream", **TOKENS)
+                self.assertEqual(502, status)
+                part = account_rows.part_of("ann")
+
+                def row():
+                    found = site.store.read("holdings", part, None, None).rows
+                    held = found and account_rows.holding_of(found[0].value)
+                    return held if held and not held.reserved else None
+
+                await support.until(row)
+                return row().spent
+
+        return self.run_async(story())
+
+    def test_a_stream_of_which_no_byte_came_had_not_begun(self):
+        """Crashes of engines used up budgets for requests that waited there."""
+        self.assertEqual(0, self.billed(lambda head: b""))
+
+    def test_it_had_begun_if_a_later_one_had(self):
+        self.assertEqual(1000, self.billed(lambda head: b"", before=True))
+
+    def test_it_had_begun_if_any_byte_came(self):
+        self.assertEqual(1000, self.billed(lambda head: b"HTTP/1.1 2"))
+        self.assertEqual(1000, self.billed(lambda head: b"garbage\r\n\r\n"))
+        self.assertEqual(
+            1000, self.billed(lambda head: raw_endpoint.answer(head, body=b"")[:40])
+        )
