Don't take a refusal that comes twice for the next one; watch resumed ids

With the refused attempt's id the next caller got a needless 502; without an id a caller was told 'not run' of an order that ran. A connection is closed as soon as the head of a refusal has come, in the parser, before anybody else may get it. - A stream that was resumed at an endpoint which began at the first event again was joined, and looked whole. Its ids must rise now; else the stream is broken off.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -20,7 +20,6 @@
 LOOK_AGAIN = 0.1  # seconds until a call that could not go elsewhere may
 NO_ANSWER = "no answer in time"
 SILENT = "the answer went silent"
-DRAIN_TIME = 0.1  # seconds for the body of a refusal
 MIN_LEFT = 0.02  # seconds below which nothing is sent any more
 RETRY_AFTER = 0.2  # seconds: about the time in which a place comes free
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
@@ -186,7 +185,6 @@
                 reason="the answer is for another request", peer=endpoint.id
             )
         if head.not_run:
-            await self._drain(call, answer, endpoint)
             return tries.Refused(status=head.status, peer=endpoint.id)
         whole = http.HTTPStatus(200) <= head.status < 300
         if whole and not head.signed:
@@ -207,21 +205,6 @@
         await call.reply.whole(head.status, head.headers, body)
         return outcomes.Answered(status=head.status, tokens=0, endpoint=endpoint.id)
 
-    async def _drain(
-        self, call: calls.Call, answer: upstream.Answer, endpoint: model.Endpoint
-    ) -> None:
-        """Read a refusal's body, so that its connection may be used again.
-
-        The head has decided already, so the call does not wait long for the rest.
-        """
-        try:
-            async with asyncio.timeout(min(DRAIN_TIME, self._left(call))):
-                body = await answer.read(endpoint.id)
-        except TimeoutError:
-            return
-        if not isinstance(body, tries.Failure):
-            answer.done()
-
     async def _within(
         self,
         call: calls.Call,
@@ -297,6 +280,8 @@
             first_token()
             try:
                 events = cutter.feed(data)
+                if events:
+                    sse.check_follows(events, call.last_event_id, gaps=True)
             except sse.FormatError as error:
                 return upstream.Lost(reason=str(error), peer=endpoint.id)
             if events:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -80,10 +80,14 @@
 
 
 class Channel(client_proto.ResponseHandler):
-    """A connection that is not used again after bytes that nobody asked for."""
+    """A connection that is not used again after bytes that nobody asked for.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    Nor is it after a refusal, since a copy of it could pass for the next answer.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, *, wire: Wire) -> None:
         super().__init__(loop)
+        self._wire = wire
         self.reset = False  # ended otherwise than by the endpoint's closing it
         self.idle_until: float | None = None  # loop time
         self._exchange = _Exchange()
@@ -114,6 +118,10 @@
             self._interim += 1
             super().feed_data(data, size)
             return
+        if message.code >= http.HTTPStatus.BAD_REQUEST:
+            head = self._wire.head(message.code, message.headers, message.raw_headers)
+            if head.not_run:
+                self.force_close()
         length = message.headers.get("Content-Length", "")
         if payload is streams.EMPTY_PAYLOAD:
             self._length = 0
@@ -257,7 +265,9 @@
         """Open the session; needs the running loop."""
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_TIMEOUT)
         # The connector offers no other way to say what its connections are.
-        connector._factory = functools.partial(Channel, loop=asyncio.get_running_loop())
+        connector._factory = functools.partial(
+            Channel, loop=asyncio.get_running_loop(), wire=self._wire
+        )
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -126,6 +126,19 @@
     return None
 
 
+def check_follows(run: bytes, last_id: str | None, *, gaps: bool = False) -> None:
+    """Raise `FormatError` if a run does not go on after the event with `last_id`.
+
+    Ids that are no numbers tell nothing. With `gaps` a number may be left out.
+    """
+    first_id = event_id(events(run)[0]) or ""
+    if last_id is None or not (first_id.isdecimal() and last_id.isdecimal()):
+        return
+    step = int(first_id) - int(last_id)
+    if step < 1 or (step > 1 and not gaps):
+        raise FormatError(f"the engine resumed at {first_id} after {last_id}")
+
+
 def payloads(run: bytes) -> abc.Iterator[dict]:
     """Yield the decoded data of each event in a run.
 
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -232,7 +232,7 @@
             if not whole:
                 continue
             if resumed_after is not None:
-                _check_continues(whole, resumed_after)
+                sse.check_follows(whole, resumed_after)
                 resumed_after = None
             await self._pass_on(whole)
         try:
@@ -353,13 +353,5 @@
         return failures.incomplete(exchange, reason, seen=seen)
 
 
-def _check_continues(whole: bytes, last_id: str) -> None:
-    first_id = sse.event_id(sse.events(whole)[0]) or ""
-    if not (first_id.isdecimal() and last_id.isdecimal()):
-        return
-    if int(first_id) != int(last_id) + 1:
-        raise sse.FormatError(f"the engine resumed at {first_id} after {last_id}")
-
-
 def _label(reason: str) -> str:
     return failures.REASON_LABELS.get(reason, "cut")
--- a/dogwoodchute/tests/test_interim.py
+++ b/dogwoodchute/tests/test_interim.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from dogwoodchute.gateway import upstream
+from dogwoodchute.platform import egress
 from dogwoodchute.tests import support
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -11,7 +12,7 @@
 
 class InterimTest(support.TestCase):
     def channel(self, loop):
-        made = upstream.Channel(loop)
+        made = upstream.Channel(loop, wire=egress.wire())
         transport = mock.Mock()
         transport.is_closing.return_value = False
         made.connection_made(transport)
