--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -247,6 +247,7 @@
             returning=self._returning,
             horizon=self._horizon(),
             holders=self._regions if is_home else self._hosts(),
+            commit=self._commits.slowness(),
         )
 
     def _draw(self, account: account_rows.Account) -> int:
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -13,6 +13,7 @@
 AHEAD_SHARE = 0.25  # of a host's idle tokens, that it may use without a commit
 LOSS_SHARE = 0.005  # of a budget, that all hosts together may use without commits
 HOMES_AHEAD = 2.0  # seconds of a host's use, the same where accounts have homes
+SLOW_COMMITS = 3.0  # that may take place in that time while the store is slow
 PACE = 1.3  # times the mean use, that may be needed while the store is away
 OWN_REQUESTS = 6  # in a horizon, from which a host that is no home draws ahead
 
@@ -26,6 +27,7 @@
     returning: bool  # it stops and gives everything back
     horizon: float = HORIZON  # seconds of use that it keeps ahead
     holders: int = 1  # hosts that keep tokens of the account ahead
+    commit: float = 0.0  # seconds that a commit takes, 0 unless the store is slow
 
 
 def horizon(*, age: float, killed: bool) -> float:
@@ -51,7 +53,10 @@
         return most
     least = LOSS_SHARE * place.prepaid / place.holders
     if place.is_home or place.has_home:
-        least = max(least, HOMES_AHEAD * account.demand.rate(now))
+        seconds = HOMES_AHEAD
+        if place.commit:
+            seconds = min(seconds, SLOW_COMMITS * place.commit)
+        least = max(least, seconds * account.demand.rate(now))
     return min(most, int(least))
 
 
