Fuzz begun requests and commits that requests wait for

The ledger's machine counts parts of requests as spent before they end, and lets commits name tokens that are waited for.

--- a/dogwoodchute/tests/test_escrow.py
+++ b/dogwoodchute/tests/test_escrow.py
@@ -56,13 +56,21 @@
         return True
 
 
+class Flight:
+    """A request under way: what it reserved, and what was counted as spent of it."""
+
+    def __init__(self, reserved):
+        self.reserved = reserved
+        self.begun = 0
+
+
 class Host:
     def __init__(self, name, began):
         self.name = name
         self.began = began
         self.ledger = escrow.Ledger()
         self.copy = None
-        self.flying = []  # reserved and used of each request under way
+        self.flying = []
 
 
 class EscrowMachine(stateful.RuleBasedStateMachine):
@@ -82,20 +90,24 @@
         return Host(f"{name}-{self.lives}", self.now)
 
     def in_use(self):
-        return sum(host.ledger.reserved for host in self.hosts.values())
+        flying = [flight for host in self.hosts.values() for flight in host.flying]
+        return sum(flight.reserved for flight in flying)
 
-    @stateful.rule(name=HOSTS, part=DRAWS, ahead=AMOUNTS, fate=FATES, pace=PACES)
-    def commit(self, name, part, ahead, fate, pace=0):
+    @stateful.rule(
+        name=HOSTS, part=DRAWS, ahead=AMOUNTS, fate=FATES, pace=PACES, waiting=AMOUNTS
+    )
+    def commit(self, name, part, ahead, fate, pace=0, waiting=0):
         host = self.hosts[name]
         if host.copy is None:
-            self.propose(host, part, ahead, pace)
+            self.propose(host, part, ahead, pace, waiting)
         self.send(host, fate)
 
-    def propose(self, host, part, ahead, pace):
+    def propose(self, host, part, ahead, pace, waiting):
         whole = PREPAID - self.store.drawn if part > 0 else host.ledger.idle
         draw = int(part * max(0, whole))
         holding = host.ledger.propose(
             draw=draw,
+            waiting=waiting,
             ahead=ahead,
             pace=pace,
             now=self.now,
@@ -135,15 +147,26 @@
             host = self.hosts[name]
             tokens = int(part * host.ledger.available(self.now))
             if tokens > 0 and host.ledger.reserve(tokens, self.now):
-                host.flying.append(tokens)
+                host.flying.append(Flight(tokens))
+
+    @stateful.rule(name=HOSTS, part=PARTS)
+    def begin(self, name, part):
+        """Count a part of a request under way as spent."""
+        host = self.hosts[name]
+        for flight in host.flying:
+            if not flight.begun:
+                flight.begun = int(part * flight.reserved)
+                host.ledger.spend(flight.begun)
+                return
 
     @stateful.rule(name=HOSTS, share=st.sampled_from([0, 0.5, 1, 1]))
     def settle(self, name, share):
         host = self.hosts[name]
         while host.flying:
-            reserved = host.flying.pop()
-            spent = int(reserved * share)
-            host.ledger.settle(reserved, spent)
+            flight = host.flying.pop()
+            spent = int(flight.reserved * share)
+            left = flight.reserved - flight.begun
+            host.ledger.settle(left, spent - flight.begun)
             self.used += spent
 
     @stateful.rule(giver=HOSTS, taker=HOSTS, part=PARTS, lost=st.booleans())
@@ -164,7 +187,7 @@
         if spare:
             return
         dead = self.hosts[name]
-        self.used += sum(dead.flying)
+        self.used += sum(flight.reserved for flight in dead.flying)
         self.now += pause
         self.hosts[name] = self.born(name)
         held = self.store.holdings.pop(dead.name, None)
@@ -225,6 +248,25 @@
     machine.reserve(["b"], 1)
 
 
+def begun_twice(machine):
+    machine.commit("a", 1, 400, "done")
+    machine.pass_time(WHOLE)
+    machine.reserve(["a"], 0.5)
+    machine.begin("a", 1)
+    machine.reserve(["a"], 1)
+
+
+def death_of_a_waiter(machine):
+    machine.commit("a", 1, 0, "done")
+    machine.commit("a", 0, 0, "done", waiting=400)
+    machine.reserve(["a"], 1)
+    machine.begin("a", 1)
+    machine.die("a", 0.4, True, False)
+    machine.commit("b", 1, 400, "done")
+    machine.pass_time(WHOLE)
+    machine.reserve(["b"], 1)
+
+
 def draw_without_answer(machine):
     machine.commit("a", 1, 400, "lost")
     machine.pass_time(WHOLE)
@@ -258,6 +300,24 @@
 
         self.check(death_on_the_ramp, "available", available)
 
+    def test_a_begun_request_whose_tokens_are_free(self):
+        def spend(ledger, tokens):
+            ledger.reserved -= tokens
+
+        self.check(begun_twice, "spend", spend)
+
+    def test_a_waiter_that_the_row_does_not_know(self):
+        propose = escrow.Ledger.propose
+
+        def forget(ledger, **known):
+            holding = propose(ledger, **known)
+            if holding is not None and known["waiting"]:
+                limit = holding.limit - known["waiting"]
+                holding = holding._replace(limit=limit)
+            return holding
+
+        self.check(death_of_a_waiter, "propose", forget)
+
     def test_a_draw_that_counts_before_it_is_certain(self):
         def candidates(ledger):
             return [ledger._pending or ledger._confirmed]
