--- a/dogwoodchute/tests/raw_endpoint.py
+++ b/dogwoodchute/tests/raw_endpoint.py
@@ -32,7 +32,10 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         number = 0
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+            contextlib.closing(writer),
+        ):
             while True:
                 head = await reader.readuntil(HEAD_END)
                 number += 1
@@ -42,7 +45,6 @@
                 await writer.drain()
                 if closes:
                     break
-        writer.close()
 
 
 def answer(head, *, status=b"200 OK", body=b"", headers=b"", framed=True):
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -259,7 +259,7 @@
         async def endless(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(ConnectionError), contextlib.closing(writer):
                 while True:
                     writer.write(b"x" * 65536)
                     sent.append(65536)
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -36,15 +36,17 @@
         self._listening.close()
 
     async def _serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
         try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
             while not writer.is_closing():
                 writer.write(b"x")
                 await writer.drain()
                 await asyncio.sleep(PIECE_PAUSE)
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             return
+        finally:
+            writer.close()
 
 
 def follower(names, ask, store):
