Find once what a host is to an account in each look at its tokens

Since headroom depends on it, the host's place, with the ranking of homes, was found twice on each reservation and up to four times before each commit, with nothing awaited between.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -260,9 +260,6 @@
         place = self._place(account)
         return amounts.change(account, place, self._now(), draw=draw)
 
-    def _is_low(self, account: account_rows.Account) -> bool:
-        return amounts.limit_is_low(account, self._place(account), self._now())
-
     def _is_due(self, account: account_rows.Account) -> bool:
         if self._returning:
             return bool(account.bills)
@@ -276,7 +273,9 @@
             account.task = asyncio.create_task(self._work(account))
 
     def _kick_if_due(self, account: account_rows.Account) -> None:
-        if account.waiters or self._draw(account) or self._is_low(account):
+        place, now = self._place(account), self._now()
+        low = amounts.limit_is_low(account, place, now)
+        if account.waiters or low or amounts.draw(account, place, now):
             self._kick(account)
 
     async def _work(self, account: account_rows.Account) -> None:
@@ -299,12 +298,14 @@
             await asyncio.sleep(asking.HOME_PAUSE)
             return True
         await self._prepare_draw(account)
-        draw = self._draw(account)
+        place, now = self._place(account), self._now()
+        draw = amounts.draw(account, place, now)
         waiting = account.waiting()
         limited = waiting and account.ledger.idle >= waiting[0].tokens
         due = self._is_due(account)
-        if draw or limited or due or (not waiting and self._is_low(account)):
-            change = self._change(account, draw=draw)
+        low = not waiting and amounts.limit_is_low(account, place, now)
+        if draw or limited or due or low:
+            change = amounts.change(account, place, now, draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit([change], kind=kind, waiting=self._bridge)
         if not waiting:
