--- a/dogwoodchute/tools/dogwoodrecovery.py
+++ b/dogwoodchute/tools/dogwoodrecovery.py
@@ -3,7 +3,7 @@
 import dataclasses
 import pathlib
 import sys
-from typing import Annotated
+import typing
 
 import cappa
 
@@ -18,7 +18,7 @@
     Days are listed from the lowest share up.
     """
 
-    reports: Annotated[
+    reports: typing.Annotated[
         list[str], cappa.Arg(help="Files that `fleetbench run --report` wrote.")
     ]
 
