Read odd rows of other writers without stopping, and heed what endpoints say of themselves

Cause: a row that was nested too deeply, with a number too large or a port out of range raised errors that no reader caught; the copy of the table had advanced by then, so the rows after it never reached the host. Nothing read Server-Leaving, and an endpoint's Retry-After was decoded and not used.

Change: one parser of JSON with bounds, one reader of rows that leaves out whatever can't be decoded (logged once, counted), and a mirror that passes on the other rows whatever one does. Endpoints that say in an answer that they leave get nothing more, and other hosts learn of it by the load reports; those that refuse with Retry-After get nothing for that time. What they said ends with their process (born). Usage of removed endpoints is dropped once their requests have ended.

--- a/dogwoodchute/coordination/leaving.py
+++ b/dogwoodchute/coordination/leaving.py
@@ -30,6 +30,18 @@
         """Return whether an endpoint must get no new requests."""
         return endpoint in self._signals
 
+    def signalled_at(self, endpoint: str, source: str) -> float | None:
+        """Return the monotonic seconds of a source's latest signal, None without it."""
+        return self._signals.get(endpoint, {}).get(source)
+
+    def signalled(self, source: str) -> dict[str, float]:
+        """Return the monotonic seconds of a source's latest signals, by endpoint."""
+        return {
+            name: signals[source]
+            for name, signals in self._signals.items()
+            if source in signals
+        }
+
     def set_signal(self, endpoint: str, source: str, now: float) -> bool:
         """Set a signal; return whether the endpoint was not leaving before."""
         is_new = endpoint not in self._signals
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -12,9 +12,9 @@
 
 import xxhash
 
-from dogwoodchute import log
+from dogwoodchute import bounded_json, log
 from dogwoodchute.coordination import checkpoints, escrow, sizing, store_overload
-from dogwoodchute.gateway import commit_counts, rows
+from dogwoodchute.gateway import commit_counts, row_reader, rows
 
 ACCOUNTS = "accounts"
 HOLDINGS = "holdings"  # one row for each account and holder
@@ -115,6 +115,9 @@
         self._registered = registered  # store version of its registration, else 0
         self._store = store
         self._now = now
+        self._holding_reader = row_reader.RowReader(
+            table=HOLDINGS, decode=lambda key, value: decode_holding(value)
+        )
         self._counts = commit_counts.Counts(now=now)
         self._overload = store_overload.OverloadDetector()
         self._was_store_slow = False
@@ -148,9 +151,11 @@
         self._store_unavailable = isinstance(result, rows.Unavailable)
         if isinstance(result, rows.Unavailable):
             return result
-        account.holdings = {
-            row.key.partition("/")[2]: decode_holding(row.value) for row in result.rows
-        }
+        account.holdings = {}
+        for row in result.rows:
+            holding = self._holding_reader.read(row)
+            if holding is not None:
+                account.holdings[row.key.partition("/")[2]] = holding
         account.read_at = self._now()
         return None
 
@@ -400,7 +405,9 @@
 
 def decode_account(value: bytes) -> escrow.Account:
     """Return the account in a row's value; raise `ValueError` if it is none."""
-    drawn, closed_spent, *lost = json.loads(value)  # older hosts write no lost tokens
+    drawn, closed_spent, *lost = bounded_json.loads(
+        value
+    )  # older hosts write no lost tokens
     return escrow.Account(int(drawn), int(closed_spent), *map(int, lost))
 
 
@@ -410,5 +417,5 @@
     Fields that rows of older hosts lack, always the last ones, get their defaults.
     """
     types = escrow.Holding.__annotations__.values()
-    fields = zip(types, json.loads(value), strict=False)
+    fields = zip(types, bounded_json.loads(value), strict=False)
     return escrow.Holding(*(convert(field) for convert, field in fields))
--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway import model, row_reader, rows
 
 Decode = abc.Callable[[bytes], model.Config]
 
@@ -17,15 +17,16 @@
     def __init__(
         self,
         *,
+        table: str,
         key: str,
         decode: Decode,
-        format_error: type[Exception],
         on_config: abc.Callable[[model.Config], None],
         now: abc.Callable[[], float],
     ) -> None:
         self._key = key
-        self._decode = decode
-        self._format_error = format_error
+        self._reader = row_reader.RowReader(
+            table=table, decode=lambda key, value: decode(value)
+        )
         self._on_config = on_config
         self._now = now
         self._current: model.Config | None = None
@@ -55,10 +56,8 @@
         row = all_rows.get(self._key)
         if row is None or row not in changed:
             return
-        try:
-            config = self._decode(row.value)
-        except self._format_error as error:
-            log.error("config_unreadable", row_version=row.version, reason=str(error))
+        config = self._reader.read(row)
+        if config is None:
             return
         before = self._current.version if self._current is not None else None
         if before is not None and config.version <= before:
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from dogwoodchute import log, outcomes, sse
+from dogwoodchute.coordination import retry_after
 from dogwoodchute.gateway import calls, endpoints, model, try_results, upstream
 
 # The first four limits apply only while the call can be retried at another endpoint.
@@ -171,7 +172,7 @@
             isinstance(result, try_results.Refused)
             and result.status == ANOTHER_INSTANCE
         ):
-            self._endpoints.mark_ended(endpoint)
+            self._endpoints.table.mark_ended(endpoint)
         elif isinstance(result, outcomes.Answered):
             self._endpoints.record_success(endpoint)
         elif isinstance(result, try_results.Failure):
@@ -202,6 +203,7 @@
             return upstream.Lost(
                 reason="the answer is for another request", peer=endpoint.id
             )
+        self._heed(endpoint, head)
         if head.not_run:
             return try_results.Refused(status=head.status, peer=endpoint.id)
         succeeded = http.HTTPStatus(200) <= head.status < 300
@@ -223,6 +225,23 @@
         await call.reply.whole(head.status, head.headers, body)
         return outcomes.Answered(status=head.status, tokens=0, endpoint=endpoint.id)
 
+    def _heed(self, endpoint: model.Endpoint, head: upstream.Head) -> None:
+        """Do what an answer says of the endpoint itself: it leaves, or wants a pause.
+
+        If another endpoint answered at its address, it says nothing of this one.
+        """
+        if head.status == ANOTHER_INSTANCE:
+            return
+        table = self._endpoints.table
+        if head.leaving:
+            table.mark_leaving(endpoint)
+        if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        if head.retry_after:
+            table.hold_off(endpoint, head.retry_after)
+        elif head.bad_retry_after is not None:
+            table.ignore_hold_off(endpoint, head.bad_retry_after)
+
     async def _await_or_abandon(
         self,
         call: calls.Call,
@@ -270,8 +289,8 @@
         """
         if not call.is_retryable or call.sends >= call.route.max_attempts:
             return False
-        ready = self._endpoints.ready(call.service.name)
-        if all(endpoint.id in call.tried_endpoints for endpoint in ready):
+        usable = self._endpoints.table.usable(call.service.name)
+        if all(endpoint.id in call.tried_endpoints for endpoint in usable):
             return False
         return self._endpoints.take_retry(call.service.name)
 
@@ -343,7 +362,7 @@
                 f"The request was not run: {reason}; retry.",
                 step="dispatch",
                 peer=peer,
-                retry_after=RETRY_AFTER,
+                retry_after=self._retry_after(call.service.name),
             )
         return outcomes.Unknown(
             status=int(http.HTTPStatus.BAD_GATEWAY),
@@ -353,6 +372,11 @@
             peer=peer,
         )
 
+    def _retry_after(self, service: str) -> float:
+        """Return when a caller whose request found no endpoint should return."""
+        seconds = self._endpoints.table.seconds_until_usable(service)
+        return retry_after.spread(max(RETRY_AFTER, seconds or 0.0))
+
     async def _forward_error(
         self, call: calls.Call, last: try_results.Erred
     ) -> outcomes.Unknown | outcomes.Answered:
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -1,20 +1,16 @@
-"""The endpoints of the deployment: which are registered, their load, and the choice."""
+"""The endpoints of the deployment: their load, and the choice for a request."""
 
 from collections import abc
 
 from dogwoodchute import log
 from dogwoodchute.coordination import ejection, placement, retry_budget, sizing
-from dogwoodchute.gateway import calls, gossip, model, rows
+from dogwoodchute.gateway import calls, endpoint_table, gossip, model
 
-# Seconds after an outage of the store in which endpoints renew entries that expired.
-RENEWAL_TIME = 2.5
 PROMPT_RATE_WINDOW = 4.0  # seconds over which the sent prompt tokens are averaged
 # Of the retry slack of the whole fleet that its hosts share. The rest covers hosts that
 # restart, whose budgets begin anew.
 BUDGET_SHARE = 0.5
 
-Decode = abc.Callable[[str, bytes], model.Endpoint]
-
 
 class _Usage:
     """This host's requests at one endpoint, and what it observed of them."""
@@ -22,7 +18,12 @@
     def __init__(self, *, memory_tokens: int) -> None:
         self.running = 0  # requests
         self.waiting_tokens = 0  # prompt tokens that the engine has yet to process
-        self.sent = placement.SentPrompts(memory_tokens=memory_tokens)
+        self._memory_tokens = memory_tokens
+        self.forget_run()
+
+    def forget_run(self) -> None:
+        """Forget what was observed of the endpoint's process, as a new one runs."""
+        self.sent = placement.SentPrompts(memory_tokens=self._memory_tokens)
         self.slowness_estimator = placement.SlownessEstimator()
         # Monotonic seconds of the latest send whose answer has begun.
         self.latest_started_send = 0.0
@@ -35,90 +36,32 @@
         self,
         *,
         deployment: model.Deployment,
-        decode: Decode,
-        format_error: type[Exception],
+        table_name: str,
+        decode: endpoint_table.Decode,
         host_count: abc.Callable[[], int],
         loads: abc.Callable[[], gossip.Loads],
         now: abc.Callable[[], float],
     ) -> None:
-        self.is_loaded = False  # whether the endpoints' table was read at least once
         self._deployment = deployment
-        self._decode = decode
-        self._format_error = format_error
         self._host_count = host_count
         self._loads = loads
         self._now = now
         self._prompt_rate = sizing.Demand(
             window=PROMPT_RATE_WINDOW, bias_corrected=True
         )
-        self._all: dict[str, model.Endpoint] = {}  # by id
-        # Endpoints without a row that may renew it, and the monotonic seconds at which
-        # the row was removed.
-        self._missing: dict[str, float] = {}
-        # Endpoints at whose address another one answered, until their rows change.
-        self._replaced: set[str] = set()
+        self.table = endpoint_table.EndpointTable(
+            table=table_name,
+            decode=decode,
+            listeners=endpoint_table.Listeners(
+                changed=self._configure_ejectors,
+                removed=self._drop_unused,
+                restarted=self._forget_run,
+            ),
+            now=now,
+        )
         self._usage: dict[str, _Usage] = {}
         self._ejectors: dict[str, ejection.Ejector] = {}
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._regained_at: abc.Callable[[], float] = lambda: 0.0
-
-    def set_regained_at(self, regained_at: abc.Callable[[], float]) -> None:
-        """Set the source of the time at which the table was readable again.
-
-        `regained_at` returns the monotonic seconds of the end of the last outage.
-        """
-        self._regained_at = regained_at
-
-    def apply_changes(
-        self, all_rows: dict[str, rows.Row], changed: list[rows.Row]
-    ) -> None:
-        """Apply changed rows of the endpoints' table."""
-        self.is_loaded = True
-        for row in changed:
-            self._replaced.discard(row.key)
-            if row.value is None:
-                self._remove(row.key)
-                continue
-            try:
-                endpoint = self._decode(row.key, row.value)
-            except self._format_error as error:
-                log.warning(
-                    "endpoint_unreadable",
-                    endpoint=row.key,
-                    version=row.version,
-                    reason=str(error),
-                )
-                self._remove(row.key)
-                continue
-            before = self._all.get(endpoint.id)
-            self._missing.pop(endpoint.id, None)
-            self._all[endpoint.id] = endpoint
-            if before != endpoint:
-                log.info(
-                    "endpoint_changed",
-                    endpoint=endpoint.id,
-                    service=endpoint.service,
-                    address=endpoint.address,
-                    state=endpoint.state,
-                    version=row.version,
-                )
-        self._configure_ejectors()
-
-    @property
-    def count(self) -> int:
-        """The number of registered endpoints, draining ones included."""
-        return len(self._all)
-
-    def ready(self, service: str) -> list[model.Endpoint]:
-        """Return the endpoints of a service that take new requests."""
-        self._delete_expired()
-        return [
-            e
-            for e in self._all.values()
-            if e.service == service
-            and e.state == model.READY
-            and e.id not in self._replaced
-        ]
 
     def load(self) -> dict[str, tuple[int, int]]:
         """Return this host's running requests and waiting prompt tokens by endpoint."""
@@ -133,7 +76,7 @@
 
         Endpoints that the call was sent to before are left out.
         """
-        usable = {e.id: e for e in self.ready(call.service.name)}
+        usable = {e.id: e for e in self.table.usable(call.service.name)}
         untried = {i: e for i, e in usable.items() if i not in call.tried_endpoints}
         if not untried:
             return None
@@ -201,19 +144,13 @@
     def finish_request(self, endpoint: str) -> None:
         """Count a call as no longer running at an endpoint."""
         self._usage[endpoint].running -= 1
+        if endpoint not in self.table:
+            self._drop_unused(endpoint)
 
     def record_success(self, endpoint: model.Endpoint) -> None:
         """Record a complete answer for the ejection of endpoints."""
         self._ejector_of(endpoint.service).record_success(endpoint.id)
 
-    def mark_ended(self, endpoint: model.Endpoint) -> None:
-        """Exclude an endpoint at whose address another one answered.
-
-        It is used again once its row changes, since only a running endpoint renews it.
-        """
-        self._replaced.add(endpoint.id)
-        log.warning("endpoint_ended", endpoint=endpoint.id, address=endpoint.address)
-
     def record_failure(self, endpoint: model.Endpoint, reason: str) -> None:
         """Record a failure, which may eject the endpoint for a while."""
         if self._ejector_of(endpoint.service).record_failure(endpoint.id, self._now()):
@@ -305,33 +242,14 @@
 
     def _configure_ejectors(self) -> None:
         for service, ejector in self._ejectors.items():
-            names = [e.id for e in self._all.values() if e.service == service]
-            ejector.configure(names)
-
-    def _remove(self, name: str) -> None:
-        endpoint = self._all.get(name)
-        if endpoint is None:
-            return
-        # While the store is unavailable endpoints can't renew their rows, which expire;
-        # they come back soon after it is available again.
-        if self._now() - self._regained_at() < RENEWAL_TIME:
-            self._missing.setdefault(name, self._now())
-            log.info("endpoint_lapsed", endpoint=name)
-            return
-        self._delete(name)
-
-    def _delete_expired(self) -> None:
-        if not self._missing or self._now() - self._regained_at() < RENEWAL_TIME:
-            return
-        for name in list(self._missing):
-            del self._missing[name]
-            self._delete(name)
-
-    def _delete(self, name: str) -> None:
-        endpoint = self._all.pop(name, None)
-        self._replaced.discard(name)
-        if endpoint is not None:
-            log.info("endpoint_gone", endpoint=name, service=endpoint.service)
+            ejector.configure(self.table.names(service))
+
+    def _drop_unused(self, name: str) -> None:
+        """Drop the usage of an endpoint without a row, unless requests still run."""
         usage = self._usage.get(name)
         if usage is not None and usage.running == 0:
             del self._usage[name]
+
+    def _forget_run(self, name: str) -> None:
+        if name in self._usage:
+            self._usage[name].forget_run()
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -14,6 +14,7 @@
     configuration,
     directory,
     dispatch,
+    endpoint_table,
     endpoints,
     filters,
     gossip,
@@ -53,8 +54,7 @@
     store: rows.Store
     wire: upstream.WireFormat
     decode_config: configuration.Decode
-    decode_endpoint: endpoints.Decode
-    format_error: type[Exception]
+    decode_endpoint: endpoint_table.Decode
     config_table: str
     config_key: str
     endpoints_table: str
@@ -92,9 +92,9 @@
         self._tasks: list[asyncio.Task] = []
         store = platform.store
         self._configuration = configuration.Configuration(
+            table=platform.config_table,
             key=platform.config_key,
             decode=platform.decode_config,
-            format_error=platform.format_error,
             on_config=on_config,
             now=now,
         )
@@ -115,12 +115,14 @@
             id=self._hosts.id,
             load=lambda: self._endpoints.load(),
             peers=lambda: {host.id: host.gossip for host in self._hosts.live},
+            departures=lambda: self._endpoints.table.departures(),
+            on_departures=lambda found: self._endpoints.table.learn_departures(found),
             now=now,
         )
         self._endpoints = endpoints.Endpoints(
             deployment=deployment,
+            table_name=platform.endpoints_table,
             decode=platform.decode_endpoint,
-            format_error=platform.format_error,
             host_count=lambda: self._hosts.count,
             loads=self._gossip.loads,
             now=now,
@@ -173,11 +175,11 @@
     @property
     def endpoint_count(self) -> int:
         """The number of registered endpoints."""
-        return self._endpoints.count
+        return self._endpoints.table.count
 
     def ready_endpoints(self, service: str) -> int:
         """Return the number of endpoints of a service that accept new requests."""
-        return len(self._endpoints.ready(service))
+        return len(self._endpoints.table.usable(service))
 
     def count_request(self, service: str) -> None:
         """Count a request towards the retry budget of a service."""
@@ -318,12 +320,14 @@
         return hosts.READY if self._has_read_tables() else hosts.STARTING
 
     def _has_read_tables(self) -> bool:
-        return self._configuration.current is not None and self._endpoints.is_loaded
+        return (
+            self._configuration.current is not None and self._endpoints.table.is_loaded
+        )
 
     def _make_mirrors(self, platform: Platform) -> dict[str, mirror.Mirror]:
         followers = [
             (platform.config_table, CONFIG_PAUSE, CONFIG_WAIT, self._configuration),
-            (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints),
+            (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints.table),
             (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
         readiness_log = readiness.ReadinessLog(
@@ -344,7 +348,7 @@
             )
         config_mirror, endpoints_mirror, hosts_mirror = mirrors.values()
         self._configuration.set_read_at(lambda: config_mirror.read_at)
-        self._endpoints.set_regained_at(lambda: endpoints_mirror.regained_at)
+        self._endpoints.table.set_regained_at(lambda: endpoints_mirror.regained_at)
         self._hosts.set_read_at(lambda: hosts_mirror.read_at)
         return mirrors
 
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip of this host's load at endpoints, by UDP datagrams to other hosts.
+"""Gossip of load at endpoints and of leaving ones, by UDP datagrams between hosts.
 
 Nothing depends on a datagram's arrival: a load is a hint for the choice of endpoints,
 and an old one is ignored. In a large fleet a host sends its own load to the hosts of
@@ -15,14 +15,19 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import load_groups
+from dogwoodchute.gateway import endpoint_table
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
 # Sent by one host at most; with many recipients the intervals are longer.
 DATAGRAMS_PER_SECOND = 80
 MAX_AGE = 1.5  # seconds for which a load counts: several intervals
-FORMAT = 2  # version of the datagrams; others are ignored
+MAX_REPORTED_AGE = 60.0  # seconds; an older report is none of a running host
+FORMAT = 3  # version of the datagrams; others are ignored
 MAX_ENDPOINTS = 256  # in one datagram
+MAX_DEPARTURES = 16  # endpoints that are leaving, in one datagram
+# Seconds for which each is reported: two hops, each tried several times.
+DEPARTURE_SECONDS = 5.0
 
 Load = dict[str, tuple[int, int]]  # requests and waiting prompt tokens by endpoint
 
@@ -37,6 +42,7 @@
     host_count: int  # whose loads are summed
     age: float  # seconds: the mean age of those loads when this was sent
     load: Load
+    departures: tuple[endpoint_table.Departure, ...] = ()
 
     @property
     def source(self) -> tuple[str, int, int]:
@@ -79,10 +85,14 @@
         id: str,
         load: abc.Callable[[], Load],
         peers: abc.Callable[[], dict[str, str]],
+        departures: abc.Callable[[], list[endpoint_table.Departure]],
+        on_departures: abc.Callable[[tuple[endpoint_table.Departure, ...]], None],
         now: abc.Callable[[], float],
     ) -> None:
         self._id = id
         self._load = load
+        self._departures = departures  # of the endpoints that are leaving
+        self._on_departures = on_departures  # called with those of other hosts
         self._peers = peers  # IP number and port of other hosts, by incarnation
         self._now = now
         self._received: dict[tuple[str, int, int], _Received] = {}
@@ -141,6 +151,8 @@
         if report is None:
             log.warning("datagram_unreadable", peer=f"{addr[0]}:{addr[1]}")
             return
+        if report.departures:
+            self._on_departures(report.departures)
         before = self._received.get(report.source)
         if before is not None and not _is_newer(report, before.report):
             return
@@ -170,9 +182,10 @@
         self._round += 1
         plan = self._plan
         own_load = self._load()
-        if own_load or not self._was_empty_in_group:
+        departures = self._recent_departures()
+        if own_load or departures or not self._was_empty_in_group:
             self._send_to(
-                LoadReport(self._id, self._round, 0, 0, 1, 0.0, own_load),
+                LoadReport(self._id, self._round, 0, 0, 1, 0.0, own_load, departures),
                 plan.group_peers,
             )
         self._was_empty_in_group = not own_load
@@ -189,11 +202,18 @@
             host_count=1 + len(received),
             age=sum(now - each.received_at for each in received) / (1 + len(received)),
             load=group_load,
+            departures=departures,
         )
-        if group_load or not self._was_empty_outside:
+        if group_load or departures or not self._was_empty_outside:
             self._send_to(report, plan.outside_peers)
         self._was_empty_outside = not group_load
 
+    def _recent_departures(self) -> tuple[endpoint_table.Departure, ...]:
+        """Return the latest departures, so that each is reported for some seconds."""
+        latest = sorted(self._departures(), key=lambda departure: departure.age)
+        recent = [each for each in latest if each.age <= DEPARTURE_SECONDS]
+        return tuple(recent[:MAX_DEPARTURES])
+
     def _group_reports(self, now: float) -> list[_Received]:
         """Return recent reports of the other hosts of this host's group."""
         return [
@@ -274,18 +294,23 @@
     if len(load) > MAX_ENDPOINTS:
         largest = sorted(load, key=load.get, reverse=True)[:MAX_ENDPOINTS]
         load = {endpoint: load[endpoint] for endpoint in largest}
-    return msgpack.packb([FORMAT, *report[:-1], load])
+    return msgpack.packb([FORMAT, *report._replace(load=load)])
 
 
 def decode(data: bytes) -> LoadReport | None:
     """Return the report in a datagram, None if it can't be decoded."""
     try:
-        version, sender, sequence, group_count, group, host_count, age, plain = (
-            msgpack.unpackb(data)
-        )
+        version, *fields = msgpack.unpackb(data)
         if version != FORMAT:
             return None
+        sender, sequence, group_count, group, host_count, age, plain, departed = fields
         load = {str(k): (int(n), int(t)) for k, (n, t) in plain.items()}
+        if not 0 <= age <= MAX_REPORTED_AGE:
+            return None
+        departures = [
+            endpoint_table.Departure(str(endpoint), int(started_at_ms), float(seconds))
+            for endpoint, started_at_ms, seconds in departed[:MAX_DEPARTURES]
+        ]
         return LoadReport(
             sender=str(sender),
             sequence=int(sequence),
@@ -294,6 +319,7 @@
             host_count=max(1, int(host_count)),
             age=float(age),
             load=load,
+            departures=tuple(departures),
         )
-    except (ValueError, TypeError, AttributeError):
+    except (ValueError, TypeError, AttributeError, OverflowError):
         return None
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -84,7 +84,7 @@
         self._fetch = fetch
         self._pause = pause
         self._wait = wait
-        self._on_change = on_change
+        self._listeners = [on_change]
         self._receiving = receiving
         self._now = now
         self._copy = table_copy.TableCopy()
@@ -92,6 +92,10 @@
         # Set after each successful call, and then replaced.
         self._answered = asyncio.Event()
 
+    def add_listener(self, on_change: OnChange) -> None:
+        """Call `on_change` too after each call that returned changes."""
+        self._listeners.append(on_change)
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -113,7 +117,7 @@
         self._record_answer(outcome)
         changed = self._copy.apply(outcome.changes)
         if changed:
-            self._on_change(self._copy.rows, changed)
+            self._deliver(changed)
         self._answered.set()
         self._answered = asyncio.Event()
         if not outcome.is_fresh:
@@ -149,6 +153,23 @@
         except TimeoutError:
             return
 
+    def _deliver(self, changed: list[rows.Row]) -> None:
+        """Pass changed rows on; one that can't be applied holds no other one back.
+
+        The copy has advanced already, so no later answer brings these rows again.
+        """
+        for on_change in self._listeners:
+            try:
+                on_change(self._copy.rows, changed)
+                continue
+            except Exception:
+                log.exception("change_failed", table=self._table, rows=len(changed))
+            for row in changed:
+                try:
+                    on_change(self._copy.rows, [row])
+                except Exception:
+                    log.exception("row_failed", table=self._table, row=row.key)
+
     def _record_answer(self, outcome: Fetched) -> None:
         if outcome.is_fresh and self._failing:
             self._failing = False
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -116,6 +116,9 @@
     data_centre: str
     state: str  # READY or DRAINING
     slots: int
+    # Unix milliseconds of the start of its process, 0 if unknown. A process that starts
+    # anew under the same id has another one.
+    started_at_ms: int = 0
 
 
 class Part(typing.NamedTuple):
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -1,13 +1,13 @@
 """Outcomes of a request for tokens of a prepaid budget."""
 
 import dataclasses
-import random
 import typing
 from collections import abc
 
+from dogwoodchute.coordination import retry_after as spreading
+
 RETRY_AFTER = 0.5  # seconds; by then some requests have returned unused tokens
 MAX_RETRY_AFTER = 1.0  # seconds
-RETRY_JITTER = 0.3  # share; spreads the retries of callers refused together
 WAIT_SHARE = 0.25  # of a request's target latency
 MIN_WAIT = 0.15  # seconds; enough for a draw from the store
 
@@ -47,7 +47,7 @@
     request, 0 if it has none.
     """
     seconds = min(MAX_RETRY_AFTER, usable_in) if usable_in > 0 else RETRY_AFTER
-    return seconds * random.uniform(1.0, 1.0 + RETRY_JITTER)
+    return spreading.spread(seconds)
 
 
 class TokensReceived(typing.NamedTuple):
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -4,6 +4,7 @@
 take it for newer than it is.
 """
 
+import math
 import typing
 import zlib
 from collections import abc
@@ -89,14 +90,14 @@
             return NoAnswer(f"status {response.status}")
         try:
             age, since_regained, held, receiving, packed = msgpack.unpackb(content)
-            in_transit = max(0.0, self._now() - asked_at - held)
+            in_transit = max(0.0, self._now() - asked_at - _checked_seconds(held))
             return Answer(
                 _unpack(packed),
-                age + in_transit,
-                since_regained + in_transit,
+                _checked_seconds(age) + in_transit,
+                _checked_seconds(since_regained) + in_transit,
                 bool(receiving),
             )
-        except (ValueError, TypeError, zlib.error) as error:
+        except (ValueError, TypeError, OverflowError, zlib.error) as error:
             return NoAnswer(f"bad answer: {error!r}")
 
 
@@ -113,7 +114,9 @@
         received_at = now()
         try:
             table, since, hold = msgpack.unpackb(request.body)
-            hold = float(hold)
+            hold = _checked_seconds(hold)
+            if not isinstance(table, str) or not isinstance(since, int | None):
+                raise TypeError("the table or the version is malformed")
         except (ValueError, TypeError) as error:
             log.warning("table_call_unreadable", peer=request.ip, reason=repr(error))
             return sanic.empty(status=400)
@@ -151,6 +154,15 @@
         return packed[since]
 
 
+def _checked_seconds(value: object) -> float:
+    """Return a time in seconds; raise `TypeError` or `ValueError` if it is none."""
+    if not isinstance(value, int | float):
+        raise TypeError("a time is no number")
+    if not 0 <= value < math.inf:
+        raise ValueError(f"a time of {value} s")
+    return float(value)
+
+
 def _pack(changes: table_copy.Changes) -> bytes:
     fields = [[row.key, row.value, row.version] for row in changes.rows]
     return zlib.compress(msgpack.packb([changes.version, changes.is_snapshot, fields]))
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -40,6 +40,8 @@
     retry_after: float | None  # seconds
     idle_timeout: float | None  # seconds that the endpoint keeps the connection
     headers: list[tuple[str, str]]  # for the caller
+    bad_retry_after: str | None = None  # the header's value where it is no number
+    leaving: bool = False  # the endpoint says that it is leaving
 
 
 class WireFormat(typing.NamedTuple):
--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -3,8 +3,10 @@
 Times in milliseconds become seconds. A row that breaks the format raises `FormatError`.
 """
 
-import json
+import ipaddress
+import math
 
+from dogwoodchute import bounded_json
 from dogwoodchute.gateway import model
 
 KINDS = {
@@ -13,6 +15,11 @@
     "streaming": model.STREAM,
 }
 STATES = {"ready": model.READY, "draining": model.DRAINING}
+MAX_TEXT = 200  # characters of a name, as of a row's key
+MAX_PORT = 65535
+MAX_SLOTS = 1_000_000  # of one endpoint
+MAX_COUNT = 10**15  # of tokens, weights and other counts
+MAX_MILLISECONDS = 86_400_000  # a day
 
 
 class FormatError(Exception):
@@ -24,38 +31,65 @@
     plain = _object(value)
     try:
         return _config(plain)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise FormatError(f"configuration: {error!r}") from error
 
 
 def endpoint(name: str, value: bytes) -> model.Endpoint:
     """Return the endpoint that registered itself under `name`, from its row."""
     plain = _object(value)
-    service, address = plain.get("service"), plain.get("address")
-    data_centre, state = plain.get("zone"), plain.get("state")
-    slots = plain.get("slots")
-    for text in (service, address, data_centre, state):
-        if not isinstance(text, str) or not text:
-            raise FormatError("a field is missing or not a text")
-    if state not in STATES:
-        raise FormatError(f"unknown state {state!r}")
-    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 0:
-        raise FormatError("slots is not a number")
-    ip, separator, port = address.rpartition(":")
-    if not ip or not separator or not port.isdecimal():
-        raise FormatError(f"bad address {address!r}")
-    return model.Endpoint(name, service, address, data_centre, STATES[state], slots)
+    if not _is_name(name):
+        raise FormatError("the key is no name")
+    for field in ("service", "address", "zone", "state"):
+        if not _is_name(plain.get(field)):
+            raise FormatError(f"{field} is missing or no name")
+    if plain["state"] not in STATES:
+        raise FormatError(f"unknown state {plain['state']!r}")
+    return model.Endpoint(
+        id=name,
+        service=plain["service"],
+        address=_address(plain["address"]),
+        data_centre=plain["zone"],
+        state=STATES[plain["state"]],
+        slots=_whole(plain.get("slots"), "slots", MAX_SLOTS),
+        started_at_ms=_whole(plain.get("born", 0), "born", MAX_COUNT),
+    )
 
 
 def _object(value: bytes) -> dict:
     """Return the JSON object in a row's value."""
     try:
-        plain = json.loads(value)
-    except ValueError as error:
+        return bounded_json.load_object(value)
+    except bounded_json.FormatError as error:
         raise FormatError(str(error)) from error
-    if not isinstance(plain, dict):
-        raise FormatError("not an object")
-    return plain
+
+
+def _is_name(value: object) -> bool:
+    """Return whether `value` is a text that may be a header's value or be logged."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT and value.isprintable()
+
+
+def _address(text: str) -> str:
+    """Return an address of IP number and port; raise `FormatError` if it is none."""
+    ip, _, port = text.rpartition(":")
+    try:
+        number = ipaddress.IPv4Address(ip)
+    except ValueError as error:
+        raise FormatError(f"bad address {text!r}") from error
+    if number.is_unspecified or number.is_multicast:
+        raise FormatError(f"address {text!r} is no endpoint's")
+    if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
+        raise FormatError(f"bad port in {text!r}")
+    if not 0 < int(port) <= MAX_PORT:
+        raise FormatError(f"port out of range in {text!r}")
+    return text
+
+
+def _whole(value: object, name: str, most: int) -> int:
+    """Return a whole number from 0 to `most`; raise `FormatError` if it is none."""
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
+        raise FormatError(f"{name} is no whole number from 0 to {most}")
+    return value
 
 
 def _config(plain: dict) -> model.Config:
@@ -73,7 +107,7 @@
         accounts[account.name] = account
         accounts_by_key.update((key, account.name) for key in account.keys)
     return model.Config(
-        version=int(plain["version"]),
+        version=_whole(plain["version"], "version", MAX_COUNT),
         routes=routes,
         services=services,
         accounts=accounts,
@@ -85,7 +119,9 @@
 def _route(plain: dict) -> model.Route:
     splits = plain.get("trafficSplit")
     if splits:
-        service_weights = tuple((str(s["service"]), int(s["weight"])) for s in splits)
+        service_weights = tuple(
+            (str(s["service"]), _count(s["weight"])) for s in splits
+        )
     else:
         service_weights = ((str(plain["service"]), 1),)
     return model.Route(
@@ -93,11 +129,11 @@
         host=str(plain["hostname"]).lower(),
         prefix=str(plain["prefix"]),
         kind=KINDS[plain["kind"]],
-        timeout=float(plain["timeoutMs"]) / 1000,
-        target_latency=float(plain.get("targetLatencyMs") or 1000) / 1000,
-        priority=int(plain.get("priority", 0)),
+        timeout=_to_seconds(plain["timeoutMs"]),
+        target_latency=_to_seconds(plain.get("targetLatencyMs") or 1000),
+        priority=_count(plain.get("priority", 0)),
         splits=service_weights,
-        max_attempts=max(1, int(plain.get("maxAttempts", 1))),
+        max_attempts=max(1, _count(plain.get("maxAttempts", 1))),
         public=bool(plain.get("public", False)),
         resumable=bool(plain.get("resumable", False)),
     )
@@ -110,9 +146,9 @@
     return model.Service(
         str(plain["name"]),
         model.Engine(
-            slots=int(engine.get("slots", 1)),
-            memory_tokens=int(engine.get("kvCapacity", 0)),
-            tokens_per_event=max(1, int(engine.get("stride", 1))),
+            slots=_count(engine.get("slots", 1)),
+            memory_tokens=_count(engine.get("kvCapacity", 0)),
+            tokens_per_event=max(1, _count(engine.get("stride", 1))),
         ),
     )
 
@@ -122,16 +158,16 @@
     return model.Account(
         name=str(plain["name"]),
         keys=frozenset(str(key) for key in plain.get("apiKeys") or ()),
-        priority=None if priority is None else int(priority),
-        prepaid=None if prepaid is None else int(prepaid),
+        priority=None if priority is None else _count(priority),
+        prepaid=None if prepaid is None else _count(prepaid),
     )
 
 
 def _limits(plain: dict) -> model.Limits:
     default = model.Limits()
     return model.Limits(
-        header_bytes=int(plain.get("maxHeaderBytes", default.header_bytes)),
-        body_bytes=int(plain.get("maxBodyBytes", default.body_bytes)),
+        header_bytes=_count(plain.get("maxHeaderBytes", default.header_bytes)),
+        body_bytes=_count(plain.get("maxBodyBytes", default.body_bytes)),
         header_timeout=_seconds(plain, "headerTimeoutMs", default.header_timeout),
         idle_timeout=_seconds(plain, "idleTimeoutMs", default.idle_timeout),
     )
@@ -140,4 +176,18 @@
 def _seconds(plain: dict, name: str, default: float) -> float:
     """Return a field that is in milliseconds as seconds, `default` without it."""
     value = plain.get(name)
-    return default if value is None else float(value) / 1000
+    return default if value is None else _to_seconds(value)
+
+
+def _to_seconds(milliseconds: object) -> float:
+    number = float(milliseconds)
+    if not 0 <= number <= MAX_MILLISECONDS:  # NaN too fails both comparisons
+        raise ValueError(f"a time of {number} ms")
+    return number / 1000
+
+
+def _count(value: object) -> int:
+    number = float(value)
+    if not math.isfinite(number) or abs(number) > MAX_COUNT:
+        raise ValueError(f"a count of {number}")
+    return int(value)
--- a/dogwoodchute/platform/egress.py
+++ b/dogwoodchute/platform/egress.py
@@ -51,6 +51,8 @@
         if text.lower() in names.HOP_BY_HOP:
             continue
         forwarded.append((text, value.decode("latin-1")))
+    retry_after = headers.get(names.RETRY_AFTER)
+    seconds = _number(retry_after)
     return upstream.Head(
         status=status,
         attempt_id=headers.get(names.ATTEMPT_ID),
@@ -58,7 +60,9 @@
         # Status 421 is from an endpoint other than the one named in the request.
         # It did not run the request.
         not_run=names.NOT_EXECUTED in headers or status == 421,
-        retry_after=_number(headers.get(names.RETRY_AFTER)),
+        retry_after=seconds,
+        bad_retry_after=retry_after if seconds is None else None,
+        leaving=headers.get(names.LEAVING) == names.LEAVING_YES,
         idle_timeout=_idle_timeout(headers.get("Keep-Alive", "")),
         headers=forwarded,
     )
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -12,6 +12,8 @@
 PRIORITY = "X-Dogwoodchute-Request-Priority"
 API_KEY = "X-Dogwoodchute-Credential"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"  # in answers of an endpoint
+LEAVING_YES = "1"  # the header's value if the endpoint is leaving
 
 # Headers that only this system may set; those of a caller are dropped.
 RESERVED = frozenset(
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -95,8 +95,8 @@
     """A host's endpoints, set directly instead of by rows of a table."""
 
     def set_endpoints(self, fixed):
-        self._all = {e.id: e for e in fixed}
-        self.is_loaded = True
+        self.table._all = {e.id: e for e in fixed}
+        self.table.is_loaded = True
 
 
 class Simulation:
@@ -147,7 +147,7 @@
         return _FixedEndpoints(
             deployment=_deployment(number),
             decode=None,
-            format_error=ValueError,
+            table_name="servers",
             host_count=lambda: hosts,
             loads=lambda: self._loads(number),
             now=lambda: self._now,
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -3,8 +3,10 @@
 import collections
 import random
 
+import msgpack
+
 from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import gossip
+from dogwoodchute.gateway import endpoint_table, gossip
 from dogwoodchute.tests import support, virtual
 
 SECONDS = 4.0
@@ -64,6 +66,8 @@
         self.loss = loss  # share of datagrams
         self.busy = True
         self.sent = collections.Counter()
+        self.departures = collections.defaultdict(list)  # by number of the host
+        self.learned = collections.defaultdict(list)  # departures, by receiving host
         self.hosts = {}
         self.tasks = []
         for number in range(count):
@@ -74,6 +78,8 @@
                 peers=lambda name=name: {
                     other: f"{other}:1" for other in self.hosts if other != name
                 },
+                departures=lambda number=number: self.departures[number],
+                on_departures=lambda found, name=name: self.learned[name].extend(found),
                 now=self.loop.time,
             )
             host.connection_made(Transport(self, name))
@@ -168,10 +174,32 @@
         for host in fleet.hosts.values():
             self.assertEqual([], host.loads().reported)
 
+    def test_all_hosts_learn_within_two_rounds_that_an_endpoint_leaves(self):
+        """Otherwise only the host that got the answer stops sending to it."""
+        for count in (7, 63):
+            fleet = self.fleet(count)
+            fleet.loop.run_for(SECONDS)
+            fleet.busy = False
+            departure = endpoint_table.Departure("e1", 1_700_000_000_000, 0.0)
+            fleet.departures[3].append(departure)
+            fleet.loop.run_for(1.5)
+            told_directly = [f for f in fleet.learned.values() if departure in f]
+            self.assertGreaterEqual(len(told_directly), 6 if count == 7 else 10)
+
+    def test_a_departure_is_told_for_some_seconds_only(self):
+        fleet = self.fleet(7)
+        fleet.busy = False
+        late = gossip.DEPARTURE_SECONDS + 0.1
+        fleet.departures[3].append(endpoint_table.Departure("e1", 1, late))
+        fleet.loop.run_for(SECONDS)
+        self.assertEqual(0, fleet.sent.total())
+
 
 class DatagramTest(support.TestCase):
     def test_what_is_encoded_is_decoded(self):
-        report = gossip.LoadReport("h1-a", 7, 8, 3, 9, 0.25, {"e1": (2, 300)})
+        departure = endpoint_table.Departure("e1", 1_700_000_000_000, 0.5)
+        load = {"e1": (2, 300)}
+        report = gossip.LoadReport("h1-a", 7, 8, 3, 9, 0.25, load, (departure,))
         self.assertEqual(report, gossip.decode(gossip.encode(report)))
 
     def test_what_cannot_be_read_is_left_out(self):
@@ -180,6 +208,10 @@
             b"\xc1",
             b"\x93\x01\x02\x03",
             b"\x98\x02\xa1a\x01\x00\x00\x01\x00\x05",
+            b"\x91" * 100_000,
+            msgpack.packb([gossip.FORMAT, "h", float("inf"), 0, 0, 1, 0.0, {}, []]),
+            msgpack.packb([gossip.FORMAT, "h", 1, 0, 0, 1, float("nan"), {}, []]),
+            msgpack.packb([gossip.FORMAT, "h", 1, 0, 0, 1, 0.0, {}, [["e"]]]),
         ):
             self.assertIsNone(gossip.decode(data))
 
--- a/dogwoodchute/tests/test_store_metrics.py
+++ b/dogwoodchute/tests/test_store_metrics.py
@@ -94,9 +94,9 @@
     def test_adopting_a_configuration_logs_how_long_it_took(self):
         value = json.dumps(gateway_site.config()).encode()
         config_copy = configuration.Configuration(
+            table="op",
             key="config",
             decode=decode.config,
-            format_error=decode.FormatError,
             on_config=lambda config: None,
             now=lambda: 101.25,
         )
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -188,7 +188,7 @@
         return endpoints.Endpoints(
             deployment=make_deployment(),
             decode=plain_endpoint,
-            format_error=ValueError,
+            table_name="servers",
             host_count=lambda: 62,
             loads=lambda: gossip.Loads([], 0.0),
             now=now,
@@ -235,16 +235,16 @@
             )
 
         known_endpoints = self.make_endpoints(now)
-        following = self.mirror(from_source, known_endpoints.apply_changes, now)
-        known_endpoints.set_regained_at(lambda: following.regained_at)
+        following = self.mirror(from_source, known_endpoints.table.apply_changes, now)
+        known_endpoints.table.set_regained_at(lambda: following.regained_at)
         loop.create_task(source.run())
         loop.create_task(following.run())
         while state["calls"] < FAILED_CALL:
             loop.run_for(0.01)
-        self.assertEqual(1, len(known_endpoints.ready("plain")))
+        self.assertEqual(1, len(known_endpoints.table.usable("plain")))
         state["removed"] = True
         removed_at = loop.time()
-        while known_endpoints.ready("plain") and loop.time() - removed_at < 20.0:
+        while known_endpoints.table.usable("plain") and loop.time() - removed_at < 20.0:
             loop.run_for(0.05)
         return round(loop.time() - removed_at, 2)
 
@@ -283,7 +283,7 @@
         service_endpoints = endpoints.Endpoints(
             deployment=make_deployment(),
             decode=plain_endpoint,
-            format_error=ValueError,
+            table_name="servers",
             host_count=lambda: host_count[0],
             loads=lambda: gossip.Loads([], 0.0),
             now=time.monotonic,
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -82,7 +82,6 @@
                 wire=egress.wire_format(),
                 decode_config=decode.config,
                 decode_endpoint=decode.endpoint,
-                format_error=decode.FormatError,
                 config_table=names.CONFIG_TABLE,
                 config_key=names.CONFIG_KEY,
                 endpoints_table=names.ENDPOINTS_TABLE,
