Keep proof of life out of the store: neighbours watch one another

Cause: each host renewed its row each second, all in the unnamed part. A part takes 200 commits a second here; 195 hosts used 97 in 100 of it, in one queue with the operator's and the endpoints' rows, and each host decoded each renewal of each other one. A late renewal counted as a death.

Change: a row is written when membership changes only, in twelve parts of its own, and with a check of its version, so that a late write can't follow the removal at a stop. Hosts form a ring by hash; each sends heartbeats to the four after it by datagram. A watcher that misses them for 1.6 s asks the host directly and marks its row as down if it does not answer; a host that lives writes its row anew. No time-out of rows is left, so a slow or failing store declares nobody dead.

The three tests of heartbeats in rows are replaced by tests of fleets on virtual time: a death is known on all of 63 hosts within 4 s, a start within 2 s, half of the fleet dying at once within 12 s; calm costs the store no commit and a host the same datagrams at 7 and 63; lost datagrams, a failing or slow store, and a frozen host mark nobody wrongly for long.

--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import secrets
 import typing
 from collections import abc
 
@@ -19,12 +20,15 @@
     filters,
     gossip,
     homes,
+    host_rows,
     hosts,
+    liveness,
     mirror,
     model,
     observe,
     readiness,
     reclaim,
+    registration,
     reservations,
     rows,
     table_source,
@@ -76,6 +80,7 @@
         platform: Platform,
         request_from_host: transfer_protocol.RequestFromHost,
         ask_table: tables.Ask,
+        is_alive: liveness.Question,
         on_config: abc.Callable[[model.Config], None],
         started_at: float,
         now: abc.Callable[[], float] = clock.monotonic,
@@ -98,13 +103,28 @@
             on_config=on_config,
             now=now,
         )
+        incarnation = f"{deployment.host}-{secrets.token_hex(4)}"
         self._hosts = hosts.Hosts(
+            id=incarnation, deployment=deployment, store=store, now=now
+        )
+        self._own_row = registration.OwnRow(
+            id=incarnation,
             deployment=deployment,
             store=store,
             state=self._membership_state,
+            remove_expired=self._hosts.remove_expired,
             now=now,
             started_at=started_at,
         )
+        self._liveness = liveness.Liveness(
+            id=incarnation,
+            name=deployment.host,
+            live=lambda: self._hosts.live,
+            row_version=self._hosts.row_version,
+            is_alive=is_alive,
+            mark_down=self._hosts.mark_down,
+            now=now,
+        )
         self._homes = homes.Homes(
             host=deployment.host,
             region=deployment.region,
@@ -112,7 +132,7 @@
             store_is_slow=lambda: self._accounts.store_is_slow,
         )
         self._gossip = gossip.Gossip(
-            id=self._hosts.id,
+            id=incarnation,
             load=lambda: self._endpoints.load(),
             peers=lambda: {host.id: host.gossip for host in self._hosts.live},
             departures=lambda: self._endpoints.table.departures(),
@@ -133,7 +153,7 @@
             request_from_host=request_from_host,
         )
         self._accounts = accounts.Accounts(
-            holder=self._hosts.id,
+            holder=incarnation,
             store=store,
             config=lambda: self._configuration.current,
             hosts=lambda: self._hosts.count,
@@ -145,7 +165,7 @@
             ),
             now=now,
             horizon=self._horizon,
-            registered=lambda: self._hosts.registered_version,
+            registered=lambda: self._own_row.registered_version,
             regions=len(set(deployment.regions.values())),
             rates=checkpoints.Rates(
                 part=deployment.part_commits, fleet=deployment.commits
@@ -207,7 +227,7 @@
         candidates = [
             directory.Candidate(host.callers, host.data_centre, host.region)
             for host in self._hosts.live
-            if host.state == hosts.READY
+            if host.state == host_rows.READY
         ]
         if self.ready():
             this = directory.Candidate(own.callers, own.data_centre, own.region)
@@ -253,9 +273,12 @@
         await self._upstream.start()
         ip, _, port = self._deployment.gossip.rpartition(":")
         await self._gossip.start(ip, int(port))
-        loops = [each.run() for each in self._mirrors.values()]
-        loops.extend((self._hosts.run(), self._accounts.run(), self._gossip.run()))
-        loops.extend((self._reclaimer.run(), loop_watch.watch(now=self._now)))
+        ip, _, port = self._deployment.heartbeats.rpartition(":")
+        await self._liveness.start(ip, int(port))
+        parts = [*self._mirrors.values(), self._own_row, self._liveness]
+        parts.extend((self._accounts, self._gossip, self._reclaimer))
+        loops = [each.run() for each in parts]
+        loops.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in loops]
 
     async def leave(self) -> None:
@@ -265,7 +288,7 @@
         """
         began_at = self._stop_began_at = self._now()
         self._leaving = True
-        self._hosts.write_row_now()
+        self._own_row.write_now()
         log.info("stop_begun", in_flight=self._in_flight)
         while self.seconds_until_close:
             if self._now() - began_at >= LINGER and self._in_flight == 0:
@@ -285,12 +308,13 @@
                 await self._upstream.stop()
                 await self._idle.wait()
                 await self._accounts.flush()
-                await self._hosts.leave()
+                await self._own_row.leave()
         except TimeoutError:
             log.warning("stop_unfinished", in_flight=self._in_flight)
         for task in self._tasks:
             task.cancel()
         self._gossip.stop()
+        self._liveness.stop()
         log.info("stopped", in_flight=self._in_flight)
 
     @property
@@ -316,8 +340,8 @@
 
     def _membership_state(self) -> str:
         if self._leaving:
-            return hosts.LEAVING
-        return hosts.READY if self._has_read_tables() else hosts.STARTING
+            return host_rows.LEAVING
+        return host_rows.READY if self._has_read_tables() else host_rows.STARTING
 
     def _has_read_tables(self) -> bool:
         return (
@@ -328,8 +352,9 @@
         followers = [
             (platform.config_table, CONFIG_PAUSE, CONFIG_WAIT, self._configuration),
             (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints.table),
-            (hosts.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
+            (host_rows.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
+        parts = {host_rows.TABLE: host_rows.parts()}
         readiness_log = readiness.ReadinessLog(
             has_read_tables=self._has_read_tables,
             started_at=self._started_at,
@@ -339,7 +364,7 @@
         for table, pause, wait, follower in followers:
             mirrors[table] = mirror.Mirror(
                 table=table,
-                fetch=self._table_fetch(platform, table),
+                fetch=self._table_fetch(platform, table, parts.get(table, [""])),
                 pause=pause,
                 wait=wait,
                 on_change=readiness_log.wrap(follower.apply_changes),
@@ -350,9 +375,12 @@
         self._configuration.set_read_at(lambda: config_mirror.read_at)
         self._endpoints.table.set_regained_at(lambda: endpoints_mirror.regained_at)
         self._hosts.set_read_at(lambda: hosts_mirror.read_at)
+        hosts_mirror.add_listener(self._own_row.apply_changes)
         return mirrors
 
-    def _table_fetch(self, platform: Platform, table: str) -> mirror.Fetch:
+    def _table_fetch(
+        self, platform: Platform, table: str, parts: list[str]
+    ) -> mirror.Fetch:
         own = self._deployment
         follower = table_source.Follower(
             chooser=sources.Sources(name=own.host, region=own.region),
@@ -361,7 +389,7 @@
             ask=self._ask_table,
             table=table,
             store=table_source.from_store(
-                store=platform.store, table=table, now=self._now
+                store=platform.store, table=table, parts=parts, now=self._now
             ),
             now=self._now,
         )
@@ -372,7 +400,7 @@
         peers = [
             sources.Peer(host.name, host.region, host.control, host.link_mbps)
             for host in self._hosts.live
-            if host.state == hosts.READY
+            if host.state == host_rows.READY
         ]
         if self.ready():
             own = self._deployment
--- a/dogwoodchute/gateway/homes.py
+++ b/dogwoodchute/gateway/homes.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from dogwoodchute.coordination import ranking
-from dogwoodchute.gateway import hosts
+from dogwoodchute.gateway import host_rows
 
 # Hosts; with so few, each gets enough of an account's requests to draw for itself.
 SMALL_FLEET = 16
@@ -30,22 +30,22 @@
         *,
         host: str,
         region: str,
-        live: abc.Callable[[], tuple[hosts.Host, ...]],
+        live: abc.Callable[[], tuple[host_rows.Host, ...]],
         store_is_slow: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._host = host
         self._region = region
         self._live = live  # returns the same tuple until a host changes
         self._store_is_slow = store_is_slow  # whether draws by all are too slow
-        self._last_live: tuple[hosts.Host, ...] = ()
-        self._ready: dict[str, hosts.Host] = {}  # by id
+        self._last_live: tuple[host_rows.Host, ...] = ()
+        self._ready: dict[str, host_rows.Host] = {}  # by id
         self._rankings: dict[str, _Ranking] = {}  # by account
 
     def is_local(self, account: str) -> bool:
         """Return whether this host is the account's home in its region."""
         return self._is_large() and self._ranking(account).is_local
 
-    def remote_home(self, account: str) -> hosts.Host | None:
+    def remote_home(self, account: str) -> host_rows.Host | None:
         """Return the account's home in this region if it is another host, else None."""
         if not self._is_large():
             return None
@@ -54,7 +54,7 @@
             return None
         return self._ready[entry.others[self._region]]
 
-    def best_by_region(self, account: str) -> list[hosts.Host]:
+    def best_by_region(self, account: str) -> list[host_rows.Host]:
         """Return the best other host of each region, that of this region first."""
         entry = self._ranking(account)
         regions = sorted(entry.others, key=lambda region: region != self._region)
@@ -76,7 +76,7 @@
         if live is self._last_live:
             return
         self._last_live = live
-        ready = {host.id: host for host in live if host.state == hosts.READY}
+        ready = {host.id: host for host in live if host.state == host_rows.READY}
         if _ids_and_regions(ready) != _ids_and_regions(self._ready):
             self._rankings.clear()
         self._ready = ready
@@ -94,5 +94,5 @@
         )
 
 
-def _ids_and_regions(ready: dict[str, hosts.Host]) -> set[tuple[str, str]]:
+def _ids_and_regions(ready: dict[str, host_rows.Host]) -> set[tuple[str, str]]:
     return {(host.id, host.region) for host in ready.values()}
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -28,7 +28,8 @@
     callers: str  # listens for callers' requests
     readiness: str  # listens for the platform's readiness checks
     control: str  # listens for requests of other hosts
-    gossip: str  # listens for datagrams of other hosts
+    gossip: str  # listens for load reports of other hosts, by datagrams
+    heartbeats: str  # listens for heartbeats of other hosts, by datagrams
     directory: str  # listens for callers that ask which hosts to use
     seeds: tuple[str, ...]  # control addresses of a few hosts, may be out of date
     store: str  # address of the platform's store
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -16,7 +16,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, escrow
-from dogwoodchute.gateway import account_rows, hosts, rows
+from dogwoodchute.gateway import account_rows, host_rows, row_reader, rows
 
 CHECK_INTERVAL = 0.2  # seconds between checks for new incarnations
 SETTLE_TIME = 0.3  # seconds without a further new incarnation before rows are read
@@ -79,7 +79,7 @@
         self,
         *,
         store: rows.Store,
-        registered: abc.Callable[[], dict[str, hosts.Host]],
+        registered: abc.Callable[[], dict[str, host_rows.Host]],
         is_responsible_for: abc.Callable[[str], bool],
         now: abc.Callable[[], float],
     ) -> None:
@@ -87,6 +87,10 @@
         self._registered = registered  # the newest incarnation of each host, by name
         self._is_responsible_for = is_responsible_for
         self._now = now
+        self._reader = row_reader.RowReader(
+            table=account_rows.HOLDINGS,
+            decode=lambda key, value: account_rows.decode_holding(value),
+        )
         self._parts = {part: _PartState() for part in account_rows.parts()}
 
     async def run(self) -> None:
@@ -131,7 +135,7 @@
             return True
         return now - part.changed_at >= SETTLE_TIME
 
-    async def close(self, part: str, newest: dict[str, hosts.Host]) -> bool:
+    async def close(self, part: str, newest: dict[str, host_rows.Host]) -> bool:
         """Close a partition's holdings of all incarnations that `newest` succeeded.
 
         Returns whether all are closed.
@@ -142,6 +146,8 @@
             return False
         by_account: dict[str, list[EndedHolding]] = {}
         for row in found.rows:
+            if self._reader.read(row) is None:
+                continue
             ended = ended_holding(row, newest)
             if ended is None:
                 _log_left(row, newest)
@@ -225,7 +231,9 @@
         return await self._store.commit(part, checks, puts)
 
 
-def ended_holding(row: rows.Row, newest: dict[str, hosts.Host]) -> EndedHolding | None:
+def ended_holding(
+    row: rows.Row, newest: dict[str, host_rows.Host]
+) -> EndedHolding | None:
     """Return the holding in a row if its holder ended before one of `newest` started.
 
     A row written before the newest incarnation registered belongs to it or to an ended
@@ -242,7 +250,7 @@
     return EndedHolding(row, holding, successor.began)
 
 
-def _log_left(row: rows.Row, newest: dict[str, hosts.Host]) -> None:
+def _log_left(row: rows.Row, newest: dict[str, host_rows.Host]) -> None:
     """Log a holding that is not closed although its incarnation may have ended."""
     successor = _successor(row, newest)
     if successor is None or account_rows.decode_holding(row.value).registered:
@@ -256,7 +264,9 @@
     )
 
 
-def _successor(row: rows.Row, newest: dict[str, hosts.Host]) -> hosts.Host | None:
+def _successor(
+    row: rows.Row, newest: dict[str, host_rows.Host]
+) -> host_rows.Host | None:
     """Return the newest incarnation of a holder's host, None if that is the holder."""
     holder = row.key.partition("/")[2]
     found = newest.get(holder.rpartition("-")[0])
--- a/dogwoodchute/gateway/table_copy.py
+++ b/dogwoodchute/gateway/table_copy.py
@@ -17,7 +17,7 @@
 
 
 class TableCopy:
-    """The rows of a table's unnamed partition.
+    """The rows of a table, whose keys differ.
 
     A row is never replaced by an older version of it.
     """
@@ -41,10 +41,9 @@
         if self._version is not None and changes.version < self._version:
             return []
         self._version = changes.version
-        unnamed = [row for row in changes.rows if not row.part]
         if changes.is_snapshot:
-            return self._replace(unnamed)
-        return self._update(unnamed)
+            return self._replace(changes.rows)
+        return self._update(changes.rows)
 
     def since(self, version: int | None) -> Changes | None:
         """Return what changed after `version`, None before the first read.
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -18,16 +18,29 @@
 
 
 def from_store(
-    *, store: rows.Store, table: str, now: abc.Callable[[], float]
+    *,
+    store: rows.Store,
+    table: str,
+    now: abc.Callable[[], float],
+    parts: abc.Collection[str] = ("",),
 ) -> mirror.Fetch:
-    """Return a function that reads a table from the store, then follows its feed."""
+    """Return a function that reads a table from the store, then follows its feed.
+
+    Only rows in the partitions `parts` count; others are of other writers.
+    """
 
     async def read() -> mirror.Outcome:
         asked_at = now()
-        outcome = await store.read(table, "", None, None)
-        if isinstance(outcome, rows.Unavailable):
-            return outcome
-        changes = table_copy.Changes(outcome.rows, outcome.version, is_snapshot=True)
+        reads = [store.read(table, part, None, None) for part in parts]
+        found: list[rows.Row] = []
+        versions: list[int] = []
+        for outcome in await asyncio.gather(*reads):
+            if isinstance(outcome, rows.Unavailable):
+                return outcome
+            found.extend(outcome.rows)
+            versions.append(outcome.version)
+        # Changes after the oldest of these reads come again with the feed.
+        changes = table_copy.Changes(found, min(versions), is_snapshot=True)
         return mirror.Fetched(changes=changes, read_at=asked_at)
 
     async def fetch(
@@ -42,7 +55,8 @@
             return await read()
         if isinstance(outcome, rows.Unavailable):
             return outcome
-        changes = table_copy.Changes(outcome.rows, outcome.version, is_snapshot=False)
+        changed = [row for row in outcome.rows if row.part in parts]
+        changes = table_copy.Changes(changed, outcome.version, is_snapshot=False)
         return mirror.Fetched(changes=changes, read_at=asked_at)
 
     return fetch
--- a/dogwoodchute/gateway/transfer_sources.py
+++ b/dogwoodchute/gateway/transfer_sources.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from dogwoodchute.gateway import homes, hosts, reservations, transfer_protocol
+from dogwoodchute.gateway import homes, host_rows, reservations, transfer_protocol
 
 MAX_SOURCES = 8  # other hosts that one request for tokens may try
 
@@ -13,7 +13,7 @@
     def __init__(
         self,
         *,
-        live: abc.Callable[[], tuple[hosts.Host, ...]],
+        live: abc.Callable[[], tuple[host_rows.Host, ...]],
         homes: homes.Homes,
         request_from_host: transfer_protocol.RequestFromHost,
     ) -> None:
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -12,6 +12,8 @@
 from dogwoodchute.gateway import model
 from dogwoodchute.platform import names
 
+MAX_PORT = 65535
+
 
 class SettingsError(Exception):
     """The settings file can't be used."""
@@ -66,6 +68,9 @@
     zone = str(plain["zone"])
     regions = {str(k): str(v) for k, v in plain.get("zones", {}).items()}
     region = str(plain.get("region") or regions[zone])
+    first_port, last_port = (int(port) for port in plain["portRange"])
+    if not 0 < first_port < last_port <= MAX_PORT:
+        raise ValueError("portRange has no two ports for datagrams")
     return model.Deployment(
         host=str(plain["node"]),
         data_centre=zone,
@@ -74,7 +79,8 @@
         callers=str(listen["front"]),
         readiness=str(listen["ready"]),
         control=str(listen["control"]),
-        gossip=f"{plain['ip']}:{int(plain['portRange'][0])}",
+        gossip=f"{plain['ip']}:{first_port}",
+        heartbeats=f"{plain['ip']}:{first_port + 1}",
         directory=str(listen["directory"]),
         seeds=tuple(str(seed) for seed in plain.get("seeds", ())),
         store=str(platform["address"]),
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -84,6 +84,7 @@
         readiness="",
         control="",
         gossip="",
+        heartbeats="",
         directory="",
         seeds=(),
         store="",
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -5,7 +5,7 @@
     account_rows,
     accounts,
     amounts,
-    hosts,
+    host_rows,
     model,
     reclaim,
     reservations,
@@ -74,8 +74,8 @@
     async def reclaim(self, name):
         """Close holdings of a host's earlier processes, as after its registration."""
         began, version = self.loop.time(), self.store.version + 1
-        place = dict.fromkeys(hosts.TEXTS, "")
-        host = hosts.Host(**{**place, "name": name}, id="new", beat=1)
+        place = dict.fromkeys(host_rows.TEXTS, "")
+        host = host_rows.Host(**{**place, "name": name}, id="new")
         host = host._replace(registered=version, began=began)
         reclaimer = reclaim.Reclaimer(
             store=row_store.in_process_client(
--- a/dogwoodchute/tests/test_homes.py
+++ b/dogwoodchute/tests/test_homes.py
@@ -3,16 +3,16 @@
 from unittest import mock
 
 from dogwoodchute.coordination import ranking
-from dogwoodchute.gateway import homes, hosts
+from dogwoodchute.gateway import homes, host_rows
 from dogwoodchute.tests import support
 
 FLEET = 62  # other hosts
 ACCOUNTS = [f"account-{number}" for number in range(24)]
 
 
-def make_host(number, *, beat=1, state=hosts.READY, incarnation="a"):
+def make_host(number, *, link_mbps=1000.0, state=host_rows.READY, incarnation="a"):
     name = f"h{number}"
-    return hosts.Host(
+    return host_rows.Host(
         id=f"{name}-{incarnation}",
         name=name,
         data_centre=f"z{number % 6}",
@@ -20,8 +20,9 @@
         callers=f"{name}:1",
         control=f"{name}:3",
         gossip=f"{name}:4",
+        heartbeats=f"{name}:5",
         state=state,
-        beat=beat,
+        link_mbps=link_mbps,
     )
 
 
@@ -55,11 +56,11 @@
         all_scores = (FLEET + 1) * len(ACCOUNTS)
         self.assertEqual(all_scores, self.score_count())
         self.assertEqual(0, self.score_count())
-        self.live = tuple(host._replace(beat=2) for host in self.live)
+        self.live = tuple(host._replace(link_mbps=500.0) for host in self.live)
         self.assertEqual(0, self.score_count())
         self.live = self.live[1:]
         self.assertEqual(all_scores - len(ACCOUNTS), self.score_count())
-        self.live = (make_host(1, state=hosts.STARTING), *self.live)
+        self.live = (make_host(1, state=host_rows.STARTING), *self.live)
         self.assertEqual(0, self.score_count())
         self.live = (make_host(1, incarnation="b"), *self.live[1:])
         self.assertEqual(all_scores, self.score_count())
@@ -91,7 +92,7 @@
         account = next(name for name in ACCOUNTS if self.homes.remote_home(name))
         home = self.homes.remote_home(account)
         self.live = tuple(
-            host._replace(state=hosts.LEAVING) if host.id == home.id else host
+            host._replace(state=host_rows.LEAVING) if host.id == home.id else host
             for host in self.live
         )
         self.assertNotEqual(home.id, getattr(self.homes.remote_home(account), "id", ""))
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -10,6 +10,7 @@
 from dogwoodchute.gateway import (
     account_rows,
     endpoint_table,
+    host_rows,
     mirror,
     model,
     row_reader,
@@ -17,7 +18,7 @@
     table_copy,
 )
 from dogwoodchute.platform import decode
-from dogwoodchute.tests import gateway_site, support
+from dogwoodchute.tests import gateway_site, support, test_hosts
 
 SOUND = {
     "service": "s",
@@ -194,10 +195,12 @@
     return bytes(data)
 
 
+HOST = test_hosts.make_host("h2-a", registered=7)
 HOLDING = b"[9000,100,200,3,12.5,4.0,7,50,0]"
 FUZZED = [
     (lambda v: decode.endpoint("e1", v), json.dumps(SOUND).encode()),
     (decode.config, json.dumps(gateway_site.config()).encode()),
+    (lambda v: host_rows.decode("h2-a", v), host_rows.encode(HOST)),
     (account_rows.decode_holding, HOLDING),
     (account_rows.decode_account, b"[9000,100,1,2,3]"),
 ]
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -4,7 +4,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows, hosts, reclaim, rows
+from dogwoodchute.gateway import account_rows, host_rows, reclaim, rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -48,8 +48,8 @@
         self.put(account, account_rows.HOLDINGS, key, list(holding))
 
     def host(self, name):
-        place = {**dict.fromkeys(hosts.TEXTS, ""), "name": name}
-        host = hosts.Host(id=f"{name}-new", beat=1, **place)
+        place = {**dict.fromkeys(host_rows.TEXTS, ""), "name": name}
+        host = host_rows.Host(id=f"{name}-new", **place)
         version = self.store.version + 1
         return host._replace(registered=version, began=self.loop.time() + 1.0)
 
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -270,6 +270,7 @@
         readiness="127.0.0.1:0",
         control="127.0.0.1:0",
         gossip="127.0.0.1:0",
+        heartbeats="127.0.0.1:0",
         directory="127.0.0.1:0",
         seeds=(),
         store="127.0.0.1:1",
--- a/dogwoodchute/tests/test_tables.py
+++ b/dogwoodchute/tests/test_tables.py
@@ -97,6 +97,7 @@
         readiness="127.0.0.1:0",
         control=free_address(),
         gossip="127.0.0.1:0",
+        heartbeats="127.0.0.1:0",
         directory="127.0.0.1:0",
         seeds=(),
         store=store,
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -24,7 +24,7 @@
 import uvloop
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import gateway, model, tables, transfer_protocol
+from dogwoodchute.gateway import gateway, liveness, model, tables, transfer_protocol
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
 METRICS_PORT = 9464  # TCP, the same as in `deploy/system.toml`
@@ -70,6 +70,7 @@
         self._callers = self._new_server("callers")
         self._transfer_client = transfer_protocol.TransferClient(now=clock.monotonic)
         self._table_client = tables.Client()
+        self._liveness_client = liveness.Client()
         self._store_client = store.Client(
             address=deployment.store,
             relays=lambda: self.gateway.relays(),
@@ -89,6 +90,7 @@
             ),
             request_from_host=self._transfer_client.request,
             ask_table=self._table_client.ask,
+            is_alive=self._liveness_client.is_alive,
             on_config=self._adopt_limits,
             started_at=STARTED_AT,
         )
@@ -102,6 +104,7 @@
             control.app, transfer_out=self.gateway.transfer_out
         )
         tables.add_routes(control.app, changes_since=self.gateway.table_changes_since)
+        liveness.add_routes(control.app)
         relay.add_routes(control.app, client=self._store_client)
         readiness = self._new_server("readiness")
         ingress.add_readiness(readiness.app, ready=self.gateway.ready)
@@ -155,6 +158,7 @@
                 await self._store_client.close()
                 await self._transfer_client.close()
                 await self._table_client.close()
+                await self._liveness_client.close()
         except TimeoutError:
             log.warning("stop_unclosed")
 
