Tell late copies, cut answers and stalled streams apart in the own interface

Cause: the daemon kept connections to endpoints that don't say which request an answer is for, so a second copy that came late was taken for the next caller's answer. A body without a length that was reset counted as whole. A byte now and then, that completed no event, held a stream up to its total time. A write error towards the caller left the run uncaught, and what the stream had used went unbilled.

Change: both interfaces use one class of connections to endpoints. A connection is used again only if the endpoint repeats the request's id, which is checked. Bytes of a partial event extend the wait up to the silence ceiling only. A failed write ends the run like a caller that left, so it is cancelled and billed.

Each has a test that failed before. Measured: tests only.

--- a/dogwoodchute/coordination/cadence.py
+++ b/dogwoodchute/coordination/cadence.py
@@ -14,7 +14,7 @@
 
     def __init__(self, *, floor: float, ceiling: float) -> None:
         self.floor = floor
-        self._ceiling = ceiling
+        self.ceiling = ceiling
         self._mean: float | None = None
         self._deviation = 0.0
 
@@ -36,6 +36,6 @@
         also holds as long as no gap was observed.
         """
         if self._mean is None:
-            return self._ceiling
+            return self.ceiling
         usual = self._mean + DEVIATIONS * self._deviation
-        return min(self._ceiling, max(self.floor, usual) * 2**tries)
+        return min(self.ceiling, max(self.floor, usual) * 2**tries)
--- /dev/null
+++ b/dogwoodchute/endpoint_connection.py
@@ -0,0 +1,188 @@
+"""Connections to endpoints that bound what an endpoint may send."""
+
+import asyncio
+import contextvars
+import functools
+import http
+from collections import abc
+
+import aiohttp
+from aiohttp import client_proto, streams
+
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD = 64 * 1024  # bytes of an answer's head and the interim answers before it
+MAX_INTERIM = 20  # interim (1xx) answers to one request; each costs a parser call
+# Bytes of framing for each byte of a body. Chunks of one byte need 5.
+MAX_FRAMING = 8
+
+# Returns whether a connection is not used again after an answer, by the answer's
+# status, headers and raw headers.
+ClosesAfter = abc.Callable[[int, abc.Mapping[str, str], list], bool]
+
+
+class ByteCounter:
+    """Counts the bytes received on a connection since a request was sent."""
+
+    def __init__(self) -> None:
+        self.received = 0
+
+
+# The counter of the request that is being sent. aiohttp chooses the connection of a
+# request, so the connection finds the request's counter here.
+_current_counter: contextvars.ContextVar[ByteCounter] = contextvars.ContextVar(
+    "sending"
+)
+
+
+class EndpointConnection(client_proto.ResponseHandler):
+    """A connection to an endpoint that bounds what the endpoint may send.
+
+    It is not used again after bytes beyond the end of an answer, nor after an answer of
+    which a second copy could be taken for the next answer.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, *, closes_after: ClosesAfter
+    ) -> None:
+        super().__init__(loop)
+        self._closes_after = closes_after
+        self.was_reset = False  # ended in another way than by the endpoint's close
+        self.idle_until: float | None = None  # loop time
+        self._counter = ByteCounter()
+        self._interim_count = 0  # interim answers since the request was sent
+        self._has_head = False  # the head of the final answer was received
+        self._body_left: int | None = None  # bytes of the body to come, None if unknown
+
+    def is_connected(self) -> bool:
+        """Return whether the connection may carry another request."""
+        if not super().is_connected() or self.should_close:
+            return False
+        return self.idle_until is None or self._loop.time() < self.idle_until
+
+    def set_response_params(self, **params: object) -> None:
+        """Prepare for the answer to a new request."""
+        self._counter = _current_counter.get(ByteCounter())
+        self._interim_count = 0
+        self._body_left = None
+        self._has_head = False
+        self._payload = None
+        super().set_response_params(**params)
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """Handle the head of an answer, which the parser passes on."""
+        message, payload = data
+        self._has_head = message.code >= http.HTTPStatus.OK
+        if not self._has_head:
+            self._interim_count += 1
+            super().feed_data(data, size)
+            return
+        if self._closes_after(message.code, message.headers, message.raw_headers):
+            self.force_close()
+        length = message.headers.get("Content-Length", "")
+        if payload is streams.EMPTY_PAYLOAD:
+            self._body_left = 0
+        elif length.isdecimal() and not message.chunked:
+            self._body_left = int(length)
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close the connection if they can't be an answer.
+
+        The parser bounds lines and headers, and the reader bounds the body. Neither
+        bounds interim answers, empty lines, and the size and extensions of a chunk, so
+        an endpoint could send these without end.
+        """
+        if not data:
+            # The parser continues with what it buffered while the reader was full.
+            super().data_received(data)
+            return
+        self._counter.received += len(data)
+        data = self._parse_head(data)
+        if self._body_left is not None:
+            self._parse_body(data)
+            return
+        if data:
+            super().data_received(data)
+        self._check_excess(len(data))
+
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parse up to the end of the final answer's head; return the bytes after it."""
+        start = 0
+        while not self._has_head and super().is_connected():
+            end = data.find(HEAD_END, start)
+            if end < 0 or start > MAX_HEAD:
+                break
+            end += len(HEAD_END)
+            super().data_received(data[start:end])
+            start = end
+            if self._interim_count > MAX_INTERIM:
+                self._abort("too many interim answers")
+                return b""
+        return data[start:]
+
+    def _parse_body(self, data: bytes) -> None:
+        """Parse the bytes of the body; close the connection if more follow."""
+        body = data[: self._body_left]
+        self._body_left -= len(body)
+        has_excess = len(data) > len(body)
+        if has_excess:
+            self.force_close()
+        if body:
+            super().data_received(body)
+        if has_excess and self.transport is not None and self._payload.is_eof():
+            self.transport.abort()
+
+    def _check_excess(self, unparsed: int) -> None:
+        """Close the connection if too many bytes besides the body were received.
+
+        The last `unparsed` bytes are allowed, as they may not be in the body yet.
+        """
+        body = self._payload.total_bytes if self._payload is not None else 0
+        if self._counter.received - body <= MAX_HEAD + unparsed + MAX_FRAMING * body:
+            return
+        self._abort("too many bytes that are no answer")
+
+    def _abort(self, reason: str) -> None:
+        """Abort the connection and fail the answer that is being read."""
+        if self.transport is None or self.was_reset:
+            return
+        self.was_reset = True
+        error = aiohttp.ClientPayloadError(reason)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self.transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record how the connection ended, which a body without a length depends on."""
+        self.was_reset = self.was_reset or exc is not None
+        super().connection_lost(exc)
+
+
+def connector(*, closes_after: ClosesAfter, **options: object) -> aiohttp.TCPConnector:
+    """Return a connector of such connections, without a limit to their number."""
+    made = aiohttp.TCPConnector(limit=0, **options)
+    # aiohttp has no public way to set the class of its connections.
+    made._factory = functools.partial(
+        EndpointConnection, loop=asyncio.get_running_loop(), closes_after=closes_after
+    )
+    return made
+
+
+def count_bytes() -> ByteCounter:
+    """Return a counter of the bytes received for the request that is sent next."""
+    counter = ByteCounter()
+    _current_counter.set(counter)
+    return counter
+
+
+def has_framing(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer tells the end of its body by itself.
+
+    The end of the connection ends any other body.
+    """
+    return (
+        response.content_length is not None
+        or response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        or response.status in (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+    )
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -10,6 +10,7 @@
 
 from dogwoodchute import (
     clock,
+    endpoint_connection,
     exchange as exchanges,
     failures,
     outcomes,
@@ -21,6 +22,9 @@
 
 CANCEL_PATH = "/v1/cancel"
 RESUME_TOKEN_HEADER = "X-Resume-Token"
+# The id of a chat and of a plain call; an endpoint may repeat it in its answer.
+CHAT_ID_HEADER = "X-Request-Id"
+CALL_ID_HEADER = "Idempotency-Key"
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -61,10 +65,10 @@
 
     async def start(self) -> None:
         """Open the sessions; call it inside the running event loop."""
-        self._pooled = self._session(aiohttp.TCPConnector(limit=0))
+        self._pooled = self._session(_connector())
         # A pooled connection may be dead without a sign of it, so a call that must
         # not be repeated always gets a new connection.
-        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._fresh = self._session(_connector(force_close=True))
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -96,7 +100,10 @@
             fresh=self._fresh,
             url=base + exchanges.CHAT_PATH,
             body=body,
-            headers={"X-Request-Id": request_id, "Accept-Encoding": "identity"},
+            headers={CHAT_ID_HEADER: request_id, "Accept-Encoding": "identity"},
+            check_answer=lambda response: _check_id(
+                response, CHAT_ID_HEADER, request_id
+            ),
             cancel=cancel,
             cancel_in_background=lambda: self._run_in_background(cancel()),
         )
@@ -124,7 +131,8 @@
             for k, v in request.headers.items()
             if k not in UNFORWARDED_REQUEST_HEADERS
         }
-        headers["Idempotency-Key"] = engine_request_id(exchange)
+        request_id = engine_request_id(exchange)
+        headers[CALL_ID_HEADER] = request_id
         session = self.session(fresh=not exchange.idempotent)
         was_dispatched, exchange.dispatched = exchange.dispatched, True
         try:
@@ -137,6 +145,7 @@
                 timeout=self._plain_timeout(exchange),
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             ) as response:
+                _check_id(response, CALL_ID_HEADER, request_id)
                 content = await self._read_bounded(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             exchange.dispatched = was_dispatched
@@ -234,6 +243,9 @@
 
     async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
         limit = self._host.config.limits.answer_bytes
+        # The response drops its connection once the body has been received; the body's
+        # reader keeps a reference to it.
+        connection = getattr(response.content, "_protocol", None)
         parts = []
         size = 0
         async for data in response.content.iter_any():
@@ -241,9 +253,35 @@
             size += len(data)
             if size > limit:
                 raise aiohttp.ClientPayloadError(f"the answer exceeds {limit} bytes")
+        is_whole = endpoint_connection.has_framing(response) or (
+            connection is not None and not connection.was_reset
+        )
+        if not is_whole:
+            raise aiohttp.ClientPayloadError("reset before the end of the answer")
         return b"".join(parts)
 
 
+def _connector(**options: object) -> aiohttp.TCPConnector:
+    return endpoint_connection.connector(closes_after=_closes_after, **options)
+
+
+def _closes_after(status: int, headers: abc.Mapping[str, str], raw: list) -> bool:
+    """Return whether a connection is not used again after an answer.
+
+    A second copy of an answer may arrive late, on a connection that is in use again. It
+    can be told from the next answer only if the endpoint repeats the request's id.
+    """
+    repeats_id = CHAT_ID_HEADER in headers or CALL_ID_HEADER in headers
+    return status in BUSY_STATUSES or not repeats_id
+
+
+def _check_id(response: aiohttp.ClientResponse, header: str, request_id: str) -> None:
+    """Raise `aiohttp.ClientPayloadError` if an answer names another request."""
+    repeated = response.headers.get(header)
+    if repeated is not None and repeated != request_id:
+        raise aiohttp.ClientPayloadError("the answer is for another request")
+
+
 def engine_request_id(exchange: exchanges.Exchange) -> str:
     """Return the id under which the endpoint knows a request.
 
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -2,18 +2,15 @@
 
 import asyncio
 import contextlib
-import contextvars
 import dataclasses
-import functools
 import http
 import typing
 from collections import abc
 
 import aiohttp
 import yarl
-from aiohttp import client_proto, streams
 
-from dogwoodchute import send_once
+from dogwoodchute import endpoint_connection, send_once
 from dogwoodchute.gateway import calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
@@ -22,11 +19,6 @@
 # Seconds before the endpoint's idle timeout from which its connection is not reused.
 IDLE_MARGIN = 0.5
 MAX_BODY = 16 * 1024 * 1024  # bytes of an answer that is read whole before forwarding
-HEAD_END = b"\r\n\r\n"
-MAX_HEAD = 64 * 1024  # bytes of an answer's head and the interim answers before it
-MAX_INTERIM = 20  # interim (1xx) answers to one request; each costs a parser call
-# Bytes of framing for each byte of a body. Chunks of one byte need 5.
-MAX_FRAMING = 8
 MAX_REASON = 120  # characters of an error's text, which may quote the endpoint
 
 
@@ -72,147 +64,6 @@
     silent: bool = False  # no byte of an answer was received
 
 
-class _ByteCounter:
-    """Counts the bytes received on a connection since a request was sent."""
-
-    def __init__(self) -> None:
-        self.received = 0
-
-
-# The counter of the request that is being sent. aiohttp chooses the connection of a
-# request, so the connection finds the request's counter here.
-_current_counter: contextvars.ContextVar[_ByteCounter] = contextvars.ContextVar(
-    "sending"
-)
-
-
-class EndpointConnection(client_proto.ResponseHandler):
-    """A connection to an endpoint that bounds what the endpoint may send.
-
-    It is not used again after bytes beyond the end of an answer, nor after a refusal,
-    since a second copy of the refusal would be taken for the next answer.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, *, wire: WireFormat) -> None:
-        super().__init__(loop)
-        self._wire = wire
-        self.was_reset = False  # ended in another way than by the endpoint's close
-        self.idle_until: float | None = None  # loop time
-        self._counter = _ByteCounter()
-        self._interim_count = 0  # interim answers since the request was sent
-        self._has_head = False  # the head of the final answer was received
-        self._body_left: int | None = None  # bytes of the body to come, None if unknown
-
-    def is_connected(self) -> bool:
-        """Return whether the connection may carry another request."""
-        if not super().is_connected() or self.should_close:
-            return False
-        return self.idle_until is None or self._loop.time() < self.idle_until
-
-    def set_response_params(self, **params: object) -> None:
-        """Prepare for the answer to a new request."""
-        self._counter = _current_counter.get(_ByteCounter())
-        self._interim_count = 0
-        self._body_left = None
-        self._has_head = False
-        self._payload = None
-        super().set_response_params(**params)
-
-    def feed_data(self, data: tuple, size: int = 0) -> None:
-        """Handle the head of an answer, which the parser passes on."""
-        message, payload = data
-        self._has_head = message.code >= http.HTTPStatus.OK
-        if not self._has_head:
-            self._interim_count += 1
-            super().feed_data(data, size)
-            return
-        if message.code >= http.HTTPStatus.BAD_REQUEST:
-            head = self._wire.parse_head(
-                message.code, message.headers, message.raw_headers
-            )
-            if head.not_run:
-                self.force_close()
-        length = message.headers.get("Content-Length", "")
-        if payload is streams.EMPTY_PAYLOAD:
-            self._body_left = 0
-        elif length.isdecimal() and not message.chunked:
-            self._body_left = int(length)
-        super().feed_data(data, size)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; close the connection if they can't be an answer.
-
-        The parser bounds lines and headers, and the reader bounds the body. Neither
-        bounds interim answers, empty lines, and the size and extensions of a chunk, so
-        an endpoint could send these without end.
-        """
-        if not data:
-            # The parser continues with what it buffered while the reader was full.
-            super().data_received(data)
-            return
-        self._counter.received += len(data)
-        data = self._parse_head(data)
-        if self._body_left is not None:
-            self._parse_body(data)
-            return
-        if data:
-            super().data_received(data)
-        self._check_excess(len(data))
-
-    def _parse_head(self, data: bytes) -> bytes:
-        """Parse up to the end of the final answer's head; return the bytes after it."""
-        start = 0
-        while not self._has_head and super().is_connected():
-            end = data.find(HEAD_END, start)
-            if end < 0 or start > MAX_HEAD:
-                break
-            end += len(HEAD_END)
-            super().data_received(data[start:end])
-            start = end
-            if self._interim_count > MAX_INTERIM:
-                self._abort("too many interim answers")
-                return b""
-        return data[start:]
-
-    def _parse_body(self, data: bytes) -> None:
-        """Parse the bytes of the body; close the connection if more follow."""
-        body = data[: self._body_left]
-        self._body_left -= len(body)
-        has_excess = len(data) > len(body)
-        if has_excess:
-            self.force_close()
-        if body:
-            super().data_received(body)
-        if has_excess and self.transport is not None and self._payload.is_eof():
-            self.transport.abort()
-
-    def _check_excess(self, unparsed: int) -> None:
-        """Close the connection if too many bytes besides the body were received.
-
-        The last `unparsed` bytes are allowed, as they may not be in the body yet.
-        """
-        body = self._payload.total_bytes if self._payload is not None else 0
-        if self._counter.received - body <= MAX_HEAD + unparsed + MAX_FRAMING * body:
-            return
-        self._abort("too many bytes that are no answer")
-
-    def _abort(self, reason: str) -> None:
-        """Abort the connection and fail the answer that is being read."""
-        if self.transport is None or self.was_reset:
-            return
-        self.was_reset = True
-        error = aiohttp.ClientPayloadError(reason)
-        if self._payload is not None:
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        self.transport.abort()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record how the connection ended, which a body without a length depends on."""
-        self.was_reset = self.was_reset or exc is not None
-        super().connection_lost(exc)
-
-
 class Answer:
     """An answer whose head was received.
 
@@ -224,16 +75,12 @@
         *,
         response: aiohttp.ClientResponse,
         head: Head,
-        connection: EndpointConnection | None,
+        connection: endpoint_connection.EndpointConnection | None,
     ) -> None:
         self.head = head
         self._response = response
         self._connection = connection
-        self._has_framing = (
-            response.content_length is not None
-            or response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-            or response.status in (204, 304)
-        )
+        self._has_framing = endpoint_connection.has_framing(response)
 
     async def read_body(self, peer: str) -> bytes | Lost:
         """Return the whole body, or why it was lost."""
@@ -284,10 +131,8 @@
 
     async def start(self) -> None:
         """Open the HTTP session; needs a running event loop."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_TIMEOUT)
-        # aiohttp has no public way to set the class of its connections.
-        connector._factory = functools.partial(
-            EndpointConnection, loop=asyncio.get_running_loop(), wire=self._wire
+        connector = endpoint_connection.connector(
+            closes_after=self._is_refusal, keepalive_timeout=IDLE_TIMEOUT
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -319,8 +164,7 @@
         if self._session.closed:
             return NotSent(reason="this host stops", peer=endpoint.id)
         request = call.request
-        counter = _ByteCounter()
-        _current_counter.set(counter)
+        counter = endpoint_connection.count_bytes()
         target = request.path + (f"?{request.query}" if request.query else "")
         try:
             response = await self._session.request(
@@ -347,6 +191,14 @@
         connection = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, connection=connection)
 
+    def _is_refusal(
+        self, status: int, headers: abc.Mapping[str, str], raw: list
+    ) -> bool:
+        """Return whether an answer says that the endpoint did not run the request."""
+        if status < http.HTTPStatus.BAD_REQUEST:
+            return False
+        return self._wire.parse_head(status, headers, raw).not_run
+
 
 def _reason(error: Exception) -> str:
     """Return the first line of an error's text, without most of what it quotes."""
--- a/dogwoodchute/standins/service.py
+++ b/dogwoodchute/standins/service.py
@@ -61,6 +61,9 @@
             )
             await asyncio.sleep(0.05)
             self.connections.reset(request)
+        request_id = request.headers.get("Idempotency-Key", "")
         return web.json_response(
-            {"order": len(self.calls)}, status=self.status, headers=self.headers
+            {"order": len(self.calls)},
+            status=self.status,
+            headers={"Idempotency-Key": request_id, **self.headers},
         )
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -56,6 +56,8 @@
     url: str
     body: dict
     headers: dict[str, str]
+    # Raises `aiohttp.ClientError` if an answer is for another request.
+    check_answer: abc.Callable[[aiohttp.ClientResponse], None]
     # Cancels the run; returns the tokens used, None if the engine reports none.
     cancel: abc.Callable[[], abc.Awaitable[int | None]]
     cancel_in_background: abc.Callable[[], None]  # doesn't wait for the reply
@@ -118,8 +120,9 @@
         self._whole_answer: list[bytes] = []  # batches, for a caller without a stream
         self._batches = 0  # received so far, on all connections
         self._resumes = 0  # in a row without an event
-        # Start of the current wait, for the engine or the caller (loop time).
-        self._wait_began = self._loop.time()
+        # Start of the current wait, for a byte of the engine or for the caller, and of
+        # the wait for the next whole event (loop time).
+        self._wait_began = self._event_at = self._loop.time()
         self._writing = False  # a write to the caller is under way
         self._timeout: asyncio.Timeout | None = None  # of the connection in use
         self._stop_reason = ""  # set once the request must not be resumed
@@ -186,7 +189,7 @@
         may_pool = exchange.idempotent and last_id is None
         session = self._client.pooled if may_pool else self._client.fresh
         was_dispatched, exchange.dispatched = exchange.dispatched, True
-        self._wait_began = self._loop.time()
+        self._wait_began = self._event_at = self._loop.time()
         try:
             async with (
                 asyncio.timeout(None) as self._timeout,
@@ -197,6 +200,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
+                self._client.check_answer(response)
                 return await self._receive(response, last_id)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             exchange.dispatched = was_dispatched
@@ -208,6 +212,13 @@
             )
         except sse.FormatError as error:
             return _Broken(reason=str(error), resumable=False)
+        except _WriteFailed as error:
+            log.info(
+                "caller_write_failed",
+                request=exchange.request_key,
+                reason=repr(error.__cause__),
+            )
+            return _Broken(reason=failures.CALLER_DISCONNECTED, resumable=False)
         except (aiohttp.ClientError, OSError) as error:
             return _Broken(
                 reason=f"{failures.ANSWER_TRUNCATED} ({type(error).__name__})",
@@ -238,14 +249,15 @@
             if not data:
                 return _Broken(reason=failures.ANSWER_TRUNCATED, resumable=True)
             now = self._loop.time()
-            (
-                self._timing.first_event if awaits_first else self._timing.event_gap
-            ).record(now - self._wait_began)
-            awaits_first = False
             self._wait_began = now
             batch = splitter.feed(data)
             if not batch:
                 continue
+            (
+                self._timing.first_event if awaits_first else self._timing.event_gap
+            ).record(now - self._event_at)
+            awaits_first = False
+            self._event_at = now
             if resumed_after is not None:
                 sse.check_next_id(batch, resumed_after)
                 resumed_after = None
@@ -276,7 +288,7 @@
         except Exception as error:  # the caller's connection may raise anything
             raise _WriteFailed from error
         self._writing = False
-        self._wait_began = self._loop.time()
+        self._wait_began = self._event_at = self._loop.time()
 
     async def _start_reply(self) -> None:
         exchange = self._exchange
@@ -313,12 +325,16 @@
     def _due(self) -> float:
         """Return the loop time at which the current wait ends."""
         if self._writing:
-            bound = self._limits.caller_idle
-        elif self._batches == 0:
-            bound = self._timing.first_event.silence_timeout()
+            return min(self._deadline, self._wait_began + self._limits.caller_idle)
+        if self._batches == 0:
+            gaps, tries = self._timing.first_event, 0
         else:
-            bound = self._timing.event_gap.silence_timeout(self._resumes)
-        return min(self._deadline, self._wait_began + bound)
+            gaps, tries = self._timing.event_gap, self._resumes
+        # A large event may take long to arrive, while bytes that complete no event must
+        # not hold the stream for ever.
+        byte_due = self._wait_began + gaps.silence_timeout(tries)
+        event_due = self._event_at + gaps.ceiling
+        return min(self._deadline, byte_due, event_due)
 
     def _not_reached(self, error: Exception, last_id: str | None) -> _Refused | _Broken:
         if last_id is not None:
--- a/dogwoodchute/tests/test_forward.py
+++ b/dogwoodchute/tests/test_forward.py
@@ -1,13 +1,21 @@
 """Forwarding to endpoints: whole answers, and the right outcome for each failure."""
 
 import asyncio
+import contextlib
 import json
+import re
+import socket
+import struct
 
-from dogwoodchute import clock, outcomes, sse
+from dogwoodchute import clock, forward, outcomes, sse
 from dogwoodchute.filters import dispatch
 from dogwoodchute.standins import engine, service
 from dogwoodchute.tests import endpoints, support
 
+EVENTS = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+)
+REQUEST_ID = re.compile(rb"Idempotency-Key: (\w{32})", re.IGNORECASE)
 SHORT_WAITS = {"silence_floor": 0.15, "silence_ceiling": 0.3, "connect_timeout": 1}
 
 
@@ -161,6 +169,67 @@
         outcome, _, _ = self.chat(standin, {"idle_timeout": 0.2}, prepare=prepare)
         self.assertEqual("caller_gone", outcome.code)
 
+    def test_a_caller_whose_connection_fails_is_billed_what_was_sent(self):
+        """The error left the run, and the stream went unbilled."""
+        standin = engine.Engine(token_seconds=0.02)
+
+        def prepare(exchange, caller):
+            real = exchange.reply.chunk
+
+            async def fail(data):
+                await real(data)
+                if caller.data.count(b"\n\n") >= 3:
+                    raise ConnectionResetError("the caller has gone")
+
+            exchange.reply = exchange.reply._replace(chunk=fail)
+
+        outcome, _, exchange = self.chat(standin, prepare=prepare, tokens=500)
+        self.assertEqual("caller_gone", outcome.code)
+        self.assertEqual(1, len(standin.cancelled))
+        self.assertTrue(6 <= exchange.used <= 10, exchange.used)
+
+    def test_bytes_that_complete_no_event_do_not_hold_a_stream_for_ever(self):
+        """A stalled engine sent a byte now and then, and the stream never ended."""
+
+        async def drip(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(EVENTS + b"id: 0\ndata: {}\n\nid: 1\ndata: ")
+            while not writer.is_closing():
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+
+        outcome = self.run_async(self.chat_with_raw(drip))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertNotEqual("timed_out", outcome.code)
+
+    def test_a_large_event_that_arrives_slowly_is_no_stall(self):
+        async def slow(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(EVENTS + b"id: 0\ndata: {}\n\nid: 1\ndata: ")
+            for _ in range(5):
+                writer.write(b" " * 1000)
+                await asyncio.sleep(0.05)
+            usage = b'{"usage": {"total_tokens": 9}}'
+            writer.write(usage + b"\n\ndata: [DONE]\n\n")
+            writer.close()
+
+        outcome = self.run_async(self.chat_with_raw(slow))
+        self.assertEqual(9, getattr(outcome, "tokens", None), outcome)
+
+    async def chat_with_raw(self, serve):
+        """Run a chat at an endpoint that writes raw bytes."""
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        async with endpoints.running(engine.Engine(), **SHORT_WAITS) as (forwarder, e):
+            exchange = endpoints.chat(
+                e._replace(address=f"127.0.0.1:{port}"), endpoints.Caller()
+            )
+            exchange.deadline = clock.monotonic() + 5.0
+            outcome = await forwarder.chat(exchange)
+            await asyncio.gather(*forwarder._background)
+        listening.close()
+        return outcome
+
     def test_request_ids_differ_between_accounts(self):
         standin = engine.Engine()
 
@@ -267,3 +336,77 @@
         outcome, exchange = self.call(standin)
         self.assertEqual((307, 1), (outcome.status, len(standin.calls)))
         self.assertEqual("/elsewhere", exchange.reply_headers["Location"])
+
+
+class LateCopyTest(support.TestCase):
+    """Endpoints of plain services that write raw bytes."""
+
+    async def ask_twice(self, serve):
+        """Send two idempotent calls; return their outcomes and exchanges."""
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        results = []
+        async with endpoints.running(service.Service()) as (forwarder, endpoint):
+            endpoint = endpoint._replace(address=f"127.0.0.1:{port}")
+            for number in range(2):
+                exchange = endpoints.order(
+                    endpoint, endpoints.Caller(), idempotent=True
+                )
+                exchange.request_key = f"key-{number}"
+                outcome = await dispatch.make(forwarder=forwarder)(exchange, None)
+                results.append((outcome, exchange))
+        listening.close()
+        return results
+
+    def late_copies(self, *, repeats_id):
+        """Return an endpoint that writes each answer again before the next one."""
+
+        async def serve(reader, writer):
+            last = b""
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    await reader.readexactly(2)  # the body
+                    request_id = REQUEST_ID.search(head).group(1)
+                    line = b"Idempotency-Key: " + request_id + b"\r\n"
+                    answer = (
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 32\r\n"
+                        + (line if repeats_id else b"")
+                        + b"\r\n"
+                        + request_id
+                    )
+                    writer.write(last or answer)
+                    await writer.drain()
+                    last = answer
+            writer.close()
+
+        return serve
+
+    def test_a_late_copy_is_not_taken_for_the_next_answer(self):
+        """The next caller got an answer that wasn't its own."""
+        for repeats_id in (False, True):
+            results = self.run_async(
+                self.ask_twice(self.late_copies(repeats_id=repeats_id))
+            )
+            for outcome, exchange in results:
+                if not isinstance(outcome, outcomes.Answered):
+                    continue
+                own_id = forward.engine_request_id(exchange).encode()
+                self.assertEqual([own_id], exchange.deferred_body, repeats_id)
+            self.assertIsInstance(results[0][0], outcomes.Answered)
+
+    def test_an_answer_without_length_that_is_reset_is_not_whole(self):
+        """It reached the caller as a complete success."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        for outcome, _ in self.run_async(self.ask_twice(serve)):
+            self.assertIsInstance(outcome, outcomes.Unknown)
--- a/dogwoodchute/tests/test_interim.py
+++ b/dogwoodchute/tests/test_interim.py
@@ -3,8 +3,7 @@
 import asyncio
 from unittest import mock
 
-from dogwoodchute.gateway import upstream
-from dogwoodchute.platform import egress
+from dogwoodchute import endpoint_connection
 from dogwoodchute.tests import support
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -12,7 +11,9 @@
 
 class InterimTest(support.TestCase):
     def connect(self, loop):
-        connection = upstream.EndpointConnection(loop, wire=egress.wire_format())
+        connection = endpoint_connection.EndpointConnection(
+            loop, closes_after=lambda status, headers, raw: False
+        )
         transport = mock.Mock()
         transport.is_closing.return_value = False
         connection.connection_made(transport)
@@ -23,15 +24,17 @@
         async def scenario():
             parsed_sizes = []
             connection, transport = self.connect(asyncio.get_running_loop())
-            base = upstream.client_proto.ResponseHandler.data_received
+            base = endpoint_connection.client_proto.ResponseHandler.data_received
 
             def count(handler, data):
                 parsed_sizes.append(len(data))
                 base(handler, data)
 
-            self.patch(upstream.client_proto.ResponseHandler, "data_received", count)
+            self.patch(
+                endpoint_connection.client_proto.ResponseHandler, "data_received", count
+            )
             connection.data_received(INTERIM * 10_000)
-            self.assertLessEqual(len(parsed_sizes), upstream.MAX_INTERIM + 1)
+            self.assertLessEqual(len(parsed_sizes), endpoint_connection.MAX_INTERIM + 1)
             transport.abort.assert_called_once()
             self.assertTrue(connection.was_reset)
 
@@ -40,10 +43,10 @@
     def test_some_interim_answers_are_skipped(self):
         async def scenario():
             connection, transport = self.connect(asyncio.get_running_loop())
-            connection.data_received(INTERIM * upstream.MAX_INTERIM)
+            connection.data_received(INTERIM * endpoint_connection.MAX_INTERIM)
             connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
             transport.abort.assert_not_called()
-            for _ in range(upstream.MAX_INTERIM):
+            for _ in range(endpoint_connection.MAX_INTERIM):
                 message, _ = await connection.read()
                 self.assertEqual(100, message.code)
             message, payload = await connection.read()
