Take nothing at a stop that may run once only and may outlast it

Cause: in the first three seconds of a stop all requests were taken, also orders and streams that can't be resumed and whose deadline came after connections are closed: they were cut then, and nobody could send them again. A request whose deadline was the very moment of the close was taken too.

Change: such requests are refused from the start of the stop (503, not run, another host can take them at once); an answer gets 0.2 s after its deadline to be written.

--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -1,6 +1,7 @@
 """The filters that a caller's request passes before it is sent to an endpoint."""
 
 import http
+import typing
 from collections import abc
 
 import xxhash
@@ -15,6 +16,7 @@
     reservations,
 )
 
+ANSWER_MARGIN = 0.2  # seconds to write an answer that comes at its deadline
 STARTING_RETRY_AFTER = 0.3  # seconds
 STOPPING_RETRY_AFTER = 0.05  # seconds; other hosts can answer at once
 DEFAULT_WAIT = 30.0  # seconds for a caller that sends no deadline
@@ -22,6 +24,15 @@
 Filter = abc.Callable[[calls.Call, exchange.Proceed], abc.Awaitable[outcomes.Outcome]]
 
 
+class Closing(typing.NamedTuple):
+    """How a stopping host treats requests that may outlast it."""
+
+    closes_at: float  # monotonic seconds: connections are closed
+    # Whether callers may not have learned of the stop yet, so that all requests which
+    # may be sent again are taken.
+    takes_repeatable: bool
+
+
 def admit(
     *,
     config: abc.Callable[[], model.Config | None],
@@ -69,15 +80,18 @@
     return run
 
 
-def check_closing(*, closes_at: abc.Callable[[], float | None]) -> Filter:
-    """Refuse calls whose deadline is after this host closes its connections.
+def check_closing(*, closing: abc.Callable[[], Closing | None]) -> Filter:
+    """Refuse calls that may not end before this host closes its connections.
 
-    `closes_at` returns that time in monotonic seconds, None while no call is refused.
+    Those that may run once only are refused from the start of the stop, as nobody could
+    send them again. `closing` returns None while the host isn't stopping.
     """
 
     async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
-        close_time = closes_at()
-        if close_time is not None and call.deadline > close_time:
+        stop = closing()
+        if stop is None or (stop.takes_repeatable and call.is_retryable):
+            return await proceed()
+        if call.deadline + ANSWER_MARGIN > stop.closes_at:
             return outcomes.refuse(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 "stopping",
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -322,16 +322,15 @@
         """Seconds from the start of the stop until connections are closed."""
         return self._deployment.bounds.grace - STOP_MARGIN
 
-    def _closes_at(self) -> float | None:
-        """Return when connections are closed, None while all requests are accepted.
-
-        Callers that have not learned of the stop send requests for a while; all are
-        accepted until `LINGER` has passed. Later ones have to end in time.
-        """
+    def _closing(self) -> filters.Closing | None:
+        """Return when connections are closed, None while this host isn't stopping."""
         began_at = self._stop_began_at
-        if began_at is None or self._now() - began_at < LINGER:
+        if began_at is None:
             return None
-        return began_at + self._time_to_close
+        return filters.Closing(
+            closes_at=began_at + self._time_to_close,
+            takes_repeatable=self._now() - began_at < LINGER,
+        )
 
     def _horizon(self) -> float:
         age = self._now() - self._started_at
@@ -422,7 +421,7 @@
                     ready=self._has_read_tables,
                 ),
                 filters.route(),
-                filters.check_closing(closes_at=self._closes_at),
+                filters.check_closing(closing=self._closing),
                 filters.authenticate(),
                 filters.reserve(budgets=self._accounts),
                 filters.send(dispatcher=dispatcher),
