--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -16,8 +16,17 @@
 import uvloop
 
 from dogwoodchute import clock, server
-from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import gossip, hosts, rows
+from dogwoodchute.coordination import load_groups, watch_ring
+from dogwoodchute.gateway import (
+    gateway,
+    gossip,
+    host_rows,
+    liveness,
+    mirror,
+    rows,
+    table_source,
+    tables,
+)
 from dogwoodchute.platform import names
 from dogwoodchute.standins import attempt_endpoint, row_store
 
@@ -41,13 +50,18 @@
 class World:
     """The store, and the other hosts and endpoints, for a fleet of `count` hosts."""
 
-    def __init__(self, *, count: int, gossip_address: str) -> None:
+    def __init__(
+        self, *, count: int, gossip_address: str, heartbeats_address: str
+    ) -> None:
         self._count = count
-        self._gossip_address = gossip_address
+        self._gossip_address = _socket_address(gossip_address)
+        self._heartbeats_address = _socket_address(heartbeats_address)
         self._store = row_store.RowStore(now=clock.monotonic)
         self._addresses: list[str] = []
+        self._control = ""  # address of all other hosts for the measured one
         self._tasks: list[asyncio.Task] = []
         self._measured_host: str | None = None  # incarnation id of the measured host
+        self._watched: tuple[str, ...] = ()  # names of hosts that it watches
         self._plans: dict[int, load_groups.Plan] = {}  # by number of the other host
 
     async def start(self) -> int:
@@ -62,36 +76,87 @@
         listener = server.Server(name="store", **LIMITS)
         row_store.add_routes(listener.app, self._store)
         await listener.start("127.0.0.1", 0)
+        await self._start_sources()
         for number in range(ENDPOINTS):
             self._start_task(_repeat(ENDPOINT_HEARTBEAT, self._write_endpoint, number))
         grouped = load_groups.group_count(self._count) > 1
         interval = gossip.GROUPS_INTERVAL if grouped else gossip.INTERVAL
         datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for number in range(self._count - 1):
-            self._start_task(_repeat(hosts.HEARTBEAT, self._write_host, number))
+            self._write_host(number)
             self._start_task(_repeat(interval, self._send_load, datagrams, number))
+            self._start_task(
+                _repeat(liveness.INTERVAL, self._send_heartbeat, datagrams, number)
+            )
         return listener.port
 
+    async def _start_sources(self) -> None:
+        """Follow the store's tables, and pass them on as the other hosts would."""
+        store = row_store.in_process_client(self._store)
+        parts = {host_rows.TABLE: host_rows.parts()}
+        mirrors = {}
+        for table in (names.CONFIG_TABLE, names.ENDPOINTS_TABLE, host_rows.TABLE):
+            followed = mirror.Mirror(
+                table=table,
+                fetch=table_source.from_store(
+                    store=store,
+                    table=table,
+                    parts=parts.get(table, [""]),
+                    now=clock.monotonic,
+                ),
+                pause=gateway.ENDPOINTS_PAUSE,
+                wait=0.0,
+                on_change=lambda all_rows, changed: None,
+                receiving=lambda: False,
+                now=clock.monotonic,
+            )
+            mirrors[table] = followed
+            self._start_task(followed.run())
+
+        async def changes_since(
+            table: str, since: int | None, hold: float
+        ) -> mirror.TableUpdate | None:
+            return await mirrors[table].changes_since(since, hold)
+
+        listener = server.Server(name="sources", **LIMITS)
+        tables.add_routes(listener.app, changes_since=changes_since)
+        await listener.start("127.0.0.1", 0)
+        self._control = f"127.0.0.1:{listener.port}"
+
     def _start_task(self, coroutine) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
 
     def _put(self, table: str, key: str, value: dict) -> None:
         self._store.commit("", [], [rows.Put(table, key, json.dumps(value).encode())])
 
-    def _write_host(self, sequence: int, number: int) -> None:
-        host = hosts.Host(
+    def _write_host(self, number: int) -> None:
+        host = host_rows.Host(
             id=_id(number),
-            name=f"host-{number:03d}",
+            name=_name(number),
             data_centre=f"z{number % DATA_CENTRES}",
             region=f"r{number % REGIONS}",
             callers=f"10.0.0.{number % 250}:8000",
-            control=f"127.0.0.1:{20_000 + number}",
+            control=self._control,
             gossip=f"127.0.0.1:{21_000 + number}",
-            state=hosts.READY,
-            beat=sequence,
+            heartbeats=f"127.0.0.1:{22_000 + number}",
+            state=host_rows.READY,
         )
-        put = rows.Put(hosts.TABLE, host.id, hosts.encode(host))
-        self._store.commit("", [], [put])
+        put = rows.Put(host_rows.TABLE, host.id, host_rows.encode(host))
+        self._store.commit(host_rows.part_of(host.id), [], [put])
+
+    def _send_heartbeat(
+        self, sequence: int, datagrams: socket.socket, number: int
+    ) -> None:
+        """Send a host's heartbeat to the measured host, if that watches it."""
+        if self._measured_host is None:
+            return
+        if not self._watched:
+            others = [_name(n) for n in range(self._count - 1)]
+            name = self._measured_host.rpartition("-")[0]
+            self._watched = watch_ring.neighbours(name, others).watched
+        if _name(number) in self._watched:
+            data = liveness.encode(_id(number))
+            datagrams.sendto(data, self._heartbeats_address)
 
     def _write_endpoint(self, sequence: int, number: int) -> None:
         endpoint = {
@@ -138,17 +203,16 @@
             data = gossip.encode(report)
         else:
             return
-        ip, _, port = self._gossip_address.rpartition(":")
-        datagrams.sendto(data, (ip, int(port)))
+        datagrams.sendto(data, self._gossip_address)
 
     def _plan(self, number: int) -> load_groups.Plan | None:
         """Return whom a host reports to, None until the measured host has a row."""
         if self._measured_host is None:
-            host_rows = self._store.read(hosts.TABLE, "", None, None).rows
             other_ids = {_id(each) for each in range(self._count)}
-            self._measured_host = next(
-                (r.key for r in host_rows if r.key not in other_ids), None
-            )
+            for part in host_rows.parts():
+                for row in self._store.read(host_rows.TABLE, part, None, None).rows:
+                    if row.key not in other_ids:
+                        self._measured_host = row.key
         if self._measured_host is None:
             return None
         if number not in self._plans:
@@ -190,8 +254,17 @@
             raise RuntimeError(f"answered {answer.status}")
 
 
+def _name(number: int) -> str:
+    return f"host-{number:03d}"
+
+
 def _id(number: int) -> str:
-    return f"host-{number:03d}-a"
+    return f"{_name(number)}-a"
+
+
+def _socket_address(address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
 
 
 def _config() -> dict:
@@ -230,8 +303,12 @@
         await asyncio.sleep(interval * random.uniform(0.9, 1.1))
 
 
-async def _main(count: int, gossip_address: str) -> None:
-    world = World(count=count, gossip_address=gossip_address)
+async def _main(count: int, gossip_address: str, heartbeats_address: str) -> None:
+    world = World(
+        count=count,
+        gossip_address=gossip_address,
+        heartbeats_address=heartbeats_address,
+    )
     print(await world.start(), flush=True)
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader()
@@ -251,4 +328,4 @@
 
 if __name__ == "__main__":
     with contextlib.suppress(KeyboardInterrupt):
-        uvloop.run(_main(int(sys.argv[1]), sys.argv[2]))
+        uvloop.run(_main(int(sys.argv[1]), sys.argv[2], sys.argv[3]))
--- a/bench/host.py
+++ b/bench/host.py
@@ -28,6 +28,7 @@
 WARM_UP = 2.0  # seconds
 START_TIMEOUT = 20.0  # seconds
 GOSSIP_ADDRESS = "127.0.0.1:21999"
+HEARTBEATS_ADDRESS = "127.0.0.1:22999"
 MAX_MODULES = 12  # modules that are printed
 
 
@@ -72,7 +73,8 @@
 
 @contextlib.asynccontextmanager
 async def _world(fleet: int):
-    command = [sys.executable, "-m", "bench._host_world", str(fleet), GOSSIP_ADDRESS]
+    command = [sys.executable, "-m", "bench._host_world", str(fleet)]
+    command += [GOSSIP_ADDRESS, HEARTBEATS_ADDRESS]
     process = await asyncio.create_subprocess_exec(
         *command, stdin=subprocess.PIPE, stdout=subprocess.PIPE
     )
@@ -96,6 +98,7 @@
         readiness="127.0.0.1:0",
         control="127.0.0.1:0",
         gossip=GOSSIP_ADDRESS,
+        heartbeats=HEARTBEATS_ADDRESS,
         directory="127.0.0.1:0",
         seeds=(),
         store=f"127.0.0.1:{store_port}",
--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -77,20 +77,22 @@
         self._failed_until: dict[str, float] = {}  # by host; not a source until then
         self._failed_at = 0.0  # when a source last failed to answer
         self._store_after = 0.0  # when the store may be asked again
+        self._last_peers: list[Peer] | None = None
+        self._last_ranked: list[Peer] = []  # those of this region
 
     def plan(self, peers: list[Peer], *, store_reachable: bool, now: float) -> Plan:
         """Return which peers to ask.
 
-        `peers` are the ready hosts, including this one once it is ready.
+        `peers` are the ready hosts, including this one once it is ready. A list that
+        was passed before must not have changed since.
         `store_reachable` tells whether the store answers this host. If it does not, the
         first sources of other regions are asked too.
         """
-        candidates = rank(
+        candidates = [
             peer
-            for peer in peers
-            if peer.region == self._region
-            and now >= self._failed_until.get(peer.name, 0.0)
-        )
+            for peer in self._ranked(peers)
+            if now >= self._failed_until.get(peer.name, 0.0)
+        ]
         sources = [
             peer for peer in candidates[:SOURCES_PER_REGION] if peer.name != self._name
         ]
@@ -134,6 +136,13 @@
         earliest = max(self._store_after, self._failed_at + GROUP_DELAY * group)
         return age > MAX_AGE + GROUP_DELAY * (group - 1) and now >= earliest
 
+    def _ranked(self, peers: list[Peer]) -> list[Peer]:
+        """Return the hosts of this region, ranked once for each list."""
+        if peers is not self._last_peers:
+            self._last_peers = peers
+            self._last_ranked = rank(p for p in peers if p.region == self._region)
+        return self._last_ranked
+
     def _remote_sources(self, peers: list[Peer]) -> list[Peer]:
         """Return the first source of each other region."""
         regions = sorted({peer.region for peer in peers} - {self._region})
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import itertools
 from collections import abc
 
 from dogwoodchute import log
@@ -30,6 +31,7 @@
 )
 
 CHECK_INTERVAL = 0.2  # seconds between checks for what to draw, return or write
+QUIET_CHECKS = 5  # intervals between such checks of an account that few requests use
 TRANSFER_TIMEOUT = 0.1  # seconds that another host's request waits for a commit here
 MAX_PAUSE_WITH_WAITERS = 0.1  # seconds after conflicts, while requests wait
 CONTENDED_SECONDS = 10.0  # seconds after a draw that conflicted with another host's
@@ -192,9 +194,10 @@
     async def run(self) -> None:
         """Draw and return tokens and write bills until cancelled."""
         try:
-            while True:
+            for number in itertools.count():
                 for account in list(self._accounts.values()):
-                    self._commit_if_due(account)
+                    if number % QUIET_CHECKS == 0 or not self._is_quiet(account):
+                        self._commit_if_due(account)
                 self._checkpointer.start_due()
                 self._reports.report_if_due(self._accounts.values(), self._prepaid)
                 await asyncio.sleep(CHECK_INTERVAL)
@@ -297,6 +300,15 @@
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._run_commits(account))
 
+    def _is_quiet(self, account: account_rows.Account) -> bool:
+        """Return whether only this host's own next requests use the account here.
+
+        Each of those checks what is due by itself.
+        """
+        if account.waiters or account.requested_by_hosts:
+            return False
+        return self._may_spend(account) and not self._home.is_local(account.name)
+
     def _commit_if_due(self, account: account_rows.Account) -> None:
         conditions, now = self._conditions(account), self._now()
         limit_is_low = amounts.limit_is_low(account, conditions, now)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -95,6 +95,7 @@
         self._leaving = False
         self._stop_began_at: float | None = None  # monotonic seconds
         self._tasks: list[asyncio.Task] = []
+        self._table_peers = self._make_table_peers()
         store = platform.store
         self._configuration = configuration.Configuration(
             table=platform.config_table,
@@ -394,18 +395,32 @@
         )
         return follower.fetch
 
-    def _table_peers(self) -> list[sources.Peer]:
-        """Return the ready hosts, including this one if it is ready."""
-        peers = [
-            sources.Peer(host.name, host.region, host.control, host.link_mbps)
-            for host in self._hosts.live
-            if host.state == host_rows.READY
-        ]
-        if self.ready():
-            own = self._deployment
-            fields = (own.host, own.region, own.control, own.link_mbps)
-            peers.append(sources.Peer(*fields))
-        return peers
+    def _make_table_peers(self) -> abc.Callable[[], list[sources.Peer]]:
+        """Return a function that returns the ready hosts, this one included if ready.
+
+        It returns the same list until that changes, as each call about a table asks.
+        """
+        known: tuple[tuple[host_rows.Host, ...] | None, bool] = (None, False)
+        peers: list[sources.Peer] = []
+
+        def find() -> list[sources.Peer]:
+            nonlocal known, peers
+            live, is_ready = self._hosts.live, self.ready()
+            if live is known[0] and is_ready == known[1]:
+                return peers
+            known = live, is_ready
+            peers = [
+                sources.Peer(host.name, host.region, host.control, host.link_mbps)
+                for host in live
+                if host.state == host_rows.READY
+            ]
+            if is_ready:
+                own = self._deployment
+                fields = (own.host, own.region, own.control, own.link_mbps)
+                peers.append(sources.Peer(*fields))
+            return peers
+
+        return find
 
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
         dispatcher = dispatch.Dispatcher(
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -37,7 +37,10 @@
         self._row_versions: dict[str, int] = {}
         # Incarnations that ended, and the monotonic seconds at which this was seen.
         self._ended_since: dict[str, float] = {}
-        self._live: tuple[host_rows.Host, ...] | None = None  # None after a change
+        # Found anew after a change of rows, None until then.
+        self._live: tuple[host_rows.Host, ...] | None = None
+        self._registered: dict[str, host_rows.Host] | None = None
+        self._ranks_first: dict[str, bool] = {}  # by key
         self._read_at: abc.Callable[[], float | None] = lambda: None
 
     def set_read_at(self, read_at: abc.Callable[[], float | None]) -> None:
@@ -51,7 +54,8 @@
         self, all_rows: dict[str, rows.Row], changed: list[rows.Row]
     ) -> None:
         """Apply changed rows of the hosts' table."""
-        self._live = None
+        self._live = self._registered = None
+        self._ranks_first.clear()
         for row in changed:
             host = self._reader.read(row)
             if host is None:
@@ -106,13 +110,13 @@
 
     @property
     def registered(self) -> dict[str, host_rows.Host]:
-        """The newest registered incarnation of each host, by the host's name."""
-        newest: dict[str, host_rows.Host] = {}
-        for host in self._hosts.values():
-            other = newest.get(host.name)
-            if host.registered and (not other or other.registered < host.registered):
-                newest[host.name] = host
-        return newest
+        """The newest registered incarnation of each host, by the host's name.
+
+        The same dictionary is returned until a row changes.
+        """
+        if self._registered is None:
+            self._registered = self._newest_registered()
+        return self._registered
 
     @property
     def expired_ids(self) -> list[str]:
@@ -127,9 +131,14 @@
 
         Hosts that are leaving are not ranked.
         """
-        own_score = ranking.score(key, self._deployment.host, 1.0)
-        staying = [host for host in self.live if host.state != host_rows.LEAVING]
-        return all(ranking.score(key, host.name, 1.0) < own_score for host in staying)
+        if key not in self._ranks_first:
+            own_score = ranking.score(key, self._deployment.host, 1.0)
+            self._ranks_first[key] = all(
+                ranking.score(key, host.name, 1.0) < own_score
+                for host in self.live
+                if host.state != host_rows.LEAVING
+            )
+        return self._ranks_first[key]
 
     def relays(self) -> list[str]:
         """Return the control addresses of hosts that may reach the store.
@@ -180,6 +189,14 @@
             if isinstance(outcome, rows.Committed):
                 log.info("hosts_removed", hosts=",".join(put.key for put in puts))
 
+    def _newest_registered(self) -> dict[str, host_rows.Host]:
+        newest: dict[str, host_rows.Host] = {}
+        for host in self._hosts.values():
+            other = newest.get(host.name)
+            if host.registered and (not other or other.registered < host.registered):
+                newest[host.name] = host
+        return newest
+
     def _newest(self) -> dict[str, host_rows.Host]:
         """Return the incarnation of each host that wrote last, by the host's name."""
         newest: dict[str, host_rows.Host] = {}
--- a/dogwoodchute/gateway/liveness.py
+++ b/dogwoodchute/gateway/liveness.py
@@ -101,7 +101,7 @@
     def step(self) -> None:
         """Send one heartbeat to each watcher, and check the watched hosts."""
         self._update_neighbours()
-        heartbeat = msgpack.packb([FORMAT, self._id])
+        heartbeat = encode(self._id)
         for address in self._watchers:
             self._transport.sendto(heartbeat, address)
         self._check()
@@ -194,6 +194,11 @@
     return ip, int(port)
 
 
+def encode(sender: str) -> bytes:
+    """Return the datagram of a heartbeat of the incarnation `sender`."""
+    return msgpack.packb([FORMAT, sender])
+
+
 def _sender(data: bytes) -> str | None:
     """Return the sender of a heartbeat, None if the datagram is none."""
     try:
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -61,8 +61,10 @@
     """What this host has closed and has yet to close in one partition."""
 
     def __init__(self) -> None:
-        # Incarnations whose predecessors' holdings are closed.
+        # Incarnations whose predecessors' holdings are closed, and the last result of
+        # `registered` for which that was found.
         self.closed_for: frozenset[str] = frozenset()
+        self.closed_newest: dict[str, host_rows.Host] | None = None
         self.latest: frozenset[str] = frozenset()  # incarnations at the last check
         self.changed_at = 0.0  # monotonic seconds of the last change of `latest`
         # Monotonic seconds of the first incarnation that is not in `closed_for`.
@@ -84,7 +86,8 @@
         now: abc.Callable[[], float],
     ) -> None:
         self._store = store
-        self._registered = registered  # the newest incarnation of each host, by name
+        # The newest incarnation of each host, by name; the same one until that changes.
+        self._registered = registered
         self._is_responsible_for = is_responsible_for
         self._now = now
         self._reader = row_reader.RowReader(
@@ -105,10 +108,14 @@
 
     async def _check_part(self, name: str, part: _PartState) -> None:
         newest = self._registered()
-        incarnations = frozenset(host.id for host in newest.values())
         now = self._now()
-        is_new = not incarnations <= part.closed_for
         is_recheck = bool(part.recheck_times) and now >= part.recheck_times[0]
+        if newest is part.closed_newest and not is_recheck:
+            return
+        incarnations = frozenset(host.id for host in newest.values())
+        is_new = not incarnations <= part.closed_for
+        if not is_new:
+            part.closed_newest = newest
         # Whether this host is responsible takes a ranking of all hosts, which costs
         # more than the checks above, so it comes last.
         if not (is_new or is_recheck) or not self._is_responsible_for(name):
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -13,12 +13,14 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import asyncio
-import dataclasses
 import pathlib
 import sys
-import typing
 
-import cappa
+from dogwoodchute.tools import quick_start
+
+if __name__ == "__main__":
+    quick_start.begin()
+
 import prometheus_client
 import sanic
 import uvloop
@@ -37,21 +39,6 @@
 IDLE_TIMEOUT = 60.0  # seconds, until a configuration sets another
 
 
-@dataclasses.dataclass
-class Dogwoodgate:
-    """Run the gateway of one host."""
-
-    settings_file: typing.Annotated[
-        pathlib.Path | None,
-        cappa.Arg(
-            help="The platform's settings file; from the environment if left out."
-        ),
-    ] = None
-    check: typing.Annotated[
-        bool, cappa.Arg(long="--check", help="Check the settings and exit.")
-    ] = False
-
-
 class Process:
     """The gateway and its listeners."""
 
@@ -227,19 +214,24 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Parse the command line and run; return the exit code."""
-    arguments = cappa.parse(
-        Dogwoodgate, argv=argv, backend=cappa.backend, completion=False
-    )
+    words = sys.argv[1:] if argv is None else argv
+    settings_file, check = None, False
+    if words:
+        # The parser of command lines takes long to import, and most hosts have none.
+        from dogwoodchute.tools import dogwoodgate_arguments
+
+        settings_file, check = dogwoodgate_arguments.parse(words)
     try:
-        source = arguments.settings_file or boot.settings_path()
+        source = settings_file or boot.settings_path()
         deployment = boot.load(source)
     except boot.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
-    if arguments.check:
+    if check:
         print(f"{source}: settings are valid")
         return 0
     log.setup(level="info")
+    quick_start.end()
     uvloop.run(run(source, deployment))
     return 0
 
