Apply the configuration's limit of header bytes

It was decoded and not used. Sanic has one limit for all servers of a process and a ceiling of 16 KB; a configuration beyond that is logged. The test failed before.

--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -5,11 +5,14 @@
 import ssl
 
 import sanic
+from sanic.http import http1
 from sanic.server import async_server
 
-from dogwoodchute import connection
+from dogwoodchute import connection, log
 
 MIN_IDLE_TIMEOUT = 1.0  # seconds
+MIN_HEADER_BYTES = 2048  # also of requests between hosts
+MAX_HEADER_BYTES = http1.Http.HEADER_CEILING
 POLL = 0.02  # seconds between checks for connections that have ended
 END_BOUND = 0.2  # seconds that aborted connections get to finish their tasks
 
@@ -45,9 +48,18 @@
         self._server: async_server.AsyncioServer | None = None
         self.port = 0
 
-    def set_limits(self, *, body_bytes: int, idle_timeout: float) -> None:
-        """Set limits, in bytes and seconds, for open and later connections."""
+    def set_limits(
+        self, *, body_bytes: int, header_bytes: int, idle_timeout: float
+    ) -> None:
+        """Set limits, in bytes and seconds, for open and later connections.
+
+        Sanic has one limit of headers for all servers of a process, and a ceiling of
+        it, `MAX_HEADER_BYTES`.
+        """
         keep_alive_timeout = max(MIN_IDLE_TIMEOUT, idle_timeout)
+        if header_bytes > MAX_HEADER_BYTES:
+            log.warning("header_limit_capped", wanted=header_bytes, to=MAX_HEADER_BYTES)
+        self.app.config.REQUEST_MAX_HEADER_SIZE = max(MIN_HEADER_BYTES, header_bytes)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.KEEP_ALIVE_TIMEOUT = keep_alive_timeout
         if self._server is None:
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -186,6 +186,26 @@
 
         self.run_async(scenario())
 
+    def test_the_configuration_bounds_the_headers_of_requests(self):
+        """Its limit was read and not applied."""
+
+        async def scenario():
+            async with gateway_site.running() as site:
+                large = {"X_Large": "x" * 4000}
+                status, _, _ = await site.ask("/look/x", attempt="a1", **large)
+                self.assertEqual(200, status)
+                plain = gateway_site.config(version=2)
+                site.put("op", "config", {**plain, "limits": {"maxHeaderBytes": 3000}})
+                gateway = site.host_process.gateway
+                await support.until(lambda: gateway.config_version == 2)
+                status, _, _ = await site.ask("/look/x", attempt="a2", **large)
+                self.assertIn(status, (413, 431))
+                status, _, _ = await site.ask("/look/x", attempt="a3")
+                self.assertEqual(200, status)
+                self.assertEqual(["a1", "a3"], site.endpoints["p1"].runs)
+
+        self.run_async(scenario())
+
     def test_the_last_endpoint_of_an_idempotent_call_gets_all_its_time(self):
         """Guards against giving up after 0.3 s for a retry without another endpoint."""
 
--- a/dogwoodchute/tests/test_server.py
+++ b/dogwoodchute/tests/test_server.py
@@ -92,7 +92,9 @@
 
         async def scenario():
             async with open_connection(idle_timeout=1.0) as (listener, send_request):
-                listener.set_limits(body_bytes=1000, idle_timeout=30.0)
+                listener.set_limits(
+                    body_bytes=1000, header_bytes=4096, idle_timeout=30.0
+                )
                 await asyncio.sleep(1.7)
                 self.assertTrue(await send_request())
 
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -33,7 +33,7 @@
 METRICS_PATH = "/metrics"
 DIRECTORY_TTL = 2.0  # seconds for which callers may cache an answer
 BODY_BYTES = 4 * 1024 * 1024  # limit until a configuration sets another
-HEADER_BYTES = 16 * 1024  # limit; that of the configuration is not applied
+HEADER_BYTES = 16 * 1024  # limit until a configuration sets another
 LAST_ANSWERS_TIMEOUT = 0.1  # seconds to write the answers of interrupted requests
 CLOSE_TIMEOUT = 0.1  # seconds to close connections to the store and to other hosts
 IDLE_TIMEOUT = 60.0  # seconds, until a configuration sets another
@@ -180,7 +180,9 @@
     def _adopt_limits(self, config: model.Config) -> None:
         limits = config.limits
         self._callers.set_limits(
-            body_bytes=limits.body_bytes, idle_timeout=limits.idle_timeout
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            idle_timeout=limits.idle_timeout,
         )
 
 
