Give tokens that requests leave behind back to the account's home

Cause: in fleets above 16 hosts a host requests what a request may use at most from the account's home and keeps what it didn't use, for up to 28 s without a request of that account.

Change: a host that has had no request of the account for a second, and doesn't draw in advance, gives its idle tokens to the home. The giver subtracts them first; a message that is lost wastes them, none counts twice, and where the home certainly didn't get them they come back.

--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -64,6 +64,8 @@
         self.unwritten_since = -math.inf
         self.home_gave_none_at = -math.inf  # monotonic seconds: the home gave nothing
         self.home_answered = True  # False if it gave nothing because it did not answer
+        self.give_back_after = -math.inf  # monotonic seconds
+        self.give_back_task: asyncio.Task | None = None  # gives tokens to the home
         self.none_given_at = -math.inf  # monotonic seconds: no host gave any
         self.conflicts = 0  # since the last draw that applied
         self.conflict_at = -math.inf  # monotonic seconds of the last conflict
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -38,6 +38,7 @@
 # Seconds after the store was last found unavailable in which a request of another host
 # is answered without waiting for a commit.
 UNAVAILABLE_FOR = 0.5
+GIVE_BACK_AFTER = 1.0  # seconds after the last request of an account on this host
 MAX_WAIT = 2.5  # seconds that a request waits for tokens, at most
 MAX_ROW_AGE = 0.3  # seconds; older rows are read again before a request is refused
 # Of the prepaid total; the rest covers requests that ran although no host noticed it.
@@ -191,6 +192,15 @@
             log.info("tokens_given", account=name, tokens=given, asked=tokens)
         return given
 
+    def take_back(self, name: str, tokens: int) -> bool:
+        """Take tokens back that another host gives; return whether they were taken."""
+        if self._is_stopping or not self._home.is_local(name):
+            return False
+        account = self._account(name)
+        account.ledger.transfer_in(tokens)
+        self._grant_waiters(account)
+        return True
+
     async def run(self) -> None:
         """Draw and return tokens and write bills until cancelled."""
         try:
@@ -198,6 +208,7 @@
                 for account in list(self._accounts.values()):
                     if number % QUIET_CHECKS == 0 or not self._is_quiet(account):
                         self._commit_if_due(account)
+                        self._give_back_if_due(account)
                 self._checkpointer.start_due()
                 self._reports.report_if_due(self._accounts.values(), self._prepaid)
                 await asyncio.sleep(CHECK_INTERVAL)
@@ -309,6 +320,24 @@
             return False
         return self._may_spend(account) and not self._home.is_local(account.name)
 
+    def _give_back_if_due(self, account: account_rows.Account) -> None:
+        """Give what lies idle here back to the account's home, if it is not needed.
+
+        A request leaves some tokens behind. On hundreds of hosts they add up to a large
+        part of a small budget, that no request could use.
+        """
+        now = self._now()
+        if not self._home.is_remote(account.name) or account.ledger.idle <= 0:
+            return
+        if account.demand.idle_seconds(now) < GIVE_BACK_AFTER or account.waiters:
+            return
+        if amounts.draws_in_advance(account, self._conditions(account), now):
+            return
+        task = account.give_back_task
+        if now < account.give_back_after or (task is not None and not task.done()):
+            return
+        account.give_back_task = asyncio.create_task(self._transfers.give_back(account))
+
     def _commit_if_due(self, account: account_rows.Account) -> None:
         conditions, now = self._conditions(account), self._now()
         limit_is_low = amounts.limit_is_low(account, conditions, now)
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -118,9 +118,7 @@
         return -max(0, idle)
     balance = grants.Balance(conditions.prepaid, account.row.drawn)
     rate = (
-        account.demand.rate(now)
-        if _should_draw_in_advance(account, conditions, now)
-        else 0.0
+        account.demand.rate(now) if draws_in_advance(account, conditions, now) else 0.0
     )
     needed = sum(waiter.tokens for waiter in account.open_waiters()) - max(0, idle)
     if conditions.is_home:
@@ -156,7 +154,7 @@
     )
 
 
-def _should_draw_in_advance(
+def draws_in_advance(
     account: account_rows.Account, conditions: DrawConditions, now: float
 ) -> bool:
     """Return whether this host draws an account's tokens in advance.
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -79,6 +79,7 @@
         deployment: model.Deployment,
         platform: Platform,
         request_from_host: transfer_protocol.RequestFromHost,
+        give_back_to_host: transfer_protocol.GiveBack,
         ask_table: tables.Ask,
         is_alive: liveness.Question,
         on_config: abc.Callable[[model.Config], None],
@@ -152,6 +153,7 @@
             live=lambda: self._hosts.live,
             homes=self._homes,
             request_from_host=request_from_host,
+            give_back_to_host=give_back_to_host,
         )
         self._accounts = accounts.Accounts(
             holder=incarnation,
@@ -163,6 +165,7 @@
                 is_local=self._homes.is_local,
                 is_remote=lambda name: self._homes.remote_home(name) is not None,
                 request=token_sources.request_from_home,
+                give_back=token_sources.give_back_to_home,
             ),
             now=now,
             horizon=self._horizon,
@@ -242,6 +245,10 @@
         """
         return await self._accounts.transfer_out(account, tokens)
 
+    def take_back(self, account: str, tokens: int) -> bool:
+        """Take tokens of a client account back; return whether they were taken."""
+        return self._accounts.take_back(account, tokens)
+
     async def table_changes_since(
         self, table: str, since: int | None, hold: float
     ) -> mirror.TableUpdate | None:
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -71,3 +71,5 @@
     is_remote: abc.Callable[[str], bool]  # whether another host is
     # Requests tokens from the home; returns how many it gave, None without an answer.
     request: abc.Callable[[str, int], abc.Awaitable[int | None]]
+    # Gives tokens back to the home; returns whether it certainly did not get them.
+    give_back: abc.Callable[[str, int], abc.Awaitable[bool]]
--- a/dogwoodchute/gateway/transfer_protocol.py
+++ b/dogwoodchute/gateway/transfer_protocol.py
@@ -14,6 +14,8 @@
 from dogwoodchute import log
 
 PATH = "/tokens"
+GIVE_BACK_PATH = "/tokens/back"
+REFUSED = 409  # status: the host does not take tokens back now
 REQUEST_TIMEOUT = 0.25  # seconds for a round trip and a commit of the giving host
 MAX_ANSWER = 64  # bytes; a msgpack integer takes at most nine
 FIRST_PAUSE = 0.4  # seconds without requests to a host that did not answer
@@ -24,6 +26,11 @@
 # gave, None if it did not answer.
 RequestFromHost = abc.Callable[[str, str, int], abc.Awaitable[int | None]]
 TransferOut = abc.Callable[[str, int], abc.Awaitable[int]]
+# Gives tokens back to the host at a control address; returns whether it certainly did
+# not get them.
+GiveBack = abc.Callable[[str, str, int], abc.Awaitable[bool]]
+# Takes tokens back that another host gives; returns whether they were taken.
+TakeBack = abc.Callable[[str, int], bool]
 
 
 class _Backoff(typing.NamedTuple):
@@ -67,6 +74,43 @@
             self._backoffs.pop(address, None)
         return given
 
+    async def give_back(self, address: str, account: str, tokens: int) -> bool:
+        """Give tokens back to the host at `address`.
+
+        Returns whether it certainly did not get them. Without an answer it may have
+        them, so they must not be used here.
+        """
+        backoff = self._backoffs.get(address)
+        if backoff is not None and self._now() < backoff.until:
+            return True
+        session = self._open_session()
+        body = msgpack.packb([account, tokens])
+        url = f"http://{address}{GIVE_BACK_PATH}"
+        try:
+            async with session.post(
+                url, data=body, headers={"Content-Type": FORMAT}
+            ) as response:
+                return response.status == REFUSED
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return True
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            log.warning(
+                "tokens_lost",
+                account=account,
+                peer=address,
+                tokens=tokens,
+                reason=reason,
+            )
+            return False
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
+            )
+        return self._session
+
     def _record_no_answer(self, address: str, sent_at: float) -> None:
         previous = self._backoffs.get(address)
         if previous is not None and sent_at < previous.until:
@@ -77,13 +121,10 @@
         self._backoffs[address] = _Backoff(self._now() + seconds, seconds)
 
     async def _post(self, address: str, account: str, tokens: int) -> int | None:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
-            )
+        session = self._open_session()
         body = msgpack.packb([account, tokens])
         try:
-            async with self._session.post(
+            async with session.post(
                 f"http://{address}{PATH}", data=body, headers={"Content-Type": FORMAT}
             ) as response:
                 size = response.content_length
@@ -100,18 +141,33 @@
         return given
 
 
-def add_routes(app: sanic.Sanic, *, transfer_out: TransferOut) -> None:
-    """Serve token requests of other hosts."""
+def add_routes(
+    app: sanic.Sanic, *, transfer_out: TransferOut, take_back: TakeBack
+) -> None:
+    """Serve token requests of other hosts, and take what they give back."""
 
     async def handle(request: sanic.Request) -> sanic.HTTPResponse:
-        try:
-            account, tokens = msgpack.unpackb(request.body)
-        except ValueError:
-            return sanic.empty(status=400)
-        if not isinstance(account, str) or not isinstance(tokens, int):
+        decoded = _decode(request.body)
+        if decoded is None:
             return sanic.empty(status=400)
-        return sanic.raw(
-            msgpack.packb(await transfer_out(account, tokens)), content_type=FORMAT
-        )
+        given = await transfer_out(*decoded)
+        return sanic.raw(msgpack.packb(given), content_type=FORMAT)
+
+    async def handle_back(request: sanic.Request) -> sanic.HTTPResponse:
+        decoded = _decode(request.body)
+        if decoded is None or not take_back(*decoded):
+            return sanic.empty(status=REFUSED)
+        return sanic.empty(status=200)
 
     app.add_route(handle, PATH, methods=["POST"], name="tokens")
+    app.add_route(handle_back, GIVE_BACK_PATH, methods=["POST"], name="tokens_back")
+
+
+def _decode(body: bytes) -> tuple[str, int] | None:
+    """Return the account and the tokens of a request, None if it can't be decoded."""
+    try:
+        account, tokens = msgpack.unpackb(body)
+    except (ValueError, TypeError):
+        return None
+    is_valid = isinstance(account, str) and type(tokens) is int and tokens >= 0
+    return (account, tokens) if is_valid else None
--- a/dogwoodchute/gateway/transfer_sources.py
+++ b/dogwoodchute/gateway/transfer_sources.py
@@ -16,10 +16,12 @@
         live: abc.Callable[[], tuple[host_rows.Host, ...]],
         homes: homes.Homes,
         request_from_host: transfer_protocol.RequestFromHost,
+        give_back_to_host: transfer_protocol.GiveBack,
     ) -> None:
         self._live = live
         self._homes = homes
         self._request_from_host = request_from_host
+        self._give_back_to_host = give_back_to_host
 
     async def request(
         self, account: str, tokens: int, holders: list[str]
@@ -54,3 +56,13 @@
         if home is None:
             return None
         return await self._request_from_host(home.control, account, tokens)
+
+    async def give_back_to_home(self, account: str, tokens: int) -> bool:
+        """Give tokens back to the account's home in this region.
+
+        Returns whether it certainly did not get them.
+        """
+        home = self._homes.remote_home(account)
+        if home is None:
+            return True
+        return await self._give_back_to_host(home.control, account, tokens)
--- a/dogwoodchute/gateway/transfers.py
+++ b/dogwoodchute/gateway/transfers.py
@@ -6,6 +6,7 @@
 from dogwoodchute.gateway import account_rows, reservations
 
 HOME_PAUSE = 0.3  # seconds without requests to a home that gave nothing
+GIVE_BACK_PAUSE = 5.0  # seconds after a home did not take tokens back
 HOSTS_PAUSE = 0.25  # seconds without requests to other hosts after they gave nothing
 
 
@@ -46,6 +47,13 @@
         account.ledger.transfer_in(received)
         return True
 
+    async def give_back(self, account: account_rows.Account) -> None:
+        """Give the tokens that lie idle here back to the account's home."""
+        tokens = account.ledger.transfer_out(account.ledger.idle, self._now())
+        if tokens and await self._home.give_back(account.name, tokens):
+            account.ledger.transfer_in(tokens)
+            account.give_back_after = self._now() + GIVE_BACK_PAUSE
+
     def is_left_to_home(self, account: account_rows.Account) -> bool:
         """Return whether the home last answered and so may yet draw for the waiters."""
         is_remote = self._home.is_remote(account.name)
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -10,6 +10,7 @@
     reclaim,
     reservations,
     rows,
+    transfer_sources,
 )
 from dogwoodchute.platform import store
 from dogwoodchute.standins import row_store
@@ -20,6 +21,7 @@
     """Several hosts on one store, which request tokens from one another."""
 
     def __init__(self, names, *, prepaid, home=None):
+        self.max_sources = 1000  # other hosts that are asked for tokens at most
         self.home = home  # the host that draws in advance; None if every host does
         self.loop = virtual.Loop()
         self.store = row_store.RowStore(now=self.loop.time)
@@ -53,6 +55,7 @@
                 is_local=lambda account: self.home_of(name) == name,
                 is_remote=lambda account: self.home_of(name) not in (None, name),
                 request=lambda *request: self.request_from_home(name, *request),
+                give_back=lambda *given: self.give_back_to_home(name, *given),
             ),
             now=self.loop.time,
             horizon=self.horizon(name),
@@ -95,10 +98,10 @@
 
     async def request_tokens(self, name, account, tokens, holders):
         received = 0
-        for other, host in self.hosts.items():
-            if other != name:
-                received += await host.transfer_out(account, tokens - received)
-        return reservations.TokensReceived(received, True)
+        others = [host for other, host in self.hosts.items() if other != name]
+        for host in others[: self.max_sources]:
+            received += await host.transfer_out(account, tokens - received)
+        return reservations.TokensReceived(received, len(others) <= self.max_sources)
 
     def home_of(self, name):
         """Return the account's home as the host `name` sees it, None without one."""
@@ -107,6 +110,10 @@
     async def request_from_home(self, name, account, tokens):
         return await self.hosts[self.home_of(name)].transfer_out(account, tokens)
 
+    async def give_back_to_home(self, name, account, tokens):
+        home = self.hosts.get(self.home_of(name))
+        return home is None or not home.take_back(account, tokens)
+
     def reserve(self, name, tokens, **options):
         return self.loop.run_until_complete(
             self.hosts[name].reserve("ann", tokens, **options)
@@ -198,6 +205,38 @@
             self.assertLess(fleet.loop.time() - began, 0.3)
             fleet.loop.run_for(0.2)
 
+    def test_what_requests_leave_on_many_hosts_is_used_up(self):
+        """A tenth of a small budget lay on hosts that no request asked."""
+        names = [f"h{number}" for number in range(63)]
+        prepaid = 120_000
+        fleet = self.fleet(*names, prepaid=prepaid, home="h0")
+        fleet.max_sources = transfer_sources.MAX_SOURCES
+        used = 0
+        for number in range(4 * len(names)):
+            name = names[number % len(names)]
+            outcome = fleet.reserve(name, 1_000)
+            if not isinstance(outcome, reservations.Reserved):
+                break
+            bill = account_rows.Bill(f"r{number}", 600, 50)
+            fleet.hosts[name].settle("ann", 1_000, bill)
+            used += 650
+            fleet.loop.run_for(0.3)
+        # The share that the users count as owed.
+        self.assertGreaterEqual(used + 1_000, 0.97 * prepaid)
+        self.assertLessEqual(used, prepaid)
+
+    def test_tokens_come_back_if_the_home_does_not_take_them(self):
+        fleet = self.fleet("a", "b", home="a")
+        outcome = fleet.reserve("b", 1_000)
+        self.assertIsInstance(outcome, reservations.Reserved)
+        fleet.hosts["a"].take_back = lambda account, tokens: False
+        fleet.hosts["b"].settle("ann", 1_000, account_rows.Bill("r", 300, 0))
+        fleet.loop.run_for(3.0)
+        del fleet.hosts["a"].take_back
+        fleet.fault = row_store.Fault(silent=True)
+        fleet.hosts["a"].transfer_out = self.transfer_nothing
+        self.assertIsInstance(fleet.reserve("b", 700), reservations.Reserved)
+
     def test_a_host_that_is_no_home_gives_only_what_it_holds(self):
         """Hosts drew tokens for the requests of others, and held more and more."""
         fleet = self.fleet("a", "b")
--- a/dogwoodchute/tests/test_checkpoints.py
+++ b/dogwoodchute/tests/test_checkpoints.py
@@ -62,6 +62,9 @@
                 request=lambda account, tokens: self.transfer_out(
                     self.home(account, name), account, tokens
                 ),
+                give_back=lambda account, tokens: self.give_back(
+                    self.home(account, name), account, tokens
+                ),
             ),
             now=self.loop.time,
             regions=REGIONS,
@@ -69,6 +72,9 @@
         self.hosts[name] = host
         self.loop.create_task(host.run())
 
+    async def give_back(self, home, account, tokens):
+        return not self.hosts[home].take_back(account, tokens)
+
     def home(self, account, name):
         """Return the account's home host in the region of the host `name`."""
         region = self.names[int(name[1:]) % REGIONS :: REGIONS]
--- a/dogwoodchute/tests/test_transfer_protocol.py
+++ b/dogwoodchute/tests/test_transfer_protocol.py
@@ -11,17 +11,24 @@
 
 
 @contextlib.asynccontextmanager
-async def client_and_host():
+async def client_and_host(taken=None):
     """Yield a client, a host's address, and an event that makes the host hang."""
     hanging = asyncio.Event()
+    taken = [] if taken is None else taken
 
     async def transfer_out(account, requested):
         if hanging.is_set():
             await asyncio.sleep(60)
         return requested
 
+    def take_back(account, tokens):
+        taken.append((account, tokens))
+        return account != "refused"
+
     listener = server.Server(name=f"control-{id(hanging)}", **LIMITS)
-    transfer_protocol.add_routes(listener.app, transfer_out=transfer_out)
+    transfer_protocol.add_routes(
+        listener.app, transfer_out=transfer_out, take_back=take_back
+    )
     await listener.start("127.0.0.1", 0)
     client = transfer_protocol.TransferClient(now=clock.monotonic)
     try:
@@ -52,3 +59,16 @@
                 self.assertEqual(5, await client.request(address, "bob", 5))
 
         self.run_async(scenario())
+
+    def test_what_a_host_does_not_take_back_is_known(self):
+        """Tokens must neither be lost in calm nor counted on two hosts."""
+
+        async def scenario():
+            taken = []
+            async with client_and_host(taken) as (client, address, _):
+                self.assertFalse(await client.give_back(address, "ann", 7))
+                self.assertTrue(await client.give_back(address, "refused", 7))
+                self.assertTrue(await client.give_back("127.0.0.1:1", "ann", 7))
+                self.assertEqual([("ann", 7), ("refused", 7)], taken)
+
+        self.run_async(scenario())
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -76,6 +76,7 @@
                 is_store_reachable=lambda: self._store_client.is_store_reachable,
             ),
             request_from_host=self._transfer_client.request,
+            give_back_to_host=self._transfer_client.give_back,
             ask_table=self._table_client.ask,
             is_alive=self._liveness_client.is_alive,
             on_config=self._adopt_limits,
@@ -88,7 +89,9 @@
         ip = deployment.callers.rpartition(":")[0]
         control = self._new_server("control")
         transfer_protocol.add_routes(
-            control.app, transfer_out=self.gateway.transfer_out
+            control.app,
+            transfer_out=self.gateway.transfer_out,
+            take_back=self.gateway.take_back,
         )
         tables.add_routes(control.app, changes_since=self.gateway.table_changes_since)
         liveness.add_routes(control.app)
