Try an endpoint once more to which connecting took too long, if no other is left

Change: it may be chosen a second time; one that refuses connections may not. The test failed before.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -61,6 +61,9 @@
         self.last_event_id = request.last_event_id  # of the last event delivered
         # Ids of endpoints, including those that could not be reached.
         self.tried_endpoints: list[str] = []
+        # Ids of endpoints to which connecting took too long; each is tried once more if
+        # no other one is left.
+        self.slow_to_connect: set[str] = set()
         self.sends = 0  # how often the request was sent
         self.sent_at: float | None = None  # monotonic seconds of the last send
         # Estimates for the chosen endpoint: seconds to wait for other requests and the
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -112,6 +112,8 @@
                 self._endpoints.remove_waiting_tokens(endpoint.id, pending.pop())
                 self._endpoints.record_first_event(call, endpoint.id, waiting_tokens)
 
+        is_second_connect = endpoint.id in call.slow_to_connect
+        call.slow_to_connect.discard(endpoint.id)
         call.tried_endpoints.append(endpoint.id)
         call.sends += 1
         may_have_run_before, call.may_have_run = call.may_have_run, True
@@ -123,6 +125,8 @@
                 if isinstance(answer, upstream.NotSent):
                     call.may_have_run = may_have_run_before
                     call.sends -= 1
+                    if answer.timed_out and not is_second_connect:
+                        call.slow_to_connect.add(endpoint.id)
                 result = answer
             else:
                 result = await self._receive(call, endpoint, answer, on_chunk)
@@ -289,8 +293,7 @@
         """
         if not call.is_retryable or call.sends >= call.route.max_attempts:
             return False
-        usable = self._endpoints.table.usable(call.service.name)
-        if all(endpoint.id in call.tried_endpoints for endpoint in usable):
+        if not self._endpoints.has_untried(call):
             return False
         return self._endpoints.take_retry(call.service.name)
 
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -76,8 +76,7 @@
 
         Endpoints that the call was sent to before are left out.
         """
-        usable = {e.id: e for e in self.table.usable(call.service.name)}
-        untried = {i: e for i, e in usable.items() if i not in call.tried_endpoints}
+        untried = self._untried(call)
         if not untried:
             return None
         candidates = self._candidates(list(untried.values()), call.service)
@@ -103,6 +102,21 @@
         call.cached_tokens = choice.cached
         return untried[engine.name]
 
+    def has_untried(self, call: calls.Call) -> bool:
+        """Return whether an endpoint is left for another try of a call."""
+        return bool(self._untried(call))
+
+    def _untried(self, call: calls.Call) -> dict[str, model.Endpoint]:
+        """Return the endpoints for the next try of a call, by id.
+
+        If all were tried, these are the ones to which connecting took too long.
+        """
+        usable = {e.id: e for e in self.table.usable(call.service.name)}
+        untried = {i: e for i, e in usable.items() if i not in call.tried_endpoints}
+        if untried:
+            return untried
+        return {i: e for i, e in usable.items() if i in call.slow_to_connect}
+
     def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> int:
         """Count a call as sent to an endpoint.
 
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -52,6 +52,7 @@
     reason: str
     peer: str
     step: str = "connect"
+    timed_out: bool = False  # connecting took too long; nobody refused
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,7 +179,9 @@
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ConnectionTimeoutError as error:
+            return NotSent(reason=_reason(error), peer=endpoint.id, timed_out=True)
+        except aiohttp.ClientConnectorError as error:
             return NotSent(reason=_reason(error), peer=endpoint.id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             silent = not counter.received
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway import account_rows, upstream
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gateway_site, support
 
@@ -186,6 +186,34 @@
 
         self.run_async(scenario())
 
+    def test_an_endpoint_to_which_connecting_took_too_long_is_tried_once_more(self):
+        """The only sound endpoint counted as tried, though nothing was sent to it."""
+
+        async def scenario():
+            async with gateway_site.running() as site:
+                real = upstream.Upstream.send
+                sends = []
+
+                async def send(connections, call, endpoint, **options):
+                    sends.append(call.request.attempt_id)
+                    if sends.count(call.request.attempt_id) <= slow:
+                        return upstream.NotSent(
+                            reason="slow", peer=endpoint.id, timed_out=True
+                        )
+                    return await real(connections, call, endpoint, **options)
+
+                self.patch(upstream.Upstream, "send", send)
+                slow = 1
+                status, _, _ = await site.ask("/order/x", attempt="once")
+                self.assertEqual(200, status)
+                slow = 9
+                status, _, _ = await site.ask("/order/x", attempt="always")
+                self.assertEqual(503, status)
+                self.assertEqual(["once"] * 2 + ["always"] * 2, sends)
+                self.assertEqual(["once"], site.endpoints["p1"].runs)
+
+        self.run_async(scenario())
+
     def test_the_configuration_bounds_the_headers_of_requests(self):
         """Its limit was read and not applied."""
 
