Split what had grown: the stop, the plan of draws, failed calls, datagram sockets

The planned stop, what a commit does to an account, the outcomes of calls that failed, and the ready hosts as sources of tables are modules of their own now; the two protocols by datagrams share one base class. Behaviour is the same; the tests changed only in where USABLE_SHARE stands.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -22,6 +22,7 @@
     amounts,
     checkpointer,
     commit_counts,
+    draw_plan,
     model,
     refusals,
     reservations,
@@ -41,8 +42,6 @@
 GIVE_BACK_AFTER = 1.0  # seconds after the last request of an account on this host
 MAX_WAIT = 2.5  # seconds that a request waits for tokens, at most
 MAX_ROW_AGE = 0.3  # seconds; older rows are read again before a request is refused
-# Of the prepaid total; the rest covers requests that ran although no host noticed it.
-USABLE_SHARE = 0.99
 
 
 class Accounts:
@@ -63,31 +62,35 @@
         regions: int = 1,
         rates: checkpoints.Rates | None = None,
     ) -> None:
-        self._config = config
         self._transfers = transfers.Transfers(
             holder=holder, request_tokens=request_tokens, home=home, now=now
         )
         self._home = home
-        self._hosts = hosts
-        self._regions = regions
-        self._horizon = horizon  # seconds of use that this host draws in advance
         self._now = now
         self._commits = account_rows.Commits(
             holder=holder, store=store, now=now, registered=registered
         )
+        self._plan = draw_plan.DrawPlan(
+            config=config,
+            home=home,
+            hosts=hosts,
+            regions=regions,
+            horizon=horizon,
+            slow_commit_seconds=self._commits.slow_commit_seconds,
+            now=now,
+        )
         self._accounts: dict[str, account_rows.Account] = {}
         self._shortages = refusals.Shortages(now=now)
         self._reports = account_report.Reports(now=now)
         # Monotonic seconds at which the store last did not answer.
         self._unavailable_at = float("-inf")
-        self._is_stopping = False  # this host returns all idle tokens
         self._checkpointer = checkpointer.Checkpointer(
             accounts=lambda: list(self._accounts.values()),
             commits=self._commits,
             serve_waiters=self._serve_from_hosts,
-            change=self._change,
+            change=self._plan.change,
             host_count=hosts,
-            account_count=self._account_count,
+            account_count=self._plan.account_count,
             home=home,
             regions=regions,
             rates=rates or checkpoints.Rates(),
@@ -110,10 +113,10 @@
         account = self._account(name)
         now = self._now()
         account.record_request(now, tokens)
-        if self._prepaid(account) is None:
+        if self._plan.prepaid(account) is None:
             account.ledger.reserved += tokens
             return reservations.Reserved()
-        may_reserve = not account.waiters and self._may_spend(account)
+        may_reserve = not account.waiters and self._plan.may_spend(account)
         if may_reserve and account.ledger.reserve(tokens, now):
             self._commit_if_due(account)
             return reservations.Reserved()
@@ -172,7 +175,7 @@
         this waits briefly for a commit.
         """
         account = self._account(name)
-        if not self._may_spend(account):
+        if not self._plan.may_spend(account):
             return 0
         wanted = min(tokens, account.ledger.idle)
         if self._home.is_local(name):
@@ -194,7 +197,7 @@
 
     def take_back(self, name: str, tokens: int) -> bool:
         """Take tokens back that another host gives; return whether they were taken."""
-        if self._is_stopping or not self._home.is_local(name):
+        if self._plan.is_stopping or not self._home.is_local(name):
             return False
         account = self._account(name)
         account.ledger.transfer_in(tokens)
@@ -210,16 +213,18 @@
                         self._commit_if_due(account)
                         self._give_back_if_due(account)
                 self._checkpointer.start_due()
-                self._reports.report_if_due(self._accounts.values(), self._prepaid)
+                self._reports.report_if_due(self._accounts.values(), self._plan.prepaid)
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._checkpointer.cancel()
 
     async def flush(self) -> None:
         """Return all idle tokens and write all bills."""
-        self._is_stopping = True
+        self._plan.is_stopping = True
         parts = account_rows.parts()
-        writes = [self._checkpointer.write(part, draw=self._draw) for part in parts]
+        writes = [
+            self._checkpointer.write(part, draw=self._plan.draw) for part in parts
+        ]
         await asyncio.gather(*writes)
         # The writes above leave out accounts with a conflict, with a commit under way
         # or beyond the size of one commit.
@@ -235,21 +240,6 @@
             account = self._accounts[name] = account_rows.Account(name=name)
         return account
 
-    def _prepaid(self, account: account_rows.Account) -> int | None:
-        config = self._config()
-        found = config.accounts.get(account.name) if config is not None else None
-        if found is None or found.prepaid is None:
-            return None
-        return int(found.prepaid * USABLE_SHARE)
-
-    def _may_spend(self, account: account_rows.Account) -> bool:
-        """Return False while more is drawn than the prepaid total.
-
-        This happens after the total was lowered.
-        """
-        prepaid = self._prepaid(account)
-        return prepaid is None or account.row.drawn <= prepaid
-
     def _abandon_waiter(
         self, account: account_rows.Account, waiter: account_rows.Waiter
     ) -> None:
@@ -276,37 +266,11 @@
         }
         refusals.log_refusal(account, tokens, outcome, **times)
 
-    def _conditions(self, account: account_rows.Account) -> amounts.DrawConditions:
-        """Return what the size of the account's next draw depends on."""
-        is_home = self._home.is_local(account.name)
-        return amounts.DrawConditions(
-            prepaid=self._prepaid(account),
-            is_home=is_home,
-            has_home=self._home.is_remote(account.name),
-            is_stopping=self._is_stopping,
-            horizon=self._horizon(),
-            holders=self._regions if is_home else self._hosts(),
-            commit_seconds=self._commits.slow_commit_seconds(),
-        )
-
-    def _draw(self, account: account_rows.Account) -> int:
-        """Return the tokens to draw now; a negative number returns some to the row."""
-        return amounts.draw(account, self._conditions(account), self._now())
-
-    def _change(
-        self, account: account_rows.Account, *, draw: int = 0
-    ) -> account_rows.Change:
-        conditions = self._conditions(account)
-        return amounts.change(account, conditions, self._now(), draw=draw)
-
     def _is_write_due(self, account: account_rows.Account) -> bool:
-        if self._is_stopping:
+        if self._plan.is_stopping:
             return bool(account.bills)
         return self._checkpointer.is_due(account)
 
-    def _account_count(self) -> int:
-        return len(config.accounts) if (config := self._config()) is not None else 1
-
     def _ensure_committing(self, account: account_rows.Account) -> None:
         if account.task is None or account.task.done():
             account.task = asyncio.create_task(self._run_commits(account))
@@ -318,7 +282,7 @@
         """
         if account.waiters or account.requested_by_hosts:
             return False
-        return self._may_spend(account) and not self._home.is_local(account.name)
+        return self._plan.may_spend(account) and not self._home.is_local(account.name)
 
     def _give_back_if_due(self, account: account_rows.Account) -> None:
         """Give what lies idle here back to the account's home, if it is not needed.
@@ -331,7 +295,7 @@
             return
         if account.demand.idle_seconds(now) < GIVE_BACK_AFTER or account.waiters:
             return
-        if amounts.draws_in_advance(account, self._conditions(account), now):
+        if self._plan.draws_in_advance(account):
             return
         task = account.give_back_task
         if now < account.give_back_after or (task is not None and not task.done()):
@@ -339,9 +303,8 @@
         account.give_back_task = asyncio.create_task(self._transfers.give_back(account))
 
     def _commit_if_due(self, account: account_rows.Account) -> None:
-        conditions, now = self._conditions(account), self._now()
-        limit_is_low = amounts.limit_is_low(account, conditions, now)
-        if account.waiters or limit_is_low or amounts.draw(account, conditions, now):
+        limit_is_low = self._plan.limit_is_low(account)
+        if account.waiters or limit_is_low or self._plan.draw(account):
             self._ensure_committing(account)
 
     async def _run_commits(self, account: account_rows.Account) -> None:
@@ -365,15 +328,14 @@
             await asyncio.sleep(transfers.HOME_PAUSE)
             return True
         await self._prepare_draw(account)
-        conditions, now = self._conditions(account), self._now()
-        draw = amounts.draw(account, conditions, now)
+        draw = self._plan.draw(account)
         waiting = account.open_waiters()
         # The first waiter's tokens are idle here, but may be used only after a commit.
         covered_above_limit = waiting and account.ledger.idle >= waiting[0].tokens
         write_is_due = self._is_write_due(account)
-        limit_is_low = not waiting and amounts.limit_is_low(account, conditions, now)
+        limit_is_low = not waiting and self._plan.limit_is_low(account)
         if draw or covered_above_limit or write_is_due or limit_is_low:
-            change = amounts.change(account, conditions, now, draw=draw)
+            change = self._plan.change(account, draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit(
                 [change], kind=kind, serve_waiters=self._serve_from_hosts
@@ -384,7 +346,7 @@
 
     async def _prepare_draw(self, account: account_rows.Account) -> None:
         """Wait after conflicts, and reread the row if other hosts draw from it too."""
-        if not self._draw(account):
+        if not self._plan.draw(account):
             return
         pause = account.draw_after - self._now()
         if account.open_waiters():
@@ -396,7 +358,7 @@
 
     def _grant_waiters(self, account: account_rows.Account) -> None:
         """Reserve tokens for the waiters that the ledger covers, in order."""
-        if self._may_spend(account):
+        if self._plan.may_spend(account):
             waiters.grant(account, self._now())
 
     async def _request_or_refuse(self, account: account_rows.Account) -> bool:
@@ -423,7 +385,7 @@
             account, waiting[0].tokens, "not all hosts could be asked"
         )
         if received.all_answered:
-            remaining = (self._prepaid(account) or 0) - account.row.drawn
+            remaining = (self._plan.prepaid(account) or 0) - account.row.drawn
             outcome = reservations.Exhausted(remaining=max(0, remaining))
         least = waiting[0].tokens
         self._shortages.record(account.name, least, outcome)
@@ -435,7 +397,7 @@
     async def _request_for_first_waiter(
         self, account: account_rows.Account, have: int
     ) -> reservations.TokensReceived | None:
-        if account.open_waiters() and not self._may_spend(account):
+        if account.open_waiters() and not self._plan.may_spend(account):
             return reservations.TokensReceived(0, True)
         return await self._transfers.get_from_hosts(account, have)
 
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -11,8 +11,14 @@
 from collections import abc
 
 from dogwoodchute import log, outcomes, sse
-from dogwoodchute.coordination import retry_after
-from dogwoodchute.gateway import calls, endpoints, model, try_results, upstream
+from dogwoodchute.gateway import (
+    calls,
+    endpoints,
+    failed_calls,
+    model,
+    try_results,
+    upstream,
+)
 
 # The first four limits apply only while the call can be retried at another endpoint.
 FIRST_EVENT_TIMEOUT = 2.5  # seconds to a stream's first event
@@ -23,10 +29,7 @@
 NO_ANSWER = "no answer in time"
 SILENT = "the answer went silent"
 MIN_TIME_LEFT = 0.02  # seconds to the deadline below which nothing is sent
-RETRY_AFTER = 0.2  # seconds: about the time until an endpoint has a free slot
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
-# Statuses by which a caller may conclude that its request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 T = typing.TypeVar("T")
@@ -56,7 +59,7 @@
         last: try_results.TryResult | None = None
         while True:
             if self._time_left(call) < MIN_TIME_LEFT:
-                return self._timeout_outcome(call)
+                return failed_calls.timeout_outcome(call)
             endpoint = self._next_endpoint(call, last)
             if endpoint is None:
                 return await self._failure_outcome(call, last)
@@ -355,65 +358,6 @@
     ) -> outcomes.NotRun | outcomes.Unknown | outcomes.Answered:
         """Return the outcome of a call after its last try failed."""
         if isinstance(last, try_results.Erred) and not call.reply_started:
-            return await self._forward_error(call, last)
-        peer = getattr(last, "peer", None)
-        reason = getattr(last, "reason", "no endpoint is ready")
-        if not call.may_have_run:
-            return outcomes.refuse(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                "no_endpoint" if last is None else "endpoint_busy",
-                f"The request was not run: {reason}; retry.",
-                step="dispatch",
-                peer=peer,
-                retry_after=self._retry_after(call.service.name),
-            )
-        return outcomes.Unknown(
-            status=int(http.HTTPStatus.BAD_GATEWAY),
-            code="endpoint_failed",
-            message=f"The request may have run: {reason}.",
-            step="dispatch",
-            peer=peer,
-        )
-
-    def _retry_after(self, service: str) -> float:
-        """Return when a caller whose request found no endpoint should return."""
-        seconds = self._endpoints.table.seconds_until_usable(service)
-        return retry_after.spread(max(RETRY_AFTER, seconds or 0.0))
-
-    async def _forward_error(
-        self, call: calls.Call, last: try_results.Erred
-    ) -> outcomes.Unknown | outcomes.Answered:
-        """Forward an endpoint's own error answer to the caller.
-
-        A status that means "not run" is replaced, as the call may have run.
-        """
-        if last.answer.status in NOT_RUN_STATUSES:
-            return outcomes.Unknown(
-                status=int(http.HTTPStatus.BAD_GATEWAY),
-                code="endpoint_failed",
-                message=f"The endpoint answered {last.answer.status}.",
-                step="dispatch",
-                peer=last.peer,
-            )
-        call.reply_started = True
-        await call.reply.whole(last.answer.status, last.answer.headers, last.body)
-        return outcomes.Answered(
-            status=last.answer.status, tokens=0, endpoint=last.peer
-        )
-
-    def _timeout_outcome(self, call: calls.Call) -> outcomes.NotRun | outcomes.Unknown:
-        if not call.may_have_run:
-            return outcomes.refuse(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                "no_time_left",
-                "The request was not run: no time is left.",
-                step="dispatch",
-                retry_after=RETRY_AFTER,
-            )
-        return outcomes.Unknown(
-            status=int(http.HTTPStatus.GATEWAY_TIMEOUT),
-            code="timed_out",
-            message="The request took too long; it may have run.",
-            step="dispatch",
-            peer=call.tried_endpoints[-1] if call.tried_endpoints else None,
-        )
+            return await failed_calls.forward_error(call, last)
+        seconds = self._endpoints.table.seconds_until_usable(call.service.name)
+        return failed_calls.outcome(call, last, usable_in=seconds or 0.0)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -31,6 +31,7 @@
     registration,
     reservations,
     rows,
+    stopping,
     table_source,
     tables,
     transfer_protocol,
@@ -44,10 +45,6 @@
 # must be known.
 ENDPOINTS_PAUSE = 0.6
 HOSTS_PAUSE = 0.8  # seconds between reads of the hosts' table
-# Seconds after SIGTERM in which callers still send requests, as they haven't yet
-# learned of the stop.
-LINGER = 3.0
-STOP_MARGIN = 1.0  # seconds before SIGKILL, to write bills and return tokens
 POLL_INTERVAL = 0.02  # seconds between checks of the number of requests in flight
 FLUSH_TIMEOUT = 0.5  # seconds to write bills and return tokens
 
@@ -93,10 +90,8 @@
         self._in_flight = 0
         self._idle = asyncio.Event()  # set while no request is in flight
         self._idle.set()
-        self._leaving = False
-        self._stop_began_at: float | None = None  # monotonic seconds
+        self._stopping = stopping.Stopping(grace=deployment.bounds.grace, now=now)
         self._tasks: list[asyncio.Task] = []
-        self._table_peers = self._make_table_peers()
         store = platform.store
         self._configuration = configuration.Configuration(
             table=platform.config_table,
@@ -181,6 +176,9 @@
             is_responsible_for=self._hosts.ranks_first,
             now=now,
         )
+        self._ready_peers = table_source.ready_peers(
+            deployment=deployment, live=lambda: self._hosts.live, ready=self.ready
+        )
         self._upstream = upstream.Upstream(wire=platform.wire)
         self._mirrors = self._make_mirrors(platform)
         self._chain = self._make_chain()
@@ -188,7 +186,7 @@
     @property
     def leaving(self) -> bool:
         """Whether this host is stopping."""
-        return self._leaving
+        return self._stopping.has_begun
 
     @property
     def config_version(self) -> int | None:
@@ -216,7 +214,7 @@
 
     def ready(self) -> bool:
         """Return whether callers may send requests to this host."""
-        return not self._leaving and self._has_read_tables()
+        return not self.leaving and self._has_read_tables()
 
     def relays(self) -> list[str]:
         """Return the control addresses of hosts that may reach the store."""
@@ -258,7 +256,7 @@
         if the other host should ask elsewhere.
         """
         followed = self._mirrors.get(table)
-        if followed is None or self._leaving:
+        if followed is None or self.leaving:
             return None
         return await followed.changes_since(since, min(hold, table_source.HOLD))
 
@@ -279,10 +277,8 @@
     async def start(self) -> None:
         """Start to follow the store, to send gossip and to keep accounts."""
         await self._upstream.start()
-        ip, _, port = self._deployment.gossip.rpartition(":")
-        await self._gossip.start(ip, int(port))
-        ip, _, port = self._deployment.heartbeats.rpartition(":")
-        await self._liveness.start(ip, int(port))
+        await self._gossip.start(self._deployment.gossip)
+        await self._liveness.start(self._deployment.heartbeats)
         parts = [*self._mirrors.values(), self._own_row, self._liveness]
         parts.extend((self._accounts, self._gossip, self._reclaimer))
         loops = [each.run() for each in parts]
@@ -294,19 +290,18 @@
 
         Returns once no request is in flight, or when connections are due to be closed.
         """
-        began_at = self._stop_began_at = self._now()
-        self._leaving = True
+        self._stopping.begin()
         self._own_row.write_now()
         log.info("stop_begun", in_flight=self._in_flight)
         while self.seconds_until_close:
-            if self._now() - began_at >= LINGER and self._in_flight == 0:
+            if self._stopping.has_lingered and self._in_flight == 0:
                 break
             await asyncio.sleep(POLL_INTERVAL)
 
     @property
     def seconds_until_close(self) -> float:
         """Seconds until connections are closed; valid after `leave` was called."""
-        return max(0.0, self._stop_began_at + self._time_to_close - self._now())
+        return self._stopping.seconds_until_close
 
     async def stop(self) -> None:
         """Abort requests in flight, write bills, return tokens and remove the row."""
@@ -325,28 +320,13 @@
         self._liveness.stop()
         log.info("stopped", in_flight=self._in_flight)
 
-    @property
-    def _time_to_close(self) -> float:
-        """Seconds from the start of the stop until connections are closed."""
-        return self._deployment.bounds.grace - STOP_MARGIN
-
-    def _closing(self) -> filters.Closing | None:
-        """Return when connections are closed, None while this host isn't stopping."""
-        began_at = self._stop_began_at
-        if began_at is None:
-            return None
-        return filters.Closing(
-            closes_at=began_at + self._time_to_close,
-            takes_repeatable=self._now() - began_at < LINGER,
-        )
-
     def _horizon(self) -> float:
         age = self._now() - self._started_at
         killed = age < amounts.HORIZON and self._hosts.was_killed_before
         return amounts.horizon(age=age, was_killed=killed)
 
     def _membership_state(self) -> str:
-        if self._leaving:
+        if self.leaving:
             return host_rows.LEAVING
         return host_rows.READY if self._has_read_tables() else host_rows.STARTING
 
@@ -391,7 +371,7 @@
         own = self._deployment
         follower = table_source.Follower(
             chooser=sources.Sources(name=own.host, region=own.region),
-            peers=self._table_peers,
+            peers=self._ready_peers,
             is_store_reachable=platform.is_store_reachable,
             ask=self._ask_table,
             table=table,
@@ -402,33 +382,6 @@
         )
         return follower.fetch
 
-    def _make_table_peers(self) -> abc.Callable[[], list[sources.Peer]]:
-        """Return a function that returns the ready hosts, this one included if ready.
-
-        It returns the same list until that changes, as each call about a table asks.
-        """
-        known: tuple[tuple[host_rows.Host, ...] | None, bool] = (None, False)
-        peers: list[sources.Peer] = []
-
-        def find() -> list[sources.Peer]:
-            nonlocal known, peers
-            live, is_ready = self._hosts.live, self.ready()
-            if live is known[0] and is_ready == known[1]:
-                return peers
-            known = live, is_ready
-            peers = [
-                sources.Peer(host.name, host.region, host.control, host.link_mbps)
-                for host in live
-                if host.state == host_rows.READY
-            ]
-            if is_ready:
-                own = self._deployment
-                fields = (own.host, own.region, own.control, own.link_mbps)
-                peers.append(sources.Peer(*fields))
-            return peers
-
-        return find
-
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
         dispatcher = dispatch.Dispatcher(
             endpoint_table=self._endpoints, connections=self._upstream, now=self._now
@@ -443,7 +396,7 @@
                     ready=self._has_read_tables,
                 ),
                 filters.route(),
-                filters.check_closing(closing=self._closing),
+                filters.check_closing(closing=self._stopping.closing),
                 filters.authenticate(),
                 filters.reserve(budgets=self._accounts),
                 filters.send(dispatcher=dispatcher),
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -15,7 +15,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import endpoint_table
+from dogwoodchute.gateway import datagrams, endpoint_table
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
@@ -76,7 +76,7 @@
     valid_until: float  # monotonic seconds
 
 
-class Gossip(asyncio.DatagramProtocol):
+class Gossip(datagrams.Datagrams):
     """Sends this host's load to other hosts and collects theirs."""
 
     def __init__(
@@ -89,6 +89,7 @@
         on_departures: abc.Callable[[tuple[endpoint_table.Departure, ...]], None],
         now: abc.Callable[[], float],
     ) -> None:
+        super().__init__()
         self._id = id
         self._load = load
         self._departures = departures  # of the endpoints that are leaving
@@ -105,7 +106,6 @@
         # none was sent yet.
         self._was_empty_in_group = True
         self._was_empty_outside = True
-        self._transport: asyncio.DatagramTransport | None = None
 
     def loads(self) -> Loads:
         """Return the loads of other hosts that are recent enough."""
@@ -124,16 +124,6 @@
         """The number of hosts that this one reports to in each round."""
         return len(self._plan.group_peers) + len(self._plan.outside_peers)
 
-    async def start(self, ip: str, port: int) -> None:
-        """Listen for datagrams on a local address."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
-
     async def run(self) -> None:
         """Send this host's load at intervals until cancelled."""
         while True:
@@ -141,10 +131,6 @@
             self._send_reports()
             await asyncio.sleep(self._interval() * random.uniform(0.9, 1.1))
 
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        """Set the transport for sending; called by asyncio."""
-        self._transport = transport
-
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Record another host's load or the sum of a group; called by asyncio."""
         report = decode(data)
@@ -159,10 +145,6 @@
         self._received[report.source] = _Received(self._now(), report)
         self._sum = None
 
-    def error_received(self, exc: Exception) -> None:
-        """Log that a host does not listen; membership removes it in time."""
-        log.debug("datagram_failed", reason=str(exc))
-
     def _update_peers(self) -> None:
         """Update the plan and the addresses if the live hosts have changed."""
         peers = self._peers()
@@ -172,10 +154,9 @@
             self._plan = load_groups.plan(self._id, peers.keys())
             self._sum = None
         self._last_peers = peers
-        self._addresses = {}
-        for name, address in peers.items():
-            ip, _, port = address.rpartition(":")
-            self._addresses[name] = (ip, int(port))
+        self._addresses = {
+            name: datagrams.socket_address(address) for name, address in peers.items()
+        }
 
     def _send_reports(self) -> None:
         """Send reports; an empty load only once, as older reports expire."""
--- a/dogwoodchute/gateway/liveness.py
+++ b/dogwoodchute/gateway/liveness.py
@@ -16,7 +16,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import watch_ring
-from dogwoodchute.gateway import host_rows
+from dogwoodchute.gateway import datagrams, host_rows
 
 INTERVAL = 0.5  # seconds between heartbeats
 SILENCE = 1.6  # seconds without a heartbeat after which a host is asked: three missed
@@ -45,7 +45,7 @@
         self.question: asyncio.Task | None = None
 
 
-class Liveness(asyncio.DatagramProtocol):
+class Liveness(datagrams.Datagrams):
     """Sends this host's heartbeats, and watches a few other hosts.
 
     `live` returns the other live hosts, and the same tuple until one changes.
@@ -62,6 +62,7 @@
         mark_down: abc.Callable[[host_rows.Host], abc.Awaitable[None]],
         now: abc.Callable[[], float],
     ) -> None:
+        super().__init__()
         self._id = id  # of this incarnation
         self._name = name  # of this host
         self._live = live
@@ -77,17 +78,6 @@
         # as down before and has not heard from it since.
         self._silences: dict[str, float] = {}
         self._checked_at = now()
-        self._transport: asyncio.DatagramTransport | None = None
-
-    async def start(self, ip: str, port: int) -> None:
-        """Listen for heartbeats on a local address."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
 
     async def run(self) -> None:
         """Send heartbeats and watch until cancelled."""
@@ -106,10 +96,6 @@
             self._transport.sendto(heartbeat, address)
         self._check()
 
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        """Set the transport for sending; called by asyncio."""
-        self._transport = transport
-
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Record another host's heartbeat; called by asyncio."""
         sender = _sender(data)
@@ -121,10 +107,6 @@
             watched.heard_at = self._now()
             self._silences.pop(sender, None)
 
-    def error_received(self, exc: Exception) -> None:
-        """Log that a host does not listen; its own watchers notice that too."""
-        log.debug("heartbeat_failed", reason=str(exc))
-
     def _update_neighbours(self) -> None:
         """Find this host's neighbours anew if the live hosts have changed."""
         live = self._live()
@@ -133,7 +115,10 @@
         self._last_live = live
         by_name = {host.name: host for host in live}
         found = watch_ring.neighbours(self._name, by_name)
-        self._watchers = [_address(by_name[name]) for name in found.watchers]
+        self._watchers = [
+            datagrams.socket_address(by_name[name].heartbeats)
+            for name in found.watchers
+        ]
         self._watched_hosts = [by_name[name] for name in found.watched]
         self._watched = {host.id: self._watch(host) for host in self._watched_hosts}
 
@@ -189,11 +174,6 @@
             del self._silences[next(iter(self._silences))]
 
 
-def _address(host: host_rows.Host) -> tuple[str, int]:
-    ip, _, port = host.heartbeats.rpartition(":")
-    return ip, int(port)
-
-
 def encode(sender: str) -> bytes:
     """Return the datagram of a heartbeat of the incarnation `sender`."""
     return msgpack.packb([FORMAT, sender])
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import mirror, rows, table_copy, tables
+from dogwoodchute.gateway import host_rows, mirror, model, rows, table_copy, tables
 
 # Seconds beyond the wait of a call of the store, after which other hosts are asked in
 # parallel, and seconds between such rounds.
@@ -62,6 +62,39 @@
     return fetch
 
 
+def ready_peers(
+    *,
+    deployment: model.Deployment,
+    live: abc.Callable[[], tuple[host_rows.Host, ...]],
+    ready: abc.Callable[[], bool],
+) -> abc.Callable[[], list[sources.Peer]]:
+    """Return a function that returns the ready hosts, this one included if `ready()`.
+
+    It returns the same list until that changes, as each call about a table asks. `live`
+    returns the other live hosts, and the same tuple until one changes.
+    """
+    known: tuple[tuple[host_rows.Host, ...] | None, bool] = (None, False)
+    peers: list[sources.Peer] = []
+
+    def find() -> list[sources.Peer]:
+        nonlocal known, peers
+        hosts, is_ready = live(), ready()
+        if hosts is known[0] and is_ready == known[1]:
+            return peers
+        known = hosts, is_ready
+        peers = [
+            sources.Peer(host.name, host.region, host.control, host.link_mbps)
+            for host in hosts
+            if host.state == host_rows.READY
+        ]
+        if is_ready:
+            own = deployment
+            peers.append(sources.Peer(own.host, own.region, own.control, own.link_mbps))
+        return peers
+
+    return find
+
+
 class Follower:
     """Fetches a table from other hosts as `chooser` plans it, or from the store.
 
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -5,6 +5,7 @@
     account_rows,
     accounts,
     amounts,
+    draw_plan,
     host_rows,
     model,
     reclaim,
@@ -148,7 +149,7 @@
             fleet.reserve("a", 500)
         fleet.loop.run_for(3)
         # Now nothing is left to draw, and some drawn tokens are idle.
-        prepaid = int(fleet.drawn() / accounts.USABLE_SHARE) + 1
+        prepaid = int(fleet.drawn() / draw_plan.USABLE_SHARE) + 1
         lowered = model.Account("ann", frozenset(), None, prepaid)
         fleet.config = fleet.config._replace(accounts={"ann": lowered})
         self.assertGreater(fleet.drawn() - 2_000, 500)
