--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -38,6 +38,7 @@
 ENDPOINT_HEARTBEAT = 1.2  # seconds
 PREPAID = 10**9  # tokens of each account, more than a run can use
 ENDPOINTS_IN_USE = 6  # endpoints at which each other host has requests
+SEARCH_INTERVAL = 0.2  # seconds between looks for the measured host's row
 EVENTS = 10  # number of events of each answer
 LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 60.0}
 SITE = "site.example"
@@ -77,6 +78,7 @@
         row_store.add_routes(listener.app, self._store)
         await listener.start("127.0.0.1", 0)
         await self._start_sources()
+        self._start_task(_repeat(SEARCH_INTERVAL, self._find_measured_host))
         for number in range(ENDPOINTS):
             self._start_task(_repeat(ENDPOINT_HEARTBEAT, self._write_endpoint, number))
         grouped = load_groups.group_count(self._count) > 1
@@ -205,14 +207,18 @@
             return
         datagrams.sendto(data, self._gossip_address)
 
+    def _find_measured_host(self, sequence: int) -> None:
+        """Learn the measured host's incarnation from its row."""
+        if self._measured_host is not None:
+            return
+        other_ids = {_id(each) for each in range(self._count)}
+        for part in host_rows.parts():
+            for row in self._store.read(host_rows.TABLE, part, None, None).rows:
+                if row.key not in other_ids:
+                    self._measured_host = row.key
+
     def _plan(self, number: int) -> load_groups.Plan | None:
         """Return whom a host reports to, None until the measured host has a row."""
-        if self._measured_host is None:
-            other_ids = {_id(each) for each in range(self._count)}
-            for part in host_rows.parts():
-                for row in self._store.read(host_rows.TABLE, part, None, None).rows:
-                    if row.key not in other_ids:
-                        self._measured_host = row.key
         if self._measured_host is None:
             return None
         if number not in self._plans:
