Check accounts each 0.2 s again where no other host draws for this one

Cause: accounts that only this host's requests use were checked each second.

Change: only accounts with a home on another host are checked less often.

--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -276,13 +276,13 @@
             account.task = asyncio.create_task(self._run_commits(account))
 
     def _is_quiet(self, account: account_rows.Account) -> bool:
-        """Return whether only this host's own next requests use the account here.
+        """Return whether another host draws the account's tokens for this one.
 
-        Each of those checks what is due by itself.
+        This host's own next requests check what is due by themselves.
         """
         if account.waiters or account.requested_by_hosts:
             return False
-        return self._plan.may_spend(account) and not self._home.is_local(account.name)
+        return self._plan.may_spend(account) and self._home.is_remote(account.name)
 
     def _give_back_if_due(self, account: account_rows.Account) -> None:
         """Give what lies idle here back to the account's home, if it is not needed.
