Hash texts and read holdings by one piece of code each

watch_ring repeated the hash of load_groups, and two parts of rows had it once more; the reader of holdings stood in account_rows and in reclaim. Behaviour is the same.

--- a/dogwoodchute/coordination/load_groups.py
+++ b/dogwoodchute/coordination/load_groups.py
@@ -10,7 +10,7 @@
 import typing
 from collections import abc
 
-import xxhash
+from dogwoodchute.coordination import hashing
 
 MAX_UNGROUPED_HOSTS = 16  # up to this number all hosts form one group
 
@@ -37,7 +37,7 @@
 
 def group_of(name: str, groups: int) -> int:
     """Return the group that a host belongs to."""
-    return _hash(name) % groups
+    return hashing.digest(name) % groups
 
 
 def plan(own: str, others: abc.Collection[str]) -> Plan:
@@ -57,10 +57,6 @@
     members = sorted([own, *inside])
     rank = members.index(own)
     receivers = [
-        name for name in outside if _hash(f"{name}|far") % len(members) == rank
+        name for name in outside if hashing.digest(f"{name}|far") % len(members) == rank
     ]
     return Plan(groups, group, tuple(inside), tuple(receivers))
-
-
-def _hash(text: str) -> int:
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/dogwoodchute/coordination/watch_ring.py
+++ b/dogwoodchute/coordination/watch_ring.py
@@ -9,7 +9,7 @@
 import typing
 from collections import abc
 
-import xxhash
+from dogwoodchute.coordination import hashing
 
 WATCHERS = 4  # of each host; all of them may die together with it
 
@@ -24,13 +24,9 @@
 def neighbours(own: str, others: abc.Iterable[str]) -> Neighbours:
     """Return the neighbours of the host `own` on the ring of it and `others`."""
     names = {own, *others}
-    ring = sorted(names, key=lambda name: (_hash(name), name))
+    ring = sorted(names, key=lambda name: (hashing.digest(name), name))
     position = ring.index(own)
     count = min(WATCHERS, len(ring) - 1)
     after = [ring[(position + n) % len(ring)] for n in range(1, count + 1)]
     before = [ring[(position - n) % len(ring)] for n in range(1, count + 1)]
     return Neighbours(tuple(after), tuple(before))
-
-
-def _hash(text: str) -> int:
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -10,10 +10,14 @@
 import typing
 from collections import abc
 
-import xxhash
-
 from dogwoodchute import bounded_json, log
-from dogwoodchute.coordination import checkpoints, escrow, sizing, store_overload
+from dogwoodchute.coordination import (
+    checkpoints,
+    escrow,
+    hashing,
+    sizing,
+    store_overload,
+)
 from dogwoodchute.gateway import commit_counts, row_reader, rows
 
 ACCOUNTS = "accounts"
@@ -117,9 +121,7 @@
         self._registered = registered  # store version of its registration, else 0
         self._store = store
         self._now = now
-        self._holding_reader = row_reader.RowReader(
-            table=HOLDINGS, decode=lambda key, value: decode_holding(value)
-        )
+        self._holding_reader = holding_reader()
         self._counts = commit_counts.Counts(now=now)
         self._overload = store_overload.OverloadDetector()
         self._was_store_slow = False
@@ -396,7 +398,7 @@
 
 def part_of(name: str) -> str:
     """Return the partition of all rows of an account."""
-    number = xxhash.xxh3_64_intdigest(name.encode()) % checkpoints.PARTS
+    number = hashing.digest(name) % checkpoints.PARTS
     return f"{PART_PREFIX}-{number}"
 
 
@@ -407,9 +409,8 @@
 
 def decode_account(value: bytes) -> escrow.Account:
     """Return the account in a row's value; raise `ValueError` if it is none."""
-    drawn, closed_spent, *lost = bounded_json.loads(
-        value
-    )  # older hosts write no lost tokens
+    # Older hosts write no lost tokens.
+    drawn, closed_spent, *lost = bounded_json.loads(value)
     return escrow.Account(int(drawn), int(closed_spent), *map(int, lost))
 
 
@@ -421,3 +422,10 @@
     types = escrow.Holding.__annotations__.values()
     fields = zip(types, bounded_json.loads(value), strict=False)
     return escrow.Holding(*(convert(field) for convert, field in fields))
+
+
+def holding_reader() -> row_reader.RowReader[escrow.Holding]:
+    """Return a reader of holdings' rows that leaves out those it can't decode."""
+    return row_reader.RowReader(
+        table=HOLDINGS, decode=lambda key, value: decode_holding(value)
+    )
--- a/dogwoodchute/gateway/host_rows.py
+++ b/dogwoodchute/gateway/host_rows.py
@@ -8,9 +8,8 @@
 import math
 import typing
 
-import xxhash
-
 from dogwoodchute import bounded_json
+from dogwoodchute.coordination import hashing
 
 TABLE = "hosts"
 PARTS = 12  # so that a start of all hosts at once stays below the rate of each
@@ -50,7 +49,7 @@
 
 def part_of(incarnation: str) -> str:
     """Return the partition of an incarnation's row."""
-    return f"{TABLE}-{xxhash.xxh3_64_intdigest(incarnation.encode()) % PARTS}"
+    return f"{TABLE}-{hashing.digest(incarnation) % PARTS}"
 
 
 def encode(host: Host) -> bytes:
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -16,7 +16,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, escrow
-from dogwoodchute.gateway import account_rows, host_rows, row_reader, rows
+from dogwoodchute.gateway import account_rows, host_rows, rows
 
 CHECK_INTERVAL = 0.2  # seconds between checks for new incarnations
 SETTLE_TIME = 0.3  # seconds without a further new incarnation before rows are read
@@ -69,9 +69,8 @@
         self.changed_at = 0.0  # monotonic seconds of the last change of `latest`
         # Monotonic seconds of the first incarnation that is not in `closed_for`.
         self.first_new_at: float | None = None
-        self.recheck_times: list[
-            float
-        ] = []  # monotonic seconds of the remaining rechecks
+        # Monotonic seconds of the remaining rechecks.
+        self.recheck_times: list[float] = []
 
 
 class Reclaimer:
@@ -90,10 +89,7 @@
         self._registered = registered
         self._is_responsible_for = is_responsible_for
         self._now = now
-        self._reader = row_reader.RowReader(
-            table=account_rows.HOLDINGS,
-            decode=lambda key, value: account_rows.decode_holding(value),
-        )
+        self._reader = account_rows.holding_reader()
         self._parts = {part: _PartState() for part in account_rows.parts()}
 
     async def run(self) -> None:
