Say in try_failed how far an answer had come, and the parts of its prompt

Cause: the lines of a play couldn't tell which requests had just begun when their endpoint ended, nor what those have in common.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -5,6 +5,11 @@
 
 from dogwoodchute.gateway import model
 
+# How far an answer has come.
+SILENT = "silent"  # no byte arrived
+BEGUN = "begun"  # a part of the head or more, but no whole event
+EVENTS = "events"
+
 
 class Request(typing.NamedTuple):
     """The decoded request of a caller."""
@@ -66,6 +71,9 @@
         self.slow_to_connect: set[str] = set()
         self.sends = 0  # how often the request was sent
         self.sent_at: float | None = None  # monotonic seconds of the last send
+        # Of the last send: whether a byte of an answer arrived, and whole events.
+        self.answer_began = False
+        self.events_of_try = 0
         # Estimates for the chosen endpoint: seconds to wait for other requests and the
         # network, and prompt tokens that are cached there and that are not.
         self.expected_wait = 0.0
@@ -73,6 +81,13 @@
         self.uncached_tokens = 0
         self.first_byte_at: float | None = None  # monotonic seconds
 
+    @property
+    def progress(self) -> str:
+        """How far the answer to the last send has come."""
+        if self.events_of_try:
+            return EVENTS
+        return BEGUN if self.answer_began else SILENT
+
     @property
     def is_retryable(self) -> bool:
         """Whether the call may be sent again after it may have run."""
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -10,12 +10,13 @@
 import typing
 from collections import abc
 
-from dogwoodchute import log, outcomes, sse
+from dogwoodchute import outcomes, sse
 from dogwoodchute.gateway import (
     calls,
     endpoints,
     failed_calls,
     model,
+    try_reports,
     try_results,
     upstream,
 )
@@ -66,17 +67,7 @@
             last = await self._send_once(call, endpoint)
             if isinstance(last, outcomes.Answered):
                 return last
-            log.info(
-                "try_failed",
-                request=call.request.attempt_id,
-                endpoint=endpoint.id,
-                step=last.step,
-                reason=last.reason,
-                kind=type(last).__name__.strip("_").lower(),
-                status=getattr(last, "status", None),
-                sends=call.sends,
-                ran=call.may_have_run,
-            )
+            try_reports.report(call, endpoint.id, last)
 
     def _time_left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
@@ -107,6 +98,8 @@
         # first chunk shows that the engine has processed them.
         pending = [waiting_tokens]
         call.sent_at = self._now()
+        call.answer_began = False
+        call.events_of_try = 0
         call.uncached_tokens = waiting_tokens
 
         def on_chunk() -> None:
@@ -124,6 +117,7 @@
         result: try_results.TryResult | None = None
         try:
             answer = await self._send(call, endpoint)
+            call.answer_began = _has_begun(answer)
             if not isinstance(answer, upstream.Answer):
                 if isinstance(answer, upstream.NotSent):
                     call.may_have_run = may_have_run_before
@@ -349,6 +343,7 @@
         if call.first_byte_at is None:
             call.first_byte_at = self._now()
         complete_events = sse.events(events)
+        call.events_of_try += len(complete_events)
         call.delivered_events += len(complete_events)
         call.last_event_id = sse.event_id(complete_events[-1]) or call.last_event_id
         await call.reply.chunk(events)
@@ -361,3 +356,10 @@
             return await failed_calls.forward_error(call, last)
         seconds = self._endpoints.table.seconds_until_usable(call.service.name)
         return failed_calls.outcome(call, last, usable_in=seconds or 0.0)
+
+
+def _has_begun(answer: upstream.Answer | try_results.Failure) -> bool:
+    """Return whether a byte of an answer arrived from the endpoint."""
+    if isinstance(answer, upstream.Lost):
+        return answer.reason != NO_ANSWER and not answer.silent
+    return isinstance(answer, upstream.Answer)
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -141,6 +141,11 @@
         """The maximum of tokens that the request may use."""
         return self.input_tokens + self.max_output
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """The parts that other requests may hold; the last one is the request's own."""
+        return self.parts[:-1]
+
 
 def route_of(config: Config, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix of `path`, None if there is none.
