Quarantine parts of prompts under which endpoints crash

Cause: nothing related an endpoint's end to what the requests that it had just begun have in common, and each host sees only one or two of them. So the same request went on to the next endpoint, and each new one with the part was a stranger to every host. Ruled out: ends that follow from load; at each of 16 ends one request had just begun, two at one of them, with the same two parts each time. Change: the third end under a part, with no complete answer on it, makes hosts refuse it; a crash is blamed on one part. Hosts report crashes with their loads, and in their rows of the store.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from dogwoodchute import outcomes, sse
 from dogwoodchute.gateway import (
     calls,
+    crash_reports,
     endpoints,
     failed_calls,
     model,
@@ -44,10 +45,12 @@
         *,
         endpoint_table: endpoints.Endpoints,
         connections: upstream.Upstream,
+        crashes: crash_reports.CrashReports,
         now: abc.Callable[[], float],
     ) -> None:
         self._endpoints = endpoint_table
         self._upstream = connections
+        self._crashes = crashes
         self._now = now
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
@@ -64,10 +67,16 @@
             endpoint = self._next_endpoint(call, last)
             if endpoint is None:
                 return await self._failure_outcome(call, last)
+            found = self._crashes.find(call.request.prompt)
+            if found is not None:
+                return failed_calls.quarantined(call, found)
             last = await self._send_once(call, endpoint)
             if isinstance(last, outcomes.Answered):
+                self._crashes.record_completion(call.request.prompt)
                 return last
             try_reports.report(call, endpoint.id, last)
+            if await self._has_crashed(call, endpoint, last):
+                self._crashes.record_crash(call, endpoint)
 
     def _time_left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
@@ -179,6 +188,16 @@
         elif isinstance(result, try_results.Failure):
             self._endpoints.record_failure(endpoint, result.reason)
 
+    async def _has_crashed(
+        self, call: calls.Call, endpoint: model.Endpoint, result: try_results.TryResult
+    ) -> bool:
+        """Return whether an endpoint ended just as it began to answer a call."""
+        if not isinstance(result, upstream.Lost) or not result.disconnected:
+            return False
+        if call.progress != calls.BEGUN:
+            return False
+        return await self._upstream.has_ended(endpoint)
+
     async def _send(
         self, call: calls.Call, endpoint: model.Endpoint
     ) -> upstream.Answer | try_results.Failure:
--- a/dogwoodchute/gateway/failed_calls.py
+++ b/dogwoodchute/gateway/failed_calls.py
@@ -3,10 +3,11 @@
 import http
 
 from dogwoodchute import outcomes
-from dogwoodchute.coordination import retry_after
+from dogwoodchute.coordination import quarantine, retry_after
 from dogwoodchute.gateway import calls, try_results
 
 RETRY_AFTER = 0.2  # seconds: about the time until an endpoint has a free slot
+QUARANTINED = "prompt_quarantined"  # the code of refusals
 # Statuses by which a caller may conclude that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -38,6 +39,27 @@
     )
 
 
+def quarantined(
+    call: calls.Call, found: quarantine.Found
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return the outcome of a call that is not sent, as endpoints crash under it."""
+    reason = f"endpoints crash under part {found.part} of the prompt"
+    if call.may_have_run:
+        return outcomes.Unknown(
+            status=int(http.HTTPStatus.BAD_GATEWAY),
+            code=QUARANTINED,
+            message=f"The request may have run: {reason}.",
+            step="quarantine",
+        )
+    return outcomes.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        QUARANTINED,
+        f"The request was not run: {reason}.",
+        step="quarantine",
+        retry_after=retry_after.spread(found.seconds),
+    )
+
+
 async def forward_error(
     call: calls.Call, last: try_results.Erred
 ) -> outcomes.Unknown | outcomes.Answered:
--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -7,11 +7,13 @@
 import xxhash
 
 from dogwoodchute import exchange, outcomes
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import (
     account_rows,
     accounts,
     calls,
     dispatch,
+    failed_calls,
     model,
     reservations,
 )
@@ -126,6 +128,23 @@
     return run
 
 
+def check_quarantine(
+    *, find: abc.Callable[[model.Prompt | None], quarantine.Found | None]
+) -> Filter:
+    """Refuse calls with a part of a prompt that crashes endpoints.
+
+    `find` returns a quarantined part of a prompt.
+    """
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        found = find(call.request.prompt)
+        if found is not None:
+            return failed_calls.quarantined(call, found)
+        return await proceed()
+
+    return run
+
+
 def reserve(*, budgets: accounts.Accounts) -> Filter:
     """Reserve the maximum of tokens that a request may use, and bill what it used."""
 
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -13,6 +13,7 @@
     amounts,
     calls,
     configuration,
+    crash_reports,
     directory,
     dispatch,
     endpoint_table,
@@ -101,14 +102,20 @@
             now=now,
         )
         incarnation = f"{deployment.host}-{secrets.token_hex(4)}"
+        self._crashes = crash_reports.CrashReports(now=now)
         self._hosts = hosts.Hosts(
-            id=incarnation, deployment=deployment, store=store, now=now
+            id=incarnation,
+            deployment=deployment,
+            store=store,
+            on_crashes=self._crashes.learn_from_row,
+            now=now,
         )
         self._own_row = registration.OwnRow(
             id=incarnation,
             deployment=deployment,
             store=store,
             state=self._membership_state,
+            crashes=self._crashes.for_row,
             remove_expired=self._hosts.remove_expired,
             now=now,
             started_at=started_at,
@@ -134,6 +141,7 @@
             peers=lambda: {host.id: host.gossip for host in self._hosts.live},
             departures=lambda: self._endpoints.table.departures(),
             on_departures=lambda found: self._endpoints.table.learn_departures(found),
+            crashes=self._crashes,
             now=now,
         )
         self._endpoints = endpoints.Endpoints(
@@ -384,7 +392,10 @@
 
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
         dispatcher = dispatch.Dispatcher(
-            endpoint_table=self._endpoints, connections=self._upstream, now=self._now
+            endpoint_table=self._endpoints,
+            connections=self._upstream,
+            crashes=self._crashes,
+            now=self._now,
         )
         return exchange.chain(
             [
@@ -398,6 +409,7 @@
                 filters.route(),
                 filters.check_closing(closing=self._stopping.closing),
                 filters.authenticate(),
+                filters.check_quarantine(find=self._crashes.find),
                 filters.reserve(budgets=self._accounts),
                 filters.send(dispatcher=dispatcher),
             ]
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip of load at endpoints and of leaving ones, by UDP datagrams between hosts.
+"""Gossip of load at endpoints, and of leaving and crashed ones, by UDP datagrams.
 
 Nothing depends on a datagram's arrival: a load is a hint for the choice of endpoints,
 and an old one is ignored. In a large fleet a host sends its own load to the hosts of
@@ -15,7 +15,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import datagrams, endpoint_table
+from dogwoodchute.gateway import crash_reports, datagrams, endpoint_table
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
@@ -23,12 +23,13 @@
 DATAGRAMS_PER_SECOND = 80
 MAX_AGE = 1.5  # seconds for which a load counts: several intervals
 MAX_REPORTED_AGE = 60.0  # seconds; an older report is none of a running host
-FORMAT = 3  # version of the datagrams; others are ignored
+FORMAT = 4  # version of the datagrams; others are ignored
 MAX_ENDPOINTS = 256  # in one datagram
 MAX_DEPARTURES = 16  # endpoints that are leaving, in one datagram
 # Seconds for which each is reported: two hops, each tried several times.
 DEPARTURE_SECONDS = 5.0
 
+NO_NEWS = ((), crash_reports.Report())
 Load = dict[str, tuple[int, int]]  # requests and waiting prompt tokens by endpoint
 
 
@@ -43,6 +44,7 @@
     age: float  # seconds: the mean age of those loads when this was sent
     load: Load
     departures: tuple[endpoint_table.Departure, ...] = ()
+    crashes: crash_reports.Report = crash_reports.Report()
 
     @property
     def source(self) -> tuple[str, int, int]:
@@ -87,6 +89,7 @@
         peers: abc.Callable[[], dict[str, str]],
         departures: abc.Callable[[], list[endpoint_table.Departure]],
         on_departures: abc.Callable[[tuple[endpoint_table.Departure, ...]], None],
+        crashes: crash_reports.CrashReports,
         now: abc.Callable[[], float],
     ) -> None:
         super().__init__()
@@ -94,6 +97,7 @@
         self._load = load
         self._departures = departures  # of the endpoints that are leaving
         self._on_departures = on_departures  # called with those of other hosts
+        self._crashes = crashes
         self._peers = peers  # IP number and port of other hosts, by incarnation
         self._now = now
         self._received: dict[tuple[str, int, int], _Received] = {}
@@ -139,6 +143,7 @@
             return
         if report.departures:
             self._on_departures(report.departures)
+        self._crashes.learn(report.crashes)
         before = self._received.get(report.source)
         if before is not None and not _is_newer(report, before.report):
             return
@@ -163,10 +168,11 @@
         self._round += 1
         plan = self._plan
         own_load = self._load()
-        departures = self._recent_departures()
-        if own_load or departures or not self._was_empty_in_group:
+        news = (self._recent_departures(), self._crashes.report())
+        has_news = news != NO_NEWS
+        if own_load or has_news or not self._was_empty_in_group:
             self._send_to(
-                LoadReport(self._id, self._round, 0, 0, 1, 0.0, own_load, departures),
+                LoadReport(self._id, self._round, 0, 0, 1, 0.0, own_load, *news),
                 plan.group_peers,
             )
         self._was_empty_in_group = not own_load
@@ -183,9 +189,10 @@
             host_count=1 + len(received),
             age=sum(now - each.received_at for each in received) / (1 + len(received)),
             load=group_load,
-            departures=departures,
+            departures=news[0],
+            crashes=news[1],
         )
-        if group_load or departures or not self._was_empty_outside:
+        if group_load or has_news or not self._was_empty_outside:
             self._send_to(report, plan.outside_peers)
         self._was_empty_outside = not group_load
 
@@ -284,10 +291,11 @@
         version, *fields = msgpack.unpackb(data)
         if version != FORMAT:
             return None
-        sender, sequence, group_count, group, host_count, age, plain, departed = fields
+        sender, sequence, group_count, group, host_count, age, plain, *news = fields
         load = {str(k): (int(n), int(t)) for k, (n, t) in plain.items()}
         if not 0 <= age <= MAX_REPORTED_AGE:
             return None
+        departed, crashed = news
         departures = [
             endpoint_table.Departure(str(endpoint), int(started_at_ms), float(seconds))
             for endpoint, started_at_ms, seconds in departed[:MAX_DEPARTURES]
@@ -301,6 +309,7 @@
             age=float(age),
             load=load,
             departures=tuple(departures),
+            crashes=crash_reports.decode(crashed),
         )
     except (ValueError, TypeError, AttributeError, OverflowError):
         return None
--- a/dogwoodchute/gateway/host_rows.py
+++ b/dogwoodchute/gateway/host_rows.py
@@ -9,7 +9,7 @@
 import typing
 
 from dogwoodchute import bounded_json
-from dogwoodchute.coordination import hashing
+from dogwoodchute.coordination import hashing, quarantine
 
 TABLE = "hosts"
 PARTS = 12  # so that a start of all hosts at once stays below the rate of each
@@ -40,6 +40,8 @@
     registered: int = 0
     # Seconds of the store's clock, at or after the start of the process.
     began: float = math.inf
+    # Ends of endpoints that this incarnation saw, see `coordination.quarantine`.
+    crashes: tuple[quarantine.Crash, ...] = ()
 
 
 def parts() -> list[str]:
@@ -58,6 +60,8 @@
     fields.pop("id")
     if not host.registered:
         fields.pop("began")
+    if not host.crashes:
+        fields.pop("crashes")
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -84,5 +88,6 @@
         link_mbps=link,
         registered=int(fields["registered"]),
         began=float(fields.get("began", math.inf)),
+        crashes=quarantine.decode_crashes(fields.get("crashes", [])),
         **texts,
     )
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -8,7 +8,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import ranking
+from dogwoodchute.coordination import quarantine, ranking
 from dogwoodchute.gateway import host_rows, model, row_reader, rows
 
 REMOVE_AFTER = 20.0  # seconds for which the row of an ended incarnation is kept
@@ -24,9 +24,11 @@
         id: str,
         deployment: model.Deployment,
         store: rows.Store,
+        on_crashes: abc.Callable[[tuple[quarantine.Crash, ...]], None],
         now: abc.Callable[[], float],
     ) -> None:
         self.id = id  # of this incarnation
+        self._on_crashes = on_crashes  # called with those that other rows hold
         self._deployment = deployment
         self._store = store
         self._now = now
@@ -66,6 +68,8 @@
             self._hosts[host.id] = host
             if host.id == self.id:
                 continue
+            if host.crashes:
+                self._on_crashes(host.crashes)
             if before is None or before.state != host.state:
                 log.info("host_seen", peer=host.id, state=host.state)
         self._update_ended()
--- a/dogwoodchute/gateway/registration.py
+++ b/dogwoodchute/gateway/registration.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from dogwoodchute import log
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import host_rows, model, rows
 
 CHECK_INTERVAL = 0.25  # seconds between checks whether the row is out of date
@@ -31,6 +32,7 @@
         deployment: model.Deployment,
         store: rows.Store,
         state: abc.Callable[[], str],
+        crashes: abc.Callable[[], tuple[quarantine.Crash, ...]],
         remove_expired: abc.Callable[[], abc.Awaitable[None]],
         now: abc.Callable[[], float],
         started_at: float = math.inf,
@@ -39,6 +41,7 @@
         self._deployment = deployment
         self._store = store
         self._state = state
+        self._crashes = crashes
         self._remove_expired = remove_expired
         self._now = now
         self._started_at = started_at  # monotonic seconds
@@ -161,4 +164,5 @@
             link_mbps=own.link_mbps,
             registered=registration.version,
             began=registration.began_at,
+            crashes=self._crashes(),
         )
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -10,11 +10,12 @@
 import aiohttp
 import yarl
 
-from dogwoodchute import endpoint_connection, send_once
+from dogwoodchute import endpoint_connection, log, send_once
 from dogwoodchute.gateway import calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
+CHECK_TIMEOUT = 0.2  # seconds to connect for the question whether an endpoint ended
 CLOSE_TIMEOUT = 0.1  # seconds to write the rest of requests when this host stops
 # Seconds before the endpoint's idle timeout from which its connection is not reused.
 IDLE_MARGIN = 0.5
@@ -63,6 +64,7 @@
     peer: str
     step: str = "answer"
     silent: bool = False  # no byte of an answer was received
+    disconnected: bool = False  # the connection ended
 
 
 class Answer:
@@ -103,11 +105,12 @@
         try:
             data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Lost(reason=_reason(error), peer=peer)
+            return Lost(reason=_reason(error), peer=peer, disconnected=True)
         if data or self._has_framing:
             return data
         if self._connection is None or self._connection.was_reset:
-            return Lost(reason="reset before the end of the answer", peer=peer)
+            reason = "reset before the end of the answer"
+            return Lost(reason=reason, peer=peer, disconnected=True)
         return data
 
     def release(self) -> None:
@@ -184,8 +187,12 @@
         except aiohttp.ClientConnectorError as error:
             return NotSent(reason=_reason(error), peer=endpoint.id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            silent = not counter.received
-            return Lost(reason=_reason(error), peer=endpoint.id, silent=silent)
+            return Lost(
+                reason=_reason(error),
+                peer=endpoint.id,
+                silent=not counter.received,
+                disconnected=True,
+            )
         head = self._wire.parse_head(
             response.status, response.headers, response.raw_headers
         )
@@ -194,6 +201,20 @@
         connection = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, connection=connection)
 
+    async def has_ended(self, endpoint: model.Endpoint) -> bool:
+        """Return whether nothing listens at an endpoint's address."""
+        ip, _, port = endpoint.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError) as error:
+            log.info("endpoint_unclear", endpoint=endpoint.id, reason=_reason(error))
+            return False
+        writer.close()
+        return False
+
     def _is_refusal(
         self, status: int, headers: abc.Mapping[str, str], raw: list
     ) -> bool:
--- a/dogwoodchute/tests/test_hosts.py
+++ b/dogwoodchute/tests/test_hosts.py
@@ -2,6 +2,7 @@
 
 import json
 
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import host_rows, hosts, model, rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
@@ -24,7 +25,9 @@
 OWN_ID = "h1-own"
 
 
-def make_host(incarnation, *, name="h2", state=host_rows.READY, registered=0):
+def make_host(
+    incarnation, *, name="h2", state=host_rows.READY, registered=0, crashes=()
+):
     return host_rows.Host(
         id=incarnation,
         name=name,
@@ -37,6 +40,7 @@
         state=state,
         registered=registered,
         began=0.0 if registered else float("inf"),
+        crashes=crashes,
     )
 
 
@@ -44,8 +48,13 @@
     def setUp(self):
         super().setUp()
         self.now = 100.0
+        self.crashes = []  # learned from rows
         self.hosts = hosts.Hosts(
-            id=OWN_ID, deployment=DEPLOYMENT, store=None, now=lambda: self.now
+            id=OWN_ID,
+            deployment=DEPLOYMENT,
+            store=None,
+            on_crashes=self.crashes.extend,
+            now=lambda: self.now,
         )
         self.hosts.set_read_at(lambda: self.now)
         self.version = 0
@@ -60,6 +69,14 @@
     def live_ids(self):
         return [host.id for host in self.hosts.live]
 
+    def test_crashes_in_rows_of_other_incarnations_are_passed_on(self):
+        crash = quarantine.Crash(quarantine.Run("e1", 7), ("p1",))
+        self.write(OWN_ID, name="h1", crashes=(crash,))
+        self.assertEqual([], self.crashes)
+        self.write("h1-a", name="h1", crashes=(crash,))
+        self.write("h2-a", state=host_rows.DOWN, crashes=(crash,))
+        self.assertEqual([crash, crash], self.crashes)
+
     def test_a_host_knows_that_its_process_before_was_killed(self):
         self.write("h2-a")
         self.write(OWN_ID, name="h1")
@@ -175,6 +192,7 @@
             id=OWN_ID,
             deployment=DEPLOYMENT,
             store=row_store.in_process_client(self.store),
+            on_crashes=lambda crashes: None,
             now=self.loop.time,
         )
         self.hosts.set_read_at(self.loop.time)
--- a/dogwoodchute/tests/test_liveness.py
+++ b/dogwoodchute/tests/test_liveness.py
@@ -51,13 +51,18 @@
             host=self.name, control=f"{self.id}:3", heartbeats=f"{self.id}:6"
         )
         self.hosts = hosts.Hosts(
-            id=self.id, deployment=deployment, store=store, now=now
+            id=self.id,
+            deployment=deployment,
+            store=store,
+            on_crashes=lambda crashes: None,
+            now=now,
         )
         self.own_row = registration.OwnRow(
             id=self.id,
             deployment=deployment,
             store=store,
             state=lambda: host_rows.READY,
+            crashes=tuple,
             remove_expired=self.hosts.remove_expired,
             now=now,
             started_at=now(),
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -5,8 +5,8 @@
 
 import msgpack
 
-from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import endpoint_table, gossip
+from dogwoodchute.coordination import load_groups, quarantine
+from dogwoodchute.gateway import crash_reports, endpoint_table, gossip
 from dogwoodchute.tests import support, virtual
 
 SECONDS = 4.0
@@ -68,10 +68,12 @@
         self.sent = collections.Counter()
         self.departures = collections.defaultdict(list)  # by number of the host
         self.learned = collections.defaultdict(list)  # departures, by receiving host
+        self.crashes = {}  # reports, by name of the host
         self.hosts = {}
         self.tasks = []
         for number in range(count):
             name = name_of(number)
+            self.crashes[name] = crash_reports.CrashReports(now=self.loop.time)
             host = gossip.Gossip(
                 id=name,
                 load=lambda number=number: self.load(number),
@@ -80,6 +82,7 @@
                 },
                 departures=lambda number=number: self.departures[number],
                 on_departures=lambda found, name=name: self.learned[name].extend(found),
+                crashes=self.crashes[name],
                 now=self.loop.time,
             )
             host.connection_made(Transport(self, name))
@@ -199,7 +202,14 @@
     def test_what_is_encoded_is_decoded(self):
         departure = endpoint_table.Departure("e1", 1_700_000_000_000, 0.5)
         load = {"e1": (2, 300)}
-        report = gossip.LoadReport("h1-a", 7, 8, 3, 9, 0.25, load, (departure,))
+        crash = quarantine.Crash(quarantine.Run("e2", 1_700_000_000_000), ("p1", "p2"))
+        crashes = crash_reports.Report(
+            (crash_reports.ReportedCrash(crash, 0.5),),
+            (crash_reports.ReportedCompletion("p1", 2.5),),
+        )
+        report = gossip.LoadReport(
+            "h1-a", 7, 8, 3, 9, 0.25, load, (departure,), crashes
+        )
         self.assertEqual(report, gossip.decode(gossip.encode(report)))
 
     def test_what_cannot_be_read_is_left_out(self):
@@ -209,11 +219,24 @@
             b"\x93\x01\x02\x03",
             b"\x98\x02\xa1a\x01\x00\x00\x01\x00\x05",
             b"\x91" * 100_000,
-            msgpack.packb([gossip.FORMAT, "h", float("inf"), 0, 0, 1, 0.0, {}, []]),
-            msgpack.packb([gossip.FORMAT, "h", 1, 0, 0, 1, float("nan"), {}, []]),
-            msgpack.packb([gossip.FORMAT, "h", 1, 0, 0, 1, 0.0, {}, [["e"]]]),
+            self.datagram("h", float("inf"), 0, 0, 1, 0.0, {}, []),
+            self.datagram("h", 1, 0, 0, 1, float("nan"), {}, []),
+            self.datagram("h", 1, 0, 0, 1, 0.0, {}, [["e"]]),
+            self.datagram(crashes=[[[["e", 1], "part"], 0.0]]),
+            self.datagram(crashes=[[[["e"], ["part"]], 0.0]]),
+            self.datagram(crashes=[[[["e", 1], [7]], 0.0]]),
+            self.datagram(crashes=[[[["e", 1], ["p" * 65]], 0.0]]),
+            self.datagram(crashes=[[[["e", 1], ["part"] * 33], 0.0]]),
+            self.datagram(crashes=[[[["e", 1], ["part"]], -1.0]]),
+            self.datagram(completions=[["part", float("nan")]]),
+            self.datagram(completions=[[None, 0.0]]),
         ):
             self.assertIsNone(gossip.decode(data))
+        self.assertIsNotNone(gossip.decode(self.datagram()))
+
+    def datagram(self, *fields, crashes=(), completions=()):
+        fields = fields or ("h", 1, 0, 0, 1, 0.0, {}, [])
+        return msgpack.packb([gossip.FORMAT, *fields, [crashes, completions]])
 
     def test_of_too_many_endpoints_those_with_most_requests_are_told(self):
         load = {f"e{n}": (n, 0) for n in range(2 * gossip.MAX_ENDPOINTS)}
--- a/dogwoodchute/tests/test_registration.py
+++ b/dogwoodchute/tests/test_registration.py
@@ -1,5 +1,6 @@
 """A host's own row in the store, on virtual time."""
 
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import host_rows, registration, rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, test_hosts, virtual
@@ -19,11 +20,13 @@
         self.fault = row_store.NO_FAULT
         self.commits = 0
         self.state = host_rows.STARTING
+        self.crashes = ()
         self.own_row = registration.OwnRow(
             id=OWN_ID,
             deployment=test_hosts.DEPLOYMENT,
             store=row_store.in_process_client(self.store, faults=self.inject),
             state=lambda: self.state,
+            crashes=lambda: self.crashes,
             remove_expired=self.remove_nothing,
             now=self.loop.time,
             started_at=self.started_at,
@@ -112,12 +115,23 @@
             deployment=test_hosts.DEPLOYMENT,
             store=row_store.in_process_client(self.store, faults=inject),
             state=lambda: self.state,
+            crashes=lambda: self.crashes,
             remove_expired=self.remove_nothing,
             now=self.loop.time,
             started_at=self.started_at,
         )
         self.task = self.loop.create_task(self.own_row.run())
 
+    def test_crashes_that_this_host_saw_are_written_and_removed(self):
+        self.loop.run_for(1.0)
+        crash = quarantine.Crash(quarantine.Run("e1", 7), ("p1",))
+        self.crashes = (crash,)
+        self.loop.run_for(0.5)
+        self.assertEqual((crash,), self.row().crashes)
+        self.crashes = ()
+        self.loop.run_for(0.5)
+        self.assertEqual((), self.row().crashes)
+
     def test_a_row_that_was_removed_at_the_stop_is_not_written_again(self):
         """The next process would take a row that is left over for a kill."""
         self.loop.run_for(1.0)
