Stop requests that wait at an endpoint once a part of their prompt is quarantined

What callers saw: three more endpoints ended after the quarantine, under requests that had been sent before and then began; each took 5 to 20 sound requests along. Cause: a quarantine only concerned what is sent afterwards. Change: calls with a quarantined part whose answer has not begun are stopped, which cancels them at their endpoint; their callers get 502. The test failed before: the waiting request went on to its deadline.

--- a/dogwoodchute/gateway/crash_reports.py
+++ b/dogwoodchute/gateway/crash_reports.py
@@ -90,7 +90,13 @@
 class CrashReports:
     """The quarantine of one host, and its exchange with others."""
 
-    def __init__(self, *, now: abc.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        on_quarantine: abc.Callable[[], None],
+        now: abc.Callable[[], float],
+    ) -> None:
+        self._on_quarantine = on_quarantine  # called after a part was quarantined
         self._now = now
         self._quarantine = quarantine.Quarantine()
         # Monotonic seconds until which a crash is reported in datagrams.
@@ -197,6 +203,7 @@
                 crashes=found.crashes,
                 seconds=f"{found.seconds:.0f}",
             )
+            self._on_quarantine()
         self._update_gauge(now)
 
     def _report_again(self, part: str, now: float) -> None:
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -29,6 +29,7 @@
 EVENT_TIMEOUT = 1.2  # seconds between events of a resumable stream
 RETRY_CHECK_INTERVAL = 0.1  # seconds between checks whether a late call can be retried
 NO_ANSWER = "no answer in time"
+STOPPED = "a part of the prompt was quarantined"
 SILENT = "the answer went silent"
 MIN_TIME_LEFT = 0.02  # seconds to the deadline below which nothing is sent
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
@@ -51,6 +52,8 @@
         self._endpoints = endpoint_table
         self._upstream = connections
         self._crashes = crashes
+        # Stops the wait for an endpoint, by call.
+        self._stops: dict[calls.Call, abc.Callable[[], None]] = {}
         self._now = now
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
@@ -78,6 +81,15 @@
             if await self._has_crashed(call, endpoint, last):
                 self._crashes.record_crash(call, endpoint)
 
+    def stop_quarantined(self) -> None:
+        """Stop calls with a quarantined part whose answers have not begun.
+
+        Their endpoints would crash when they begin to answer.
+        """
+        for call, stop in list(self._stops.items()):
+            if not call.answer_began and self._crashes.find(call.request.prompt):
+                stop()
+
     def _time_left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
 
@@ -275,10 +287,16 @@
 
         After `timeout` seconds the work is abandoned as soon as the call can be retried
         at another endpoint; until then the endpoint is waited for. `reason` is put into
-        the failure that is returned.
+        the failure that is returned. `stop_quarantined` may end the wait early.
         """
         loop = asyncio.get_running_loop()
-        abandoned = False
+        abandoned = stopped = False
+
+        def stop() -> None:
+            nonlocal stopped
+            if not deadline.expired():
+                stopped = True
+                deadline.reschedule(loop.time())
 
         def check() -> None:
             nonlocal abandoned, check_timer
@@ -293,12 +311,16 @@
         check_timer = loop.call_later(max(0.0, timeout), check)
         try:
             async with asyncio.timeout(max(0.001, self._time_left(call))) as deadline:
+                self._stops[call] = stop
                 return await work
         except TimeoutError:
+            if stopped:
+                return upstream.Lost(reason=STOPPED, peer=endpoint.id, silent=True)
             if abandoned:
                 return try_results.Abandoned(reason=reason, peer=endpoint.id)
             return upstream.Lost(reason=reason, peer=endpoint.id)
         finally:
+            del self._stops[call]
             check_timer.cancel()
 
     def _take_retry(self, call: calls.Call) -> bool:
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -102,7 +102,9 @@
             now=now,
         )
         incarnation = f"{deployment.host}-{secrets.token_hex(4)}"
-        self._crashes = crash_reports.CrashReports(now=now)
+        self._crashes = crash_reports.CrashReports(
+            on_quarantine=lambda: self._dispatcher.stop_quarantined(), now=now
+        )
         self._hosts = hosts.Hosts(
             id=incarnation,
             deployment=deployment,
@@ -188,6 +190,12 @@
             deployment=deployment, live=lambda: self._hosts.live, ready=self.ready
         )
         self._upstream = upstream.Upstream(wire=platform.wire)
+        self._dispatcher = dispatch.Dispatcher(
+            endpoint_table=self._endpoints,
+            connections=self._upstream,
+            crashes=self._crashes,
+            now=now,
+        )
         self._mirrors = self._make_mirrors(platform)
         self._chain = self._make_chain()
 
@@ -391,12 +399,6 @@
         return follower.fetch
 
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
-        dispatcher = dispatch.Dispatcher(
-            endpoint_table=self._endpoints,
-            connections=self._upstream,
-            crashes=self._crashes,
-            now=self._now,
-        )
         return exchange.chain(
             [
                 observe.observe(
@@ -411,6 +413,6 @@
                 filters.authenticate(),
                 filters.check_quarantine(find=self._crashes.find),
                 filters.reserve(budgets=self._accounts),
-                filters.send(dispatcher=dispatcher),
+                filters.send(dispatcher=self._dispatcher),
             ]
         )
--- a/dogwoodchute/tests/crashing_endpoint.py
+++ b/dogwoodchute/tests/crashing_endpoint.py
@@ -1,8 +1,9 @@
-"""An engine that ends while it begins to answer a request with a deadly part."""
+"""An engine that ends when it begins to answer a request with a deadly part."""
 
 from dogwoodchute.tests import raw_endpoint, test_faulty_answers
 
 DEADLY = "deadbeef"
+WAITING = b"x-waiting: 1"  # a header of requests that are never answered
 
 
 class CrashingEndpoint(raw_endpoint.RawEndpoint):
@@ -18,6 +19,8 @@
         start = raw_endpoint.answer(
             head, headers=test_faulty_answers.STREAM, framed=False
         )
+        if WAITING in head.lower():
+            return b"", False
         if DEADLY.encode() in head:
             self.deadly_attempts.append(self.attempts[-1])
             self.has_crashed = True
--- a/dogwoodchute/tests/test_crash_reports.py
+++ b/dogwoodchute/tests/test_crash_reports.py
@@ -94,7 +94,9 @@
         self.first, self.second = self.make(), self.make()
 
     def make(self):
-        return crash_reports.CrashReports(now=lambda: self.now)
+        return crash_reports.CrashReports(
+            on_quarantine=lambda: None, now=lambda: self.now
+        )
 
     def test_a_host_that_no_datagram_reaches_learns_from_rows(self):
         record_crash(self.first, "e1", DEADLY)
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -73,7 +73,9 @@
         self.tasks = []
         for number in range(count):
             name = name_of(number)
-            self.crashes[name] = crash_reports.CrashReports(now=self.loop.time)
+            self.crashes[name] = crash_reports.CrashReports(
+                on_quarantine=lambda: None, now=self.loop.time
+            )
             host = gossip.Gossip(
                 id=name,
                 load=lambda number=number: self.load(number),
--- a/dogwoodchute/tests/test_quarantine.py
+++ b/dogwoodchute/tests/test_quarantine.py
@@ -1,7 +1,10 @@
 """Requests with a part of a prompt that crashes endpoints."""
 
+import asyncio
 import contextlib
+import json
 
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.tests import crashing_endpoint, gateway_site, support
 
 SHARED = "5a5a5a5a"  # a part that sound requests hold too
@@ -10,6 +13,7 @@
 # crash break it.
 MAX_CRASHES = 5
 MAX_FURTHER = 3
+STOP_BOUND = 1.0  # seconds; a request that waits has 2.5
 
 
 @contextlib.asynccontextmanager
@@ -32,7 +36,7 @@
                 engine.stop()
 
 
-async def ask(site, attempt, *parts):
+async def ask(site, attempt, *parts, **headers):
     """Request a stream on a prompt of these parts; return the answer's status.
 
     Returns None if the answer breaks off.
@@ -43,9 +47,10 @@
         "X_Dogwoodchute_Prompt_Prefix": ",".join(f"{name}:10" for name in names),
     }
     try:
-        return (await site.ask("/s/stream", attempt=attempt, **prompt))[0]
+        answer = await site.ask("/s/stream", attempt=attempt, **prompt, **headers)
     except gateway_site.BROKEN:
         return None
+    return answer[0]
 
 
 class DeadlyPartTest(support.TestCase):
@@ -62,3 +67,41 @@
                 self.assertEqual([200] * ENDPOINTS, sound)
 
         self.run_async(scenario())
+
+    def test_one_that_waits_at_an_endpoint_is_stopped_before_it_crashes_that(self):
+        async def scenario():
+            async with running() as (site, engines):
+                deadly = crashing_endpoint.DEADLY
+                waiting = asyncio.create_task(
+                    ask(site, "w", SHARED, deadly, X_Waiting="1")
+                )
+                for number in range(quarantine.CRASHES):
+                    await ask(site, f"d{number}", SHARED, deadly)
+                done, _ = await asyncio.wait([waiting], timeout=STOP_BOUND)
+                self.assertEqual({waiting}, done)
+                self.assertEqual(502, waiting.result())
+                sends = sum(engine.attempts.count("w") for engine in engines)
+                self.assertEqual(1, sends)
+
+        self.run_async(scenario())
+
+    def test_a_refusal_says_that_nothing_was_run_and_when_to_come_back(self):
+        async def scenario():
+            async with running() as (site, engines):
+                deadly = crashing_endpoint.DEADLY
+                for number in range(quarantine.CRASHES):
+                    await ask(site, f"d{number}", SHARED, deadly)
+                prompt = {"X_Dogwoodchute_Token_Count": "20,8"}
+                prompt["X_Dogwoodchute_Prompt_Prefix"] = f"{deadly}:10,own:10"
+                status, headers, body = await site.ask(
+                    "/s/stream", attempt="late", **prompt
+                )
+                self.assertEqual(503, status)
+                self.assertEqual(
+                    "prompt_quarantined", json.loads(body)["error"]["code"]
+                )
+                self.assertGreater(float(headers["Retry-After"]), 100.0)
+                attempts = [a for engine in engines for a in engine.attempts]
+                self.assertNotIn("late", attempts)
+
+        self.run_async(scenario())
