Take a stream without an event, ended by its connection, for broken off

What callers saw: an empty stream that looked complete, if an endpoint that sends neither a length nor chunks closed its connection after the head, as one does that crashes while it begins to answer. Cause: only a reset, or an end within an event, counted as broken off. Change: such a stream with no event at all is lost too, so it goes on elsewhere where its route allows that, and counts as a suspect. Result: the test failed before at the cut after the head, and passes for a cut after each byte of two events.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -372,8 +372,13 @@
             if events:
                 await self._forward_events(call, events)
                 last_event_at = self._now()
-        if framer.partial:
-            return upstream.Lost(reason="half an event", peer=endpoint.id)
+        broken_off = _why_broken_off(call, answer, framer)
+        if broken_off is not None:
+            return upstream.Lost(
+                reason=broken_off,
+                peer=endpoint.id,
+                disconnected=not answer.has_framing,
+            )
         answer.release()
         await call.reply.end()
         return outcomes.Answered(
@@ -404,3 +409,15 @@
     if isinstance(answer, upstream.Lost):
         return answer.reason != NO_ANSWER and not answer.silent
     return isinstance(answer, upstream.Answer)
+
+
+def _why_broken_off(
+    call: calls.Call, answer: upstream.Answer, framer: sse.EventFramer
+) -> str | None:
+    """Return why a stream that has ended is not complete, None if it is."""
+    if framer.partial:
+        return "half an event"
+    has_no_event = call.delivered_events == 0 and call.last_event_id is None
+    if has_no_event and not answer.has_framing:
+        return "no event"
+    return None
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -83,7 +83,8 @@
         self.head = head
         self._response = response
         self._connection = connection
-        self._has_framing = endpoint_connection.has_framing(response)
+        # Whether the answer tells its end by itself; else its connection ends it.
+        self.has_framing = endpoint_connection.has_framing(response)
 
     async def read_body(self, peer: str) -> bytes | Lost:
         """Return the whole body, or why it was lost."""
@@ -106,7 +107,7 @@
             data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Lost(reason=_reason(error), peer=peer, disconnected=True)
-        if data or self._has_framing:
+        if data or self.has_framing:
             return data
         if self._connection is None or self._connection.was_reset:
             reason = "reset before the end of the answer"
--- a/dogwoodchute/tests/test_faulty_answers.py
+++ b/dogwoodchute/tests/test_faulty_answers.py
@@ -21,6 +21,7 @@
 
 
 LAST_CHUNK = b"0\r\n\r\n"
+UNFRAMED_STREAM = b"Content-Type: text/event-stream"
 
 
 @contextlib.asynccontextmanager
@@ -241,3 +242,25 @@
                     self.assertIn(received, (b"", event(1), event(1) + event(2)))
 
         self.run_async(scenario())
+
+    def test_streams_that_end_with_their_connection(self):
+        """One without an event, or within one, was broken off."""
+        cut = {"at": 0}
+        events = event(1) + event(2)
+        whole = {events[: len(event(1))], events}
+
+        def script(head, number):
+            start = raw_endpoint.answer(head, headers=UNFRAMED_STREAM, framed=False)
+            return start + events[: cut["at"]], True
+
+        async def scenario():
+            async with running(script, service="engines") as (site, _):
+                for at in range(len(events) + 1):
+                    cut["at"] = at
+                    status, received, is_complete = await read(site)
+                    self.assertEqual(200, status)
+                    sent = events[:at]
+                    self.assertEqual(sent in whole, is_complete, at)
+                    self.assertTrue(sent.startswith(received))
+
+        self.run_async(scenario())
