Wait with readiness until a host knows who lives, for a second at most

What callers saw: 503 budget_out_of_reach from a host that had just started, once the store was away, though it could have drawn enough before. Cause: a host was ready once it had read the configuration and the endpoints. Until it has read the table of hosts, which comes in twelve parts, it takes itself for one that was killed, and draws for 4 s instead of 14. It also takes itself for alone, so the retries of the whole fleet for its own, and may not know quarantines.

--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -196,6 +196,15 @@
             crashes=self._crashes,
             now=now,
         )
+        self._readiness = readiness.Readiness(
+            has_needed=lambda: (
+                self._configuration.current is not None
+                and self._endpoints.table.is_loaded
+            ),
+            has_hosts=lambda: self._hosts.is_known,
+            started_at=started_at,
+            now=now,
+        )
         self._mirrors = self._make_mirrors(platform)
         self._chain = self._make_chain()
 
@@ -230,7 +239,7 @@
 
     def ready(self) -> bool:
         """Return whether callers may send requests to this host."""
-        return not self.leaving and self._has_read_tables()
+        return not self.leaving and self._readiness.check()
 
     def relays(self) -> list[str]:
         """Return the control addresses of hosts that may reach the store."""
@@ -344,12 +353,7 @@
     def _membership_state(self) -> str:
         if self.leaving:
             return host_rows.LEAVING
-        return host_rows.READY if self._has_read_tables() else host_rows.STARTING
-
-    def _has_read_tables(self) -> bool:
-        return (
-            self._configuration.current is not None and self._endpoints.table.is_loaded
-        )
+        return host_rows.READY if self._readiness.check() else host_rows.STARTING
 
     def _make_mirrors(self, platform: Platform) -> dict[str, mirror.Mirror]:
         followers = [
@@ -358,11 +362,6 @@
             (host_rows.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
         ]
         parts = {host_rows.TABLE: host_rows.parts()}
-        readiness_log = readiness.ReadinessLog(
-            has_read_tables=self._has_read_tables,
-            started_at=self._started_at,
-            now=self._now,
-        )
         mirrors = {}
         for table, pause, wait, follower in followers:
             mirrors[table] = mirror.Mirror(
@@ -370,7 +369,7 @@
                 fetch=self._table_fetch(platform, table, parts.get(table, [""])),
                 pause=pause,
                 wait=wait,
-                on_change=readiness_log.wrap(follower.apply_changes),
+                on_change=self._readiness.wrap(follower.apply_changes),
                 receiving=functools.partial(platform.store.receiving, table),
                 now=self._now,
             )
@@ -406,7 +405,7 @@
                 ),
                 filters.admit(
                     config=lambda: self._configuration.current,
-                    ready=self._has_read_tables,
+                    ready=self._readiness.check,
                 ),
                 filters.route(),
                 filters.check_closing(closing=self._stopping.closing),
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -74,6 +74,11 @@
                 log.info("host_seen", peer=host.id, state=host.state)
         self._update_ended()
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the table of hosts was read at least once."""
+        return self._read_at() is not None
+
     @property
     def live(self) -> tuple[host_rows.Host, ...]:
         """The other live hosts, as far as this one knows.
@@ -81,7 +86,7 @@
         Of a restarted host only the incarnation that wrote last counts. The same tuple
         is returned until a row changes.
         """
-        if self._read_at() is None:
+        if not self.is_known:
             return ()
         if self._live is None:
             own = self._deployment.host
@@ -106,7 +111,7 @@
         a recent kill. A live host removes it some time after `REMOVE_AFTER` seconds.
         Also true before the rows have been read.
         """
-        if self._read_at() is None:
+        if not self.is_known:
             return True
         name = self._deployment.host
         incarnations = [host for host in self._hosts.values() if host.name == name]
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from dogwoodchute import clock, server
-from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway import host_rows, model, rows
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import support
 from dogwoodchute.tools import dogwoodgate
@@ -60,6 +60,18 @@
         data = None if value is None else json.dumps(value).encode()
         self.store.commit("", [], [rows.Put(table, key, data)])
 
+    def take_hosts_away(self, seconds):
+        """Let reads of the table of hosts fail for so many seconds."""
+        read = self.store.read
+        until = clock.monotonic() + seconds
+
+        def read_others(table, *arguments):
+            if table == host_rows.TABLE and clock.monotonic() < until:
+                raise LookupError("the table of hosts is away")
+            return read(table, *arguments)
+
+        self.store.read = read_others
+
     async def listen(self, name):
         listener = server.Server(name=f"{name}-{id(self)}", **LIMITS)
         self._servers.append(listener)
@@ -141,9 +153,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running(**options):
-    """Run a site with one engine and one plain endpoint."""
+async def running(*, hosts_away=0.0, **options):
+    """Run a site with one engine and one plain endpoint.
+
+    For the first `hosts_away` seconds the table of hosts can't be read.
+    """
     site = Site(**options)
+    if hosts_away:
+        site.take_hosts_away(hosts_away)
     site.put("op", "config", config())
     await site.add_endpoint("e1", "engines")
     await site.add_endpoint("p1", "plain")
