--- a/dogwoodchute/tests/test_quarantine.py
+++ b/dogwoodchute/tests/test_quarantine.py
@@ -37,9 +37,10 @@
 
 
 async def ask(site, attempt, *parts, **headers):
-    """Request a stream on a prompt of these parts; return the answer's status.
+    """Request a stream on a prompt of these parts.
 
-    Returns None if the answer breaks off.
+    Returns the answer's status and the code of a refusal, None if the answer breaks
+    off.
     """
     names = [*parts, f"own{attempt}"]
     prompt = {
@@ -50,7 +51,8 @@
         answer = await site.ask("/s/stream", attempt=attempt, **prompt, **headers)
     except gateway_site.BROKEN:
         return None
-    return answer[0]
+    status, _, body = answer
+    return status, None if status == 200 else json.loads(body)["error"]["code"]
 
 
 class DeadlyPartTest(support.TestCase):
@@ -64,7 +66,7 @@
                     sound.append(await ask(site, f"s{number}", SHARED, f"p{number}"))
                 reached = sum(len(engine.deadly_attempts) for engine in engines)
                 self.assertLessEqual(reached, MAX_CRASHES + MAX_FURTHER)
-                self.assertEqual([200] * ENDPOINTS, sound)
+                self.assertEqual([(200, None)] * ENDPOINTS, sound)
 
         self.run_async(scenario())
 
@@ -79,7 +81,7 @@
                     await ask(site, f"d{number}", SHARED, deadly)
                 done, _ = await asyncio.wait([waiting], timeout=STOP_BOUND)
                 self.assertEqual({waiting}, done)
-                self.assertEqual(502, waiting.result())
+                self.assertEqual((502, "prompt_quarantined"), waiting.result())
                 sends = sum(engine.attempts.count("w") for engine in engines)
                 self.assertEqual(1, sends)
 
