--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from dogwoodchute import outcomes, sse
+from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import (
     calls,
     crash_reports,
@@ -67,12 +68,10 @@
         while True:
             if self._time_left(call) < MIN_TIME_LEFT:
                 return failed_calls.timeout_outcome(call)
-            endpoint = self._next_endpoint(call, last)
-            if endpoint is None:
-                return await self._failure_outcome(call, last)
             found = self._crashes.find(call.request.prompt)
-            if found is not None:
-                return failed_calls.quarantined(call, found)
+            endpoint = self._next_endpoint(call, last) if found is None else None
+            if endpoint is None:
+                return await self._failure_outcome(call, last, found)
             last = await self._send_once(call, endpoint)
             if isinstance(last, outcomes.Answered):
                 self._crashes.record_completion(call.request.prompt)
@@ -395,11 +394,19 @@
         await call.reply.chunk(events)
 
     async def _failure_outcome(
-        self, call: calls.Call, last: try_results.TryResult | None
+        self,
+        call: calls.Call,
+        last: try_results.TryResult | None,
+        found: quarantine.Found | None,
     ) -> outcomes.NotRun | outcomes.Unknown | outcomes.Answered:
-        """Return the outcome of a call after its last try failed."""
+        """Return the outcome of a call that is not sent, or not sent again.
+
+        `found` is a quarantined part of its prompt.
+        """
         if isinstance(last, try_results.Erred) and not call.reply_started:
             return await failed_calls.forward_error(call, last)
+        if found is not None:
+            return failed_calls.quarantined(call, found)
         seconds = self._endpoints.table.seconds_until_usable(call.service.name)
         return failed_calls.outcome(call, last, usable_in=seconds or 0.0)
 
