Split the accounts' commits, the waiting requests and the followed tables from what had grown

account_rows keeps accounts and the format of their rows; account_commits reads and commits them; Waiters serves and refuses waiting requests, next to the functions it used; followed_tables makes the mirrors.

--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -18,7 +18,7 @@
 from dogwoodchute import clock, server
 from dogwoodchute.coordination import load_groups, watch_ring
 from dogwoodchute.gateway import (
-    gateway,
+    followed_tables,
     gossip,
     host_rows,
     liveness,
@@ -106,7 +106,7 @@
                     parts=parts.get(table, [""]),
                     now=clock.monotonic,
                 ),
-                pause=gateway.ENDPOINTS_PAUSE,
+                pause=followed_tables.ENDPOINTS_PAUSE,
                 wait=0.0,
                 on_change=lambda all_rows, changed: None,
                 receiving=lambda: False,
--- /dev/null
+++ b/dogwoodchute/gateway/account_commits.py
@@ -0,0 +1,340 @@
+"""Reads and commits of client accounts' rows in the store.
+
+A commit changes rows of one partition only. One without an answer is sent again
+unchanged until its outcome is certain.
+"""
+
+import asyncio
+import typing
+from collections import abc
+
+from dogwoodchute import log
+from dogwoodchute.coordination import checkpoints, store_overload
+from dogwoodchute.gateway import account_rows, commit_counts, rows
+
+MAX_BILLS_PER_ROW = 300  # of about 40 bytes each
+MAX_ACCOUNTS = 20  # in one commit, with up to five checks and puts each
+RETRY_PAUSE = 0.15  # seconds after the first attempt without an answer
+MAX_RETRY_PAUSE = 0.5  # seconds; the pause doubles up to this
+WAITERS_PAUSE = 0.05  # seconds between attempts to serve waiters; most calls take less
+
+
+class Change(typing.NamedTuple):
+    """What a commit does to one account."""
+
+    account: account_rows.Account
+    draw: int = 0  # tokens; negative returns some
+    awaited: int = 0  # tokens that requests wait for
+    headroom: int = 0  # tokens that later requests may use before the next commit
+    rate: float = 0.0  # tokens a second that may be needed without a next commit
+
+
+_Outcome = typing.TypeVar("_Outcome")
+
+# Serves an account's waiters while the store does not answer; takes the reason.
+ServeWaiters = abc.Callable[[account_rows.Account, str], abc.Awaitable[None]]
+
+
+class Commits:
+    """Reads and changes account rows for one holder, that is one process of a host."""
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        store: rows.Store,
+        now: abc.Callable[[], float],
+        registered: abc.Callable[[], int],
+    ) -> None:
+        self._holder = holder
+        self._registered = registered  # store version of its registration, else 0
+        self._store = store
+        self._now = now
+        self._holding_reader = account_rows.holding_reader()
+        self._counts = commit_counts.Counts(now=now)
+        self._overload = store_overload.OverloadDetector()
+        self._was_store_slow = False
+        self._store_unavailable = False
+
+    @property
+    def store_unavailable(self) -> bool:
+        """Whether the last call that ended got no answer or was not served."""
+        return self._store_unavailable
+
+    def slow_commit_seconds(self) -> float:
+        """Return the seconds that a commit takes while the store is slow, else 0."""
+        return self._overload.slow_commit_seconds(self._now())
+
+    async def read(
+        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+    ) -> rows.Unavailable | None:
+        """Read the account's row and all its holdings; return the error if it fails.
+
+        While no answer comes, `serve_waiters` is awaited as in `commit`.
+        """
+        name = account.name
+        failed = await self.refresh(account, serve_waiters=serve_waiters)
+        if failed is not None:
+            return failed
+        result = await _await_call(
+            self._store.read(
+                account_rows.HOLDINGS, account.part, f"{name}/", f"{name}0"
+            ),
+            [account],
+            serve_waiters,
+        )
+        self._store_unavailable = isinstance(result, rows.Unavailable)
+        if isinstance(result, rows.Unavailable):
+            return result
+        account.holdings = {}
+        for row in result.rows:
+            holding = self._holding_reader.read(row)
+            if holding is not None:
+                account.holdings[row.key.partition("/")[2]] = holding
+        account.read_at = self._now()
+        return None
+
+    async def refresh(
+        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+    ) -> rows.Unavailable | None:
+        """Read only the account's row; `serve_waiters` is as in `commit`."""
+        name = account.name
+        result = await _await_call(
+            self._store.read(account_rows.ACCOUNTS, account.part, name, name + "\0"),
+            [account],
+            serve_waiters,
+        )
+        self._store_unavailable = isinstance(result, rows.Unavailable)
+        if isinstance(result, rows.Unavailable):
+            return result
+        self._apply_newer(account, result.rows)
+        return None
+
+    async def commit(
+        self,
+        changes: list[Change],
+        *,
+        kind: str,
+        serve_waiters: ServeWaiters,
+    ) -> bool:
+        """Commit changes of several accounts of one partition, whose locks are held.
+
+        `kind` is the purpose of the commit, for the log and the metrics.
+
+        Returns True if the commit applied or met a conflict, False if the store is
+        unavailable or every change is left out (see `_add_entries`). While no answer
+        comes, `serve_waiters` is awaited repeatedly, with the reason, for each account
+        that has waiters.
+        """
+        included: list[tuple[Change, int]] = []
+        checks: list[rows.Check] = []
+        puts: list[rows.Put] = []
+        for change in changes:
+            bills = self._add_entries(change, checks, puts)
+            if bills is not None:
+                included.append((change, bills))
+        if not included:
+            # Earlier commits are unresolved after a fault; a retry at once can't help.
+            return False
+        accounts = [change.account for change in changes]
+        sent = self._now()
+        outcome = await self._commit_until_definite(
+            checks, puts, accounts, serve_waiters
+        )
+        outcome_name = type(outcome).__name__.lower()
+        self._counts.record(kind, accounts[0].part, outcome_name, self._now() - sent)
+        if isinstance(outcome, rows.Unavailable):
+            for change, _ in included:
+                change.account.ledger.end_commit(applied=False)
+            return False
+        for change, bills in included:
+            self._finish(change, bills, outcome)
+        return True
+
+    def _add_entries(
+        self, change: Change, checks: list[rows.Check], puts: list[rows.Put]
+    ) -> int | None:
+        """Add an account's checks and puts; return how many bills they write.
+
+        Returns None, and adds nothing, while an earlier commit of the account is
+        unresolved or if the change would return more tokens than are idle.
+        """
+        account, draw = change.account, change.draw
+        holding = account.ledger.begin_commit(
+            draw=draw,
+            awaited=change.awaited,
+            headroom=change.headroom,
+            rate=change.rate,
+            now=self._now(),
+            store_now=self._store.now(),
+        )
+        if holding is None:
+            return None
+        holding = holding._replace(registered=self._registered())
+        key = f"{account.name}/{self._holder}"
+        checks.append(rows.Check(account_rows.HOLDINGS, key, account.holding_version))
+        puts.append(
+            rows.Put(
+                account_rows.HOLDINGS, key, account_rows.encode_value(list(holding))
+            )
+        )
+        if draw:
+            row = account.row._replace(drawn=account.row.drawn + draw)
+            checks.append(
+                rows.Check(account_rows.ACCOUNTS, account.name, account.row_version)
+            )
+            puts.append(
+                rows.Put(
+                    account_rows.ACCOUNTS,
+                    account.name,
+                    account_rows.encode_value(list(row)),
+                )
+            )
+        bills = account.bills[:MAX_BILLS_PER_ROW]
+        if bills:
+            name = f"{key}/{account.bill_rows}"
+            puts.append(
+                rows.Put(
+                    account_rows.BILLS,
+                    name,
+                    account_rows.encode_value([list(bill) for bill in bills]),
+                )
+            )
+        return len(bills)
+
+    async def _commit_until_definite(
+        self,
+        checks: list[rows.Check],
+        puts: list[rows.Put],
+        accounts: list[account_rows.Account],
+        serve_waiters: ServeWaiters,
+    ) -> rows.Committed | rows.Conflict | rows.Unavailable:
+        """Retry a commit until its outcome is certain.
+
+        A commit without an answer is sent again unchanged: its version checks let at
+        most one copy apply, and only a definite answer shows that none is in transit.
+        """
+        uncertain = False
+        pause = RETRY_PAUSE
+        while True:
+            sent = self._now()
+            outcome = await _await_call(
+                self._store.commit(accounts[0].part, checks, puts),
+                accounts,
+                serve_waiters,
+            )
+            self._store_unavailable = not isinstance(
+                outcome, rows.Committed | rows.Conflict
+            )
+            if isinstance(outcome, rows.Committed | rows.Conflict):
+                self._overload.record_commit(self._now() - sent, self._now())
+                self._log_slowness(accounts[0].part)
+                return outcome
+            if isinstance(outcome, rows.Unavailable) and outcome.overloaded:
+                self._overload.record_refusal(self._now())
+                self._log_slowness(accounts[0].part)
+            uncertain = uncertain or isinstance(outcome, rows.Unknown)
+            log.warning(
+                "commit_failed",
+                rows=",".join(check.key for check in checks),
+                reason=outcome.reason,
+                peer=outcome.peer,
+                uncertain=uncertain,
+            )
+            await _serve_waiters(accounts, outcome.reason, serve_waiters)
+            if not uncertain:
+                return outcome
+            retry_at = self._now() + pause
+            while self._now() < retry_at:
+                await asyncio.sleep(WAITERS_PAUSE)
+                await _serve_waiters(accounts, outcome.reason, serve_waiters)
+            pause = min(MAX_RETRY_PAUSE, 2 * pause)
+
+    def _log_slowness(self, part: str) -> None:
+        seconds = self.slow_commit_seconds()
+        if self._was_store_slow == (seconds > 0):
+            return
+        self._was_store_slow = seconds > 0
+        event = "store_slow" if self._was_store_slow else "store_quick"
+        log.info(event, part=part, commit_seconds=f"{seconds:.3f}")
+
+    def _finish(
+        self, change: Change, bills: int, outcome: rows.Committed | rows.Conflict
+    ) -> None:
+        account, draw = change.account, change.draw
+        ledger = account.ledger
+        if isinstance(outcome, rows.Committed):
+            applied = True
+            account.holding_version = outcome.version
+            if draw:
+                drawn = account.row.drawn + draw
+                account.row = account.row._replace(drawn=drawn)
+                account.row_version = outcome.version
+        else:
+            previous = account.holding_version
+            self._apply_newer(account, outcome.rows)
+            # An earlier copy of this commit applied if it changed the holding's row.
+            applied = account.holding_version != previous
+        ledger.end_commit(applied=applied)
+        if not applied:
+            account.conflicts += 1
+            pause = checkpoints.conflict_pause(account.conflicts)
+            account.conflict_at = self._now()
+            account.draw_after = self._now() + pause
+            return
+        if draw:
+            account.conflicts = 0
+        if bills:
+            del account.bills[:bills]
+            account.bill_rows += 1
+            account.unwritten_since = self._now()
+        if draw:
+            log.info(
+                "tokens_drawn",
+                account=account.name,
+                tokens=draw,
+                drawn=account.row.drawn,
+                used=ledger.used,
+                granted=ledger.granted,
+                version=account.row_version,
+            )
+
+    def _apply_newer(
+        self, account: account_rows.Account, read_rows: list[rows.Row]
+    ) -> None:
+        """Apply newer versions of the account's rows."""
+        own = f"{account.name}/{self._holder}"
+        for row in read_rows:
+            if row.table == account_rows.ACCOUNTS and row.key == account.name:
+                if row.version > account.row_version:
+                    account.row = account_rows.decode_account(row.value)
+                    account.row_version = row.version
+            elif row.table == account_rows.HOLDINGS and row.key == own:
+                account.holding_version = max(account.holding_version, row.version)
+
+
+async def _await_call(
+    call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
+    accounts: list[account_rows.Account],
+    serve_waiters: ServeWaiters,
+) -> _Outcome:
+    """Await a call to the store; serve waiters while it has no answer."""
+    running = asyncio.create_task(call)
+    try:
+        while True:
+            done, _ = await asyncio.wait([running], timeout=WAITERS_PAUSE)
+            if done:
+                return running.result()
+            await _serve_waiters(
+                accounts, "the store has not answered yet", serve_waiters
+            )
+    finally:
+        running.cancel()
+
+
+async def _serve_waiters(
+    accounts: list[account_rows.Account], reason: str, serve_waiters: ServeWaiters
+) -> None:
+    for account in accounts:
+        if account.open_waiters():
+            await serve_waiters(account, reason)
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -17,6 +17,7 @@
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
+    account_commits,
     account_report,
     account_rows,
     amounts,
@@ -41,7 +42,6 @@
 UNAVAILABLE_FOR = 0.5
 GIVE_BACK_AFTER = 1.0  # seconds after the last request of an account on this host
 MAX_WAIT = 2.5  # seconds that a request waits for tokens, at most
-MAX_ROW_AGE = 0.3  # seconds; older rows are read again before a request is refused
 
 
 class Accounts:
@@ -67,7 +67,7 @@
         )
         self._home = home
         self._now = now
-        self._commits = account_rows.Commits(
+        self._commits = account_commits.Commits(
             holder=holder, store=store, now=now, registered=registered
         )
         self._plan = draw_plan.DrawPlan(
@@ -80,14 +80,17 @@
             now=now,
         )
         self._accounts: dict[str, account_rows.Account] = {}
-        self._shortages = refusals.Shortages(now=now)
+        self._waiters = waiters.Waiters(
+            plan=self._plan,
+            commits=self._commits,
+            token_transfers=self._transfers,
+            now=now,
+        )
         self._reports = account_report.Reports(now=now)
-        # Monotonic seconds at which the store last did not answer.
-        self._unavailable_at = float("-inf")
         self._checkpointer = checkpointer.Checkpointer(
             accounts=lambda: list(self._accounts.values()),
             commits=self._commits,
-            serve_waiters=self._serve_from_hosts,
+            serve_waiters=self._waiters.serve_from_hosts,
             change=self._plan.change,
             host_count=hosts,
             account_count=self._plan.account_count,
@@ -120,10 +123,8 @@
         if may_reserve and account.ledger.reserve(tokens, now):
             self._commit_if_due(account)
             return reservations.Reserved()
-        outcome = self._shortages.recent(name, tokens)
+        outcome = self._waiters.recent_refusal(account, tokens)
         if outcome is not None:
-            if isinstance(outcome, reservations.OutOfReach):
-                outcome = self._out_of_reach(account, tokens, outcome.reason)
             self._log_refusal(account, tokens, outcome, now)
             return outcome
         waiter = account_rows.Waiter(tokens, asyncio.get_running_loop().create_future())
@@ -132,15 +133,15 @@
         try:
             await asyncio.wait([waiter.done], timeout=min(wait, MAX_WAIT))
         except asyncio.CancelledError:
-            self._abandon_waiter(account, waiter)
+            self._waiters.abandon(account, waiter)
             raise
         # While the store is away, what may be used rises without a commit.
-        self._grant_waiters(account)
+        self._waiters.grant(account)
         if waiter.done.done():
             outcome = waiter.done.result()
         else:
-            outcome = self._out_of_reach(account, tokens, "no draw in time")
-            self._abandon_waiter(account, waiter)
+            outcome = self._waiters.out_of_reach(account, tokens, "no draw in time")
+            self._waiters.abandon(account, waiter)
         if not isinstance(outcome, reservations.Reserved):
             self._log_refusal(account, tokens, outcome, now)
         return outcome
@@ -185,7 +186,7 @@
             wanted = tokens
         unavailable = (
             self._commits.store_unavailable
-            or self._now() - self._unavailable_at < UNAVAILABLE_FOR
+            or self._now() - self._waiters.unavailable_at < UNAVAILABLE_FOR
         )
         if account.ledger.available(self._now()) < wanted and not unavailable:
             account.requested_by_hosts += tokens
@@ -203,7 +204,7 @@
             return False
         account = self._account(name)
         account.ledger.transfer_in(tokens)
-        self._grant_waiters(account)
+        self._waiters.grant(account)
         return True
 
     async def run(self) -> None:
@@ -242,18 +243,6 @@
             account = self._accounts[name] = account_rows.Account(name=name)
         return account
 
-    def _abandon_waiter(
-        self, account: account_rows.Account, waiter: account_rows.Waiter
-    ) -> None:
-        waiters.abandon(account, waiter)
-        # Waiters are served in order, so smaller ones may have waited behind it.
-        self._grant_waiters(account)
-
-    def _out_of_reach(
-        self, account: account_rows.Account, tokens: int, reason: str
-    ) -> reservations.ReserveOutcome:
-        return refusals.out_of_reach(account, tokens, reason, now=self._now())
-
     def _log_refusal(
         self,
         account: account_rows.Account,
@@ -263,7 +252,7 @@
     ) -> None:
         times = {
             "requested_at": requested_at,
-            "unavailable_at": self._unavailable_at,
+            "unavailable_at": self._waiters.unavailable_at,
             "now": self._now(),
         }
         refusals.log_refusal(account, tokens, outcome, **times)
@@ -319,11 +308,11 @@
             # A commit that may still apply stays pending in the ledger, so that no
             # other one starts.
             log.exception("account_commit_failed", account=account.name)
-            self._refuse_uncovered(account, "the account's rows can't be used")
+            self._waiters.refuse_uncovered(account, "the account's rows can't be used")
 
     async def _commit_next(self, account: account_rows.Account) -> bool:
         """Do what is due next for an account; return whether more may be due."""
-        self._grant_waiters(account)
+        self._waiters.grant(account)
         if await self._transfers.get_from_home(account):
             return True
         if self.store_is_slow and self._transfers.is_left_to_home(account):
@@ -340,11 +329,11 @@
             change = self._plan.change(account, draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit(
-                [change], kind=kind, serve_waiters=self._serve_from_hosts
+                [change], kind=kind, serve_waiters=self._waiters.serve_from_hosts
             )
         if not waiting:
             return False
-        return await self._request_or_refuse(account)
+        return await self._waiters.request_or_refuse(account)
 
     async def _prepare_draw(self, account: account_rows.Account) -> None:
         """Wait after conflicts, and reread the row if other hosts draw from it too."""
@@ -356,84 +345,6 @@
         if pause > 0:
             await asyncio.sleep(pause)
         if self._now() - account.conflict_at < CONTENDED_SECONDS:
-            await self._commits.refresh(account, serve_waiters=self._serve_from_hosts)
-
-    def _grant_waiters(self, account: account_rows.Account) -> None:
-        """Reserve tokens for the waiters that the ledger covers, in order."""
-        if self._plan.may_spend(account):
-            waiters.grant(account, self._now())
-
-    async def _request_or_refuse(self, account: account_rows.Account) -> bool:
-        """Request the first waiter's tokens from other hosts; refuse it without them.
-
-        Later waiters that want at least as many tokens are refused with it. Return
-        whether more may be due.
-        """
-        now = self._now()
-        if account.read_at is None or now - account.read_at > MAX_ROW_AGE:
-            error = await self._commits.read(
-                account, serve_waiters=self._serve_from_hosts
+            await self._commits.refresh(
+                account, serve_waiters=self._waiters.serve_from_hosts
             )
-            if error is not None:
-                await self._serve_from_hosts(account, error.reason)
-            return error is None
-        received = await self._request_for_first_waiter(account, account.ledger.idle)
-        waiting = account.open_waiters()
-        if received is None or not waiting:
-            return bool(waiting)
-        if account.ledger.idle >= waiting[0].tokens:
-            return True
-        outcome = self._out_of_reach(
-            account, waiting[0].tokens, "not all hosts could be asked"
-        )
-        if received.all_answered:
-            remaining = (self._plan.prepaid(account) or 0) - account.row.drawn
-            outcome = reservations.Exhausted(remaining=max(0, remaining))
-        least = waiting[0].tokens
-        self._shortages.record(account.name, least, outcome)
-        for waiter in waiting:
-            if waiter.tokens >= least:
-                waiters.refuse(account, waiter, outcome)
-        return True
-
-    async def _request_for_first_waiter(
-        self, account: account_rows.Account, have: int
-    ) -> reservations.TokensReceived | None:
-        if account.open_waiters() and not self._plan.may_spend(account):
-            return reservations.TokensReceived(0, True)
-        return await self._transfers.get_from_hosts(account, have)
-
-    async def _serve_from_hosts(
-        self, account: account_rows.Account, reason: str
-    ) -> None:
-        """Serve waiters with other hosts' tokens while the store does not answer.
-
-        Waiters that this host's own tokens cover keep waiting until those may be used.
-        The others keep waiting too while the first call to the store is under way, as
-        it may still bring what they lack. After a failed call they are refused if other
-        hosts have no tokens either.
-        """
-        self._unavailable_at = self._now()
-        self._grant_waiters(account)
-        while account.open_waiters() and self._transfers.may_request(account):
-            received = await self._request_for_first_waiter(
-                account, account.ledger.available(self._now())
-            )
-            self._grant_waiters(account)
-            if received is None:
-                break
-            if received.tokens == 0:
-                account.none_given_at = self._now()
-        if self._commits.store_unavailable and not self._transfers.may_request(account):
-            self._refuse_uncovered(account, reason)
-
-    def _refuse_uncovered(self, account: account_rows.Account, reason: str) -> None:
-        """Refuse the waiters that this host's tokens do not cover, in order."""
-        idle = account.ledger.idle
-        for waiter in account.open_waiters():
-            if waiter.tokens <= idle:
-                idle -= waiter.tokens
-                continue
-            outcome = self._out_of_reach(account, waiter.tokens, reason)
-            waiters.refuse(account, waiter, outcome)
-            self._shortages.record_if_none(account.name, waiter.tokens, outcome)
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -6,7 +6,7 @@
 import typing
 
 from dogwoodchute.coordination import grants, sizing
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway import account_commits, account_rows
 
 HORIZON = 14.0  # seconds of use that a host draws in advance, for outages of the store
 MIN_HORIZON = 4.0  # the same just after the host's previous process was killed
@@ -84,10 +84,10 @@
     now: float,
     *,
     draw: int = 0,
-) -> account_rows.Change:
+) -> account_commits.Change:
     """Return what a commit that draws `draw` tokens does to an account."""
     rate = OFFLINE_RATE_FACTOR * account.demand.lower_rate(now)
-    return account_rows.Change(
+    return account_commits.Change(
         account=account,
         draw=draw,
         awaited=awaited_tokens(account),
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -5,7 +5,12 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
-from dogwoodchute.gateway import account_rows, commit_counts, reservations
+from dogwoodchute.gateway import (
+    account_commits,
+    account_rows,
+    commit_counts,
+    reservations,
+)
 
 Draw = abc.Callable[[account_rows.Account], int]
 
@@ -17,9 +22,9 @@
         self,
         *,
         accounts: abc.Callable[[], list[account_rows.Account]],
-        commits: account_rows.Commits,
-        serve_waiters: account_rows.ServeWaiters,
-        change: abc.Callable[..., account_rows.Change],
+        commits: account_commits.Commits,
+        serve_waiters: account_commits.ServeWaiters,
+        change: abc.Callable[..., account_commits.Change],
         host_count: abc.Callable[[], int],
         account_count: abc.Callable[[], int],
         home: reservations.Home,
@@ -83,7 +88,7 @@
             and _needs_write(account)
         ]
         due.sort(key=lambda account: account.ledger.sent_at())
-        batch = due[: account_rows.MAX_ACCOUNTS]
+        batch = due[: account_commits.MAX_ACCOUNTS]
         if not batch:
             return
         changes = [self._change(account, draw=draw(account)) for account in batch]
--- a/dogwoodchute/gateway/draw_plan.py
+++ b/dogwoodchute/gateway/draw_plan.py
@@ -2,7 +2,13 @@
 
 from collections import abc
 
-from dogwoodchute.gateway import account_rows, amounts, model, reservations
+from dogwoodchute.gateway import (
+    account_commits,
+    account_rows,
+    amounts,
+    model,
+    reservations,
+)
 
 # Of the prepaid total; the rest covers requests that ran although no host noticed it.
 USABLE_SHARE = 0.99
@@ -65,7 +71,7 @@
 
     def change(
         self, account: account_rows.Account, *, draw: int = 0
-    ) -> account_rows.Change:
+    ) -> account_commits.Change:
         """Return what a commit that draws `draw` tokens does to an account."""
         conditions = self._conditions(account)
         return amounts.change(account, conditions, self._now(), draw=draw)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -1,13 +1,11 @@
 """Assembles one host's gateway from its parts, and starts and stops it."""
 
 import asyncio
-import functools
 import secrets
-import typing
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, loop_watch, outcomes
-from dogwoodchute.coordination import checkpoints, sources
+from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
     accounts,
     amounts,
@@ -16,9 +14,9 @@
     crash_reports,
     directory,
     dispatch,
-    endpoint_table,
     endpoints,
     filters,
+    followed_tables,
     gossip,
     homes,
     host_rows,
@@ -27,11 +25,11 @@
     mirror,
     model,
     observe,
+    platform_access,
     readiness,
     reclaim,
     registration,
     reservations,
-    rows,
     stopping,
     table_source,
     tables,
@@ -40,30 +38,10 @@
     upstream,
 )
 
-CONFIG_WAIT = 0.6  # seconds for which the store holds the configuration's feed open
-CONFIG_PAUSE = 0.05  # seconds between two such calls
-# Seconds between reads of the endpoints' table: a quarter of the time in which a change
-# must be known.
-ENDPOINTS_PAUSE = 0.6
-HOSTS_PAUSE = 0.8  # seconds between reads of the hosts' table
 POLL_INTERVAL = 0.02  # seconds between checks of the number of requests in flight
 FLUSH_TIMEOUT = 0.5  # seconds to write bills and return tokens
 
 
-class Platform(typing.NamedTuple):
-    """The platform's store, formats and names of tables that the gateway uses."""
-
-    store: rows.Store
-    wire: upstream.WireFormat
-    decode_config: configuration.Decode
-    decode_endpoint: endpoint_table.Decode
-    config_table: str
-    config_key: str
-    endpoints_table: str
-    # Returns whether the store answers this host directly.
-    is_store_reachable: abc.Callable[[], bool]
-
-
 class Gateway:
     """One host's gateway: its requests, copies of tables, gossip and accounts.
 
@@ -75,7 +53,7 @@
         self,
         *,
         deployment: model.Deployment,
-        platform: Platform,
+        platform: platform_access.Platform,
         request_from_host: transfer_protocol.RequestFromHost,
         give_back_to_host: transfer_protocol.GiveBack,
         ask_table: tables.Ask,
@@ -355,24 +333,38 @@
             return host_rows.LEAVING
         return host_rows.READY if self._readiness.check() else host_rows.STARTING
 
-    def _make_mirrors(self, platform: Platform) -> dict[str, mirror.Mirror]:
-        followers = [
-            (platform.config_table, CONFIG_PAUSE, CONFIG_WAIT, self._configuration),
-            (platform.endpoints_table, ENDPOINTS_PAUSE, 0.0, self._endpoints.table),
-            (host_rows.TABLE, HOSTS_PAUSE, 0.0, self._hosts),
+    def _make_mirrors(
+        self, platform: platform_access.Platform
+    ) -> dict[str, mirror.Mirror]:
+        followed = [
+            followed_tables.Followed(
+                platform.config_table,
+                followed_tables.CONFIG_PAUSE,
+                self._configuration,
+                wait=followed_tables.CONFIG_WAIT,
+            ),
+            followed_tables.Followed(
+                platform.endpoints_table,
+                followed_tables.ENDPOINTS_PAUSE,
+                self._endpoints.table,
+            ),
+            followed_tables.Followed(
+                host_rows.TABLE,
+                followed_tables.HOSTS_PAUSE,
+                self._hosts,
+                parts=host_rows.parts(),
+            ),
         ]
-        parts = {host_rows.TABLE: host_rows.parts()}
-        mirrors = {}
-        for table, pause, wait, follower in followers:
-            mirrors[table] = mirror.Mirror(
-                table=table,
-                fetch=self._table_fetch(platform, table, parts.get(table, [""])),
-                pause=pause,
-                wait=wait,
-                on_change=self._readiness.wrap(follower.apply_changes),
-                receiving=functools.partial(platform.store.receiving, table),
-                now=self._now,
-            )
+        mirrors = followed_tables.mirrors(
+            followed,
+            deployment=self._deployment,
+            store=platform.store,
+            is_store_reachable=platform.is_store_reachable,
+            peers=self._ready_peers,
+            ask=self._ask_table,
+            on_change=self._readiness.wrap,
+            now=self._now,
+        )
         config_mirror, endpoints_mirror, hosts_mirror = mirrors.values()
         self._configuration.set_read_at(lambda: config_mirror.read_at)
         self._endpoints.table.set_regained_at(lambda: endpoints_mirror.regained_at)
@@ -380,23 +372,6 @@
         hosts_mirror.add_listener(self._own_row.apply_changes)
         return mirrors
 
-    def _table_fetch(
-        self, platform: Platform, table: str, parts: list[str]
-    ) -> mirror.Fetch:
-        own = self._deployment
-        follower = table_source.Follower(
-            chooser=sources.Sources(name=own.host, region=own.region),
-            peers=self._ready_peers,
-            is_store_reachable=platform.is_store_reachable,
-            ask=self._ask_table,
-            table=table,
-            store=table_source.from_store(
-                store=platform.store, table=table, parts=parts, now=self._now
-            ),
-            now=self._now,
-        )
-        return follower.fetch
-
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
         return exchange.chain(
             [
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import gateway, mirror, rows, table_source, tables
+from dogwoodchute.gateway import followed_tables, mirror, rows, table_source, tables
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import virtual
 
@@ -15,7 +15,7 @@
 CHUNK = 16_000  # bytes that an answer sends before it yields the link to others
 BASE64 = 4 / 3  # bytes sent for each byte of a row
 PROGRESS_TIMEOUT = 1.2  # seconds
-WAIT = gateway.CONFIG_WAIT  # seconds for which the store holds a feed open
+WAIT = followed_tables.CONFIG_WAIT  # seconds for which the store holds a feed open
 TABLE = "t"
 KEY = "config"
 
--- a/dogwoodchute/tests/test_liveness.py
+++ b/dogwoodchute/tests/test_liveness.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute.coordination import watch_ring
 from dogwoodchute.gateway import (
-    gateway,
+    followed_tables,
     host_rows,
     hosts,
     liveness,
@@ -82,7 +82,7 @@
             fetch=table_source.from_store(
                 store=store, table=host_rows.TABLE, parts=host_rows.parts(), now=now
             ),
-            pause=gateway.HOSTS_PAUSE,
+            pause=followed_tables.HOSTS_PAUSE,
             wait=0.0,
             on_change=self.hosts.apply_changes,
             receiving=lambda: False,
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -26,7 +26,14 @@
 import uvloop
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import gateway, liveness, model, tables, transfer_protocol
+from dogwoodchute.gateway import (
+    gateway,
+    liveness,
+    model,
+    platform_access,
+    tables,
+    transfer_protocol,
+)
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
 METRICS_PORT = 9464  # TCP, the same as in `deploy/system.toml`
@@ -65,7 +72,7 @@
         )
         self.gateway = gateway.Gateway(
             deployment=deployment,
-            platform=gateway.Platform(
+            platform=platform_access.Platform(
                 store=store.store(self._store_client),
                 wire=egress.wire_format(),
                 decode_config=decode.config,
