Count endpoints that end together once for a part that was sound before

What callers would see: a popular prompt refused for up to two minutes after a power failure of several endpoints, each of which had just begun a request with it. Cause: ends were counted by endpoint, as if they came one after another. Change: ends within 0.25 s count once, unless no answer on the part is known. One test that had its three crashes at one instant now has them a second apart, as that is what it is about; the instant has its own test.

--- a/dogwoodchute/coordination/quarantine.py
+++ b/dogwoodchute/coordination/quarantine.py
@@ -6,6 +6,10 @@
 crash. A part of a prompt that is suspect in several crashes, and on which no answer
 came whole in between, is quarantined: requests that hold it are not sent.
 
+Endpoints that end together, as in a power failure, may all have begun requests with a
+part that many requests hold. So if answers on a part came whole before, crashes at the
+same moment count once.
+
 A crash is blamed on one part only. Of several that fit, those on which answers came
 whole before are the least likely, and of the others the last one in the prompt, as
 earlier parts are shared by more requests.
@@ -14,6 +18,7 @@
 quarantined again at once, for twice as long.
 """
 
+import math
 import typing
 from collections import abc
 
@@ -26,6 +31,7 @@
 MAX_CRASHES = 256  # that are remembered
 MAX_COMPLETIONS = 4096  # parts whose last complete answer is remembered
 MAX_PARTS = 32  # of a suspect's prompt, the last ones
+MOMENT = 0.25  # seconds; hosts see the same event that far apart
 MAX_NAME = 64  # characters of a part's name
 
 
@@ -102,6 +108,7 @@
 
     def __init__(self) -> None:
         self._crashes: dict[Crash, float] = {}  # time of each, oldest first
+        self._runs: dict[str, dict[Run, float]] = {}  # times of their ends, by part
         self._completed: dict[str, float] = {}  # latest time by part, oldest first
         self._terms: dict[str, _Term] = {}  # also ended ones, by part
 
@@ -115,8 +122,8 @@
         return self._completed.get(part)
 
     def crash_count(self, part: str) -> int:
-        """Return how many runs ended under a part since its last complete answer."""
-        return len(self._runs(part))
+        """Return the number of crashes under a part since its last complete answer."""
+        return self._count(part, leave_out=frozenset())
 
     def quarantined(self, now: float) -> list[str]:
         """Return the parts that are quarantined now."""
@@ -141,6 +148,8 @@
             return None
         self._drop_old(now)
         self._crashes[crash] = at
+        for part in crash.parts:
+            self._runs.setdefault(part, {})[crash.run] = at
         for part in crash.parts:
             term = self._terms.get(part)
             if term is None:
@@ -172,7 +181,8 @@
 
     def _culprit(self, crash: Crash) -> str | None:
         """Return the part to blame for a crash, None if no part has enough crashes."""
-        counts = {part: len(self._unexplained_runs(part)) for part in crash.parts}
+        explained = {run for part in self._terms for run in self._runs.get(part, ())}
+        counts = {part: self._count(part, leave_out=explained) for part in crash.parts}
         fitting = [part for part in crash.parts if counts[part] >= CRASHES]
         if not fitting:
             return None
@@ -181,22 +191,15 @@
         most = max(counts[part] for part in candidates)
         return [part for part in candidates if counts[part] == most][-1]
 
-    def _unexplained_runs(self, part: str) -> set[Run]:
-        """Return the runs that ended under a part, and under no quarantined one."""
-        explained = {
-            crash.run
-            for crash in self._crashes
-            if any(each in self._terms for each in crash.parts)
-        }
-        return self._runs(part) - explained
-
-    def _runs(self, part: str) -> set[Run]:
-        completed = self._completed.get(part)
-        return {
-            crash.run
-            for crash, at in self._crashes.items()
-            if part in crash.parts and (completed is None or at > completed)
-        }
+    def _count(self, part: str, *, leave_out: abc.Set[Run]) -> int:
+        """Return the number of crashes under a part, but for those of some runs."""
+        completed_at = self._completed.get(part)
+        times = [
+            at
+            for run, at in self._runs.get(part, {}).items()
+            if run not in leave_out and (completed_at is None or at > completed_at)
+        ]
+        return len(times) if completed_at is None else _moments(times)
 
     def _quarantine(self, part: str, term: _Term) -> Found:
         self._terms[part] = term
@@ -205,11 +208,30 @@
     def _drop_old(self, now: float) -> None:
         """Drop what no longer counts, and the oldest crash if there are too many."""
         for crash in [c for c, at in self._crashes.items() if now - at > MEMORY]:
-            del self._crashes[crash]
+            self._drop(crash)
         if len(self._crashes) >= MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
+            self._drop(next(iter(self._crashes)))
         for part in [p for p, at in self._completed.items() if now - at > MEMORY]:
             del self._completed[part]
         for part, term in list(self._terms.items()):
             if now - term.until > MAX_TIME:
                 del self._terms[part]
+
+    def _drop(self, crash: Crash) -> None:
+        del self._crashes[crash]
+        for part in crash.parts:
+            runs = self._runs.get(part, {})
+            runs.pop(crash.run, None)
+            if not runs:
+                self._runs.pop(part, None)
+
+
+def _moments(times: list[float]) -> int:
+    """Return the number of moments in which these times lie."""
+    count = 0
+    last = -math.inf
+    for at in sorted(times):
+        if at - last > MOMENT:
+            count += 1
+            last = at
+    return count
--- a/dogwoodchute/tests/test_crash_blame.py
+++ b/dogwoodchute/tests/test_crash_blame.py
@@ -50,6 +50,22 @@
             self.complete(SHARED)
         self.assertIsNone(self.found(SHARED))
 
+    def test_endpoints_that_end_together_blame_no_part_that_many_requests_hold(self):
+        """Guards against refusing a popular prompt after a power failure."""
+        self.complete(SHARED)
+        self.now += 1
+        for _ in range(10):
+            self.crash(SHARED)
+            self.now += quarantine.MOMENT / 10
+        self.assertIsNone(self.found(SHARED))
+
+    def test_a_part_that_became_deadly_is_blamed_all_the_same(self):
+        self.complete(DEADLY)
+        for _ in range(3):
+            self.now += 1
+            self.crash(DEADLY)
+        self.assertEqual(DEADLY, self.found(DEADLY))
+
     def test_a_part_that_sound_requests_share_is_not_blamed_with_the_deadly_one(self):
         """Guards against refusing all requests of a caller or with one first part."""
         self.complete(SHARED)
@@ -93,8 +109,15 @@
         self.assertEqual([True], self.complete("slandered"))
         self.assertIsNone(self.found("slandered"))
 
+    def test_an_answer_from_before_ends_a_quarantine_for_ends_at_one_moment(self):
+        """Another host knows that the part was sound before a power failure."""
+        for number in range(3):
+            self.crash(f"x{number}", "slandered")
+        self.assertEqual([True], self.complete("slandered", age=5.0))
+
     def test_an_answer_from_before_the_crashes_does_not_end_it(self):
         for number in range(3):
+            self.now += 1
             self.crash(f"x{number}", DEADLY)
         self.assertEqual([False], self.complete(DEADLY, age=5.0))
         self.assertEqual(DEADLY, self.found(DEADLY))
