Refuse chats under which endpoints crash in the own interface too

What callers would see: a chat that crashes engines is tried at three of them, run again for its key, and the next one with its prompt starts anew; each crash breaks off other callers' streams. Change: a filter that runs for each try blames blocks of prompts by the same rule as the gateway, for one host. A connection says whether an endpoint has ended, by one piece of code for both.

--- a/dogwoodchute/daemon.py
+++ b/dogwoodchute/daemon.py
@@ -6,6 +6,7 @@
     callers_locate,
     controller,
     drain,
+    endpoint_check,
     exchange,
     forward,
     log,
@@ -49,6 +50,7 @@
     dispatch,
     limit,
     observe,
+    quarantine,
     relay,
     reserve,
     resolve,
@@ -132,6 +134,7 @@
                 resume.make_continue(host=host, forwarder=self.forwarder),
                 limit.make(host=host, endpoints=self.endpoints),
                 choose.make(endpoints=self.endpoints),
+                quarantine.make(has_ended=endpoint_check.has_ended, now=host.now),
                 dispatch.make(forwarder=self.forwarder),
             ]
         )
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -85,6 +85,7 @@
         self.answer_tokens = 0  # events in the stream, about one for each token
         self.endpoint: catalog.Endpoint | None = None
         self.ticket: admission.AdmissionRequest | None = None  # set once admitted
+        self.answer_began = False  # the head of an answer arrived in the last try
         self.dispatched = False  # a byte may have reached an endpoint
         self.settle: Settle | None = None  # set for a claimed call
         self.settled = False  # the reservation has been replaced by a bill
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -10,7 +10,7 @@
 import typing
 from collections import abc
 
-from dogwoodchute import outcomes, sse
+from dogwoodchute import endpoint_check, outcomes, sse
 from dogwoodchute.coordination import quarantine
 from dogwoodchute.gateway import (
     calls,
@@ -207,7 +207,7 @@
             return False
         if call.progress != calls.BEGUN:
             return False
-        return await self._upstream.has_ended(endpoint)
+        return await endpoint_check.has_ended(endpoint.address)
 
     async def _send(
         self, call: calls.Call, endpoint: model.Endpoint
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -10,12 +10,11 @@
 import aiohttp
 import yarl
 
-from dogwoodchute import endpoint_connection, log, send_once
+from dogwoodchute import endpoint_connection, send_once
 from dogwoodchute.gateway import calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
-CHECK_TIMEOUT = 0.2  # seconds to connect for the question whether an endpoint ended
 CLOSE_TIMEOUT = 0.1  # seconds to write the rest of requests when this host stops
 # Seconds before the endpoint's idle timeout from which its connection is not reused.
 IDLE_MARGIN = 0.5
@@ -202,20 +201,6 @@
         connection = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, connection=connection)
 
-    async def has_ended(self, endpoint: model.Endpoint) -> bool:
-        """Return whether nothing listens at an endpoint's address."""
-        ip, _, port = endpoint.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CHECK_TIMEOUT):
-                _, writer = await asyncio.open_connection(ip, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError) as error:
-            log.info("endpoint_unclear", endpoint=endpoint.id, reason=_reason(error))
-            return False
-        writer.close()
-        return False
-
     def _is_refusal(
         self, status: int, headers: abc.Mapping[str, str], raw: list
     ) -> bool:
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -230,6 +230,7 @@
     async def _receive(
         self, response: aiohttp.ClientResponse, last_id: str | None
     ) -> _Ended | _Refused | _Broken:
+        self._exchange.answer_began = True
         if response.status != http.HTTPStatus.OK:
             if last_id is not None:
                 return _Broken(reason=failures.STREAM_LOST, resumable=False)
