--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -5,9 +5,7 @@
 if its route allows that.
 """
 
-import asyncio
 import http
-import typing
 from collections import abc
 
 from dogwoodchute import endpoint_check, outcomes, sse
@@ -15,6 +13,7 @@
 from dogwoodchute.gateway import (
     calls,
     crash_reports,
+    endpoint_waits,
     endpoints,
     failed_calls,
     model,
@@ -28,17 +27,10 @@
 PLAIN_HEAD_TIMEOUT = 0.3  # seconds to the head of an idempotent call's answer
 BODY_TIMEOUT_SHARE = 0.5  # of the time left; the rest remains for a retry
 EVENT_TIMEOUT = 1.2  # seconds between events of a resumable stream
-RETRY_CHECK_INTERVAL = 0.1  # seconds between checks whether a late call can be retried
-NO_ANSWER = "no answer in time"
-STOPPED = "a part of the prompt was quarantined"
-SILENT = "the answer went silent"
 MIN_TIME_LEFT = 0.02  # seconds to the deadline below which nothing is sent
 ANOTHER_INSTANCE = http.HTTPStatus.MISDIRECTED_REQUEST
 
 
-T = typing.TypeVar("T")
-
-
 class Dispatcher:
     """Sends this host's calls to endpoints and retries them."""
 
@@ -53,8 +45,9 @@
         self._endpoints = endpoint_table
         self._upstream = connections
         self._crashes = crashes
-        # Stops the wait for an endpoint, by call.
-        self._stops: dict[calls.Call, abc.Callable[[], None]] = {}
+        self._waits = endpoint_waits.EndpointWaits(
+            endpoint_table=endpoint_table, crashes=crashes, now=now
+        )
         self._now = now
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
@@ -81,13 +74,8 @@
                 self._crashes.record_crash(call, endpoint)
 
     def stop_quarantined(self) -> None:
-        """Stop calls with a quarantined part whose answers have not begun.
-
-        Their endpoints would crash when they begin to answer.
-        """
-        for call, stop in list(self._stops.items()):
-            if not call.answer_began and self._crashes.find(call.request.prompt):
-                stop()
+        """Stop calls with a quarantined part whose answers have not begun."""
+        self._waits.stop_quarantined()
 
     def _time_left(self, call: calls.Call) -> float:
         return call.deadline - self._now()
@@ -179,7 +167,7 @@
             return not isinstance(result, try_results.Refused)
         if isinstance(answer, upstream.NotSent):
             return False
-        silent = answer is None or answer.reason == NO_ANSWER
+        silent = answer is None or answer.reason == endpoint_waits.NO_ANSWER
         if isinstance(answer, upstream.Lost) and call.route.kind == model.STREAM:
             silent = silent or answer.silent
         if not silent:
@@ -218,8 +206,8 @@
         )
         is_stream = call.route.kind == model.STREAM
         timeout = FIRST_EVENT_TIMEOUT if is_stream else PLAIN_HEAD_TIMEOUT
-        return await self._await_or_abandon(
-            call, work, endpoint, timeout=timeout, reason=NO_ANSWER
+        return await self._waits.run(
+            call, work, endpoint, timeout=timeout, reason=endpoint_waits.NO_ANSWER
         )
 
     async def _receive(
@@ -243,7 +231,7 @@
         if succeeded and call.route.kind == model.STREAM:
             return await self._forward_stream(call, endpoint, answer, on_chunk)
         timeout = BODY_TIMEOUT_SHARE * self._time_left(call)
-        body = await self._await_or_abandon(
+        body = await self._waits.run(
             call, answer.read_body(endpoint.id), endpoint, timeout=timeout
         )
         if isinstance(body, try_results.Failure):
@@ -273,67 +261,6 @@
         elif head.bad_retry_after is not None:
             table.ignore_hold_off(endpoint, head.bad_retry_after)
 
-    async def _await_or_abandon(
-        self,
-        call: calls.Call,
-        work: abc.Awaitable[T],
-        endpoint: model.Endpoint,
-        *,
-        timeout: float,
-        reason: str = SILENT,
-    ) -> T | upstream.Lost | try_results.Abandoned:
-        """Await `work` of an endpoint until the call's deadline.
-
-        After `timeout` seconds the work is abandoned as soon as the call can be retried
-        at another endpoint; until then the endpoint is waited for. `reason` is put into
-        the failure that is returned. `stop_quarantined` may end the wait early.
-        """
-        loop = asyncio.get_running_loop()
-        abandoned = stopped = False
-
-        def stop() -> None:
-            nonlocal stopped
-            if not deadline.expired():
-                stopped = True
-                deadline.reschedule(loop.time())
-
-        def check() -> None:
-            nonlocal abandoned, check_timer
-            if deadline.expired():
-                return
-            abandoned = self._take_retry(call)
-            if abandoned:
-                deadline.reschedule(loop.time())
-                return
-            check_timer = loop.call_later(RETRY_CHECK_INTERVAL, check)
-
-        check_timer = loop.call_later(max(0.0, timeout), check)
-        try:
-            async with asyncio.timeout(max(0.001, self._time_left(call))) as deadline:
-                self._stops[call] = stop
-                return await work
-        except TimeoutError:
-            if stopped:
-                return upstream.Lost(reason=STOPPED, peer=endpoint.id, silent=True)
-            if abandoned:
-                return try_results.Abandoned(reason=reason, peer=endpoint.id)
-            return upstream.Lost(reason=reason, peer=endpoint.id)
-        finally:
-            del self._stops[call]
-            check_timer.cancel()
-
-    def _take_retry(self, call: calls.Call) -> bool:
-        """Take a retry from the budget for a call that was sent.
-
-        Returns False if the call must not be retried, no other endpoint is left, or the
-        budget is used up.
-        """
-        if not call.is_retryable or call.sends >= call.route.max_attempts:
-            return False
-        if not self._endpoints.has_untried(call):
-            return False
-        return self._endpoints.take_retry(call.service.name)
-
     async def _forward_stream(
         self,
         call: calls.Call,
@@ -351,7 +278,7 @@
             timeout = (
                 EVENT_TIMEOUT if call.first_byte_at is not None else FIRST_EVENT_TIMEOUT
             )
-            data = await self._await_or_abandon(
+            data = await self._waits.run(
                 call,
                 answer.read_chunk(endpoint.id),
                 endpoint,
@@ -414,7 +341,7 @@
 def _has_begun(answer: upstream.Answer | try_results.Failure) -> bool:
     """Return whether a byte of an answer arrived from the endpoint."""
     if isinstance(answer, upstream.Lost):
-        return answer.reason != NO_ANSWER and not answer.silent
+        return answer.reason != endpoint_waits.NO_ANSWER and not answer.silent
     return isinstance(answer, upstream.Answer)
 
 
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -329,21 +329,6 @@
 
         self.run_async(scenario())
 
-    def test_a_host_that_knows_late_who_lives_draws_as_much(self):
-        """It took itself for one that was killed, and drew for a few seconds only."""
-
-        async def scenario():
-            async with gateway_site.running(hosts_away=0.6) as site:
-                first = await site.ask("/s/stream", attempt="t0", **TOKENS)
-                self.assertEqual(200, first[0])
-                await asyncio.sleep(0.3)
-                site.faults = lambda kind: row_store.Fault(status=503)
-                await asyncio.sleep(2.2)
-                again = await site.ask("/s/stream", attempt="t1", **TOKENS)
-                self.assertEqual(200, again[0])
-
-        self.run_async(scenario())
-
     def test_a_slow_endpoint_is_waited_for_if_there_is_no_other(self):
         """Guards against breaking a stream off with no endpoint to resume at."""
 
--- a/dogwoodchute/tests/test_readiness.py
+++ b/dogwoodchute/tests/test_readiness.py
@@ -1,7 +1,12 @@
 """When a host says that it is ready."""
 
+import asyncio
+
 from dogwoodchute.gateway import readiness
-from dogwoodchute.tests import support
+from dogwoodchute.standins import row_store
+from dogwoodchute.tests import gateway_site, support, test_gateway
+
+TOKENS = test_gateway.TOKENS
 
 
 class ReadinessTest(support.TestCase):
@@ -47,3 +52,20 @@
         self.assertEqual([["row"]], received)
         self.has_needed = False
         self.assertTrue(self.readiness.check())
+
+
+class FirstDrawTest(support.TestCase):
+    def test_a_host_that_knows_late_who_lives_draws_as_much(self):
+        """It took itself for one that was killed, and drew for a few seconds only."""
+
+        async def scenario():
+            async with gateway_site.running(hosts_away=0.6) as site:
+                first = await site.ask("/s/stream", attempt="t0", **TOKENS)
+                self.assertEqual(200, first[0])
+                await asyncio.sleep(0.3)
+                site.faults = lambda kind: row_store.Fault(status=503)
+                await asyncio.sleep(2.2)
+                again = await site.ask("/s/stream", attempt="t1", **TOKENS)
+                self.assertEqual(200, again[0])
+
+        self.run_async(scenario())
