Keep odd ids and numbers out of the reports of crashes

What would happen: a caller's id of a part with a byte that is no text, or another writer's row of a host with a number beyond 64 bits, ended the gossip of each host that learned of it (UnicodeEncodeError, OverflowError), or made its datagrams unreadable to the others. Found by reading; the crash of an endpoint under such a request was needed. Change: ids that can't be reported are known by a hash; rows and datagrams with odd ones are left out whole. Besides: an answer from longer ago than is remembered doesn't count, and the end of a quarantine is logged and counted in the gauge.

--- a/dogwoodchute/coordination/quarantine.py
+++ b/dogwoodchute/coordination/quarantine.py
@@ -33,6 +33,8 @@
 MAX_PARTS = 32  # of a suspect's prompt, the last ones
 MOMENT = 0.25  # seconds; hosts see the same event that far apart
 MAX_NAME = 64  # characters of a part's name
+MAX_ENDPOINT_NAME = 200  # characters; the store's keys are no longer
+MAX_TIME_MS = 1 << 63  # Unix milliseconds
 
 
 class Run(typing.NamedTuple):
@@ -49,30 +51,6 @@
     parts: tuple[str, ...]
 
 
-def decode_crashes(plain: list) -> tuple[Crash, ...]:
-    """Return crashes that were encoded as nested lists.
-
-    Raises `TypeError`, `ValueError` or `OverflowError` if they can't be decoded.
-    """
-    return tuple(decode_crash(each) for each in plain[:MAX_CRASHES])
-
-
-def decode_crash(plain: list) -> Crash:
-    """Return a crash that was encoded as nested lists, see `decode_crashes`."""
-    (endpoint, started_at_ms), parts = plain
-    if not isinstance(parts, list) or len(parts) > MAX_PARTS:
-        raise ValueError("the parts of a crash are no list, or too many")
-    named = tuple(decode_name(part) for part in parts)
-    return Crash(Run(str(endpoint), int(started_at_ms)), named)
-
-
-def decode_name(plain: object) -> str:
-    """Return the name of a part; raise `ValueError` if it is none."""
-    if not isinstance(plain, str) or len(plain) > MAX_NAME:
-        raise ValueError("the name of a part is no text, or too long")
-    return plain
-
-
 class Found(typing.NamedTuple):
     """A quarantined part."""
 
@@ -92,14 +70,48 @@
 def names(ids: abc.Sequence[str]) -> tuple[str, ...]:
     """Return the names by which the parts of a prompt are known here.
 
-    An id that is too long to be reported is known by its hash.
+    An id that can't be reported as it is, is known by its hash.
     """
     return tuple(
-        id if len(id) <= MAX_NAME else f"{hashing.digest(id):016x}"
+        id if _is_name(id, MAX_NAME) else f"{hashing.digest(ascii(id)):016x}"
         for id in ids[-MAX_PARTS:]
     )
 
 
+def decode_crashes(plain: list) -> tuple[Crash, ...]:
+    """Return crashes that were encoded as nested lists.
+
+    Raises `TypeError` or `ValueError` if they can't be decoded.
+    """
+    return tuple(decode_crash(each) for each in plain[:MAX_CRASHES])
+
+
+def decode_crash(plain: list) -> Crash:
+    """Return a crash that was encoded as nested lists, see `decode_crashes`."""
+    (endpoint, started_at_ms), parts = plain
+    if not _is_name(endpoint, MAX_ENDPOINT_NAME):
+        raise ValueError("a bad id of an endpoint")
+    if not isinstance(started_at_ms, int) or not 0 <= started_at_ms < MAX_TIME_MS:
+        raise ValueError("a bad time of start")
+    if not isinstance(parts, list) or len(parts) > MAX_PARTS:
+        raise ValueError("the parts of a crash are no list, or too many")
+    named = tuple(decode_name(part) for part in parts)
+    return Crash(Run(endpoint, started_at_ms), named)
+
+
+def decode_name(plain: object) -> str:
+    """Return the name of a part; raise `ValueError` if it is none."""
+    if not _is_name(plain, MAX_NAME):
+        raise ValueError("a bad name of a part")
+    return plain
+
+
+def _is_name(plain: object, max_length: int) -> bool:
+    """Return whether this is a text that each host can report and log."""
+    is_text = isinstance(plain, str) and len(plain) <= max_length
+    return is_text and plain.isprintable()
+
+
 class Quarantine:
     """The crashes and complete answers that one host knows of.
 
--- a/dogwoodchute/gateway/crash_reports.py
+++ b/dogwoodchute/gateway/crash_reports.py
@@ -18,8 +18,8 @@
 # Seconds for which each crash is reported in datagrams: two hops, each tried several
 # times.
 REPORT_SECONDS = 5.0
-MAX_CRASHES = 8  # in one datagram
-MAX_COMPLETIONS = 32  # in one datagram
+MAX_REPORTED_CRASHES = 8  # in one datagram
+MAX_REPORTED_COMPLETIONS = 32  # in one datagram
 MAX_ROW_CRASHES = 16  # in this host's row
 # Crashes under a part from which on they are written to rows. A single one mostly has
 # another cause.
@@ -66,16 +66,16 @@
 def decode(plain: list) -> Report:
     """Return a report that was encoded as nested lists.
 
-    Raises `TypeError`, `ValueError` or `OverflowError` if it can't be decoded.
+    Raises `TypeError` or `ValueError` if it can't be decoded.
     """
     crashed, completed = plain
     crashes = [
         ReportedCrash(quarantine.decode_crash(crash), _decode_age(age))
-        for crash, age in crashed[:MAX_CRASHES]
+        for crash, age in crashed[:MAX_REPORTED_CRASHES]
     ]
     completions = [
         ReportedCompletion(quarantine.decode_name(part), _decode_age(age))
-        for part, age in completed[:MAX_COMPLETIONS]
+        for part, age in completed[:MAX_REPORTED_COMPLETIONS]
     ]
     return Report(tuple(crashes), tuple(completions))
 
@@ -102,6 +102,7 @@
         # Monotonic seconds until which a crash is reported in datagrams.
         self._reported_until: dict[quarantine.Crash, float] = {}
         self._own: set[quarantine.Crash] = set()  # that this host saw itself
+        self._quarantined: set[str] = set()  # parts, as last logged
 
     def find(self, prompt: model.Prompt | None) -> quarantine.Found | None:
         """Return the quarantined part of a prompt, None if there is none."""
@@ -136,11 +137,12 @@
         """Return what to tell other hosts in a datagram now."""
         now = self._now()
         self._drop_old(now)
+        self._note_ended(now)
         if not self._reported_until:
             return Report()
         times = self._quarantine.crashes
         latest = sorted(self._reported_until, key=times.get, reverse=True)
-        crashes = latest[:MAX_CRASHES]
+        crashes = latest[:MAX_REPORTED_CRASHES]
         parts = dict.fromkeys(part for crash in crashes for part in crash.parts)
         completions = []
         for part in parts:
@@ -149,14 +151,15 @@
                 completions.append(ReportedCompletion(part, now - at))
         return Report(
             tuple(ReportedCrash(crash, now - times[crash]) for crash in crashes),
-            tuple(completions[:MAX_COMPLETIONS]),
+            tuple(completions[:MAX_REPORTED_COMPLETIONS]),
         )
 
     def learn(self, report: Report) -> None:
         """Take in what another host told."""
         now = self._now()
         for completion in report.completions:
-            self._complete(completion.part, now - completion.age)
+            if completion.age <= quarantine.MEMORY:
+                self._complete(completion.part, now - completion.age)
         for reported in report.crashes:
             self._add(reported.crash, now - reported.age, DATAGRAM)
 
@@ -203,8 +206,9 @@
                 crashes=found.crashes,
                 seconds=f"{found.seconds:.0f}",
             )
+            self._quarantined.add(found.part)
+            quarantined_parts.set(len(self._quarantined))
             self._on_quarantine()
-        self._update_gauge(now)
 
     def _report_again(self, part: str, now: float) -> None:
         """Report all crashes under a quarantined part, as some host sent it on.
@@ -218,10 +222,15 @@
     def _complete(self, part: str, at: float) -> None:
         if self._quarantine.record_completion(part, at):
             log.warning("part_cleared", part=part)
-            self._update_gauge(self._now())
 
-    def _update_gauge(self, now: float) -> None:
-        quarantined_parts.set(len(self._quarantine.quarantined(now)))
+    def _note_ended(self, now: float) -> None:
+        """Log and count the quarantines that have ended."""
+        if not self._quarantined:
+            return
+        for part in self._quarantined - set(self._quarantine.quarantined(now)):
+            log.info("quarantine_ended", part=part)
+            self._quarantined.discard(part)
+        quarantined_parts.set(len(self._quarantined))
 
     def _drop_old(self, now: float) -> None:
         known = self._quarantine.crashes
--- a/dogwoodchute/tests/test_crash_reports.py
+++ b/dogwoodchute/tests/test_crash_reports.py
@@ -1,7 +1,7 @@
 """How hosts learn of crashes that other hosts saw."""
 
 from dogwoodchute.coordination import quarantine
-from dogwoodchute.gateway import calls, crash_reports, host_rows, model
+from dogwoodchute.gateway import calls, crash_reports, gossip, host_rows, model
 from dogwoodchute.tests import support, test_hosts, test_load_groups
 
 # Seconds in which all hosts must know of a deadly part, on the smallest sites.
@@ -14,6 +14,11 @@
     return model.Prompt(10 * len(parts) + 10, 8, (*parts, model.Part(own, 10)))
 
 
+def gauge():
+    (metric,) = crash_reports.quarantined_parts.collect()
+    return metric.samples[0].value
+
+
 def record_crash(reports, name, *parts):
     """Let a host see an endpoint end under a request with these parts."""
     request = calls.Request(
@@ -136,9 +141,39 @@
     def test_reports_are_bounded(self):
         for number in range(40):
             record_crash(self.first, f"e{number}", DEADLY, model.Part(f"x{number}", 1))
-        self.assertEqual(crash_reports.MAX_CRASHES, len(self.first.report().crashes))
+        self.assertEqual(
+            crash_reports.MAX_REPORTED_CRASHES, len(self.first.report().crashes)
+        )
         self.assertEqual(crash_reports.MAX_ROW_CRASHES, len(self.first.for_row()))
 
+    def test_odd_ids_of_parts_are_reported_and_told_apart(self):
+        """Guards against datagrams that other hosts can't read."""
+        odd = [model.Part(id, 1) for id in ("a\xa0", "a\x85", "\udcff", "p" * 200)]
+        for number in range(3):
+            record_crash(self.first, f"e{number}", odd[number], odd[3])
+        data = gossip.encode(
+            gossip.LoadReport("h", 1, 0, 0, 1, 0.0, {}, (), self.first.report())
+        )
+        self.second.learn(gossip.decode(data).crashes)
+        self.assertIsNotNone(self.second.find(prompt(odd[3])))
+        for part in odd[:3]:
+            self.assertIsNone(self.second.find(prompt(part)))
+
+    def test_the_gauge_falls_when_a_quarantine_ends(self):
+        for number in range(3):
+            record_crash(self.first, f"e{number}", DEADLY)
+        self.assertEqual(1, gauge())
+        self.now += quarantine.BASE_TIME + 1
+        self.first.report()
+        self.assertEqual(0, gauge())
+
+    def test_a_completion_from_long_ago_does_not_count(self):
+        old = crash_reports.ReportedCompletion(DEADLY.id, 2 * quarantine.MEMORY)
+        self.first.learn(crash_reports.Report((), (old,)))
+        for number in range(3):
+            record_crash(self.first, f"e{number}", DEADLY)
+        self.assertIsNotNone(self.first.find(prompt(DEADLY)))
+
     def test_a_request_without_shared_parts_blames_nothing(self):
         for number in range(5):
             record_crash(self.first, f"e{number}")
@@ -161,6 +196,20 @@
         self.assertNotIn(b"crashes", value)
 
     def test_odd_crashes_are_refused(self):
-        for odd in (7, "x", [7], [[["e1"], ["p"]]], [[["e1", 1], "p"]]):
+        for odd in (
+            7,
+            "x",
+            [7],
+            [[["e1"], ["p"]]],
+            [[["e1", 1], "p"]],
+            [[["e1", 10**30], ["p"]]],  # no datagram can hold it
+            [[["e1", -1], ["p"]]],
+            [[["e1", float("inf")], ["p"]]],
+            [[["e1", "1"], ["p"]]],
+            [[["e" * 300, 1], ["p"]]],
+            [[[["e1"], 1], ["p"]]],
+            [[["e1", 1], ["\ud800"]]],
+            [[["e1\n", 1], ["p"]]],
+        ):
             value = host_rows.encode(self.host._replace(crashes=odd))
             self.assertRaises((TypeError, ValueError), host_rows.decode, "h", value)
