Leave out rows of hosts whose key or names can't be hashed or sent on

What would happen: one row of another writer in the table of hosts, with a lone surrogate in its key or a name, ended the gossip and the ranking of hosts on every host that read it (UnicodeEncodeError in load_groups.plan and ranking.score; shown by calls before the change). Change: one check of names and ports, coordination/texts.py, for endpoints, hosts, settings and reports of crashes; it stood in three modules. Result: the new tests fail before (the row was decoded), and pass.

--- a/dogwoodchute/coordination/quarantine.py
+++ b/dogwoodchute/coordination/quarantine.py
@@ -22,7 +22,7 @@
 import typing
 from collections import abc
 
-from dogwoodchute.coordination import hashing
+from dogwoodchute.coordination import hashing, texts
 
 CRASHES = 3  # under a part, until it is quarantined
 MEMORY = 120.0  # seconds for which crashes and complete answers count
@@ -33,7 +33,6 @@
 MAX_PARTS = 32  # of a suspect's prompt, the last ones
 MOMENT = 0.25  # seconds; hosts see the same event that far apart
 MAX_NAME = 64  # characters of a part's name
-MAX_ENDPOINT_NAME = 200  # characters; the store's keys are no longer
 MAX_TIME_MS = 1 << 63  # Unix milliseconds
 
 
@@ -73,7 +72,9 @@
     An id that can't be reported as it is, is known by its hash.
     """
     return tuple(
-        id if _is_name(id, MAX_NAME) else f"{hashing.digest(ascii(id)):016x}"
+        id
+        if texts.is_name(id, max_length=MAX_NAME)
+        else f"{hashing.digest(ascii(id)):016x}"
         for id in ids[-MAX_PARTS:]
     )
 
@@ -89,7 +90,7 @@
 def decode_crash(plain: list) -> Crash:
     """Return a crash that was encoded as nested lists, see `decode_crashes`."""
     (endpoint, started_at_ms), parts = plain
-    if not _is_name(endpoint, MAX_ENDPOINT_NAME):
+    if not texts.is_name(endpoint):
         raise ValueError("a bad id of an endpoint")
     if not isinstance(started_at_ms, int) or not 0 <= started_at_ms < MAX_TIME_MS:
         raise ValueError("a bad time of start")
@@ -101,17 +102,11 @@
 
 def decode_name(plain: object) -> str:
     """Return the name of a part; raise `ValueError` if it is none."""
-    if not _is_name(plain, MAX_NAME):
+    if not texts.is_name(plain, max_length=MAX_NAME):
         raise ValueError("a bad name of a part")
     return plain
 
 
-def _is_name(plain: object, max_length: int) -> bool:
-    """Return whether this is a text that each host can report and log."""
-    is_text = isinstance(plain, str) and len(plain) <= max_length
-    return is_text and plain.isprintable()
-
-
 class Quarantine:
     """The crashes and complete answers that one host knows of.
 
--- a/dogwoodchute/gateway/host_rows.py
+++ b/dogwoodchute/gateway/host_rows.py
@@ -9,11 +9,10 @@
 import typing
 
 from dogwoodchute import bounded_json
-from dogwoodchute.coordination import hashing, quarantine
+from dogwoodchute.coordination import hashing, quarantine, texts
 
 TABLE = "hosts"
 PARTS = 12  # so that a start of all hosts at once stays below the rate of each
-MAX_PORT = 65535
 STARTING = "starting"
 READY = "ready"
 LEAVING = "leaving"
@@ -71,15 +70,15 @@
     Raises `KeyError`, `TypeError` or `ValueError` if it can't be decoded.
     """
     fields = bounded_json.load_object(value)
-    texts = {field: fields[field] for field in TEXTS}
-    if not all(isinstance(text, str) for text in texts.values()):
-        raise TypeError("a field is no text")
-    if texts["state"] not in STATES:
-        raise ValueError(f"unknown state {texts['state']!r}")
+    described = {field: fields[field] for field in TEXTS}
+    if not all(map(texts.is_name, (incarnation, *described.values()))):
+        raise ValueError("the key or a field is no name")
+    if described["state"] not in STATES:
+        raise ValueError(f"unknown state {described['state']!r}")
     for field in ADDRESSES:
-        port = texts[field].rpartition(":")[2]
-        if not (port.isascii() and port.isdecimal() and int(port) <= MAX_PORT):
-            raise ValueError(f"bad address {texts[field]!r}")
+        # A host that listens on a port that the system chose writes 0.
+        if not texts.is_port(described[field].rpartition(":")[2], least=0):
+            raise ValueError(f"bad address {described[field]!r}")
     link = float(fields["link_mbps"])
     if link <= 0:
         raise ValueError(f"a link of {link} Mbit/s")
@@ -89,5 +88,5 @@
         registered=int(fields["registered"]),
         began=float(fields.get("began", math.inf)),
         crashes=quarantine.decode_crashes(fields.get("crashes", [])),
-        **texts,
+        **described,
     )
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -9,11 +9,10 @@
 import pathlib
 import tomllib
 
+from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import model
 from dogwoodchute.platform import names
 
-MAX_PORT = 65535
-
 
 class SettingsError(Exception):
     """The settings file can't be used."""
@@ -69,7 +68,7 @@
     regions = {str(k): str(v) for k, v in plain.get("zones", {}).items()}
     region = str(plain.get("region") or regions[zone])
     first_port, last_port = (int(port) for port in plain["portRange"])
-    if not 0 < first_port < last_port <= MAX_PORT:
+    if not 0 < first_port < last_port <= texts.MAX_PORT:
         raise ValueError("portRange has no two ports for datagrams")
     return model.Deployment(
         host=str(plain["node"]),
--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -7,6 +7,7 @@
 import math
 
 from dogwoodchute import bounded_json
+from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import model
 
 KINDS = {
@@ -15,8 +16,6 @@
     "streaming": model.STREAM,
 }
 STATES = {"ready": model.READY, "draining": model.DRAINING}
-MAX_TEXT = 200  # characters of a name, as of a row's key
-MAX_PORT = 65535
 MAX_SLOTS = 1_000_000  # of one endpoint
 MAX_COUNT = 10**15  # of tokens, weights and other counts
 MAX_MILLISECONDS = 86_400_000  # a day
@@ -38,10 +37,10 @@
 def endpoint(name: str, value: bytes) -> model.Endpoint:
     """Return the endpoint that registered itself under `name`, from its row."""
     plain = _object(value)
-    if not _is_name(name):
+    if not texts.is_name(name):
         raise FormatError("the key is no name")
     for field in ("service", "address", "zone", "state"):
-        if not _is_name(plain.get(field)):
+        if not texts.is_name(plain.get(field)):
             raise FormatError(f"{field} is missing or no name")
     if plain["state"] not in STATES:
         raise FormatError(f"unknown state {plain['state']!r}")
@@ -64,11 +63,6 @@
         raise FormatError(str(error)) from error
 
 
-def _is_name(value: object) -> bool:
-    """Return whether `value` is a text that may be a header's value or be logged."""
-    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT and value.isprintable()
-
-
 def _address(text: str) -> str:
     """Return an address of IP number and port; raise `FormatError` if it is none."""
     ip, _, port = text.rpartition(":")
@@ -78,10 +72,8 @@
         raise FormatError(f"bad address {text!r}") from error
     if number.is_unspecified or number.is_multicast:
         raise FormatError(f"address {text!r} is no endpoint's")
-    if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
+    if not texts.is_port(port):
         raise FormatError(f"bad port in {text!r}")
-    if not 0 < int(port) <= MAX_PORT:
-        raise FormatError(f"port out of range in {text!r}")
     return text
 
 
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -195,6 +195,23 @@
     return bytes(data)
 
 
+class OddHostTest(support.TestCase):
+    """A row of a host that names what can't be hashed or sent on."""
+
+    def check(self, key, value):
+        reader = row_reader.RowReader(table=host_rows.TABLE, decode=host_rows.decode)
+        self.assertIsNone(reader.read(rows.Row(key, value, 1)))
+
+    def test_keys(self):
+        value = host_rows.encode(test_hosts.make_host("h9-a"))
+        for key in ("h9-\ud800", "h9\n", "h" * 300, ""):
+            self.check(key, value)
+
+    def test_names(self):
+        for name in ("\ud800", "h9\n", "h" * 300, ""):
+            self.check("h9-a", host_rows.encode(test_hosts.make_host("h9", name=name)))
+
+
 HOST = test_hosts.make_host("h2-a", registered=7)
 HOLDING = b"[9000,100,200,3,12.5,4.0,7,50,0]"
 FUZZED = [
