--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -29,7 +29,6 @@
 # Seconds for which each is reported: two hops, each tried several times.
 DEPARTURE_SECONDS = 5.0
 
-NO_NEWS = ((), crash_reports.Report())
 Load = dict[str, tuple[int, int]]  # requests and waiting prompt tokens by endpoint
 
 
@@ -168,13 +167,21 @@
         self._round += 1
         plan = self._plan
         own_load = self._load()
-        news = (self._recent_departures(), self._crashes.report())
-        has_news = news != NO_NEWS
+        departures, crashes = self._recent_departures(), self._crashes.report()
+        has_news = bool(departures) or crashes != crash_reports.Report()
         if own_load or has_news or not self._was_empty_in_group:
-            self._send_to(
-                LoadReport(self._id, self._round, 0, 0, 1, 0.0, own_load, *news),
-                plan.group_peers,
+            report = LoadReport(
+                sender=self._id,
+                sequence=self._round,
+                group_count=0,
+                group=0,
+                host_count=1,
+                age=0.0,
+                load=own_load,
+                departures=departures,
+                crashes=crashes,
             )
+            self._send_to(report, plan.group_peers)
         self._was_empty_in_group = not own_load
         if not plan.outside_peers:
             return
@@ -189,8 +196,8 @@
             host_count=1 + len(received),
             age=sum(now - each.received_at for each in received) / (1 + len(received)),
             load=group_load,
-            departures=news[0],
-            crashes=news[1],
+            departures=departures,
+            crashes=crashes,
         )
         if group_load or has_news or not self._was_empty_outside:
             self._send_to(report, plan.outside_peers)
@@ -291,11 +298,11 @@
         version, *fields = msgpack.unpackb(data)
         if version != FORMAT:
             return None
-        sender, sequence, group_count, group, host_count, age, plain, *news = fields
-        load = {str(k): (int(n), int(t)) for k, (n, t) in plain.items()}
+        sender, sequence, group_count, group, host_count, age, *content = fields
+        plain_load, departed, crashed = content
+        load = {str(k): (int(n), int(t)) for k, (n, t) in plain_load.items()}
         if not 0 <= age <= MAX_REPORTED_AGE:
             return None
-        departed, crashed = news
         departures = [
             endpoint_table.Departure(str(endpoint), int(started_at_ms), float(seconds))
             for endpoint, started_at_ms, seconds in departed[:MAX_DEPARTURES]
