--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -10,7 +10,8 @@
 import typing
 
 from dogwoodchute.coordination import load_groups, placement
-from dogwoodchute.gateway import calls, endpoints, gossip, model
+from dogwoodchute.gateway import endpoints, gossip, model
+from dogwoodchute.tests import gateway_calls
 
 SERVICE = "engines"
 PREFILL_RATE = 49_600.0  # prompt tokens that an engine processes per second
@@ -208,19 +209,7 @@
 
     def _call(self, parts):
         tokens = sum(part.tokens for part in parts)
-        request = calls.Request(
-            attempt_id="a",
-            host="",
-            method="POST",
-            path="/",
-            query="",
-            headers=(),
-            body=b"",
-            key=None,
-            wait=None,
-            prompt=model.Prompt(tokens, 120, parts),
-            last_event_id=None,
-        )
-        call = calls.Call(request=request, reply=None, received=self._now)
+        prompt = model.Prompt(tokens, 120, parts)
+        call = gateway_calls.call(received=self._now, prompt=prompt)
         call.service = self._service
         return call
--- a/dogwoodchute/tests/test_crash_reports.py
+++ b/dogwoodchute/tests/test_crash_reports.py
@@ -1,8 +1,8 @@
 """How hosts learn of crashes that other hosts saw."""
 
 from dogwoodchute.coordination import quarantine
-from dogwoodchute.gateway import calls, crash_reports, gossip, host_rows, model
-from dogwoodchute.tests import support, test_hosts, test_load_groups
+from dogwoodchute.gateway import crash_reports, gossip, host_rows, model
+from dogwoodchute.tests import gateway_calls, support, test_hosts, test_load_groups
 
 # Seconds in which all hosts must know of a deadly part, on the smallest sites.
 BOUND = 3.0
@@ -21,20 +21,7 @@
 
 def record_crash(reports, name, *parts):
     """Let a host see an endpoint end under a request with these parts."""
-    request = calls.Request(
-        attempt_id=f"a-{name}",
-        host="site.example",
-        method="POST",
-        path="/",
-        query="",
-        headers=(),
-        body=b"",
-        key=None,
-        wait=None,
-        prompt=prompt(*parts),
-        last_event_id=None,
-    )
-    call = calls.Call(request=request, reply=None, received=0.0)
+    call = gateway_calls.call(attempt_id=f"a-{name}", prompt=prompt(*parts))
     endpoint = model.Endpoint(name, "engines", "10.0.0.1:80", "z1", model.READY, 8, 7)
     reports.record_crash(call, endpoint)
 
--- a/dogwoodchute/tests/test_gateway_filters.py
+++ b/dogwoodchute/tests/test_gateway_filters.py
@@ -4,22 +4,9 @@
 from unittest import mock
 
 from dogwoodchute import log, outcomes
-from dogwoodchute.gateway import calls, filters, model, observe
-from dogwoodchute.tests import support
-
-REQUEST = calls.Request(
-    attempt_id="a1",
-    host="site.example",
-    method="POST",
-    path="/s/stream",
-    query="",
-    headers=(),
-    body=b"",
-    key=None,
-    wait=None,
-    prompt=None,
-    last_event_id=None,
-)
+from dogwoodchute.gateway import filters, model, observe
+from dogwoodchute.tests import gateway_calls, support
+
 ROUTE = model.Route(
     "r", "h", "/", model.IDEMPOTENT, 30.0, 0.5, 0, (("s", 1),), 1, True, False
 )
@@ -35,7 +22,7 @@
 class FinishTest(support.TestCase):
     def end(self, *, deadline, closing, kind, resumable):
         """Return the outcome of a request with this deadline."""
-        call = calls.Call(request=REQUEST, reply=None, received=0.0)
+        call = gateway_calls.call(received=0.0)
         call.deadline = deadline
         call.route = ROUTE._replace(kind=kind, resumable=resumable)
 
@@ -78,7 +65,7 @@
 class ObserveTest(support.TestCase):
     def age(self, read_at):
         """Return the logged age of the configuration for a request that ends at 9 s."""
-        call = calls.Call(request=REQUEST, reply=None, received=8.0)
+        call = gateway_calls.call(received=8.0)
 
         async def proceed():
             return ANSWERED
