--- a/dogwoodchute/filters/quarantine.py
+++ b/dogwoodchute/filters/quarantine.py
@@ -37,11 +37,11 @@
         if isinstance(outcome, outcomes.Answered):
             for block in blocks:
                 known.record_completion(block, now())
-        elif blocks and await _has_crashed(exchange, outcome):
+        elif blocks and await has_crashed(exchange, outcome):
             record_crash(exchange, blocks)
         return outcome
 
-    async def _has_crashed(
+    async def has_crashed(
         exchange: exchanges.Exchange, outcome: outcomes.NotRun | outcomes.Unknown
     ) -> bool:
         """Return whether the endpoint ended just as it began to answer."""
