--- a/review/2/case.py
+++ b/review/2/case.py
@@ -87,10 +87,11 @@
         while time.monotonic() < end and refused < 5:
             count += 1
             attempt = f"c{number}-{count}"
+            parts = f"{count % 50:08x}:1200,{number}{count:07x}:260"
             headers = {
                 "X-Dogwoodchute-Model": "m",
                 "X-Dogwoodchute-Token-Count": f"{INPUT},{EVENTS * TOKENS_PER_EVENT}",
-                "X-Dogwoodchute-Prompt-Prefix": f"{count % 50:08x}:1200,{number}{count:07x}:260",
+                "X-Dogwoodchute-Prompt-Prefix": parts,
             }
             answer = await channel.ask(
                 "/summary/x", attempt=attempt, deadline_ms=6000, headers=headers
--- a/review/common/site_process.py
+++ b/review/common/site_process.py
@@ -243,6 +243,82 @@
         await request.writer.drain()
 
 
+class Proxy:
+    """Passes channels on to an address, until they are made silent."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._target = ""
+        self._silences: list[asyncio.Event] = []
+        self._listener: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, target: str) -> None:
+        """Listen at a free port; pass channels on to `target`."""
+        self._target = target
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def silence(self) -> int:
+        """Make all open channels silent for good; return how many there are.
+
+        They stay open and are not reset. New ones work.
+        """
+        silences, self._silences = self._silences, []
+        for each in silences:
+            each.set()
+        return len(silences)
+
+    async def stop(self) -> None:
+        """Stop listening and reset all channels."""
+        if self._listener is not None:
+            self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        silence = asyncio.Event()
+        self._silences.append(silence)
+        ip, _, port = self._target.rpartition(":")
+        try:
+            to_reader, to_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, to_writer}
+        ways = [
+            asyncio.create_task(self._pass_on(reader, to_writer, silence)),
+            asyncio.create_task(self._pass_on(to_reader, writer, silence)),
+        ]
+        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        if silence in self._silences:
+            self._silences.remove(silence)
+            for each in (writer, to_writer):
+                each.close()
+                self._writers.discard(each)
+            for each in ways:
+                each.cancel()
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        silence: asyncio.Event,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                if silence.is_set():
+                    # Nothing that comes from now on arrives, its end neither.
+                    await asyncio.Event().wait()
+                writer.write(data)
+                await writer.drain()
+        if silence.is_set():
+            await asyncio.Event().wait()
+
+
 class Host:
     """One host's process."""
 
@@ -390,6 +466,7 @@
         self.faults: abc.Callable[[str], row_store.Fault] = lambda kind: (
             row_store.NO_FAULT
         )
+        self.store_proxy = Proxy()
         self._listener: server.Server | None = None
         self._beats: asyncio.Task | None = None
         self._sequence = 0
@@ -412,6 +489,7 @@
             self._listener.app, self.store, faults=lambda kind: self.faults(kind)
         )
         await self._listener.start("127.0.0.1", 0)
+        await self.store_proxy.start(f"127.0.0.1:{self._listener.port}")
         for each in self.servers:
             await each.start()
         self.put("op", "config", self.config)
@@ -442,7 +520,7 @@
                 ip=ip,
                 ports=ports,
                 seeds=seeds,
-                store=f"127.0.0.1:{self._listener.port}",
+                store=self.store_proxy.address,
             )
             host.settings.write_text(text, encoding="utf-8")
             self.hosts.append(host)
@@ -470,6 +548,7 @@
             await host.process.wait()
         for each in self.servers:
             await each.stop()
+        await self.store_proxy.stop()
         if self._listener is not None:
             await self._listener.stop()
 
