--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,98 +1,110 @@
-"""A stream is cut in a planned stop since its server was silent for a moment."""
+"""A withdrawn key is used on, as hosts hold on to silent channels to the store."""
 
 import asyncio
 import pathlib
-import signal
 import sys
+import time
 
 import site_process as sites
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+WITHDRAWN = "key-of-bob"
+CHANGE_AFTER = 0.3  # seconds from the silence to the change
+CONTACT = 3.0  # seconds, `contactMs`
+CONFIG_APPLY = 2.5  # seconds, `configApplyMs`
+INTERVAL = 0.1  # seconds between requests to a host
+CALM = 15.0  # seconds before the silence
+WATCH = 20.0  # seconds after the change
 
-EVENTS = 60
-EVENT_PAUSE = 0.02  # seconds between events
-PREEMPTED_AFTER = 30  # events
-PREEMPTED_FOR = 1.6  # seconds; clients bear 3.2 s, four times the objective
-STREAMS = 3
-DEADLINE_MS = 10000
-STOP_AFTER = 0.3  # seconds from the requests to SIGTERM
-TOKENS = "1460,240"
 
-
-class Engines:
-    """Two model servers. The one that got no stream is full from then on."""
+class Orders:
+    """Servers that record which requests ran."""
 
     def __init__(self) -> None:
-        self.with_preemption = False
-        self.record: sites.Record | None = None
-        self._busy: sites.Server | None = None
+        self.ran: set[str] = set()
 
     async def work(self, server: sites.Server, request: sites.Request) -> None:
-        """Run a stream, or refuse it as the server is full."""
-        if self._busy is None:
-            self._busy = server
-        if self._busy is not server:
-            self.record.write(f"{request.attempt} reaches {server.id}, which is full")
-            await server.answer(request, 503, b"full", not_run=True)
-            return
-        self.record.write(f"{request.attempt} runs at {server.id}")
-        await server.begin_stream(request)
-        for number in range(1, EVENTS + 1):
-            if self.with_preemption and number == PREEMPTED_AFTER:
-                self.record.write(f"{request.attempt} is preempted, to be read again")
-                await asyncio.sleep(PREEMPTED_FOR)
-            piece = f"id: {number}\ndata: text {number}\n\n".encode()
-            await server.send_piece(request, piece)
-            await asyncio.sleep(EVENT_PAUSE)
-        await server.end_stream(request)
-        self.record.write(f"{request.attempt} ends whole at {server.id}")
-
-
-ENGINES = Engines()
+        """Run an order."""
+        self.ran.add(request.attempt)
+        await server.answer(request, 200, b"placed")
+
+
+ORDERS = Orders()
+
+
+def config(version: int, *, with_bob: bool) -> dict:
+    """Return the desired state."""
+    order = sites.route("order", "/order/", "non_idempotent", "orders", timeoutMs=800)
+    state = sites.config([order], version=version)
+    if with_bob:
+        bob = {"name": "bob", "apiKeys": [WITHDRAWN], "prepaid": 10**9}
+        state["tenants"].append(bob)
+    return state
 
 
 def make(record: sites.Record) -> sites.Site:
     """Return the deployment."""
-    ENGINES.record = record
-    engines = [
-        sites.Server(id=f"i-engine-{n}", service="llm", work=ENGINES.work)
-        for n in (1, 2)
+    servers = [
+        sites.Server(id=f"i-order-{n}", service="orders", work=ORDERS.work, slots=6)
+        for n in (1, 2, 3)
     ]
-    quote = sites.route(
-        "quote", "/quote/", "streaming", "llm", resumable=True, maxAttempts=2
-    )
-    return sites.Site(record=record, config=sites.config([quote]), servers=engines)
+    return sites.Site(record=record, config=config(1, with_bob=True), servers=servers)
 
 
 async def play(site: sites.Site, with_trouble: bool) -> bool:
-    """Stop a host while streams run; return whether all ended complete."""
-    ENGINES.with_preemption = with_trouble
-    host = site.hosts[0]
-    await asyncio.sleep(3.5)  # in touch: contactMs without an impairment
-
-    async def ask(number: int) -> bool:
-        attempt = f"quote-{number}"
-        headers = {
-            "X-Dogwoodchute-Model": "m",
-            "X-Dogwoodchute-Token-Count": TOKENS,
-            "X-Dogwoodchute-Prompt-Prefix": f"5c1e07a2:1200,{number:08x}:260",
-        }
+    """Withdraw a key; return whether it is refused in time."""
+    began = time.monotonic()
+    bound = float("inf")
+    broken: list[str] = []
+    last_run: dict[str, float] = {}  # seconds from the acknowledgement
+    acknowledged = 0.0
+
+    async def client(host: sites.Host, key: str, name: str) -> None:
         channel = sites.Channel(host)
-        answer = await channel.ask(
-            "/quote/x", attempt=attempt, deadline_ms=DEADLINE_MS, headers=headers
-        )
-        site.record.write(
-            f"client of {attempt}: status {answer.status}, {len(answer.ids)} of "
-            f"{EVENTS} events, complete {answer.complete}, {answer.seconds:.2f} s"
-        )
-        channel.close()
-        return answer.complete and answer.ids == list(range(1, EVENTS + 1))
-
-    asked = [asyncio.create_task(ask(number)) for number in range(STREAMS)]
-    await asyncio.sleep(STOP_AFTER)
-    site.record.write(f"SIGTERM to {host.name}")
-    host.signal(signal.SIGTERM)
-    return all(await asyncio.gather(*asked))
+        count = 0
+        while time.monotonic() < began + CALM + CHANGE_AFTER + WATCH:
+            count += 1
+            attempt = f"{name}-{host.name[-1]}-{count}"
+            sent = time.monotonic()
+            answer = await channel.ask(
+                "/order/x",
+                attempt=attempt,
+                deadline_ms=800,
+                headers={"X-Dogwoodchute-Credential": key},
+            )
+            if key == WITHDRAWN and attempt in ORDERS.ran and acknowledged:
+                last_run[host.name] = sent - acknowledged
+                if sent > bound:
+                    broken.append(attempt)
+                    site.record.write(
+                        f"{attempt} sent {sent - acknowledged:.2f} s after the "
+                        f"acknowledgement ran with the withdrawn key: {answer.status}"
+                    )
+            await asyncio.sleep(INTERVAL)
+
+    clients = [
+        asyncio.create_task(client(host, key, name))
+        for host in site.hosts
+        for key, name in ((WITHDRAWN, "bob"), (sites.KEY, "ann"))
+    ]
+    await asyncio.sleep(CALM)
+    silent_at = time.monotonic()
+    if with_trouble:
+        count = site.store_proxy.silence()
+        site.record.write(f"{count} open channels to the store go silent for good")
+    await asyncio.sleep(CHANGE_AFTER)
+    site.put("op", "config", config(2, with_bob=False))
+    acknowledged = time.monotonic()
+    bound = max(acknowledged + CONFIG_APPLY, silent_at + CONTACT)
+    site.record.write(
+        f"version 2, without the key, is acknowledged; from {bound - acknowledged:.2f} "
+        f"s on the key must be refused"
+    )
+    await asyncio.gather(*clients)
+    for name, seconds in sorted(last_run.items()):
+        site.record.write(f"{name}: last run with the key sent after {seconds:.2f} s")
+    site.record.write(f"{len(broken)} requests ran with the withdrawn key too late")
+    return not broken
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,58 +1,51 @@
-"""A tenant consumes more than its prepaid total, as lost answers aren't billed."""
+"""A stream is cut in a planned stop since its server was silent for a moment."""
 
 import asyncio
 import pathlib
-import random
+import signal
 import sys
-import time
 
 import site_process as sites
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-PREPAID = 400_000  # tokens
-INPUT = 1460  # tokens of a request
-EVENTS = 20  # of a whole stream
-TOKENS_PER_EVENT = 4
-LOSE_AFTER = 1.0  # seconds
-LOSE_FOR = 4.0  # seconds
-SHARE_OF_SERVERS = 0.6
-SHARE_OF_ANSWERS = 0.4
-CLIENTS = 2
-PLAY_TIME = 30.0  # seconds
+
+EVENTS = 60
+EVENT_PAUSE = 0.02  # seconds between events
+PREEMPTED_AFTER = 30  # events
+PREEMPTED_FOR = 1.6  # seconds; clients bear 3.2 s, four times the objective
+STREAMS = 3
+DEADLINE_MS = 10000
+STOP_AFTER = 0.3  # seconds from the requests to SIGTERM
+TOKENS = "1460,240"
 
 
 class Engines:
-    """Model servers; some lose a part of their answers for a while."""
+    """Two model servers. The one that got no stream is full from then on."""
 
     def __init__(self) -> None:
+        self.with_preemption = False
         self.record: sites.Record | None = None
-        self.began: float | None = None  # monotonic seconds
-        self.random = random.Random(7)
-        self.losing: set[str] = set()
-        self.ran: dict[str, str] = {}  # server by attempt
-        self.lost: set[str] = set()
-
-    def _loses(self, server: sites.Server) -> bool:
-        if self.began is None or server.id not in self.losing:
-            return False
-        elapsed = time.monotonic() - self.began - LOSE_AFTER
-        return 0 <= elapsed < LOSE_FOR and self.random.random() < SHARE_OF_ANSWERS
+        self._busy: sites.Server | None = None
 
     async def work(self, server: sites.Server, request: sites.Request) -> None:
-        """Run a stream; its answer may be lost."""
-        self.ran[request.attempt] = server.id
-        if self._loses(server):
-            await asyncio.sleep(0.01)
-            self.lost.add(request.attempt)
-            self.record.write(f"{request.attempt} ran at {server.id}, answer lost")
-            request.writer.transport.abort()
+        """Run a stream, or refuse it as the server is full."""
+        if self._busy is None:
+            self._busy = server
+        if self._busy is not server:
+            self.record.write(f"{request.attempt} reaches {server.id}, which is full")
+            await server.answer(request, 503, b"full", not_run=True)
             return
-        await asyncio.sleep(0.005)
+        self.record.write(f"{request.attempt} runs at {server.id}")
         await server.begin_stream(request)
         for number in range(1, EVENTS + 1):
+            if self.with_preemption and number == PREEMPTED_AFTER:
+                self.record.write(f"{request.attempt} is preempted, to be read again")
+                await asyncio.sleep(PREEMPTED_FOR)
             piece = f"id: {number}\ndata: text {number}\n\n".encode()
             await server.send_piece(request, piece)
+            await asyncio.sleep(EVENT_PAUSE)
         await server.end_stream(request)
+        self.record.write(f"{request.attempt} ends whole at {server.id}")
 
 
 ENGINES = Engines()
@@ -63,60 +56,43 @@
     ENGINES.record = record
     engines = [
         sites.Server(id=f"i-engine-{n}", service="llm", work=ENGINES.work)
-        for n in range(1, 6)
+        for n in (1, 2)
     ]
-    ENGINES.losing = {each.id for each in engines[: round(SHARE_OF_SERVERS * 5)]}
-    question = sites.route("summary", "/summary/", "streaming", "llm")
-    config = sites.config([question], prepaid=PREPAID)
-    return sites.Site(record=record, config=config, servers=engines)
+    quote = sites.route(
+        "quote", "/quote/", "streaming", "llm", resumable=True, maxAttempts=2
+    )
+    return sites.Site(record=record, config=sites.config([quote]), servers=engines)
 
 
 async def play(site: sites.Site, with_trouble: bool) -> bool:
-    """Use up the prepaid total; return whether no more than that was consumed."""
-    if not with_trouble:
-        ENGINES.losing = set()
-    delivered: dict[str, int] = {}  # events by attempt
-    statuses: dict[int | None, int] = {}
-    end = time.monotonic() + PLAY_TIME
-    ENGINES.began = time.monotonic()
-
-    async def client(number: int) -> None:
-        channel = sites.Channel(site.hosts[number % len(site.hosts)])
-        refused = 0
-        count = 0
-        while time.monotonic() < end and refused < 5:
-            count += 1
-            attempt = f"c{number}-{count}"
-            parts = f"{count % 50:08x}:1200,{number}{count:07x}:260"
-            headers = {
-                "X-Dogwoodchute-Model": "m",
-                "X-Dogwoodchute-Token-Count": f"{INPUT},{EVENTS * TOKENS_PER_EVENT}",
-                "X-Dogwoodchute-Prompt-Prefix": parts,
-            }
-            answer = await channel.ask(
-                "/summary/x", attempt=attempt, deadline_ms=6000, headers=headers
-            )
-            statuses[answer.status] = statuses.get(answer.status, 0) + 1
-            delivered[attempt] = len(answer.ids)
-            if answer.status == 402:
-                refused += 1
-                await asyncio.sleep(1.0)
-            elif answer.status != 200:
-                await asyncio.sleep(0.1)
-
-    await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-    input_tokens = INPUT * len(ENGINES.ran)
-    output_tokens = TOKENS_PER_EVENT * sum(delivered.values())
-    site.record.write(
-        f"{len(delivered)} requests sent, {len(ENGINES.ran)} ran, of which the answers "
-        f"of {len(ENGINES.lost)} were lost; answers by status: {statuses}"
-    )
-    total = input_tokens + output_tokens
-    site.record.write(
-        f"consumed: {input_tokens} tokens of input and {output_tokens} of output, "
-        f"{total} of {PREPAID} prepaid"
-    )
-    return total <= PREPAID
+    """Stop a host while streams run; return whether all ended complete."""
+    ENGINES.with_preemption = with_trouble
+    host = site.hosts[0]
+    await asyncio.sleep(3.5)  # in touch: contactMs without an impairment
+
+    async def ask(number: int) -> bool:
+        attempt = f"quote-{number}"
+        headers = {
+            "X-Dogwoodchute-Model": "m",
+            "X-Dogwoodchute-Token-Count": TOKENS,
+            "X-Dogwoodchute-Prompt-Prefix": f"5c1e07a2:1200,{number:08x}:260",
+        }
+        channel = sites.Channel(host)
+        answer = await channel.ask(
+            "/quote/x", attempt=attempt, deadline_ms=DEADLINE_MS, headers=headers
+        )
+        site.record.write(
+            f"client of {attempt}: status {answer.status}, {len(answer.ids)} of "
+            f"{EVENTS} events, complete {answer.complete}, {answer.seconds:.2f} s"
+        )
+        channel.close()
+        return answer.complete and answer.ids == list(range(1, EVENTS + 1))
+
+    asked = [asyncio.create_task(ask(number)) for number in range(STREAMS)]
+    await asyncio.sleep(STOP_AFTER)
+    site.record.write(f"SIGTERM to {host.name}")
+    host.signal(signal.SIGTERM)
+    return all(await asyncio.gather(*asked))
 
 
 if __name__ == "__main__":
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -3,7 +3,7 @@
 # case couldn't run.
 cd "$(dirname "$0")/.." || exit 2
 PYTHONPATH="$PWD/target/deps:$PWD:$PWD/review/common" PYTHONDONTWRITEBYTECODE=1 \
-    timeout -k 5 112 python3 "review/$1/case.py"
+    timeout -s INT -k 5 110 python3 "review/$1/case.py"
 case $? in
 0) exit 0 ;;
 3) exit 1 ;;
