--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.with_preemption = False
         self.record: sites.Record | None = None
+        self.ran = False  # whether a stream was taken
         self._busy: sites.Server | None = None
 
     async def work(self, server: sites.Server, request: sites.Request) -> None:
@@ -35,6 +36,7 @@
             self.record.write(f"{request.attempt} reaches {server.id}, which is full")
             await server.answer(request, 503, b"full", not_run=True)
             return
+        self.ran = True
         self.record.write(f"{request.attempt} runs at {server.id}")
         await server.begin_stream(request)
         for number in range(1, EVENTS + 1):
@@ -86,13 +88,19 @@
             f"{EVENTS} events, complete {answer.complete}, {answer.seconds:.2f} s"
         )
         channel.close()
+        if answer.status != 200:
+            # A refusal is a complete answer.
+            return answer.complete
         return answer.complete and answer.ids == list(range(1, EVENTS + 1))
 
     asked = [asyncio.create_task(ask(number)) for number in range(STREAMS)]
     await asyncio.sleep(STOP_AFTER)
     site.record.write(f"SIGTERM to {host.name}")
     host.signal(signal.SIGTERM)
-    return all(await asyncio.gather(*asked))
+    kept = all(await asyncio.gather(*asked))
+    if not ENGINES.ran:
+        raise RuntimeError("no stream has run")
+    return kept
 
 
 if __name__ == "__main__":
