--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A withdrawn key is used on, as hosts hold on to silent channels to the store."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -108,4 +109,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(sites.run(play, record=FOLDER / "record.txt", make=make, hosts=3))
+    sys.exit(
+        sites.run(
+            play,
+            record=FOLDER / "record.txt",
+            make=make,
+            hosts=3,
+            with_trouble=os.environ.get("TROUBLE", "1") != "0",
+        )
+    )
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A stream is cut in a planned stop since its server was silent for a moment."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -104,4 +105,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(sites.run(play, record=FOLDER / "record.txt", make=make, hosts=3))
+    sys.exit(
+        sites.run(
+            play,
+            record=FOLDER / "record.txt",
+            make=make,
+            hosts=3,
+            with_trouble=os.environ.get("TROUBLE", "1") != "0",
+        )
+    )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Requests of a tenant are denied as its tokens on a lost machine never come back."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -119,4 +120,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(sites.run(play, record=FOLDER / "record.txt", make=make, hosts=3))
+    sys.exit(
+        sites.run(
+            play,
+            record=FOLDER / "record.txt",
+            make=make,
+            hosts=3,
+            with_trouble=os.environ.get("TROUBLE", "1") != "0",
+        )
+    )
--- a/review/common/site_process.py
+++ b/review/common/site_process.py
@@ -610,16 +610,17 @@
     record: pathlib.Path,
     make: abc.Callable[[Record], Site],
     hosts: int,
+    with_trouble: bool,
 ) -> int:
     """Play a case; return `HELD`, `BROKEN` or `NOT_RUN`.
 
-    `play` gets the site and whether the disruption comes, and returns whether the rule
-    was kept.
+    `play` gets the site and `with_trouble`, whether the disruption comes, and returns
+    whether the rule was kept.
     """
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def scenario() -> int:
         written = Record(record)
+        written.write(f"the disruption {'comes' if with_trouble else 'does not come'}")
         site = make(written)
         with tempfile.TemporaryDirectory() as folder:
             try:
