Connections that go silent together are all given up at the first timeout

Cause: a call that timed out closed its own connection only, and the pool hands out the one that lay unused longest. So each further call found the next silent one of some 15 and waited its whole timeout; 16 store_call_slow lines with no byte in a row on each host.

Change: a timeout doubts all connections that were open to its address; a read is sent again at once on a newer one; such a timeout is no loss of the store. The same in the pools to relays, sources of tables, givers of tokens, endpoints of plain services, load polls and the platform's services. Idle connections are probed.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -14,7 +14,14 @@
 import prometheus_client
 import xxhash
 
-from dogwoodchute import catalog, controller, log, peers, state
+from dogwoodchute import (
+    catalog,
+    controller,
+    log,
+    peers,
+    pooled_connection,
+    state,
+)
 from dogwoodchute.controllers import endpoints as endpoint_state
 from dogwoodchute.coordination import limits, polling
 
@@ -63,6 +70,7 @@
         self._endpoints = endpoints
         self._fetch = fetch or self._fetch_http
         self._session: aiohttp.ClientSession | None = None
+        self._doubts = pooled_connection.Doubts()
         self._catalog = catalog.EMPTY
         self._engines: list[catalog.Endpoint] = []
         self._shards: dict[str, polling.Shard] = {}
@@ -306,6 +314,7 @@
     async def _fetch_http(self, address: str, path: str) -> Fetched:
         if self._session is None:
             self._session = aiohttp.ClientSession(
+                connector=self._doubts.connector(),
                 timeout=aiohttp.ClientTimeout(total=POLL_TIMEOUT),
                 skip_auto_headers=("User-Agent", "Accept-Encoding"),
             )
@@ -313,7 +322,10 @@
             async with self._session.get(f"http://{address}{path}") as response:
                 content = await response.read()
                 body = await response.json() if response.status == 200 else {}
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except TimeoutError:
+            self._doubts.doubt(address, f"no load in {POLL_TIMEOUT} s")
+            return Fetched(0, {}, 0)
+        except (aiohttp.ClientError, OSError, ValueError):
             return Fetched(0, {}, 0)
         return Fetched(response.status, body, len(content))
 
--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -1,13 +1,13 @@
 """Connections to endpoints that bound what an endpoint may send."""
 
 import asyncio
-import contextvars
-import functools
 import http
 from collections import abc
 
 import aiohttp
-from aiohttp import client_proto, streams
+from aiohttp import streams
+
+from dogwoodchute import pooled_connection
 
 HEAD_END = b"\r\n\r\n"
 MAX_HEAD = 64 * 1024  # bytes of an answer's head and the interim answers before it
@@ -20,21 +20,7 @@
 ClosesAfter = abc.Callable[[int, abc.Mapping[str, str], list], bool]
 
 
-class ByteCounter:
-    """Counts the bytes received on a connection since a request was sent."""
-
-    def __init__(self) -> None:
-        self.received = 0
-
-
-# The counter of the request that is being sent. aiohttp chooses the connection of a
-# request, so the connection finds the request's counter here.
-_current_counter: contextvars.ContextVar[ByteCounter] = contextvars.ContextVar(
-    "sending"
-)
-
-
-class EndpointConnection(client_proto.ResponseHandler):
+class EndpointConnection(pooled_connection.PooledConnection):
     """A connection to an endpoint that bounds what the endpoint may send.
 
     It is not used again after bytes beyond the end of an answer, nor after an answer of
@@ -42,13 +28,16 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, *, closes_after: ClosesAfter
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        closes_after: ClosesAfter,
+        doubts: pooled_connection.Doubts | None = None,
     ) -> None:
-        super().__init__(loop)
+        super().__init__(loop, doubts=doubts or pooled_connection.Doubts())
         self._closes_after = closes_after
         self.was_reset = False  # ended in another way than by the endpoint's close
         self.idle_until: float | None = None  # loop time
-        self._counter = ByteCounter()
         self._interim_count = 0  # interim answers since the request was sent
         self._has_head = False  # the head of the final answer was received
         self._body_left: int | None = None  # bytes of the body to come, None if unknown
@@ -61,7 +50,6 @@
 
     def set_response_params(self, **params: object) -> None:
         """Prepare for the answer to a new request."""
-        self._counter = _current_counter.get(ByteCounter())
         self._interim_count = 0
         self._body_left = None
         self._has_head = False
@@ -96,7 +84,7 @@
             # The parser continues with what it buffered while the reader was full.
             super().data_received(data)
             return
-        self._counter.received += len(data)
+        self._use.received += len(data)
         data = self._parse_head(data)
         if self._body_left is not None:
             self._parse_body(data)
@@ -108,7 +96,7 @@
     def _parse_head(self, data: bytes) -> bytes:
         """Parse up to the end of the final answer's head; return the bytes after it."""
         start = 0
-        while not self._has_head and super().is_connected():
+        while not self._has_head and self.is_open:
             end = data.find(HEAD_END, start)
             if end < 0 or start > MAX_HEAD:
                 break
@@ -138,7 +126,7 @@
         The last `unparsed` bytes are allowed, as they may not be in the body yet.
         """
         body = self._payload.total_bytes if self._payload is not None else 0
-        if self._counter.received - body <= MAX_HEAD + unparsed + MAX_FRAMING * body:
+        if self._use.received - body <= MAX_HEAD + unparsed + MAX_FRAMING * body:
             return
         self._abort("too many bytes that are no answer")
 
@@ -159,21 +147,19 @@
         super().connection_lost(exc)
 
 
-def connector(*, closes_after: ClosesAfter, **options: object) -> aiohttp.TCPConnector:
+def connector(
+    *,
+    closes_after: ClosesAfter,
+    doubts: pooled_connection.Doubts | None = None,
+    **options: object,
+) -> aiohttp.TCPConnector:
     """Return a connector of such connections, without a limit to their number."""
-    made = aiohttp.TCPConnector(limit=0, **options)
-    # aiohttp has no public way to set the class of its connections.
-    made._factory = functools.partial(
-        EndpointConnection, loop=asyncio.get_running_loop(), closes_after=closes_after
+    return pooled_connection.connector(
+        doubts=doubts or pooled_connection.Doubts(),
+        factory=EndpointConnection,
+        factory_options={"closes_after": closes_after},
+        **options,
     )
-    return made
-
-
-def count_bytes() -> ByteCounter:
-    """Return a counter of the bytes received for the request that is sent next."""
-    counter = ByteCounter()
-    _current_counter.set(counter)
-    return counter
 
 
 def has_framing(response: aiohttp.ClientResponse) -> bool:
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -13,7 +13,7 @@
 import msgpack
 import sanic
 
-from dogwoodchute import clock, log
+from dogwoodchute import clock, log, pooled_connection
 from dogwoodchute.gateway import mirror, rows, table_copy
 
 PATH = "/tables"
@@ -38,6 +38,7 @@
     """The host did not answer, is leaving, or does not have the table."""
 
     reason: str
+    timed_out: bool = False
 
 
 # Asks the host at a control address for the changes of a table after a version. The
@@ -56,6 +57,7 @@
     def __init__(self, *, now: abc.Callable[[], float] = clock.monotonic) -> None:
         self._now = now
         self._session: aiohttp.ClientSession | None = None
+        self._doubts = pooled_connection.Doubts()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -67,10 +69,22 @@
     ) -> Answer | NoAnswer:
         """Return the changes after version `since` that the host at `address` has.
 
-        The host may wait up to `hold` seconds for a change.
+        The host may wait up to `hold` seconds for a change. If its connection has gone
+        silent, it is asked again at once on a newer one, and does not wait then.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession(auto_decompress=False)
+            self._session = aiohttp.ClientSession(
+                connector=self._doubts.connector(), auto_decompress=False
+            )
+        use = pooled_connection.track_use()
+        answer = await self._post(address, table, since, hold)
+        if isinstance(answer, NoAnswer) and answer.timed_out and use.is_reused:
+            return await self._post(address, table, since, 0.0)
+        return answer
+
+    async def _post(
+        self, address: str, table: str, since: int | None, hold: float
+    ) -> Answer | NoAnswer:
         asked_at = self._now()
         try:
             async with self._session.post(
@@ -84,7 +98,11 @@
                 ),
             ) as response:
                 content = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            reason = str(error) or type(error).__name__
+            self._doubts.doubt(address, reason)
+            return NoAnswer(reason, timed_out=True)
+        except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(str(error) or type(error).__name__)
         if response.status != 200:
             return NoAnswer(f"status {response.status}")
--- a/dogwoodchute/gateway/transfer_protocol.py
+++ b/dogwoodchute/gateway/transfer_protocol.py
@@ -11,7 +11,7 @@
 import msgpack
 import sanic
 
-from dogwoodchute import log
+from dogwoodchute import log, pooled_connection
 
 PATH = "/tokens"
 GIVE_BACK_PATH = "/tokens/back"
@@ -51,6 +51,7 @@
     def __init__(self, *, now: abc.Callable[[], float]) -> None:
         self._now = now
         self._session: aiohttp.ClientSession | None = None
+        self._doubts = pooled_connection.Doubts()
         self._backoffs: dict[str, _Backoff] = {}  # by address
 
     async def close(self) -> None:
@@ -95,6 +96,7 @@
             return True
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
+            self._doubt_if_silent(address, error)
             log.warning(
                 "tokens_lost",
                 account=account,
@@ -107,10 +109,15 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
+                connector=self._doubts.connector(),
+                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
             )
         return self._session
 
+    def _doubt_if_silent(self, address: str, error: Exception) -> None:
+        if isinstance(error, TimeoutError):
+            self._doubts.doubt(address, "no answer to a transfer")
+
     def _record_no_answer(self, address: str, sent_at: float) -> None:
         previous = self._backoffs.get(address)
         if previous is not None and sent_at < previous.until:
@@ -133,6 +140,7 @@
                 given = msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
+            self._doubt_if_silent(address, error)
             log.warning("tokens_not_got", account=account, peer=address, reason=reason)
             return None
         if not isinstance(given, int) or not 0 <= given <= tokens:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -10,7 +10,7 @@
 import aiohttp
 import yarl
 
-from dogwoodchute import endpoint_connection, send_once
+from dogwoodchute import endpoint_connection, pooled_connection, send_once
 from dogwoodchute.gateway import calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
@@ -18,6 +18,8 @@
 CLOSE_TIMEOUT = 0.1  # seconds to write the rest of requests when this host stops
 # Seconds before the endpoint's idle timeout from which its connection is not reused.
 IDLE_MARGIN = 0.5
+# Seconds without a byte of a plain answer after which its connection may be silent.
+PLAIN_SILENCE = 0.25
 MAX_BODY = 16 * 1024 * 1024  # bytes of an answer that is read whole before forwarding
 MAX_REASON = 120  # characters of an error's text, which may quote the endpoint
 
@@ -131,12 +133,15 @@
 
     def __init__(self, *, wire: WireFormat) -> None:
         self._wire = wire
+        self._doubts = pooled_connection.Doubts()
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the HTTP session; needs a running event loop."""
         connector = endpoint_connection.connector(
-            closes_after=self._is_refusal, keepalive_timeout=IDLE_TIMEOUT
+            closes_after=self._is_refusal,
+            doubts=self._doubts,
+            keepalive_timeout=IDLE_TIMEOUT,
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -168,7 +173,8 @@
         if self._session.closed:
             return NotSent(reason="this host stops", peer=endpoint.id)
         request = call.request
-        counter = endpoint_connection.count_bytes()
+        use = pooled_connection.track_use()
+        sent_at = asyncio.get_running_loop().time()
         target = request.path + (f"?{request.query}" if request.query else "")
         try:
             response = await self._session.request(
@@ -182,6 +188,9 @@
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             )
+        except asyncio.CancelledError:
+            self._doubt_if_silent(call, endpoint, use, sent_at)
+            raise
         except aiohttp.ConnectionTimeoutError as error:
             return NotSent(reason=_reason(error), peer=endpoint.id, timed_out=True)
         except aiohttp.ClientConnectorError as error:
@@ -190,7 +199,7 @@
             return Lost(
                 reason=_reason(error),
                 peer=endpoint.id,
-                silent=not counter.received,
+                silent=not use.received,
                 disconnected=True,
             )
         head = self._wire.parse_head(
@@ -201,6 +210,22 @@
         connection = getattr(response.content, "_protocol", None)
         return Answer(response=response, head=head, connection=connection)
 
+    def _doubt_if_silent(
+        self,
+        call: calls.Call,
+        endpoint: model.Endpoint,
+        use: pooled_connection.Use,
+        sent_at: float,
+    ) -> None:
+        """Doubt an endpoint's connections if one that was open before stayed silent.
+
+        An engine may rightly be silent for seconds, as requests wait there.
+        """
+        if call.route.kind == model.STREAM or not use.is_reused or use.received:
+            return
+        if asyncio.get_running_loop().time() - sent_at >= PLAIN_SILENCE:
+            self._doubts.doubt(endpoint.address, "no byte of a plain answer")
+
     def _is_refusal(
         self, status: int, headers: abc.Mapping[str, str], raw: list
     ) -> bool:
--- a/dogwoodchute/platform/http_client.py
+++ b/dogwoodchute/platform/http_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from dogwoodchute import pooled_connection
 from dogwoodchute.platform import hostlist, objects, table, weights, wire
 
 
@@ -32,6 +33,7 @@
         self.address = address
         self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout / 2)
         self._session: aiohttp.ClientSession | None = None
+        self._doubts = pooled_connection.Doubts()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -42,7 +44,9 @@
     async def call(self, path: str, body: dict) -> dict | NotSent | NoAnswer:
         """Send one call; return the answer's body, or how it failed."""
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = aiohttp.ClientSession(
+                connector=self._doubts.connector(), timeout=self._timeout
+            )
         try:
             async with self._session.post(
                 f"http://{self.address}{path}", data=wire.encode(body)
@@ -53,7 +57,11 @@
             return NotSent(reason=str(error))
         except aiohttp.ConnectionTimeoutError:
             return NotSent(reason="connecting timed out")
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            reason = str(error) or type(error).__name__
+            self._doubts.doubt(self.address, reason)
+            return NoAnswer(reason=reason)
+        except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(reason=str(error) or type(error).__name__)
         if status == 503:
             return NotSent(reason="service answered 503")
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -89,7 +89,7 @@
         call = transport.Call(
             method, target, body, CALL_TIMEOUT, _total_timeout(method)
         )
-        return await self._transport.send(self._address, call, sink=sink)
+        return await self._send_directly(call, sink=sink)
 
     def receiving(self, table: str) -> bool:
         """Return whether bytes of a table's rows are arriving at present."""
@@ -128,9 +128,7 @@
         )
         if self._now() >= self._probe_at:
             sent_at = self._now()
-            outcome = await self._transport.send(self._address, call)
-            if isinstance(outcome, transport.Answer) and method == "GET" and not wait:
-                self._read_latency = self._now() - sent_at
+            outcome = await self._send_directly(call)
             self._update_lane(lane, outcome, part)
             self._update_direct_path(outcome, sent_at)
         if isinstance(outcome, transport.Answer) and not _is_refusal(outcome):
@@ -147,6 +145,23 @@
             return relayed
         return outcome
 
+    async def _send_directly(
+        self, call: transport.Call, *, sink: transport.Sink | None = None
+    ) -> transport.CallOutcome:
+        """Send a call by the direct path.
+
+        A read whose connection has gone silent is sent again at once, on a newer one:
+        such connections are found one by one otherwise, at the cost of a timeout each.
+        """
+        while True:
+            sent_at = self._now()
+            outcome = await self._transport.send(self._address, call, sink=sink)
+            is_read = call.method == "GET" and not call.wait
+            if isinstance(outcome, transport.Answer) and is_read and sink is None:
+                self._read_latency = self._now() - sent_at
+            if call.method != "GET" or not _is_stale_connection(outcome):
+                return outcome
+
     async def _call_through_relay(
         self, call: transport.Call, direct_outcome: transport.CallOutcome
     ) -> transport.CallOutcome:
@@ -198,8 +213,11 @@
         """Record whether the direct path works, by a call that was sent at `sent_at`.
 
         If that was before the path's last answer, a failure of the call says nothing of
-        the path's present state and is ignored.
+        the path's present state and is ignored. So is one of a connection that was open
+        before, as new ones may work.
         """
+        if _is_stale_connection(outcome):
+            return
         failed = not isinstance(outcome, transport.Answer) or _is_refusal(outcome)
         if _is_too_many_requests(outcome) and not backpressure.is_path_refused(
             self._latest
@@ -240,6 +258,10 @@
     )
 
 
+def _is_stale_connection(outcome: transport.CallOutcome) -> bool:
+    return isinstance(outcome, transport.NoAnswer) and outcome.is_stale_connection
+
+
 def _reason(outcome: transport.CallOutcome) -> str:
     if isinstance(outcome, transport.Answer):
         return f"status {outcome.status}"
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -7,10 +7,11 @@
 import aiohttp
 import prometheus_client
 
-from dogwoodchute import clock, log
+from dogwoodchute import clock, log, pooled_connection
 from dogwoodchute.platform import names
 
 CONNECT_TIMEOUT = 0.6  # seconds
+IDLE_TIMEOUT = 10.0  # seconds for which an unused connection is kept
 SLOW_CALL = 0.5  # seconds, beyond the time for which the call asks to be held open
 LARGE_ANSWER_BYTES = 100_000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024  # a page of rows has a few megabytes at the most
@@ -57,6 +58,9 @@
 
     reason: str
     peer: str
+    # No byte came over a connection that was open before, so this tells nothing of new
+    # connections.
+    is_stale_connection: bool = False
 
 
 CallOutcome = Answer | NotSent | NoAnswer
@@ -107,6 +111,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._doubts = pooled_connection.Doubts()
         self._in_flight: set[_Progress] = set()
 
     def receiving(self, table: str) -> bool:
@@ -143,9 +148,10 @@
     ) -> CallOutcome:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
+                connector=self._doubts.connector(keepalive_timeout=IDLE_TIMEOUT),
                 auto_decompress=False,
             )
+        use = pooled_connection.track_use()
         try:
             async with self._session.request(
                 call.method,
@@ -170,7 +176,12 @@
             return NotSent(str(error), address)
         except aiohttp.ConnectionTimeoutError:
             return NotSent("connecting timed out", address)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            reason = str(error) or type(error).__name__
+            self._doubts.doubt(address, reason)
+            is_stale = use.is_reused and progress.head_seconds is None
+            return NoAnswer(reason, address, is_stale_connection=is_stale)
+        except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(str(error) or type(error).__name__, address)
         if relay_status == NOT_SENT:
             return NotSent("the relay did not reach the store", address)
--- /dev/null
+++ b/dogwoodchute/pooled_connection.py
@@ -0,0 +1,146 @@
+"""Pools of HTTP connections that may go silent together.
+
+Open connections may stop to deliver bytes for good, without a reset and many at the
+same moment, while new ones work. What a request without an answer shows of its
+connection therefore holds for all connections that were open at that time to the same
+address: none of them is used again. Otherwise each further request would find the next
+silent one, and wait its whole timeout for it.
+"""
+
+import asyncio
+import contextvars
+import functools
+import socket
+
+import aiohttp
+from aiohttp import client_proto
+
+from dogwoodchute import log
+
+MAX_DOUBTS = 1000  # addresses; the oldest doubts are of connections closed long ago
+# The kernel probes idle connections, and drops one whose peer does not acknowledge.
+KEEPALIVE_IDLE = 1  # seconds without bytes before the first probe
+KEEPALIVE_INTERVAL = 1  # seconds between probes
+KEEPALIVE_PROBES = 3  # unanswered ones after which the connection is dropped
+
+
+class Use:
+    """What is known of the connection that carries a request."""
+
+    def __init__(self) -> None:
+        self.received = 0  # bytes since the request was sent, where they are counted
+        self.is_reused = False  # it carried another request before
+
+
+# aiohttp chooses the connection of a request, so the connection finds the `Use` of the
+# request that is being sent here.
+_current_use: contextvars.ContextVar[Use] = contextvars.ContextVar("use")
+
+
+def track_use() -> Use:
+    """Return what will be known of the connection of the request sent next."""
+    use = Use()
+    _current_use.set(use)
+    return use
+
+
+class Doubts:
+    """Until when the connections to each address were opened that are not used again.
+
+    An address is text of IP and port.
+    """
+
+    def __init__(self) -> None:
+        self._doubted_at: dict[str, float] = {}  # loop time
+
+    @property
+    def has_any(self) -> bool:
+        """Whether any address was ever doubted."""
+        return bool(self._doubted_at)
+
+    def connector(self, **options: object) -> aiohttp.TCPConnector:
+        """Return a connector whose connections heed these doubts."""
+        return connector(doubts=self, **options)
+
+    def doubt(self, address: str, reason: str) -> None:
+        """Do not use again what is open to `address` now; log it with `reason`."""
+        self._doubted_at.pop(address, None)
+        self._doubted_at[address] = asyncio.get_running_loop().time()
+        if len(self._doubted_at) > MAX_DOUBTS:
+            del self._doubted_at[next(iter(self._doubted_at))]
+        log.info("connections_doubted", peer=address, reason=reason)
+
+    def covers(self, address: str, opened_at: float) -> bool:
+        """Return whether a connection opened at `opened_at` (loop time) is doubted."""
+        return opened_at <= self._doubted_at.get(address, float("-inf"))
+
+
+class PooledConnection(client_proto.ResponseHandler):
+    """A connection that is not used again once `doubts` covers it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, *, doubts: Doubts) -> None:
+        super().__init__(loop)
+        self._doubts = doubts
+        self._opened_at = 0.0  # loop time
+        self._has_carried = False  # a request was sent on it
+        self._use = Use()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether bytes may still arrive, doubted or not."""
+        return super().is_connected()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record when the connection was opened."""
+        super().connection_made(transport)
+        self._opened_at = self._loop.time()
+
+    def is_connected(self) -> bool:
+        """Return whether the connection may carry another request."""
+        return self.is_open and not self._is_doubted()
+
+    def set_response_params(self, **params: object) -> None:
+        """Prepare for the answer to a new request."""
+        self._use = _current_use.get(None) or Use()
+        self._use.is_reused, self._has_carried = self._has_carried, True
+        super().set_response_params(**params)
+
+    def _is_doubted(self) -> bool:
+        if not self._doubts.has_any:
+            return False
+        peer = self.transport.get_extra_info("peername")
+        address = f"{peer[0]}:{peer[1]}" if peer else ""
+        return self._doubts.covers(address, self._opened_at)
+
+
+def connector(
+    *,
+    doubts: Doubts,
+    factory: type[PooledConnection] = PooledConnection,
+    factory_options: dict[str, object] | None = None,
+    **options: object,
+) -> aiohttp.TCPConnector:
+    """Return a connector of `factory` connections, without a limit to their number.
+
+    `factory_options` go to `factory`, `options` to the connector.
+    """
+    made = aiohttp.TCPConnector(limit=0, socket_factory=_probed_socket, **options)
+    # aiohttp has no public way to set the class of its connections.
+    made._factory = functools.partial(
+        factory,
+        loop=asyncio.get_running_loop(),
+        doubts=doubts,
+        **(factory_options or {}),
+    )
+    return made
+
+
+def _probed_socket(address: tuple) -> socket.socket:
+    """Return a socket whose idle connection the kernel probes."""
+    family, kind, protocol = address[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return made
--- a/dogwoodchute/tests/test_interim.py
+++ b/dogwoodchute/tests/test_interim.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+from aiohttp import client_proto
+
 from dogwoodchute import endpoint_connection
 from dogwoodchute.tests import support
 
@@ -24,15 +26,13 @@
         async def scenario():
             parsed_sizes = []
             connection, transport = self.connect(asyncio.get_running_loop())
-            base = endpoint_connection.client_proto.ResponseHandler.data_received
+            base = client_proto.ResponseHandler.data_received
 
             def count(handler, data):
                 parsed_sizes.append(len(data))
                 base(handler, data)
 
-            self.patch(
-                endpoint_connection.client_proto.ResponseHandler, "data_received", count
-            )
+            self.patch(client_proto.ResponseHandler, "data_received", count)
             connection.data_received(INTERIM * 10_000)
             self.assertLessEqual(len(parsed_sizes), endpoint_connection.MAX_INTERIM + 1)
             transport.abort.assert_called_once()
