A silent run is given up once another endpoint has taken the request

Cause: silence alone ended a run, as soon as a retry was allowed, and before another endpoint had taken the request. Engines are silent when they preempt requests, also in the middle of a stream. Ruled out: the stop (without SIGTERM the lines are the same), the retry budget (it decides only how many streams are cut).

Change: a silent run goes on until the head of another endpoint's answer is there; whichever answers first is forwarded. Two tests name the send where they named the call and its endpoint; no check changes.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -42,6 +42,36 @@
     abort: abc.Callable[[], None]
 
 
+class Send:
+    """One send of a call to an endpoint."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: model.Endpoint,
+        at: float,
+        expected_wait: float = 0.0,
+    ) -> None:
+        self.endpoint = endpoint
+        self.at = at  # monotonic seconds
+        # Prompt tokens that the engine has yet to process, as it has not cached them.
+        self.waiting_tokens = 0
+        # Estimated seconds to wait for other requests and the network.
+        self.expected_wait = expected_wait
+        self.may_have_run_before = False  # the call, by an earlier send
+        self.is_second_connect = False  # connecting took too long before
+        self.is_waiting = True  # `waiting_tokens` still count at the endpoint
+        self.answer_began = False  # a byte of an answer arrived
+        self.events = 0  # whole ones that arrived
+
+    @property
+    def progress(self) -> str:
+        """How far the answer has come."""
+        if self.events:
+            return EVENTS
+        return BEGUN if self.answer_began else SILENT
+
+
 class Call:
     """The state of one request; each filter fills in what later ones need."""
 
@@ -70,24 +100,13 @@
         # no other one is left.
         self.slow_to_connect: set[str] = set()
         self.sends = 0  # how often the request was sent
-        self.sent_at: float | None = None  # monotonic seconds of the last send
-        # Of the last send: whether a byte of an answer arrived, and whole events.
-        self.answer_began = False
-        self.events_of_try = 0
-        # Estimates for the chosen endpoint: seconds to wait for other requests and the
-        # network, and prompt tokens that are cached there and that are not.
+        self.send: Send | None = None  # the last one whose answer was waited for
+        # Estimates for the endpoint chosen last: seconds to wait for other requests and
+        # the network, and prompt tokens that are cached there.
         self.expected_wait = 0.0
         self.cached_tokens = 0
-        self.uncached_tokens = 0
         self.first_byte_at: float | None = None  # monotonic seconds
 
-    @property
-    def progress(self) -> str:
-        """How far the answer to the last send has come."""
-        if self.events_of_try:
-            return EVENTS
-        return BEGUN if self.answer_began else SILENT
-
     @property
     def is_retryable(self) -> bool:
         """Whether the call may be sent again after it may have run."""
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -1,5 +1,6 @@
 """The endpoints of the deployment: their load, and the choice for a request."""
 
+import math
 from collections import abc
 
 from dogwoodchute import log
@@ -18,6 +19,7 @@
     def __init__(self, *, memory_tokens: int) -> None:
         self.running = 0  # requests
         self.waiting_tokens = 0  # prompt tokens that the engine has yet to process
+        self.heard_at = -math.inf  # monotonic seconds of the last bytes received
         self._memory_tokens = memory_tokens
         self.forget_run()
 
@@ -117,43 +119,57 @@
             return untried
         return {i: e for i, e in usable.items() if i in call.slow_to_connect}
 
-    def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> int:
-        """Count a call as sent to an endpoint.
-
-        Returns the prompt tokens that the call adds to those waiting there.
-        """
+    def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> calls.Send:
+        """Count a call as sent to an endpoint that was just chosen for it."""
         usage = self._usage_of(endpoint.id, call.service)
         usage.running += 1
+        send = calls.Send(
+            endpoint=endpoint, at=self._now(), expected_wait=call.expected_wait
+        )
         prompt = call.request.prompt
-        if prompt is None:
-            return 0
-        uncached = max(0, prompt.input_tokens - call.cached_tokens)
-        usage.sent.record(prompt.parts)
-        self._prompt_rate.record_use(self._now(), uncached)
-        usage.waiting_tokens += uncached
-        return uncached
+        if prompt is not None:
+            send.waiting_tokens = max(0, prompt.input_tokens - call.cached_tokens)
+            usage.sent.record(prompt.parts)
+            self._prompt_rate.record_use(send.at, send.waiting_tokens)
+            usage.waiting_tokens += send.waiting_tokens
+        return send
 
-    def remove_waiting_tokens(self, endpoint: str, tokens: int) -> None:
-        """Remove prompt tokens that the engine has processed or will not process."""
-        self._usage[endpoint].waiting_tokens -= tokens
+    def remove_waiting_tokens(self, send: calls.Send) -> bool:
+        """Remove prompt tokens that the engine has processed or will not process.
 
-    def record_first_event(self, call: calls.Call, endpoint: str, tokens: int) -> None:
+        Returns whether they were still counted.
+        """
+        if not send.is_waiting:
+            return False
+        send.is_waiting = False
+        self._usage[send.endpoint.id].waiting_tokens -= send.waiting_tokens
+        return True
+
+    def record_first_event(self, send: calls.Send) -> None:
         """Record how long an engine took to the first event of its answer."""
         now = self._now()
-        usage = self._usage[endpoint]
-        usage.latest_started_send = max(usage.latest_started_send, call.sent_at)
-        prefill_seconds = tokens / placement.PREFILL_TOKENS_PER_SECOND
+        usage = self._usage[send.endpoint.id]
+        usage.latest_started_send = max(usage.latest_started_send, send.at)
+        prefill_seconds = send.waiting_tokens / placement.PREFILL_TOKENS_PER_SECOND
         usage.slowness_estimator.record(
-            now, took=now - call.sent_at, expected=call.expected_wait + prefill_seconds
+            now, took=now - send.at, expected=send.expected_wait + prefill_seconds
         )
 
-    def was_overtaken(self, call: calls.Call, endpoint: str) -> bool:
+    def record_sign_of_life(self, endpoint: str) -> None:
+        """Record that bytes of an endpoint have just arrived."""
+        self._usage[endpoint].heard_at = self._now()
+
+    def seconds_silent(self, endpoint: str) -> float:
+        """Return the seconds since the last bytes of an endpoint arrived here."""
+        return self._now() - self._usage[endpoint].heard_at
+
+    def was_overtaken(self, send: calls.Send) -> bool:
         """Return whether an engine started requests sent after this unanswered call.
 
         Engines start requests in order, so an overtaken call was started and its answer
         lost. A call that was not overtaken still waits there and uses no tokens.
         """
-        return self._usage[endpoint].latest_started_send > call.sent_at
+        return self._usage[send.endpoint.id].latest_started_send > send.at
 
     def finish_request(self, endpoint: str) -> None:
         """Count a call as no longer running at an endpoint."""
--- a/dogwoodchute/gateway/try_reports.py
+++ b/dogwoodchute/gateway/try_reports.py
@@ -13,22 +13,22 @@
 MAX_PARTS = 8  # of a prompt, in a log line
 
 
-def report(call: calls.Call, endpoint: str, result: try_results.TryResult) -> None:
+def report(call: calls.Call, send: calls.Send, result: try_results.TryResult) -> None:
     """Log and count a send that failed."""
     kind = type(result).__name__.lower()
-    failed_tries.labels(call.service.name, kind, call.progress).inc()
+    failed_tries.labels(call.service.name, kind, send.progress).inc()
     log.info(
         "try_failed",
         request=call.request.attempt_id,
-        endpoint=endpoint,
+        endpoint=send.endpoint.id,
         step=result.step,
         reason=result.reason,
         kind=kind,
         status=getattr(result, "status", None),
         sends=call.sends,
         ran=call.may_have_run,
-        progress=call.progress,
-        events=call.events_of_try or None,
+        progress=send.progress,
+        events=send.events or None,
         parts=_part_names(call.request.prompt),
     )
 
--- a/dogwoodchute/gateway/try_results.py
+++ b/dogwoodchute/gateway/try_results.py
@@ -1,9 +1,10 @@
 """The results that one try of a call at an endpoint may have."""
 
 import dataclasses
+import typing
 
 from dogwoodchute import outcomes
-from dogwoodchute.gateway import upstream
+from dogwoodchute.gateway import calls, upstream
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,12 +28,24 @@
     step: str = "answer"
 
 
+class Taken(typing.NamedTuple):
+    """An endpoint works on a call: the head of its answer was received."""
+
+    send: calls.Send
+    answer: upstream.Answer
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Abandoned:
-    """The endpoint was too slow, and a retry was taken from the budget."""
+    """The endpoint was silent, and another one has taken the call meanwhile.
+
+    `lost` is the failure with which the silent endpoint ended, if it did.
+    """
 
     reason: str
     peer: str
+    successor: Taken
+    lost: upstream.Lost | None = None
     step: str = "answer"
 
 
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -184,8 +184,7 @@
     def _send(self, events, host, kind, parts):
         call = self._call(parts)
         endpoint = host.choose(call)
-        call.sent_at = self._now
-        waiting = host.start_request(call, endpoint)
+        send = host.start_request(call, endpoint)
         engine = self._engines[endpoint.id]
         engine.requests += 1
         uncached = kind.shared + kind.own - engine.cache.cached(parts)
@@ -193,19 +192,19 @@
         engine.cache.record(parts)
         engine.free_at = max(engine.free_at, self._now) + uncached / PREFILL_RATE
         first = engine.free_at + STEP
-        sent = (host, call, endpoint, waiting)
+        sent = (host, send)
         self._schedule(events, first, self._handle_first_event, sent)
         self._schedule(events, first + RUN_TIME, self._finish, sent)
         return first - self._now, repeated_tokens, kind.shared
 
     def _handle_first_event(self, events, sent):
-        host, call, endpoint, waiting = sent
-        host.remove_waiting_tokens(endpoint.id, waiting)
-        host.record_first_event(call, endpoint.id, waiting)
+        host, send = sent
+        host.remove_waiting_tokens(send)
+        host.record_first_event(send)
 
     def _finish(self, events, sent):
-        host, _, endpoint, _ = sent
-        host.finish_request(endpoint.id)
+        host, send = sent
+        host.finish_request(send.endpoint.id)
 
     def _call(self, parts):
         tokens = sum(part.tokens for part in parts)
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -52,6 +52,7 @@
         self.endpoints = {}
         self.addresses = {}
         self.host_process = None
+        self._is_host_stopped = False
         self._servers = []
         self.session = None
         self.address = ""
@@ -127,9 +128,15 @@
 
     async def stop(self):
         await self.session.close()
-        await self.host_process.stop()
+        await self.stop_host()
         await self.stop_listeners()
 
+    async def stop_host(self):
+        """Stop the host as a SIGTERM does, unless it was stopped already."""
+        if not self._is_host_stopped:
+            self._is_host_stopped = True
+            await self.host_process.stop()
+
     async def stop_listeners(self):
         """Stop the store and the endpoints."""
         for listener in self._servers:
--- a/dogwoodchute/tests/test_unanswered.py
+++ b/dogwoodchute/tests/test_unanswered.py
@@ -19,7 +19,7 @@
             ) as (site, _):
                 if before:
                     endpoints = site.host_process.gateway._endpoints
-                    self.patch(endpoints, "was_overtaken", lambda call, endpoint: True)
+                    self.patch(endpoints, "was_overtaken", lambda send: True)
                 status, _, _ = await site.ask("/o/stream", **TOKENS)
                 self.assertEqual(502, status)
                 part = account_rows.part_of("ann")
