Tokens above a commit's limit need witnesses, so those of lost hosts return

Cause: only a next process of the same host closed a holding, as a holder may use all that it drew once its commit is 10.5 s old, and nothing else proves that it has ended. A host that is removed has no next process. Ruled out: missing bills, hosts that hold on to tokens, the share that is kept back.

A holder goes beyond its commit's limit only once enough of them confirm that the store is away for them too; denials of enough of them return the tokens above the limit, by a commit that checks the row's version.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -18,15 +18,18 @@
 A holder's row is written ahead of use: for `WRITE_AHEAD` seconds after it sent a
 commit, the holder uses no more than that commit's `limit`. After that, when the store
 may be unreachable, the bound rises linearly to all tokens that the holder has drawn,
-over `ramp` seconds, which depend on how fast the account may need tokens. When a holder
-dies, the tokens above the bound at the time when the next process started on its host
-can't have been used, so they return to the budget.
+over `ramp` seconds, which depend on how fast the account may need tokens. It rises only
+if the commit's witnesses confirm that the store is away (see `witnesses`). When a
+holder dies, the tokens above the bound at the time when the next process started on its
+host can't have been used, so they return to the budget. If no next process starts,
+those above the limit return once the witnesses deny that they have confirmed it.
 
 All times are of monotonic clocks that go on counting while the machine is suspended.
 """
 
 import math
 import typing
+from collections import abc
 
 WRITE_AHEAD = 1.5  # seconds: age of a checkpoint, its time in transit, and a margin
 RAMP = 9.0  # seconds, upper bound; a host long without the store may use all it drew
@@ -71,6 +74,8 @@
     registered: int = 0  # store's version when the holder registered, 0 if unknown
     reserved: int = 0  # by requests in flight, and by those that wait for the commit
     moved: int = 0  # sent to other holders less those received from them
+    # Incarnations of other hosts; the bound rises only if some of them confirm it.
+    witnesses: tuple[str, ...] = ()
 
 
 class _SentCommit(typing.NamedTuple):
@@ -115,14 +120,16 @@
     )
 
 
-def _usable_after(holding: Holding, tokens: int) -> float:
+def _usable_after(
+    holding: Holding, tokens: int, may_rise: abc.Callable[[Holding], bool]
+) -> float:
     """Return the age of a commit in seconds from which `tokens` may be used.
 
-    Infinite if the holding has fewer tokens.
+    Infinite if the holding has fewer tokens, or may not use as many.
     """
     if tokens <= holding.limit:
         return 0.0
-    if tokens > holding.granted:
+    if tokens > holding.granted or not may_rise(holding):
         return math.inf
     above_limit = holding.granted - holding.limit
     return WRITE_AHEAD + holding.ramp * (tokens - holding.limit) / above_limit
@@ -136,7 +143,11 @@
     two.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, may_rise: abc.Callable[[Holding], bool] = lambda holding: True
+    ) -> None:
+        # Returns whether the bound of a commit's row may rise above its limit.
+        self._may_rise = may_rise
         self.spent = 0  # cumulative
         self.reserved = 0  # by requests in flight
         self._moved = 0  # sent to other hosts less those received; cumulative
@@ -183,10 +194,7 @@
 
     def available(self, now: float) -> int:
         """Return the tokens that may be reserved at `now`, monotonic seconds."""
-        bounds = [
-            usable_tokens(sent.holding, now - sent.at)
-            for sent in self._possible_commits()
-        ]
+        bounds = [self._bound(sent, now) for sent in self._possible_commits()]
         return min(self.granted, *bounds) - self.used
 
     def usable_at(self, tokens: int) -> float:
@@ -197,7 +205,7 @@
         """
         needed = self.used + tokens
         return max(
-            sent.at + _usable_after(sent.holding, needed)
+            sent.at + _usable_after(sent.holding, needed, self._may_rise)
             for sent in self._possible_commits()
         )
 
@@ -237,6 +245,7 @@
         store_now: float,
         rate: float = 0.0,
         awaited: int = 0,
+        witnesses: tuple[str, ...] = (),
     ) -> Holding | None:
         """Begin a commit that draws `draw` tokens, or returns them if negative.
 
@@ -250,17 +259,17 @@
             store_now: Seconds of the store's clock, or earlier.
             rate: Tokens that the account may need in each second if no commit follows.
             awaited: Tokens of requests that wait for this commit.
+            witnesses: Incarnations that must confirm a rise above the limit.
         """
         granted = self.granted + draw
         if self._pending is not None or granted < min(self.granted, self.used):
             return None
         self._commits += 1
         limit = self.used + awaited + headroom
-        age = now - self._confirmed.at
-        if age >= WRITE_AHEAD:
-            # The store was unreachable and the bound has risen. The new limit must not
-            # fall below tokens that may have been used by now.
-            limit = max(limit, usable_tokens(self._confirmed.holding, age))
+        if now - self._confirmed.at >= WRITE_AHEAD:
+            # The store was unreachable and the bound may have risen. The new limit must
+            # not fall below tokens that may have been used by now.
+            limit = max(limit, self._bound(self._confirmed, now))
         limit = min(granted, limit)
         holding = Holding(
             granted=granted,
@@ -271,6 +280,7 @@
             ramp=min(RAMP, (granted - limit) / rate) if rate > 0 else RAMP,
             reserved=self.reserved + min(awaited, limit - self.used),
             moved=self._moved,
+            witnesses=witnesses,
         )
         self._pending = _SentCommit(holding, now)
         return holding
@@ -285,6 +295,23 @@
             self._confirmed = self._pending
         self._pending = None
 
+    def reduce(self, granted: int) -> None:
+        """Apply that other hosts left only `granted` tokens of this holding.
+
+        They return what is certainly not used, of a holder that they take for lost.
+        Call it only without a commit under way.
+        """
+        holding = self._confirmed.holding
+        if granted < holding.granted:
+            reduced = holding._replace(granted=granted)
+            self._confirmed = self._confirmed._replace(holding=reduced)
+
+    def _bound(self, sent: _SentCommit, now: float) -> int:
+        """Return how many tokens a commit lets this holder use at `now`."""
+        if not self._may_rise(sent.holding):
+            return sent.holding.limit
+        return usable_tokens(sent.holding, now - sent.at)
+
     def _possible_commits(self) -> list[_SentCommit]:
         """Return the commits whose values the holder's row may hold now."""
         if self._pending is None:
--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -45,8 +45,10 @@
         store: rows.Store,
         now: abc.Callable[[], float],
         registered: abc.Callable[[], int],
+        witnesses: abc.Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
         self._holder = holder
+        self._witnesses = witnesses  # of a commit that is sent now
         self._registered = registered  # store version of its registration, else 0
         self._store = store
         self._now = now
@@ -165,6 +167,7 @@
             awaited=change.awaited,
             headroom=change.headroom,
             rate=change.rate,
+            witnesses=self._witnesses(),
             now=self._now(),
             store_now=self._store.now(),
         )
@@ -270,12 +273,9 @@
                 drawn = account.row.drawn + draw
                 account.row = account.row._replace(drawn=drawn)
                 account.row_version = outcome.version
+            ledger.end_commit(applied=True)
         else:
-            previous = account.holding_version
-            self._apply_newer(account, outcome.rows)
-            # An earlier copy of this commit applied if it changed the holding's row.
-            applied = account.holding_version != previous
-        ledger.end_commit(applied=applied)
+            applied = self._end_conflicting(account, outcome.rows)
         if not applied:
             account.conflicts += 1
             pause = checkpoints.conflict_pause(account.conflicts)
@@ -299,6 +299,42 @@
                 version=account.row_version,
             )
 
+    def _end_conflicting(
+        self, account: account_rows.Account, read_rows: list[rows.Row]
+    ) -> bool:
+        """End a commit that met a conflict; return whether an earlier copy applied.
+
+        One did if the holding's row is this commit's. Other hosts may have returned
+        tokens of the row meanwhile, if they took this one for lost.
+        """
+        ledger, before = account.ledger, account.holding_version
+        self._apply_newer(account, read_rows)
+        if account.holding_version == before:
+            ledger.end_commit(applied=False)
+            return False
+        key = (account_rows.HOLDINGS, f"{account.name}/{self._holder}")
+        stored = next(
+            self._holding_reader.read(row)
+            for row in read_rows
+            if (row.table, row.key) == key
+        )
+        if stored is None:
+            # Only this host can have written the row, though it can't be read.
+            ledger.end_commit(applied=True)
+            return True
+        applied = stored.commit == ledger.pending.commit
+        ledger.end_commit(applied=applied)
+        if stored.granted < ledger.confirmed.granted:
+            log.warning(
+                "holding_reduced",
+                account=account.name,
+                granted=stored.granted,
+                before=ledger.confirmed.granted,
+                used=ledger.used,
+            )
+            ledger.reduce(stored.granted)
+        return applied
+
     def _apply_newer(
         self, account: account_rows.Account, read_rows: list[rows.Row]
     ) -> None:
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -8,9 +8,10 @@
 import json
 import math
 import typing
+from collections import abc
 
 from dogwoodchute import bounded_json
-from dogwoodchute.coordination import checkpoints, escrow, hashing, sizing
+from dogwoodchute.coordination import checkpoints, escrow, hashing, sizing, texts
 from dogwoodchute.gateway import row_reader
 
 ACCOUNTS = "accounts"
@@ -39,10 +40,15 @@
 class Account:
     """One client account, as this host uses it."""
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        may_rise: abc.Callable[[escrow.Holding], bool] = lambda holding: True,
+    ) -> None:
         self.name = name
         self.part = part_of(name)
-        self.ledger = escrow.Ledger()
+        self.ledger = escrow.Ledger(may_rise=may_rise)
         self.demand = sizing.Demand(window=DEMAND_WINDOW, bias_corrected=True)
         self.mean_request = 0.0  # tokens; an exponentially weighted mean
         self.row = escrow.Account()  # the account's row, common to all hosts
@@ -106,9 +112,16 @@
 
     Fields that rows of older hosts lack, always the last ones, get their defaults.
     """
-    types = escrow.Holding.__annotations__.values()
-    fields = zip(types, bounded_json.loads(value), strict=False)
-    return escrow.Holding(*(convert(field) for convert, field in fields))
+    *types, _ = escrow.Holding.__annotations__.values()
+    plain = bounded_json.loads(value)
+    numbers = zip(types, plain, strict=False)
+    holding = escrow.Holding(*(convert(field) for convert, field in numbers))
+    if len(plain) <= len(types):
+        return holding
+    names = plain[len(types)]
+    if not isinstance(names, list) or not all(map(texts.is_name, names)):
+        raise ValueError("the witnesses are no names")
+    return holding._replace(witnesses=tuple(names))
 
 
 def holding_reader() -> row_reader.RowReader[escrow.Holding]:
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -41,6 +41,7 @@
 # is answered without waiting for a commit.
 UNAVAILABLE_FOR = 0.5
 GIVE_BACK_AFTER = 1.0  # seconds after the last request of an account on this host
+MAX_RETURN_TIME = 60.0  # seconds from a lost host's last commit
 MAX_WAIT = 2.5  # seconds that a request waits for tokens, at most
 
 
@@ -61,14 +62,22 @@
         registered: abc.Callable[[], int] = lambda: 0,
         regions: int = 1,
         rates: checkpoints.Rates | None = None,
+        witnesses: reservations.Witnesses | None = None,
     ) -> None:
+        self._witnesses = witnesses or reservations.Witnesses()
+        self._holder = holder
+        self._store_now = store.now
         self._transfers = transfers.Transfers(
             holder=holder, request_tokens=request_tokens, home=home, now=now
         )
         self._home = home
         self._now = now
         self._commits = account_commits.Commits(
-            holder=holder, store=store, now=now, registered=registered
+            holder=holder,
+            store=store,
+            now=now,
+            registered=registered,
+            witnesses=self._witnesses.names,
         )
         self._plan = draw_plan.DrawPlan(
             config=config,
@@ -84,6 +93,7 @@
             plan=self._plan,
             commits=self._commits,
             token_transfers=self._transfers,
+            returnable=self._returnable_tokens,
             now=now,
         )
         self._reports = account_report.Reports(now=now)
@@ -240,7 +250,8 @@
     def _account(self, name: str) -> account_rows.Account:
         account = self._accounts.get(name)
         if account is None:
-            account = self._accounts[name] = account_rows.Account(name=name)
+            account = account_rows.Account(name=name, may_rise=self._witnesses.may_rise)
+            self._accounts[name] = account
         return account
 
     def _log_refusal(
@@ -257,6 +268,21 @@
         }
         refusals.log_refusal(account, tokens, outcome, **times)
 
+    def _returnable_tokens(self, account: account_rows.Account) -> int:
+        """Return how many tokens of an account hosts that seem lost may not have used.
+
+        These return once it is certain (`reclaim`, `lost_holdings`), which takes no
+        longer than `MAX_RETURN_TIME` as a rule.
+        """
+        oldest = self._store_now() - MAX_RETURN_TIME
+        return sum(
+            max(0, holding.granted - holding.limit)
+            for holder, holding in account.holdings.items()
+            if holding.at >= oldest
+            and holder != self._holder
+            and not self._witnesses.is_live(holder)
+        )
+
     def _is_write_due(self, account: account_rows.Account) -> bool:
         if self._plan.is_stopping:
             return bool(account.bills)
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -11,6 +11,7 @@
     amounts,
     calls,
     configuration,
+    contact,
     crash_reports,
     directory,
     dispatch,
@@ -22,6 +23,7 @@
     host_rows,
     hosts,
     liveness,
+    lost_holdings,
     mirror,
     model,
     observe,
@@ -36,6 +38,7 @@
     transfer_protocol,
     transfer_sources,
     upstream,
+    witnessing,
 )
 
 POLL_INTERVAL = 0.02  # seconds between checks of the number of requests in flight
@@ -58,6 +61,7 @@
         give_back_to_host: transfer_protocol.GiveBack,
         ask_table: tables.Ask,
         is_alive: liveness.Question,
+        witness_client: witnessing.Client,
         on_config: abc.Callable[[model.Config], None],
         started_at: float,
         now: abc.Callable[[], float] = clock.monotonic,
@@ -71,7 +75,9 @@
         self._idle.set()
         self._stopping = stopping.Stopping(grace=deployment.bounds.grace, now=now)
         self._tasks: list[asyncio.Task] = []
-        store = platform.store
+        store_contact = contact.Contact(now=now)
+        store = store_contact.watch(platform.store)
+        platform = platform._replace(store=store)
         self._configuration = configuration.Configuration(
             table=platform.config_table,
             key=platform.config_key,
@@ -80,6 +86,7 @@
             now=now,
         )
         incarnation = f"{deployment.host}-{secrets.token_hex(4)}"
+        self.id = incarnation
         self._crashes = crash_reports.CrashReports(
             on_quarantine=lambda: self._dispatcher.stop_quarantined(), now=now
         )
@@ -138,6 +145,14 @@
             request_from_host=request_from_host,
             give_back_to_host=give_back_to_host,
         )
+        self.witnessing = witnessing.Witnessing(
+            id=incarnation,
+            live=lambda: self._hosts.live,
+            contact=store_contact,
+            store=store,
+            client=witness_client,
+            now=now,
+        )
         self._accounts = accounts.Accounts(
             holder=incarnation,
             store=store,
@@ -157,6 +172,22 @@
             rates=checkpoints.Rates(
                 part=deployment.part_commits, fleet=deployment.commits
             ),
+            witnesses=reservations.Witnesses(
+                names=self.witnessing.names,
+                may_rise=self.witnessing.may_rise,
+                is_live=lambda holder: holder in self._hosts.live_ids,
+            ),
+        )
+        self._lost_holdings = lost_holdings.LostHoldings(
+            store=store,
+            fleet=lost_holdings.Fleet(
+                live=lambda: self._hosts.live_ids,
+                down=lambda: self._hosts.down_ids,
+                registered=lambda: self._hosts.registered,
+                is_responsible_for=self._hosts.ranks_first,
+            ),
+            count_denials=self.witnessing.count_denials,
+            now=now,
         )
         self._reclaimer = reclaim.Reclaimer(
             store=store,
@@ -284,6 +315,7 @@
         await self._liveness.start(self._deployment.heartbeats)
         parts = [*self._mirrors.values(), self._own_row, self._liveness]
         parts.extend((self._accounts, self._gossip, self._reclaimer))
+        parts.extend((self.witnessing, self._lost_holdings))
         loops = [each.run() for each in parts]
         loops.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in loops]
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -98,6 +98,22 @@
             )
         return self._live
 
+    @property
+    def down_ids(self) -> frozenset[str]:
+        """Ids of incarnations that are marked as down and have no successor yet."""
+        registered = self.registered
+        return frozenset(
+            host.id
+            for host in self._hosts.values()
+            if host.state == host_rows.DOWN
+            and registered.get(host.name, host).id == host.id
+        )
+
+    @property
+    def live_ids(self) -> frozenset[str]:
+        """Ids of all live incarnations, this one included."""
+        return frozenset([self.id, *(host.id for host in self.live)])
+
     @property
     def count(self) -> int:
         """The number of live hosts, this one included."""
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from dogwoodchute.coordination import retry_after as spreading
+from dogwoodchute.coordination import escrow, retry_after as spreading
 
 RETRY_AFTER = 0.5  # seconds; by then some requests have returned unused tokens
 MAX_RETRY_AFTER = 1.0  # seconds
@@ -73,3 +73,16 @@
     request: abc.Callable[[str, int], abc.Awaitable[int | None]]
     # Gives tokens back to the home; returns whether it certainly did not get them.
     give_back: abc.Callable[[str, int], abc.Awaitable[bool]]
+
+
+class Witnesses(typing.NamedTuple):
+    """Other hosts, which confirm that the store is away (`coordination.witnesses`).
+
+    The defaults are those of a host that is alone.
+    """
+
+    names: abc.Callable[[], tuple[str, ...]] = tuple  # of a commit that is sent now
+    # Whether enough of a commit's witnesses have confirmed it.
+    may_rise: abc.Callable[[escrow.Holding], bool] = lambda holding: True
+    # Whether a holder, which is an incarnation of a host, is known to live.
+    is_live: abc.Callable[[str], bool] = lambda holder: True
--- a/dogwoodchute/gateway/waiters.py
+++ b/dogwoodchute/gateway/waiters.py
@@ -23,8 +23,10 @@
         plan: draw_plan.DrawPlan,
         commits: account_commits.Commits,
         token_transfers: transfers.Transfers,
+        returnable: abc.Callable[[account_rows.Account], int],
         now: abc.Callable[[], float],
     ) -> None:
+        self._returnable = returnable  # tokens that lost hosts may yet give back
         self._plan = plan
         self._commits = commits
         self._transfers = token_transfers
@@ -81,13 +83,14 @@
             return bool(waiting)
         if account.ledger.idle >= waiting[0].tokens:
             return True
-        outcome = self.out_of_reach(
-            account, waiting[0].tokens, "not all hosts could be asked"
-        )
-        if received.all_answered:
-            remaining = (self._plan.prepaid(account) or 0) - account.row.drawn
-            outcome = reservations.Exhausted(remaining=max(0, remaining))
         least = waiting[0].tokens
+        remaining = max(0, (self._plan.prepaid(account) or 0) - account.row.drawn)
+        if not received.all_answered:
+            outcome = self.out_of_reach(account, least, "not all hosts could be asked")
+        elif least <= remaining + self._returnable(account):
+            outcome = self.out_of_reach(account, least, "tokens may yet return")
+        else:
+            outcome = reservations.Exhausted(remaining=remaining)
         self._shortages.record(account.name, least, outcome)
         for waiter in waiting:
             if waiter.tokens >= least:
--- a/dogwoodchute/tests/gateway_process.py
+++ b/dogwoodchute/tests/gateway_process.py
@@ -15,7 +15,7 @@
 from dogwoodchute.tests import gateway_site, support
 
 SETTINGS = """
-node = "h1"
+node = "{node}"
 ip = "{ip}"
 zone = "z1"
 region = "r1"
@@ -39,14 +39,16 @@
 class GatewayProcess(gateway_site.Site):
     """A site whose gateway is a process on a loopback address of its own."""
 
-    def __init__(self, **options):
+    def __init__(self, *, node="h1", **options):
         super().__init__(**options)
+        self._node = node
         self.process = None
         self._folder = tempfile.TemporaryDirectory()
         self._log = None
 
-    async def start(self):
-        self._launch(await self.start_store())
+    async def start(self, *, store=None):
+        """Start the process, on a store of its own or that at the address `store`."""
+        self._launch(store or await self.start_store())
         self.session = aiohttp.ClientSession()
         await support.until_async(self.serves)
 
@@ -57,7 +59,7 @@
         )
         folder = pathlib.Path(self._folder.name)
         settings = folder / "settings.toml"
-        text = SETTINGS.format(ip=ip, grace=GRACE, store=store)
+        text = SETTINGS.format(node=self._node, ip=ip, grace=GRACE, store=store)
         settings.write_text(text, encoding="utf-8")
         self._log = folder / "log"
         with self._log.open("wb") as output:
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -33,6 +33,8 @@
     platform_access,
     tables,
     transfer_protocol,
+    witness_protocol,
+    witnessing,
 )
 from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
 
@@ -65,6 +67,7 @@
         self._transfer_client = transfer_protocol.TransferClient(now=clock.monotonic)
         self._table_client = tables.Client()
         self._liveness_client = liveness.Client()
+        self._witness_client = witness_protocol.Client()
         self._store_client = store.Client(
             address=deployment.store,
             relays=lambda: self.gateway.relays(),
@@ -86,6 +89,10 @@
             give_back_to_host=self._transfer_client.give_back,
             ask_table=self._table_client.ask,
             is_alive=self._liveness_client.is_alive,
+            witness_client=witnessing.Client(
+                confirm=self._witness_client.confirm,
+                denies=self._witness_client.denies,
+            ),
             on_config=self._adopt_limits,
             started_at=STARTED_AT,
         )
@@ -102,6 +109,9 @@
         )
         tables.add_routes(control.app, changes_since=self.gateway.table_changes_since)
         liveness.add_routes(control.app)
+        witness_protocol.add_routes(
+            control.app, id=self.gateway.id, witness=self.gateway.witnessing
+        )
         relay.add_routes(control.app, client=self._store_client)
         readiness = self._new_server("readiness")
         ingress.add_readiness(readiness.app, ready=self.gateway.ready)
@@ -156,6 +166,7 @@
                 await self._transfer_client.close()
                 await self._table_client.close()
                 await self._liveness_client.close()
+                await self._witness_client.close()
         except TimeoutError:
             log.warning("stop_unclosed")
 
