All answers that a host holds share a bound of memory

It could happen here: one answer was bounded by 16 MB, all together were not. 48 requests to an endpoint that sends bodies without a length took 728 MB at the peak; the smaller site allows 150 MB.

Change: answers that are read whole, and unfinished events, share 16 MB; the largest is given up beyond that, so small answers of other requests are not affected. Connections read ahead 16 KB, not 64. dogwoodchuted reads what endpoints tell of themselves up to 1 MB, where it had no bound.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import json
 import typing
 from collections import abc
 
@@ -15,6 +16,7 @@
 import xxhash
 
 from dogwoodchute import (
+    bounded_read,
     catalog,
     controller,
     log,
@@ -320,8 +322,9 @@
             )
         try:
             async with self._session.get(f"http://{address}{path}") as response:
-                content = await response.read()
-                body = await response.json() if response.status == 200 else {}
+                limit = bounded_read.MAX_REPORT
+                content = await bounded_read.read(response, limit=limit)
+                body = json.loads(content) if response.status == 200 else {}
         except TimeoutError:
             self._doubts.doubt(address, f"no load in {POLL_TIMEOUT} s")
             return Fetched(0, {}, 0)
--- a/dogwoodchute/controllers/order_client.py
+++ b/dogwoodchute/controllers/order_client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from dogwoodchute import bounded_read
 from dogwoodchute.coordination import orders
 
 REPORT_TIMEOUT = 2.0  # seconds
@@ -63,7 +64,8 @@
                 if response.status != 200:
                     reason = f"engine answered {response.status}"
                     return NoAnswer(reason=reason, peer=address)
-                return Reported(state=(await response.json())["state"])
+                report = await bounded_read.read_report(response)
+                return Reported(state=report["state"])
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             reason = str(error) or type(error).__name__
             return NoAnswer(reason=reason, peer=address)
--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -104,7 +104,7 @@
             super().data_received(data[start:end])
             start = end
             if self._interim_count > MAX_INTERIM:
-                self._abort("too many interim answers")
+                self.abort("too many interim answers")
                 return b""
         return data[start:]
 
@@ -128,9 +128,9 @@
         body = self._payload.total_bytes if self._payload is not None else 0
         if self._use.received - body <= MAX_HEAD + unparsed + MAX_FRAMING * body:
             return
-        self._abort("too many bytes that are no answer")
+        self.abort("too many bytes that are no answer")
 
-    def _abort(self, reason: str) -> None:
+    def abort(self, reason: str) -> None:
         """Abort the connection and fail the answer that is being read."""
         if self.transport is None or self.was_reset:
             return
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -9,6 +9,7 @@
 import yarl
 
 from dogwoodchute import (
+    bounded_read,
     clock,
     endpoint_connection,
     exchange as exchanges,
@@ -222,7 +223,7 @@
             ) as response:
                 if response.status != http.HTTPStatus.OK:
                     return None
-                answer = await response.json()
+                answer = await bounded_read.read_report(response)
                 tokens = answer["usage"]["total_tokens"]
         except (aiohttp.ClientError, OSError, ValueError, LookupError, TypeError):
             return None
@@ -246,19 +247,13 @@
         # The response drops its connection once the body has been received; the body's
         # reader keeps a reference to it.
         connection = getattr(response.content, "_protocol", None)
-        parts = []
-        size = 0
-        async for data in response.content.iter_any():
-            parts.append(data)
-            size += len(data)
-            if size > limit:
-                raise aiohttp.ClientPayloadError(f"the answer exceeds {limit} bytes")
+        body = await bounded_read.read(response, limit=limit)
         is_whole = endpoint_connection.has_framing(response) or (
             connection is not None and not connection.was_reset
         )
         if not is_whole:
             raise aiohttp.ClientPayloadError("reset before the end of the answer")
-        return b"".join(parts)
+        return body
 
 
 def _connector(**options: object) -> aiohttp.TCPConnector:
--- a/dogwoodchute/gateway/stream_relay.py
+++ b/dogwoodchute/gateway/stream_relay.py
@@ -74,6 +74,8 @@
                 sse.check_next_id(events, call.last_event_id, allow_gaps=True)
         except sse.FormatError as error:
             return upstream.Lost(reason=str(error), peer=peer)
+        if framer.partial_size != answer.held.size:
+            answer.held.hold(framer.partial_size)
         if events:
             await _forward_events(call, events, now=now())
             last_event_at = now()
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -11,7 +11,7 @@
 import yarl
 
 from dogwoodchute import endpoint_connection, pooled_connection, send_once
-from dogwoodchute.gateway import calls, model
+from dogwoodchute.gateway import answer_memory, calls, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
@@ -20,6 +20,9 @@
 IDLE_MARGIN = 0.5
 # Seconds without a byte of a plain answer after which its connection may be silent.
 PLAIN_SILENCE = 0.25
+# Bytes that a connection reads ahead. In chunks of a few bytes they take ten times the
+# memory.
+READ_BUFFER = 16 * 1024
 MAX_BODY = 16 * 1024 * 1024  # bytes of an answer that is read whole before forwarding
 MAX_REASON = 120  # characters of an error's text, which may quote the endpoint
 
@@ -80,8 +83,12 @@
         response: aiohttp.ClientResponse,
         head: Head,
         connection: endpoint_connection.EndpointConnection | None,
+        memory: answer_memory.AnswerMemory,
+        peer: str,
     ) -> None:
         self.head = head
+        # What is held of the answer until it can be forwarded.
+        self.held = memory.open(peer, self._give_up)
         self._response = response
         self._connection = connection
         # Whether the answer tells its end by itself; else its connection ends it.
@@ -99,6 +106,7 @@
                 return b"".join(chunks)
             chunks.append(data)
             size += len(data)
+            self.held.hold(size)
             if size > MAX_BODY:
                 return Lost(reason=f"the answer exceeds {MAX_BODY} bytes", peer=peer)
 
@@ -125,8 +133,14 @@
 
     def close(self) -> None:
         """Close the connection, which cancels the run at the endpoint."""
+        self.held.release()
         self._response.close()
 
+    def _give_up(self, reason: str) -> None:
+        """Fail the answer that is being read."""
+        if self._connection is not None:
+            self._connection.abort(reason)
+
 
 class Upstream:
     """The connections of this host to all endpoints."""
@@ -134,6 +148,7 @@
     def __init__(self, *, wire: WireFormat) -> None:
         self._wire = wire
         self._doubts = pooled_connection.Doubts()
+        self._memory = answer_memory.AnswerMemory()
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -147,6 +162,7 @@
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            read_bufsize=READ_BUFFER,
             middlewares=(send_once.middleware,),
         )
 
@@ -208,7 +224,13 @@
         # The response drops its connection once the body has been received; the body's
         # reader keeps a reference to it.
         connection = getattr(response.content, "_protocol", None)
-        return Answer(response=response, head=head, connection=connection)
+        return Answer(
+            response=response,
+            head=head,
+            connection=connection,
+            memory=self._memory,
+            peer=endpoint.id,
+        )
 
     def _doubt_if_silent(
         self,
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -31,6 +31,11 @@
         """The bytes of an event whose end has not arrived."""
         return bytes(self._partial)
 
+    @property
+    def partial_size(self) -> int:
+        """The number of these bytes."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Add `data` and return the events that are whole now, empty if none are.
 
--- a/dogwoodchute/tests/test_unending.py
+++ b/dogwoodchute/tests/test_unending.py
@@ -4,7 +4,7 @@
 import contextlib
 import time
 
-from dogwoodchute.tests import gateway_site, support
+from dogwoodchute.tests import gateway_site, raw_endpoint, support
 
 PIECE = 1 << 16  # bytes written at once by a fast endpoint
 SLOW_PIECE = 16  # bytes written at once by a slow one
@@ -66,9 +66,10 @@
         size = SLOW_PIECE if self._slow else PIECE
         piece = self._then * max(1, size // len(self._then))
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
             self.requests += 1
-            writer.write(self._first)
+            attempt = raw_endpoint.ATTEMPT.search(head).group(1)
+            writer.write(self._first.replace(b"Id: a1\r\n", b"Id: %b\r\n" % attempt))
             while not writer.is_closing():
                 writer.write(piece)
                 self.sent += len(piece)
