--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -65,7 +65,6 @@
         witnesses: reservations.Witnesses | None = None,
     ) -> None:
         self._witnesses = witnesses or reservations.Witnesses()
-        self._holder = holder
         self._store_now = store.now
         self._transfers = transfers.Transfers(
             holder=holder, request_tokens=request_tokens, home=home, now=now
@@ -274,13 +273,14 @@
         These return once it is certain (`reclaim`, `lost_holdings`), which takes no
         longer than `MAX_RETURN_TIME` as a rule.
         """
+        live_ids = self._witnesses.live_ids()
+        if live_ids is None:
+            return 0
         oldest = self._store_now() - MAX_RETURN_TIME
         return sum(
             max(0, holding.granted - holding.limit)
             for holder, holding in account.holdings.items()
-            if holding.at >= oldest
-            and holder != self._holder
-            and not self._witnesses.is_live(holder)
+            if holding.at >= oldest and holder not in live_ids
         )
 
     def _is_write_due(self, account: account_rows.Account) -> bool:
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -5,10 +5,9 @@
 from collections import abc
 
 from dogwoodchute import clock, exchange, log, loop_watch, outcomes
-from dogwoodchute.coordination import checkpoints
 from dogwoodchute.gateway import (
-    accounts,
     amounts,
+    budgets,
     calls,
     configuration,
     contact,
@@ -23,20 +22,15 @@
     host_rows,
     hosts,
     liveness,
-    lost_holdings,
     mirror,
     model,
     observe,
     platform_access,
     readiness,
-    reclaim,
     registration,
-    reservations,
     stopping,
     table_source,
     tables,
-    transfer_protocol,
-    transfer_sources,
     upstream,
     witnessing,
 )
@@ -57,11 +51,9 @@
         *,
         deployment: model.Deployment,
         platform: platform_access.Platform,
-        request_from_host: transfer_protocol.RequestFromHost,
-        give_back_to_host: transfer_protocol.GiveBack,
+        host_calls: budgets.Calls,
         ask_table: tables.Ask,
         is_alive: liveness.Question,
-        witness_client: witnessing.Client,
         on_config: abc.Callable[[model.Config], None],
         started_at: float,
         now: abc.Callable[[], float] = clock.monotonic,
@@ -86,7 +78,6 @@
             now=now,
         )
         incarnation = f"{deployment.host}-{secrets.token_hex(4)}"
-        self.id = incarnation
         self._crashes = crash_reports.CrashReports(
             on_quarantine=lambda: self._dispatcher.stop_quarantined(), now=now
         )
@@ -120,7 +111,7 @@
             host=deployment.host,
             region=deployment.region,
             live=lambda: self._hosts.live,
-            store_is_slow=lambda: self._accounts.store_is_slow,
+            store_is_slow=lambda: self._budgets.accounts.store_is_slow,
         )
         self._gossip = gossip.Gossip(
             id=incarnation,
@@ -139,60 +130,16 @@
             loads=self._gossip.loads,
             now=now,
         )
-        token_sources = transfer_sources.TransferSources(
-            live=lambda: self._hosts.live,
-            homes=self._homes,
-            request_from_host=request_from_host,
-            give_back_to_host=give_back_to_host,
-        )
-        self.witnessing = witnessing.Witnessing(
-            id=incarnation,
-            live=lambda: self._hosts.live,
-            contact=store_contact,
-            store=store,
-            client=witness_client,
-            now=now,
-        )
-        self._accounts = accounts.Accounts(
-            holder=incarnation,
+        self._budgets = budgets.assemble(
+            deployment=deployment,
             store=store,
+            store_contact=store_contact,
             config=lambda: self._configuration.current,
-            hosts=lambda: self._hosts.count,
-            request_tokens=token_sources.request,
-            home=reservations.Home(
-                is_local=self._homes.is_local,
-                is_remote=lambda name: self._homes.remote_home(name) is not None,
-                request=token_sources.request_from_home,
-                give_back=token_sources.give_back_to_home,
-            ),
-            now=now,
+            fleet=self._hosts,
+            own_row=self._own_row,
+            account_homes=self._homes,
+            host_calls=host_calls,
             horizon=self._horizon,
-            registered=lambda: self._own_row.registered_version,
-            regions=len(set(deployment.regions.values())),
-            rates=checkpoints.Rates(
-                part=deployment.part_commits, fleet=deployment.commits
-            ),
-            witnesses=reservations.Witnesses(
-                names=self.witnessing.names,
-                may_rise=self.witnessing.may_rise,
-                is_live=lambda holder: holder in self._hosts.live_ids,
-            ),
-        )
-        self._lost_holdings = lost_holdings.LostHoldings(
-            store=store,
-            fleet=lost_holdings.Fleet(
-                live=lambda: self._hosts.live_ids,
-                down=lambda: self._hosts.down_ids,
-                registered=lambda: self._hosts.registered,
-                is_responsible_for=self._hosts.ranks_first,
-            ),
-            count_denials=self.witnessing.count_denials,
-            now=now,
-        )
-        self._reclaimer = reclaim.Reclaimer(
-            store=store,
-            registered=lambda: self._hosts.registered,
-            is_responsible_for=self._hosts.ranks_first,
             now=now,
         )
         self._ready_peers = table_source.ready_peers(
@@ -217,6 +164,16 @@
         self._mirrors = self._make_mirrors(platform)
         self._chain = self._make_chain()
 
+    @property
+    def id(self) -> str:
+        """The id of this incarnation."""
+        return self._hosts.id
+
+    @property
+    def witnessing(self) -> witnessing.Witnessing:
+        """What this host confirms to others, as their witness."""
+        return self._budgets.witnessing
+
     @property
     def leaving(self) -> bool:
         """Whether this host is stopping."""
@@ -275,11 +232,11 @@
 
         Returns the number of tokens transferred.
         """
-        return await self._accounts.transfer_out(account, tokens)
+        return await self._budgets.accounts.transfer_out(account, tokens)
 
     def take_back(self, account: str, tokens: int) -> bool:
         """Take tokens of a client account back; return whether they were taken."""
-        return self._accounts.take_back(account, tokens)
+        return self._budgets.accounts.take_back(account, tokens)
 
     async def table_changes_since(
         self, table: str, since: int | None, hold: float
@@ -314,8 +271,7 @@
         await self._gossip.start(self._deployment.gossip)
         await self._liveness.start(self._deployment.heartbeats)
         parts = [*self._mirrors.values(), self._own_row, self._liveness]
-        parts.extend((self._accounts, self._gossip, self._reclaimer))
-        parts.extend((self.witnessing, self._lost_holdings))
+        parts.extend((self._gossip, *self._budgets))
         loops = [each.run() for each in parts]
         loops.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in loops]
@@ -345,7 +301,7 @@
             async with asyncio.timeout(FLUSH_TIMEOUT):
                 await self._upstream.stop()
                 await self._idle.wait()
-                await self._accounts.flush()
+                await self._budgets.accounts.flush()
                 await self._own_row.leave()
         except TimeoutError:
             log.warning("stop_unfinished", in_flight=self._in_flight)
@@ -418,7 +374,7 @@
                 filters.check_closing(closing=self._stopping.closing),
                 filters.authenticate(),
                 filters.check_quarantine(find=self._crashes.find),
-                filters.reserve(budgets=self._accounts),
+                filters.reserve(budgets=self._budgets.accounts),
                 filters.send(dispatcher=self._dispatcher),
             ]
         )
--- a/dogwoodchute/gateway/lost_holdings.py
+++ b/dogwoodchute/gateway/lost_holdings.py
@@ -38,6 +38,10 @@
 ]  # see `Witnessing.count_denials`
 
 
+# Rows and their holdings, by holder and the witnesses of its last commit.
+LostByHolder = dict[tuple[str, tuple[str, ...]], list[tuple[rows.Row, escrow.Holding]]]
+
+
 class Fleet(typing.NamedTuple):
     """The hosts, as this one knows them."""
 
@@ -99,16 +103,8 @@
         if isinstance(found, rows.Unavailable):
             log.warning("lost_holdings_put_off", part=part, reason=found.reason)
             return
-        groups: dict[tuple[str, tuple[str, ...]], list[tuple]] = {}
-        for row in found.rows:
-            holding = self._reader.read(row)
-            holder = row.key.partition("/")[2]
-            if holding is None or not self._may_return(holder, holding):
-                continue
-            key = (holder, holding.witnesses)
-            groups.setdefault(key, []).append((row, holding))
         denied: list[settlements.Settlement] = []
-        for (holder, names), lost in groups.items():
+        for (holder, names), lost in self._group_lost(found.rows).items():
             times = [holding.at for _, holding in lost]
             question = witnessing.Denial(holder, min(times), max(times))
             denials = await self._count_denials(names, question)
@@ -127,18 +123,27 @@
                 )
         await settlements.settle(self._store, part, denied)
 
-    def _may_return(self, holder: str, holding: escrow.Holding) -> bool:
-        """Return whether a holding seems lost and has tokens above its limit.
+    def _group_lost(self, found: list[rows.Row]) -> LostByHolder:
+        """Return holdings that seem lost and have tokens above their limit.
 
-        A holding of an unknown registration could not be told from that of the host's
-        next process once its row was changed here.
+        One of an unknown registration is left out: once its row was changed here, it
+        could not be told from that of the host's next process.
         """
-        if holder in self._fleet.live() or holding.granted <= holding.limit:
-            return False
-        successor = self._fleet.registered().get(holder.rpartition("-")[0])
-        if successor is not None and successor.id != holder:
-            return False
-        return bool(holding.witnesses) and holding.registered > 0
+        lost: LostByHolder = {}
+        live, registered = self._fleet.live(), self._fleet.registered()
+        for row in found:
+            holder = row.key.partition("/")[2]
+            holding = None if holder in live else self._reader.read(row)
+            if holding is None or holding.granted <= holding.limit:
+                continue
+            if not holding.witnesses or not holding.registered:
+                continue
+            newest = registered.get(holder.rpartition("-")[0])
+            if newest is not None and newest.id != holder:
+                continue  # `reclaim` closes it
+            key = (holder, holding.witnesses)
+            lost.setdefault(key, []).append((row, holding))
+        return lost
 
 
 def _return_unused(
--- a/dogwoodchute/gateway/reservations.py
+++ b/dogwoodchute/gateway/reservations.py
@@ -84,5 +84,5 @@
     names: abc.Callable[[], tuple[str, ...]] = tuple  # of a commit that is sent now
     # Whether enough of a commit's witnesses have confirmed it.
     may_rise: abc.Callable[[escrow.Holding], bool] = lambda holding: True
-    # Whether a holder, which is an incarnation of a host, is known to live.
-    is_live: abc.Callable[[str], bool] = lambda holder: True
+    # Ids of the incarnations that are known to live, None if all holders are.
+    live_ids: abc.Callable[[], frozenset[str] | None] = lambda: None
--- a/dogwoodchute/tests/lost_fleet.py
+++ b/dogwoodchute/tests/lost_fleet.py
@@ -74,7 +74,7 @@
             witnesses=reservations.Witnesses(
                 names=self.witnessing.names,
                 may_rise=self.witnessing.may_rise,
-                is_live=lambda holder: holder in fleet.live_ids(),
+                live_ids=fleet.live_ids,
             ),
         )
         self.lost_holdings = lost_holdings.LostHoldings(
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -27,6 +27,7 @@
 
 from dogwoodchute import clock, log, server
 from dogwoodchute.gateway import (
+    budgets,
     gateway,
     liveness,
     model,
@@ -85,14 +86,16 @@
                 endpoints_table=names.ENDPOINTS_TABLE,
                 is_store_reachable=lambda: self._store_client.is_store_reachable,
             ),
-            request_from_host=self._transfer_client.request,
-            give_back_to_host=self._transfer_client.give_back,
+            host_calls=budgets.Calls(
+                request_from_host=self._transfer_client.request,
+                give_back_to_host=self._transfer_client.give_back,
+                witnesses=witnessing.Client(
+                    confirm=self._witness_client.confirm,
+                    denies=self._witness_client.denies,
+                ),
+            ),
             ask_table=self._table_client.ask,
             is_alive=self._liveness_client.is_alive,
-            witness_client=witnessing.Client(
-                confirm=self._witness_client.confirm,
-                denies=self._witness_client.denies,
-            ),
             on_config=self._adopt_limits,
             started_at=STARTED_AT,
         )
