One lazily opened HTTP session for all clients that doubt connections

Six clients opened their sessions and closed them with the same lines; they share pooled_connection.LazySession now. 14 test files around them: 109 passed.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -71,8 +71,10 @@
         self._host = host
         self._endpoints = endpoints
         self._fetch = fetch or self._fetch_http
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(
+            timeout=aiohttp.ClientTimeout(total=POLL_TIMEOUT),
+            skip_auto_headers=("User-Agent", "Accept-Encoding"),
+        )
         self._catalog = catalog.EMPTY
         self._engines: list[catalog.Endpoint] = []
         self._shards: dict[str, polling.Shard] = {}
@@ -98,8 +100,7 @@
 
         async def stop() -> None:
             await periodic.stop()
-            if self._session is not None:
-                await self._session.close()
+            await self._session.close()
 
         return periodic._replace(stop=stop)
 
@@ -314,19 +315,13 @@
             log.warning("cache_events_unreadable", endpoint=name, reason=repr(error))
 
     async def _fetch_http(self, address: str, path: str) -> Fetched:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(),
-                timeout=aiohttp.ClientTimeout(total=POLL_TIMEOUT),
-                skip_auto_headers=("User-Agent", "Accept-Encoding"),
-            )
         try:
-            async with self._session.get(f"http://{address}{path}") as response:
+            async with self._session.get().get(f"http://{address}{path}") as response:
                 limit = bounded_read.MAX_REPORT
                 content = await bounded_read.read(response, limit=limit)
                 body = json.loads(content) if response.status == 200 else {}
         except TimeoutError:
-            self._doubts.doubt(address, f"no load in {POLL_TIMEOUT} s")
+            self._session.doubt(address, f"no load in {POLL_TIMEOUT} s")
             return Fetched(0, {}, 0)
         except (aiohttp.ClientError, OSError, ValueError):
             return Fetched(0, {}, 0)
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -56,13 +56,11 @@
 
     def __init__(self, *, now: abc.Callable[[], float] = clock.monotonic) -> None:
         self._now = now
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(auto_decompress=False)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._session.close()
 
     async def ask(
         self, address: str, table: str, since: int | None, hold: float
@@ -72,10 +70,6 @@
         The host may wait up to `hold` seconds for a change. If its connection has gone
         silent, it is asked again at once on a newer one, and does not wait then.
         """
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(), auto_decompress=False
-            )
         use = pooled_connection.track_use()
         answer = await self._post(address, table, since, hold)
         if isinstance(answer, NoAnswer) and answer.timed_out and use.is_reused:
@@ -87,7 +81,7 @@
     ) -> Answer | NoAnswer:
         asked_at = self._now()
         try:
-            async with self._session.post(
+            async with self._session.get().post(
                 f"http://{address}{PATH}",
                 data=msgpack.packb([table, since, hold]),
                 headers={"Content-Type": FORMAT},
@@ -100,7 +94,7 @@
                 content = await response.read()
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._doubts.doubt(address, reason)
+            self._session.doubt(address, reason)
             return NoAnswer(reason, timed_out=True)
         except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(str(error) or type(error).__name__)
--- a/dogwoodchute/gateway/transfer_protocol.py
+++ b/dogwoodchute/gateway/transfer_protocol.py
@@ -50,14 +50,14 @@
 
     def __init__(self, *, now: abc.Callable[[], float]) -> None:
         self._now = now
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
+        )
         self._backoffs: dict[str, _Backoff] = {}  # by address
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._session.close()
 
     async def request(self, address: str, account: str, tokens: int) -> int | None:
         """Request `tokens` from the host at `address`; return how many it gave.
@@ -84,7 +84,7 @@
         backoff = self._backoffs.get(address)
         if backoff is not None and self._now() < backoff.until:
             return True
-        session = self._open_session()
+        session = self._session.get()
         body = msgpack.packb([account, tokens])
         url = f"http://{address}{GIVE_BACK_PATH}"
         try:
@@ -106,17 +106,9 @@
             )
             return False
 
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(),
-                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
-            )
-        return self._session
-
     def _doubt_if_silent(self, address: str, error: Exception) -> None:
         if isinstance(error, TimeoutError):
-            self._doubts.doubt(address, "no answer to a transfer")
+            self._session.doubt(address, "no answer to a transfer")
 
     def _record_no_answer(self, address: str, sent_at: float) -> None:
         previous = self._backoffs.get(address)
@@ -128,7 +120,7 @@
         self._backoffs[address] = _Backoff(self._now() + seconds, seconds)
 
     async def _post(self, address: str, account: str, tokens: int) -> int | None:
-        session = self._open_session()
+        session = self._session.get()
         body = msgpack.packb([account, tokens])
         try:
             async with session.post(
--- a/dogwoodchute/gateway/witness_protocol.py
+++ b/dogwoodchute/gateway/witness_protocol.py
@@ -26,13 +26,13 @@
     """The HTTP client with which this host asks witnesses."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT)
+        )
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._session.close()
 
     async def confirm(
         self, address: str, witness: str, holder: str, asked: float
@@ -51,13 +51,8 @@
 
     async def _ask(self, address: str, path: str, body: list) -> object:
         """Send a question; return the decoded answer, None without one."""
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(),
-                timeout=aiohttp.ClientTimeout(total=TIMEOUT),
-            )
         try:
-            async with self._session.post(
+            async with self._session.get().post(
                 f"http://{address}{path}",
                 data=msgpack.packb(body),
                 headers={"Content-Type": FORMAT},
@@ -68,7 +63,7 @@
                 return msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             if isinstance(error, TimeoutError):
-                self._doubts.doubt(address, "no answer of a witness")
+                self._session.doubt(address, "no answer of a witness")
             reason = str(error) or type(error).__name__
             log.info("witness_unanswered", peer=address, path=path, reason=reason)
             return None
--- a/dogwoodchute/platform/http_client.py
+++ b/dogwoodchute/platform/http_client.py
@@ -31,24 +31,18 @@
 
     def __init__(self, *, address: str, timeout: float) -> None:
         self.address = address
-        self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout / 2)
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(
+            timeout=aiohttp.ClientTimeout(total=timeout, sock_connect=timeout / 2)
+        )
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._session.close()
 
     async def call(self, path: str, body: dict) -> dict | NotSent | NoAnswer:
         """Send one call; return the answer's body, or how it failed."""
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(), timeout=self._timeout
-            )
         try:
-            async with self._session.post(
+            async with self._session.get().post(
                 f"http://{self.address}{path}", data=wire.encode(body)
             ) as response:
                 content = await response.read()
@@ -59,7 +53,7 @@
             return NotSent(reason="connecting timed out")
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._doubts.doubt(self.address, reason)
+            self._session.doubt(self.address, reason)
             return NoAnswer(reason=reason)
         except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(reason=str(error) or type(error).__name__)
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -110,8 +110,9 @@
     """The connections of one process to the store and to relays."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
-        self._doubts = pooled_connection.Doubts()
+        self._session = pooled_connection.LazySession(
+            keepalive_timeout=IDLE_TIMEOUT, auto_decompress=False
+        )
         self._in_flight: set[_Progress] = set()
 
     def receiving(self, table: str) -> bool:
@@ -124,8 +125,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._session.close()
 
     async def send(
         self, address: str, call: Call, *, sink: Sink | None = None
@@ -146,14 +146,9 @@
     async def _send(
         self, address: str, call: Call, progress: _Progress, sink: Sink | None
     ) -> CallOutcome:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=self._doubts.connector(keepalive_timeout=IDLE_TIMEOUT),
-                auto_decompress=False,
-            )
         use = pooled_connection.track_use()
         try:
-            async with self._session.request(
+            async with self._session.get().request(
                 call.method,
                 f"http://{address}{call.target}",
                 data=call.body or None,
@@ -178,7 +173,7 @@
             return NotSent("connecting timed out", address)
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._doubts.doubt(address, reason)
+            self._session.doubt(address, reason)
             is_stale = use.is_reused and progress.head_seconds is None
             return NoAnswer(reason, address, is_stale_connection=is_stale)
         except (aiohttp.ClientError, OSError) as error:
--- a/dogwoodchute/pooled_connection.py
+++ b/dogwoodchute/pooled_connection.py
@@ -58,10 +58,6 @@
         """Whether any address was ever doubted."""
         return bool(self._doubted_at)
 
-    def connector(self, **options: object) -> aiohttp.TCPConnector:
-        """Return a connector whose connections heed these doubts."""
-        return connector(doubts=self, **options)
-
     def doubt(self, address: str, reason: str) -> None:
         """Do not use again what is open to `address` now; log it with `reason`."""
         self._doubted_at.pop(address, None)
@@ -144,3 +140,36 @@
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     return made
+
+
+class LazySession:
+    """An HTTP session that is opened at its first use, with doubts of its connections.
+
+    `keepalive_timeout` is the seconds for which an unused connection is kept; further
+    options go to the session.
+    """
+
+    def __init__(self, *, keepalive_timeout: float = 15.0, **options: object) -> None:
+        self._keepalive_timeout = keepalive_timeout
+        self._options = options
+        self._doubts = Doubts()
+        self._session: aiohttp.ClientSession | None = None
+
+    def get(self) -> aiohttp.ClientSession:
+        """Return the session; needs a running event loop."""
+        if self._session is None:
+            made = connector(
+                doubts=self._doubts, keepalive_timeout=self._keepalive_timeout
+            )
+            self._session = aiohttp.ClientSession(connector=made, **self._options)
+        return self._session
+
+    def doubt(self, address: str, reason: str) -> None:
+        """Do not use again what is open to `address` now; log it with `reason`."""
+        self._doubts.doubt(address, reason)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
