--- a/dogwoodchute/gateway/endpoint_waits.py
+++ b/dogwoodchute/gateway/endpoint_waits.py
@@ -154,6 +154,7 @@
         self._has_ended = False  # the endpoint accepts no connection
         self._checking: asyncio.Task | None = None
         self._offering: asyncio.Task | None = None
+        self._is_settling = False  # the work has ended; only the offer is waited for
         first = patience.seconds
         if patience.check_after is not None:
             first = min(first, patience.check_after)
@@ -177,6 +178,7 @@
 
     async def settle(self) -> try_results.Taken | None:
         """Wait for an offer under way; return the run that has taken the call."""
+        self._is_settling = True
         if self._offering is not None:
             await asyncio.wait([self._offering])
         return self.take()
@@ -215,7 +217,7 @@
         )
 
     def _handle_offered(self, offering: asyncio.Task) -> None:
-        if offering is not self._offering:
+        if offering is not self._offering or self._is_settling:
             return
         if _result_of(offering) is None:
             self._offering = None
