--- a/dogwoodchute/tests/lost_fleet.py
+++ b/dogwoodchute/tests/lost_fleet.py
@@ -7,13 +7,12 @@
     contact,
     host_rows,
     lost_holdings,
-    model,
     reservations,
     rows,
     witnessing,
 )
 from dogwoodchute.standins import row_store
-from dogwoodchute.tests import network_gate, virtual
+from dogwoodchute.tests import network_gate, test_accounts, virtual
 
 PART = account_rows.part_of("ann")
 ENDED = rows.Unavailable(reason="the process has ended")
@@ -154,14 +153,7 @@
         self.store = row_store.RowStore(now=self.loop.time)
         self.store_answers = True
         self.down = set()  # ids that other hosts marked as down
-        self.config = model.Config(
-            version=1,
-            routes={},
-            services={},
-            accounts={"ann": model.Account("ann", frozenset(), None, prepaid)},
-            accounts_by_key={},
-            limits=model.Limits(),
-        )
+        self.config = test_accounts.config(prepaid)
         self.hosts = {}
         self._rows = {}
         for name in names:
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -18,6 +18,18 @@
 from dogwoodchute.tests import support, virtual
 
 
+def config(prepaid):
+    """Return a configuration with the one account "ann"."""
+    return model.Config(
+        version=1,
+        routes={},
+        services={},
+        accounts={"ann": model.Account("ann", frozenset(), None, prepaid)},
+        accounts_by_key={},
+        limits=model.Limits(),
+    )
+
+
 class Fleet:
     """Several hosts on one store, which request tokens from one another."""
 
@@ -27,14 +39,7 @@
         self.loop = virtual.Loop()
         self.store = row_store.RowStore(now=self.loop.time)
         self.fault = row_store.NO_FAULT
-        self.config = model.Config(
-            version=1,
-            routes={},
-            services={},
-            accounts={"ann": model.Account("ann", frozenset(), None, prepaid)},
-            accounts_by_key={},
-            limits=model.Limits(),
-        )
+        self.config = config(prepaid)
         self.hosts = {}
         self.tasks = {}
         self.killed = set()
