A host without answers takes the store for lost after one timeout again

Cause: since connections that go silent together are told from a lost store, a read that timed out was sent again before the direct path counted as lost. A host that the store turns away without an answer found a relay after two timeouts (up to 3.6 s for a feed) in place of one.

Change: the path is taken for lost at the first timeout, and for regained once the newer connection answers, from which moment it is used again. Of several hosts that are asked for a table at the same time none is asked twice.

--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -67,12 +67,12 @@
     ) -> Answer | NoAnswer:
         """Return the changes after version `since` that the host at `address` has.
 
-        The host may wait up to `hold` seconds for a change. If its connection has gone
-        silent, it is asked again at once on a newer one, and does not wait then.
+        The host may wait up to `hold` seconds for a change. If it may, and its
+        connection has gone silent, it is asked again on a newer one, and does not wait.
         """
         use = pooled_connection.track_use()
         answer = await self._post(address, table, since, hold)
-        if isinstance(answer, NoAnswer) and answer.timed_out and use.is_reused:
+        if isinstance(answer, NoAnswer) and answer.timed_out and use.is_reused and hold:
             return await self._post(address, table, since, 0.0)
         return answer
 
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -130,7 +130,10 @@
             sent_at = self._now()
             outcome = await self._send_directly(call)
             self._update_lane(lane, outcome, part)
-            self._update_direct_path(outcome, sent_at)
+            # A commit on a connection that has gone silent tells nothing of new ones,
+            # and isn't sent again here.
+            if not _is_stale_connection(outcome):
+                self._update_direct_path(outcome, sent_at)
         if isinstance(outcome, transport.Answer) and not _is_refusal(outcome):
             return outcome
         if isinstance(outcome, transport.NoAnswer) and method != "GET":
@@ -152,6 +155,7 @@
 
         A read whose connection has gone silent is sent again at once, on a newer one:
         such connections are found one by one otherwise, at the cost of a timeout each.
+        Until that one answers, the path is taken for lost, as the store may be.
         """
         while True:
             sent_at = self._now()
@@ -161,6 +165,7 @@
                 self._read_latency = self._now() - sent_at
             if call.method != "GET" or not _is_stale_connection(outcome):
                 return outcome
+            self._update_direct_path(outcome, sent_at)
 
     async def _call_through_relay(
         self, call: transport.Call, direct_outcome: transport.CallOutcome
@@ -213,11 +218,8 @@
         """Record whether the direct path works, by a call that was sent at `sent_at`.
 
         If that was before the path's last answer, a failure of the call says nothing of
-        the path's present state and is ignored. So is one of a connection that was open
-        before, as new ones may work.
+        the path's present state and is ignored.
         """
-        if _is_stale_connection(outcome):
-            return
         failed = not isinstance(outcome, transport.Answer) or _is_refusal(outcome)
         if _is_too_many_requests(outcome) and not backpressure.is_path_refused(
             self._latest
@@ -226,7 +228,7 @@
         if failed and sent_at < self._direct_answered_at:
             return
         if not failed:
-            self._direct_answered_at = self._now()
+            self._direct_answered_at = self._probe_at = self._now()
         if failed:
             self._probe_at = self._now() + PROBE_INTERVAL * random.uniform(0.8, 1.2)
         if failed and not self._direct_failed:
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -123,6 +123,24 @@
 
         self.run_async(scenario())
 
+    def test_a_host_that_gets_no_answers_finds_a_relay_after_one_timeout(self):
+        """Connections that went silent together were to be told from a lost store."""
+
+        async def scenario():
+            async with running() as setup:
+                setup.relays = [setup.relay]
+                read = ("t", "p", None, None)
+                await asyncio.gather(*(setup.store.read(*read) for _ in range(3)))
+                setup.fault = row_store.Fault(silent=True)
+                first = asyncio.create_task(setup.store.read(*read))
+                await asyncio.sleep(store.CALL_TIMEOUT + 0.2)
+                self.assertFalse(setup.client.is_store_reachable)
+                found = await asyncio.wait_for(setup.store.read(*read), 0.5)
+                self.assertIsInstance(found, rows.Rows)
+                self.assertIsInstance(await first, rows.Rows)
+
+        self.run_async(scenario())
+
     def test_too_many_commits_of_a_part_do_not_lose_the_store(self):
         """Guards against one overloaded partition stopping all use of the store.
 
