Only a request on a connection that was open before doubts the others

Cause: a new connection that wasn't accepted in time, as on a full link between regions, made the open ones to that host unusable too, though they worked.

Change: what a new connection does, or one that was never made, tells nothing of the others.

--- a/dogwoodchute/controllers/endpoint_loads.py
+++ b/dogwoodchute/controllers/endpoint_loads.py
@@ -315,13 +315,14 @@
             log.warning("cache_events_unreadable", endpoint=name, reason=repr(error))
 
     async def _fetch_http(self, address: str, path: str) -> Fetched:
+        use = pooled_connection.track_use()
         try:
             async with self._session.get().get(f"http://{address}{path}") as response:
                 limit = bounded_read.MAX_REPORT
                 content = await bounded_read.read(response, limit=limit)
                 body = json.loads(content) if response.status == 200 else {}
         except TimeoutError:
-            self._session.doubt(address, f"no load in {POLL_TIMEOUT} s")
+            self._session.doubt(address, "no report", use=use)
             return Fetched(0, {}, 0)
         except (aiohttp.ClientError, OSError, ValueError):
             return Fetched(0, {}, 0)
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -71,13 +71,19 @@
         connection has gone silent, it is asked again on a newer one, and does not wait.
         """
         use = pooled_connection.track_use()
-        answer = await self._post(address, table, since, hold)
+        answer = await self._post(address, table, since, hold, use)
         if isinstance(answer, NoAnswer) and answer.timed_out and use.is_reused and hold:
-            return await self._post(address, table, since, 0.0)
+            use = pooled_connection.track_use()
+            return await self._post(address, table, since, 0.0, use)
         return answer
 
     async def _post(
-        self, address: str, table: str, since: int | None, hold: float
+        self,
+        address: str,
+        table: str,
+        since: int | None,
+        hold: float,
+        use: pooled_connection.Use,
     ) -> Answer | NoAnswer:
         asked_at = self._now()
         try:
@@ -94,7 +100,7 @@
                 content = await response.read()
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._session.doubt(address, reason)
+            self._session.doubt(address, reason, use=use)
             return NoAnswer(reason, timed_out=True)
         except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(str(error) or type(error).__name__)
--- a/dogwoodchute/gateway/transfer_protocol.py
+++ b/dogwoodchute/gateway/transfer_protocol.py
@@ -85,6 +85,7 @@
         if backoff is not None and self._now() < backoff.until:
             return True
         session = self._session.get()
+        use = pooled_connection.track_use()
         body = msgpack.packb([account, tokens])
         url = f"http://{address}{GIVE_BACK_PATH}"
         try:
@@ -96,7 +97,7 @@
             return True
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
-            self._doubt_if_silent(address, error)
+            self._doubt_if_silent(address, error, use)
             log.warning(
                 "tokens_lost",
                 account=account,
@@ -106,9 +107,11 @@
             )
             return False
 
-    def _doubt_if_silent(self, address: str, error: Exception) -> None:
+    def _doubt_if_silent(
+        self, address: str, error: Exception, use: pooled_connection.Use
+    ) -> None:
         if isinstance(error, TimeoutError):
-            self._session.doubt(address, "no answer to a transfer")
+            self._session.doubt(address, "no answer to a transfer", use=use)
 
     def _record_no_answer(self, address: str, sent_at: float) -> None:
         previous = self._backoffs.get(address)
@@ -121,6 +124,7 @@
 
     async def _post(self, address: str, account: str, tokens: int) -> int | None:
         session = self._session.get()
+        use = pooled_connection.track_use()
         body = msgpack.packb([account, tokens])
         try:
             async with session.post(
@@ -132,7 +136,7 @@
                 given = msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
-            self._doubt_if_silent(address, error)
+            self._doubt_if_silent(address, error, use)
             log.warning("tokens_not_got", account=account, peer=address, reason=reason)
             return None
         if not isinstance(given, int) or not 0 <= given <= tokens:
--- a/dogwoodchute/gateway/witness_protocol.py
+++ b/dogwoodchute/gateway/witness_protocol.py
@@ -51,6 +51,7 @@
 
     async def _ask(self, address: str, path: str, body: list) -> object:
         """Send a question; return the decoded answer, None without one."""
+        use = pooled_connection.track_use()
         try:
             async with self._session.get().post(
                 f"http://{address}{path}",
@@ -63,7 +64,7 @@
                 return msgpack.unpackb(await response.read())
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             if isinstance(error, TimeoutError):
-                self._session.doubt(address, "no answer of a witness")
+                self._session.doubt(address, "no answer of a witness", use=use)
             reason = str(error) or type(error).__name__
             log.info("witness_unanswered", peer=address, path=path, reason=reason)
             return None
--- a/dogwoodchute/platform/http_client.py
+++ b/dogwoodchute/platform/http_client.py
@@ -41,6 +41,7 @@
 
     async def call(self, path: str, body: dict) -> dict | NotSent | NoAnswer:
         """Send one call; return the answer's body, or how it failed."""
+        use = pooled_connection.track_use()
         try:
             async with self._session.get().post(
                 f"http://{self.address}{path}", data=wire.encode(body)
@@ -53,7 +54,7 @@
             return NotSent(reason="connecting timed out")
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._session.doubt(self.address, reason)
+            self._session.doubt(self.address, reason, use=use)
             return NoAnswer(reason=reason)
         except (aiohttp.ClientError, OSError) as error:
             return NoAnswer(reason=str(error) or type(error).__name__)
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -173,7 +173,7 @@
             return NotSent("connecting timed out", address)
         except TimeoutError as error:
             reason = str(error) or type(error).__name__
-            self._session.doubt(address, reason)
+            self._session.doubt(address, reason, use=use)
             is_stale = use.is_reused and progress.head_seconds is None
             return NoAnswer(reason, address, is_stale_connection=is_stale)
         except (aiohttp.ClientError, OSError) as error:
--- a/dogwoodchute/pooled_connection.py
+++ b/dogwoodchute/pooled_connection.py
@@ -164,9 +164,14 @@
             self._session = aiohttp.ClientSession(connector=made, **self._options)
         return self._session
 
-    def doubt(self, address: str, reason: str) -> None:
-        """Do not use again what is open to `address` now; log it with `reason`."""
-        self._doubts.doubt(address, reason)
+    def doubt(self, address: str, reason: str, *, use: Use) -> None:
+        """Do not use again what is open to `address` now; log it with `reason`.
+
+        `use` is of a request without an answer. One on a new connection, or one that
+        never got a connection, tells nothing of those that were open before.
+        """
+        if use.is_reused:
+            self._doubts.doubt(address, reason)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/dogwoodchute/tests/test_silent_connections.py
+++ b/dogwoodchute/tests/test_silent_connections.py
@@ -8,7 +8,7 @@
 import contextlib
 import time
 
-from dogwoodchute import clock, server
+from dogwoodchute import clock, pooled_connection, server
 from dogwoodchute.gateway import (
     mirror,
     model,
@@ -163,6 +163,34 @@
 
         self.run_async(scenario())
 
+    def test_a_host_that_accepts_nothing_new_keeps_its_connections(self):
+        """A new one that fails on a full link tells nothing of those that work."""
+
+        async def changes_since(table, since, hold):
+            return mirror.TableUpdate(
+                table_copy.Changes([], 7, is_snapshot=False),
+                clock.monotonic(),
+                0.0,
+                False,
+            )
+
+        async def scenario():
+            def add_routes(app):
+                tables.add_routes(app, changes_since=changes_since)
+
+            async with host_behind_proxy(add_routes) as proxy:
+                client = tables.Client()
+                await client.ask(proxy.address, "op", 1, 0.0)
+                opened = proxy.opened
+                client._session.doubt(
+                    proxy.address, "no connection", use=pooled_connection.Use()
+                )
+                await client.ask(proxy.address, "op", 1, 0.0)
+                self.assertEqual(opened, proxy.opened)
+                await client.close()
+
+        self.run_async(scenario())
+
     def test_tokens_come_from_a_host_though_its_connections_are_silent(self):
         async def transfer_out(account, tokens):
             return tokens
