A wait for an endpoint wakes only when there is something to do

Cause: from 0.8 s on each waiting stream looked ten times a second whether its endpoint was silent, though the time of that is known.

--- a/dogwoodchute/gateway/endpoint_waits.py
+++ b/dogwoodchute/gateway/endpoint_waits.py
@@ -133,9 +133,13 @@
         """End the run of an endpoint that took a call which is not needed any more."""
         self._drop(call, taken)
 
-    def is_silent(self, call: calls.Call) -> bool:
-        """Return whether the endpoint of a call has sent nothing here for long."""
-        return self._endpoints.seconds_silent(call.send.endpoint.id) >= CHECK_AFTER
+    def seconds_until_silent(self, call: calls.Call) -> float:
+        """Return the seconds until the endpoint of a call has sent nothing for long.
+
+        Not above 0 if it has sent nothing here for `CHECK_AFTER` seconds.
+        """
+        silence = self._endpoints.seconds_silent(call.send.endpoint.id)
+        return CHECK_AFTER - silence
 
 
 class _Wait:
@@ -201,10 +205,20 @@
             self._offering = asyncio.create_task(self._waits.offer(self._call))
             self._offering.add_done_callback(self._handle_offered)
             return
-        if not self._is_checked and self._waits.is_silent(self._call):
+        if not self._is_checked and self._waits.seconds_until_silent(self._call) <= 0:
             self._is_checked = True
             self._checking = asyncio.create_task(self._check())
-        self._timer = self._loop.call_later(RETRY_CHECK_INTERVAL, self._step)
+        self._timer = self._loop.call_later(self._pause(), self._step)
+
+    def _pause(self) -> float:
+        """Return the seconds until there may be something to do."""
+        until_offer = self._offer_at - self._loop.time()
+        if self._has_ended or until_offer <= 0:
+            return RETRY_CHECK_INTERVAL
+        if self._is_checked:
+            return until_offer
+        until_silent = self._waits.seconds_until_silent(self._call)
+        return min(until_offer, max(RETRY_CHECK_INTERVAL, until_silent))
 
     async def _check(self) -> None:
         endpoint = self._call.send.endpoint
@@ -215,6 +229,9 @@
             endpoint=endpoint.id,
             accepts=not self._has_ended,
         )
+        if self._has_ended and self._offering is None:
+            self._timer.cancel()
+            self._step()
 
     def _handle_offered(self, offering: asyncio.Task) -> None:
         if offering is not self._offering or self._is_settling:
