--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -11,7 +11,7 @@
 import yarl
 
 from dogwoodchute import endpoint_connection, pooled_connection, send_once
-from dogwoodchute.gateway import answer_memory, calls, model
+from dogwoodchute.gateway import answer_memory, calls, dropped_runs, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
@@ -205,6 +205,7 @@
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             )
         except asyncio.CancelledError:
+            dropped_runs.report(call, endpoint, use, sent_at)
             self._doubt_if_silent(call, endpoint, use, sent_at)
             raise
         except aiohttp.ConnectionTimeoutError as error:
--- a/dogwoodchute/pooled_connection.py
+++ b/dogwoodchute/pooled_connection.py
@@ -7,10 +7,13 @@
 silent one, and wait its whole timeout for it.
 """
 
+import array
 import asyncio
 import contextvars
+import fcntl
 import functools
 import socket
+import termios
 
 import aiohttp
 from aiohttp import client_proto
@@ -30,6 +33,10 @@
     def __init__(self) -> None:
         self.received = 0  # bytes since the request was sent, where they are counted
         self.is_reused = False  # it carried another request before
+        self.is_connected = False  # bytes of the request may have been written
+        # Bytes that the peer's kernel had not acknowledged when the connection was
+        # closed before a byte of an answer; None if it was not, or if that is unknown.
+        self.unsent: int | None = None
 
 
 # aiohttp chooses the connection of a request, so the connection finds the `Use` of the
@@ -99,8 +106,29 @@
         """Prepare for the answer to a new request."""
         self._use = _current_use.get(None) or Use()
         self._use.is_reused, self._has_carried = self._has_carried, True
+        self._use.is_connected = True
         super().set_response_params(**params)
 
+    def close(self) -> None:
+        """Close the connection; record what was not sent of a request under way."""
+        if self.is_open and not self._use.received:
+            self._use.unsent = self._unsent_bytes()
+        super().close()
+
+    def _unsent_bytes(self) -> int | None:
+        """Return the bytes that the peer's kernel has not acknowledged.
+
+        Returns None if this host's kernel does not tell.
+        """
+        unsent = array.array("i", [0])
+        try:
+            descriptor = self.transport.get_extra_info("socket").fileno()
+            fcntl.ioctl(descriptor, termios.TIOCOUTQ, unsent)
+        except OSError as error:
+            log.info("unsent_bytes_unknown", reason=str(error))
+            return None
+        return unsent[0] + self.transport.get_write_buffer_size()
+
     def _is_doubted(self) -> bool:
         if not self._doubts.has_any:
             return False
--- a/dogwoodchute/tests/support.py
+++ b/dogwoodchute/tests/support.py
@@ -8,6 +8,8 @@
 import testtools
 import uvloop
 
+from dogwoodchute import log
+
 SEED = os.environ.get("DOGWOODCHUTE_FUZZ_SEED")
 EXAMPLES = int(os.environ.get("DOGWOODCHUTE_FUZZ_EXAMPLES", "0"))
 
@@ -28,6 +30,19 @@
 
         return uvloop.run(with_timeout())
 
+    def collect_lines(self, event: str) -> list[dict[str, object]]:
+        """Return a list that gets the fields of each line of `event` logged as info."""
+        lines = []
+        logged = log.info
+
+        def info(name: str, **fields: object) -> None:
+            logged(name, **fields)
+            if name == event:
+                lines.append(fields)
+
+        self.patch(log, "info", info)
+        return lines
+
 
 async def until(condition: abc.Callable[[], object], *, seconds: float = 20.0) -> None:
     """Wait until `condition` returns true; fail after `seconds`."""
--- /dev/null
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -0,0 +1,129 @@
+"""Callers that leave: what they asked for is neither sent on nor worked on."""
+
+import asyncio
+import contextlib
+import socket
+
+from dogwoodchute.tests import gateway_site, support
+
+WORK_BOUND = 0.5  # seconds after a caller has left, from the users' rules
+# More than an endpoint's kernel takes, less than a host reads at once.
+BODY = b"x" * 60_000
+HEAD_END = b"\r\n\r\n"
+
+
+def request(attempt, *, path="/s/stream", body=b"", tokens=True):
+    """Return the bytes of a caller's request."""
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "Host: site.example",
+        f"X-Dogwoodchute-Attempt-Id: {attempt}",
+        "X-Dogwoodchute-Deadline-Ms: 2900",
+        f"X-Dogwoodchute-Credential: {gateway_site.KEY}",
+        f"Content-Length: {len(body)}",
+    ]
+    if tokens:
+        lines.append("X-Dogwoodchute-Token-Count: 50,20")
+        lines.append("X-Dogwoodchute-Prompt-Prefix: 5c1e07a2:50")
+    return "\r\n".join(lines).encode() + HEAD_END + body
+
+
+class SilentEndpoint:
+    """Accepts connections and answers nothing; reads once `reads` is set."""
+
+    def __init__(self, *, reads_at_once=True):
+        self.reads = asyncio.Event()
+        if reads_at_once:
+            self.reads.set()
+        self.opened = 0  # connections
+        self.closed = 0  # connections whose end was seen
+        self.received = []  # bytes of each connection that has ended
+        self.whole = 0  # requests that arrived to their end
+        self._tasks = []
+        self._listener = socket.socket()
+
+    async def start(self):
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(100)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._tasks.append(asyncio.create_task(self._accept()))
+
+    def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self._listener)
+            accepted.setblocking(False)
+            self.opened += 1
+            self._tasks.append(asyncio.create_task(self._read(accepted)))
+
+    async def _read(self, accepted):
+        loop = asyncio.get_running_loop()
+        await self.reads.wait()
+        data = b""
+        with contextlib.closing(accepted), contextlib.suppress(ConnectionError):
+            while chunk := await loop.sock_recv(accepted, 65536):
+                data += chunk
+        self.closed += 1
+        self.received.append(len(data))
+        head, _, body = data.partition(HEAD_END)
+        self.whole += bool(head) and len(body) == len(BODY)
+
+
+@contextlib.asynccontextmanager
+async def running(service, **options):
+    """Run a site whose only endpoint of a service is a silent one."""
+    site = gateway_site.Site()
+    site.put("op", "config", gateway_site.config(prepaid=1_000_000))
+    await site.add_endpoint("other", "plain" if service == "engines" else "engines")
+    endpoint = SilentEndpoint(**options)
+    await endpoint.start()
+    site.register("silent", service, endpoint.port)
+    await site.start()
+    try:
+        yield site, endpoint
+    finally:
+        await site.stop()
+        endpoint.stop()
+
+
+async def leave_after(site, data, *, seconds):
+    """Send a request and close the connection after so many seconds."""
+    host, _, port = site.address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    await writer.drain()
+    await asyncio.sleep(seconds)
+    writer.close()
+
+
+class DroppedRunsTest(support.TestCase):
+    def dropped_run(self, service="engines", *, body=b"", **options):
+        """Return the fields of the line of a run that is dropped."""
+        lines = self.collect_lines("run_dropped")
+
+        async def scenario():
+            async with running(service, **options) as (site, _):
+                data = request("a1", body=body)
+                await leave_after(site, data, seconds=0.3)
+                await support.until(lambda: lines, seconds=WORK_BOUND)
+
+        self.run_async(scenario())
+        (line,) = lines
+        return line
+
+    def test_a_request_that_the_endpoint_has_waits_there(self):
+        line = self.dropped_run()
+        self.assertEqual(("at_endpoint", None), (line["place"], line["unsent"]))
+        self.assertEqual(("a1", "silent"), (line["request"], line["endpoint"]))
+
+    def test_one_that_the_endpoint_does_not_take_waits_on_the_way(self):
+        line = self.dropped_run(body=BODY, reads_at_once=False)
+        self.assertEqual("on_the_way", line["place"])
+        self.assertGreater(line["unsent"], 0)
--- a/dogwoodchute/tests/test_try_reports.py
+++ b/dogwoodchute/tests/test_try_reports.py
@@ -1,6 +1,5 @@
 """What the log says of sends that failed."""
 
-from dogwoodchute import log
 from dogwoodchute.tests import gateway_site, raw_endpoint, support, test_faulty_answers
 
 PROMPT = {
@@ -16,15 +15,7 @@
 class ProgressTest(support.TestCase):
     def failed_try(self, answer):
         """Return the fields of the line that is logged after an answer is cut off."""
-        lines = []
-        logged = log.info
-
-        def info(event, **fields):
-            logged(event, **fields)
-            if event == "try_failed":
-                lines.append(fields)
-
-        self.patch(log, "info", info)
+        lines = self.collect_lines("try_failed")
 
         async def scenario():
             def script(head, number):
