What the endpoint has not taken of a request is not sent once its caller has left

Callers left, the host closed its connection to the endpoint, and the kernel went on to send what was written: on a slow or full link, or to an endpoint that doesn't read, the whole request arrived seconds later and was worked on for nobody.

A close of a connection with bytes that the endpoint's kernel has not acknowledged discards them (SO_LINGER 0). With nothing outstanding the close stays an ordinary one, which the kernel repeats until it arrives; a reset is sent once. Tried first: a reset in each case; it made no difference to what arrives, and a peer that looks for the end of the stream missed it (test_preempted).

--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import http
+import socket
+import struct
 from collections import abc
 
 import aiohttp
@@ -14,6 +16,8 @@
 MAX_INTERIM = 20  # interim (1xx) answers to one request; each costs a parser call
 # Bytes of framing for each byte of a body. Chunks of one byte need 5.
 MAX_FRAMING = 8
+# Value of SO_LINGER with which a close discards what the kernel has not sent.
+DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
 # Returns whether a connection is not used again after an answer, by the answer's
 # status, headers and raw headers.
@@ -130,6 +134,29 @@
             return
         self.abort("too many bytes that are no answer")
 
+    def close(self) -> None:
+        """Close the connection; discard what was not sent of a request under way.
+
+        In an ordinary close the kernel goes on to send it for as long as the endpoint
+        needs to take it, and a request without a caller reaches the endpoint late. One
+        that the endpoint has is closed in the ordinary way, as a reset may get lost.
+        """
+        transport = self.transport
+        if not self._is_under_way or not self._record_unsent():
+            super().close()
+            return
+        connected = transport.get_extra_info("socket")
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_UNSENT)
+        super().close()
+        transport.abort()
+
+    @property
+    def _is_under_way(self) -> bool:
+        """Whether a request was sent whose answer did not arrive to its end."""
+        if not self.is_open or not self._has_carried:
+            return False
+        return not self._has_head or not self._payload.is_eof()
+
     def abort(self, reason: str) -> None:
         """Abort the connection and fail the answer that is being read."""
         if self.transport is None or self.was_reset:
--- a/dogwoodchute/pooled_connection.py
+++ b/dogwoodchute/pooled_connection.py
@@ -35,7 +35,7 @@
         self.is_reused = False  # it carried another request before
         self.is_connected = False  # bytes of the request may have been written
         # Bytes that the peer's kernel had not acknowledged when the connection was
-        # closed before a byte of an answer; None if it was not, or if that is unknown.
+        # closed before the end of an answer; None if it was not, or that is unknown.
         self.unsent: int | None = None
 
 
@@ -109,14 +109,8 @@
         self._use.is_connected = True
         super().set_response_params(**params)
 
-    def close(self) -> None:
-        """Close the connection; record what was not sent of a request under way."""
-        if self.is_open and not self._use.received:
-            self._use.unsent = self._unsent_bytes()
-        super().close()
-
-    def _unsent_bytes(self) -> int | None:
-        """Return the bytes that the peer's kernel has not acknowledged.
+    def _record_unsent(self) -> int | None:
+        """Record and return the bytes that the peer's kernel has not acknowledged.
 
         Returns None if this host's kernel does not tell.
         """
@@ -127,7 +121,8 @@
         except OSError as error:
             log.info("unsent_bytes_unknown", reason=str(error))
             return None
-        return unsent[0] + self.transport.get_write_buffer_size()
+        self._use.unsent = unsent[0] + self.transport.get_write_buffer_size()
+        return self._use.unsent
 
     def _is_doubted(self) -> bool:
         if not self._doubts.has_any:
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -127,3 +127,17 @@
         line = self.dropped_run(body=BODY, reads_at_once=False)
         self.assertEqual("on_the_way", line["place"])
         self.assertGreater(line["unsent"], 0)
+
+
+class CallersLeaveTest(support.TestCase):
+    def test_what_was_not_sent_when_its_caller_left_is_never_sent(self):
+        async def scenario():
+            async with running("engines", reads_at_once=False) as (site, endpoint):
+                data = request("a1", body=BODY)
+                await leave_after(site, data, seconds=0.3)
+                await asyncio.sleep(WORK_BOUND)
+                endpoint.reads.set()
+                await support.until(lambda: endpoint.closed == endpoint.opened)
+                self.assertEqual(0, endpoint.whole, endpoint.received)
+
+        self.run_async(scenario())
