The end of a caller is seen although its request filled the buffer

A caller that sent 64 KB or more and left was served to the end: Sanic stops to read a connection on which 64 KB wait, and reads on only when its parser needs more, which is after the answer. So its close wasn't seen, and the endpoint worked on until its answer or the time limit (failed before: at 65,536, 100,000 and 300,000 bytes no connection to the endpoint was closed within 0.5 s).

Reading goes on once the body has been read; what a caller sends beyond its request still pauses it at the same bound. Both interfaces go through the same server, so both have it.

--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -32,6 +32,15 @@
         accepted.inc()
         super().connection_made(transport)
 
+    def read_on(self) -> None:
+        """Read on while a request that was read whole is answered.
+
+        Sanic pauses when many bytes wait, and reads on only when it needs more, so the
+        end of a connection that is paused would be seen after the answer.
+        """
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     @property
     def idle(self) -> bool:
         """Whether no request is under way and none has begun to arrive."""
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -45,6 +45,7 @@
         self.app.config.TOUCHUP = False
         self.app.config.MOTD = False
         self.app.config.ACCESS_LOG = False
+        self.app.on_request(_read_on)
         self._server: async_server.AsyncioServer | None = None
         self.port = 0
 
@@ -138,6 +139,11 @@
         self._server = None
 
 
+def _read_on(request: sanic.Request) -> None:
+    """Read on while `request`, whose body was read, is answered."""
+    request.stream.protocol.read_on()
+
+
 def tls_context(certificate: str, key: str) -> ssl.SSLContext | None:
     """Return the TLS context of a listener's PEM files, None if none are set.
 
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -130,6 +130,18 @@
 
 
 class CallersLeaveTest(support.TestCase):
+    def test_work_ends_for_a_caller_that_left_after_a_large_body(self):
+        async def scenario():
+            async with running("engines") as (site, endpoint):
+                for size in (1000, 65536, 100_000, 300_000):
+                    seen = endpoint.closed
+                    body = b"x" * size
+                    await leave_after(site, request(f"a{size}", body=body), seconds=0.3)
+                    await asyncio.sleep(WORK_BOUND)
+                    self.assertEqual(seen + 1, endpoint.closed, size)
+
+        self.run_async(scenario())
+
     def test_what_was_not_sent_when_its_caller_left_is_never_sent(self):
         async def scenario():
             async with running("engines", reads_at_once=False) as (site, endpoint):
