Nothing is sent for a caller whose close lies unread

A host that is late reads a request and the close behind it one after the other, and had sent the request on by then: it reached an endpoint although its caller had left long before, and the endpoint began to work. In the test five callers send a request and close before the host reads; one request reached the endpoint (failed before: ['a0'] != ['a0', 'b0']), none does now. A look at the connection before each send tells (POLLRDHUP), also before an offer and a retry.

--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -1,6 +1,7 @@
 """Connections of callers, which log what was lost when they are closed by force."""
 
 import asyncio
+import select
 import time
 
 import prometheus_client
@@ -41,6 +42,17 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
+    def has_left(self) -> bool:
+        """Return whether the caller has closed, though that may not be read yet.
+
+        A host that is late reads a request and the close behind it one after the other.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     @property
     def idle(self) -> bool:
         """Whether no request is under way and none has begun to arrive."""
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -40,6 +40,7 @@
     chunk: abc.Callable[[bytes], abc.Awaitable[None]]
     end: abc.Callable[[], abc.Awaitable[None]]
     abort: abc.Callable[[], None]
+    has_left: abc.Callable[[], bool]  # whether the caller has closed the connection
 
 
 class Send:
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -65,6 +65,8 @@
             if isinstance(last, try_results.Abandoned):
                 send, answer = last.successor
             else:
+                if call.reply.has_left():
+                    return failed_calls.caller_left(call)
                 if self._time_left(call) < MIN_TIME_LEFT:
                     return failed_calls.timeout_outcome(call)
                 found = self._crashes.find(call.request.prompt)
@@ -107,6 +109,8 @@
 
     async def _offer(self, call: calls.Call) -> try_results.Taken | None:
         """Offer a call to another endpoint; return None unless that takes it."""
+        if call.reply.has_left():
+            return None
         if self._crashes.find(call.request.prompt) is not None:
             return None
         endpoint = self._endpoints.choose(call)
--- a/dogwoodchute/gateway/failed_calls.py
+++ b/dogwoodchute/gateway/failed_calls.py
@@ -8,6 +8,7 @@
 
 RETRY_AFTER = 0.2  # seconds: about the time until an endpoint has a free slot
 QUARANTINED = "prompt_quarantined"  # the code of refusals
+CALLER_LEFT = "caller_left"  # likewise
 # Statuses by which a caller may conclude that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -80,6 +81,23 @@
     return outcomes.Answered(status=last.answer.status, tokens=0, endpoint=last.peer)
 
 
+def caller_left(call: calls.Call) -> outcomes.NotRun | outcomes.Unknown:
+    """Return the outcome of a call that is not sent, as nobody waits for it."""
+    if not call.may_have_run:
+        return outcomes.refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            CALLER_LEFT,
+            "The request was not run: its caller has left.",
+            step="dispatch",
+        )
+    return outcomes.Unknown(
+        status=int(http.HTTPStatus.BAD_GATEWAY),
+        code=CALLER_LEFT,
+        message="The request may have run; its caller has left.",
+        step="dispatch",
+    )
+
+
 def timeout_outcome(call: calls.Call) -> outcomes.NotRun | outcomes.Unknown:
     """Return the outcome of a call whose time is up."""
     if not call.may_have_run:
--- a/dogwoodchute/platform/ingress.py
+++ b/dogwoodchute/platform/ingress.py
@@ -198,7 +198,14 @@
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         request.stream.protocol.force_close(connection.ABORT, request=attempt_id)
 
-    return calls.Reply(whole=whole, start=start, chunk=chunk, end=end, abort=abort)
+    return calls.Reply(
+        whole=whole,
+        start=start,
+        chunk=chunk,
+        end=end,
+        abort=abort,
+        has_left=request.stream.protocol.has_left,
+    )
 
 
 async def _respond(
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from dogwoodchute.tests import gateway_site, support
+from dogwoodchute.tests import gateway_site, raw_endpoint, support
 
 WORK_BOUND = 0.5  # seconds after a caller has left, from the users' rules
 # More than an endpoint's kernel takes, less than a host reads at once.
@@ -103,6 +103,18 @@
     writer.close()
 
 
+def leave_at_once(site, data):
+    """Send a request and close the connection before the host can read it."""
+    host, _, port = site.address.rpartition(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(data)
+
+
+def answer_keeping(head, number):
+    """Answer a request and keep its connection open."""
+    return raw_endpoint.answer(head, headers=b"Keep-Alive: timeout=30"), False
+
+
 class DroppedRunsTest(support.TestCase):
     def dropped_run(self, service="engines", *, body=b"", **options):
         """Return the fields of the line of a run that is dropped."""
@@ -153,3 +165,25 @@
                 self.assertEqual(0, endpoint.whole, endpoint.received)
 
         self.run_async(scenario())
+
+    def test_nothing_is_sent_for_a_caller_whose_close_is_not_read_yet(self):
+        async def scenario():
+            site = gateway_site.Site()
+            site.put("op", "config", gateway_site.config())
+            endpoint = raw_endpoint.RawEndpoint(script=answer_keeping)
+            await endpoint.start()
+            site.register("raw", "plain", endpoint.port)
+            await site.add_endpoint("other", "engines")
+            await site.start()
+            try:
+                await site.ask("/look/x", attempt="a0", method="GET")
+                for number in range(5):
+                    data = request(f"b{number}", path="/look/x", tokens=False)
+                    leave_at_once(site, data)
+                await asyncio.sleep(WORK_BOUND)
+                self.assertEqual(["a0"], endpoint.attempts)
+            finally:
+                await site.stop()
+                endpoint.stop()
+
+        self.run_async(scenario())
