A run that took over ends with its caller while a crash is being confirmed

An endpoint broke off within its answer's head, another one had taken the call by then, and the host looked for 0.2 s at most whether the first one had crashed. If the caller left in that time, nobody closed the run that had taken over: it went on to its end for nobody (failed before: (2, 2) != (2, 1) runs ended).

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -5,6 +5,7 @@
 if its route allows that.
 """
 
+import asyncio
 from collections import abc
 
 from dogwoodchute import endpoint_check, outcomes
@@ -79,8 +80,7 @@
                 self._crashes.record_completion(call.request.prompt)
                 return last
             try_reports.report(call, send, last)
-            if await self._has_crashed(send, last):
-                self._crashes.record_crash(call, send.endpoint)
+            await self._record_if_crashed(call, send, last)
 
     def stop_quarantined(self) -> None:
         """Stop calls with a quarantined part whose answers have not begun."""
@@ -118,6 +118,19 @@
             return None
         return await self._tries.offer(call, self._tries.start(call, endpoint))
 
+    async def _record_if_crashed(
+        self, call: calls.Call, send: calls.Send, result: try_results.TryResult
+    ) -> None:
+        """Record the end of an endpoint as it began to answer a call."""
+        try:
+            if await self._has_crashed(send, result):
+                self._crashes.record_crash(call, send.endpoint)
+        except asyncio.CancelledError:
+            # The run that took over has no one else to end it.
+            if isinstance(result, try_results.Abandoned):
+                self._tries.drop(call, result.successor)
+            raise
+
     async def _has_crashed(
         self, send: calls.Send, result: try_results.TryResult
     ) -> bool:
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+from dogwoodchute import endpoint_check
 from dogwoodchute.tests import gateway_site, raw_endpoint, support
 
 WORK_BOUND = 0.5  # seconds after a caller has left, from the users' rules
@@ -115,6 +116,45 @@
     return raw_endpoint.answer(head, headers=b"Keep-Alive: timeout=30"), False
 
 
+class TakingOver:
+    """Endpoints of which the first to be asked breaks off within its answer's head.
+
+    By then the second one was asked too; it sends the head of an answer, no body.
+    """
+
+    HEAD_AFTER = 0.6  # seconds; an offer is made after 0.3
+    BREAKS_OFF_AFTER = 0.5
+
+    def __init__(self):
+        self.begun = 0
+        self.ended = 0
+        self._listening = []
+
+    async def listen(self):
+        """Start one more endpoint; return its port."""
+        listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._listening.append(listening)
+        return listening.sockets[0].getsockname()[1]
+
+    def stop(self):
+        for listening in self._listening:
+            listening.close()
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(HEAD_END)
+        self.begun += 1
+        answer = raw_endpoint.answer(head, body=b"0123456789")[:-10]
+        if self.begun == 1:
+            writer.write(answer[:9])
+            await asyncio.sleep(self.BREAKS_OFF_AFTER)
+        else:
+            await asyncio.sleep(self.HEAD_AFTER)
+            writer.write(answer)
+            await reader.read()
+        self.ended += 1
+        writer.close()
+
+
 class DroppedRunsTest(support.TestCase):
     def dropped_run(self, service="engines", *, body=b"", **options):
         """Return the fields of the line of a run that is dropped."""
@@ -187,3 +227,29 @@
                 endpoint.stop()
 
         self.run_async(scenario())
+
+    def test_a_run_that_took_over_ends_with_its_caller_while_a_crash_is_confirmed(self):
+        async def confirm(address):
+            await asyncio.sleep(30.0)
+
+        self.patch(endpoint_check, "has_ended", confirm)
+
+        async def scenario():
+            site = gateway_site.Site()
+            site.put("op", "config", gateway_site.config())
+            await site.add_endpoint("other", "engines")
+            pair = TakingOver()
+            for name in ("e1", "e2"):
+                site.register(name, "plain", await pair.listen())
+            await site.start()
+            for _ in range(30):
+                site.host_process.gateway.count_request("plain")
+            try:
+                await leave_after(site, request("a1", path="/look/x"), seconds=1.4)
+                await asyncio.sleep(WORK_BOUND)
+                self.assertEqual((2, 2), (pair.begun, pair.ended))
+            finally:
+                await site.stop()
+                pair.stop()
+
+        self.run_async(scenario())
