--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -7,7 +7,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import hold_offs, leaving
-from dogwoodchute.gateway import model, row_reader, rows
+from dogwoodchute.gateway import endpoint_limits, model, row_reader, rows
 
 # Seconds after an outage of the store in which endpoints renew entries that expired.
 RENEWAL_TIME = 2.5
@@ -53,8 +53,10 @@
         table: str,
         decode: Decode,
         listeners: Listeners,
+        limits: endpoint_limits.EndpointLimits,
         now: abc.Callable[[], float],
     ) -> None:
+        self.limits = limits  # that endpoints name in answers
         self.is_loaded = False  # whether the table was read at least once
         self._reader = row_reader.RowReader(table=table, decode=decode)
         self._listeners = listeners
@@ -246,4 +248,5 @@
         """Drop what a run of an endpoint's process said of itself."""
         self._replaced.discard(name)
         self._hold_offs.forget(name)
+        self.limits.forget(name)
         self._leaving.clear_signal(name, leaving.ENDPOINT)
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -5,7 +5,13 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import ejection, placement, retry_budget, sizing
-from dogwoodchute.gateway import calls, endpoint_table, gossip, model
+from dogwoodchute.gateway import (
+    calls,
+    endpoint_limits,
+    endpoint_table,
+    gossip,
+    model,
+)
 
 PROMPT_RATE_WINDOW = 4.0  # seconds over which the sent prompt tokens are averaged
 # Of the retry slack of the whole fleet that its hosts share. The rest covers hosts that
@@ -59,6 +65,7 @@
                 removed=self._drop_unused,
                 restarted=self._forget_run,
             ),
+            limits=endpoint_limits.EndpointLimits(now=now),
             now=now,
         )
         self._usage: dict[str, _Usage] = {}
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -221,7 +221,7 @@
         head, peer = answer.head, send.endpoint.id
         if head.attempt_id is not None and head.attempt_id != call.request.attempt_id:
             return upstream.Lost(reason="the answer is for another request", peer=peer)
-        self._heed(send.endpoint, head)
+        self._heed(send, head)
         if head.not_run:
             return try_results.Refused(status=head.status, peer=peer)
         succeeded = http.HTTPStatus(200) <= head.status < 300
@@ -229,16 +229,20 @@
             return upstream.Lost(reason="the answer has no signature", peer=peer)
         return None
 
-    def _heed(self, endpoint: model.Endpoint, head: upstream.Head) -> None:
-        """Do what an answer says of the endpoint itself: it leaves, or wants a pause.
+    def _heed(self, send: calls.Send, head: upstream.Head) -> None:
+        """Do what an answer says of the endpoint itself: it leaves, or wants less.
 
         If another endpoint answered at its address, it says nothing of this one.
         """
         if head.status == ANOTHER_INSTANCE:
             return
-        table = self._endpoints.table
+        table, endpoint = self._endpoints.table, send.endpoint
         if head.leaving:
             table.mark_leaving(endpoint)
+        if head.bad_limit is not None:
+            table.limits.ignore(endpoint, head.bad_limit)
+        else:
+            table.limits.hear(endpoint, head.limit, sent_at=send.at)
         if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
             return
         if head.retry_after:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -39,6 +39,10 @@
     headers: list[tuple[str, str]]  # for the caller
     bad_retry_after: str | None = None  # the header's value where it is no number
     leaving: bool = False  # the endpoint says that it is leaving
+    # Requests a second that the endpoint takes from all hosts, None if it names no
+    # limit, and the header's value where it is none.
+    limit: float | None = None
+    bad_limit: str | None = None
 
 
 class WireFormat(typing.NamedTuple):
--- a/dogwoodchute/platform/egress.py
+++ b/dogwoodchute/platform/egress.py
@@ -51,6 +51,7 @@
         if text.lower() in names.HOP_BY_HOP:
             continue
         forwarded.append((text, value.decode("latin-1")))
+    limit, bad_limit = _limit(headers, raw)
     retry_after = headers.get(names.RETRY_AFTER)
     seconds = _number(retry_after)
     return upstream.Head(
@@ -62,12 +63,29 @@
         not_run=names.NOT_EXECUTED in headers or status == 421,
         retry_after=seconds,
         bad_retry_after=retry_after if seconds is None else None,
+        limit=limit,
+        bad_limit=bad_limit,
         leaving=headers.get(names.LEAVING) == names.LEAVING_YES,
         idle_timeout=_idle_timeout(headers.get("Keep-Alive", "")),
         headers=forwarded,
     )
 
 
+def _limit(
+    headers: abc.Mapping[str, str], raw: list
+) -> tuple[float | None, str | None]:
+    """Return the rate that an endpoint names, and the header's value if it is bad."""
+    text = headers.get(names.LIMIT)
+    if text is None:
+        return None, None
+    wanted = names.LIMIT.lower().encode()
+    values = [value for name, value in raw if name.lower() == wanted]
+    if len(values) > 1:
+        return None, b", ".join(values).decode("latin-1")
+    rate = _number(text)
+    return rate, text if rate is None else None
+
+
 def _idle_timeout(value: str) -> float | None:
     """Return the `timeout` parameter of a Keep-Alive header, in seconds."""
     for field in value.split(","):
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -13,6 +13,7 @@
 API_KEY = "X-Dogwoodchute-Credential"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"  # in answers of an endpoint
+LIMIT = "Server-Limit"  # in answers: requests a second from all hosts
 LEAVING_YES = "1"  # the header's value if the endpoint is leaving
 
 # Headers that only this system may set; those of a caller are dropped.
--- a/dogwoodchute/tests/test_endpoint_signals.py
+++ b/dogwoodchute/tests/test_endpoint_signals.py
@@ -5,7 +5,7 @@
 import json
 
 from dogwoodchute.coordination import hold_offs, leaving
-from dogwoodchute.gateway import endpoint_table, rows
+from dogwoodchute.gateway import endpoint_limits, endpoint_table, rows
 from dogwoodchute.platform import egress
 from dogwoodchute.tests import gateway_site, raw_endpoint, support, test_odd_rows
 
@@ -28,6 +28,7 @@
                 removed=lambda name: None,
                 restarted=self.restarted.append,
             ),
+            limits=endpoint_limits.EndpointLimits(now=lambda: self.now),
             now=lambda: self.now,
         )
         self.register("e1")
