--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -1,4 +1,4 @@
-"""A site of one gateway, a store and some endpoints, on loopback sockets."""
+"""A site of gateways (one as a rule), a store and some endpoints, on loopback."""
 
 import contextlib
 import json
@@ -51,7 +51,8 @@
         self.faults = faults
         self.endpoints = {}
         self.addresses = {}
-        self.host_process = None
+        self.host_process = None  # the first one
+        self.host_processes = []
         self._is_host_stopped = False
         self._servers = []
         self.session = None
@@ -101,10 +102,23 @@
         await listener.start("127.0.0.1", 0)
         return f"127.0.0.1:{listener.port}"
 
-    async def start(self):
+    async def start(self, *, hosts=1):
         store = await self.start_store()
+        for number in range(1, hosts + 1):
+            await self._start_host(f"h{number}", store)
+        self.host_process = self.host_processes[0]
+        self.address = self.address_of(self.host_process)
+        self.session = aiohttp.ClientSession()
+        for process in self.host_processes:
+            await support.until(process.gateway.ready)
+
+    def address_of(self, process):
+        """Return where a host takes callers' requests."""
+        return f"127.0.0.1:{process.ports['callers']}"
+
+    async def _start_host(self, name, store):
         deployment = model.Deployment(
-            host="h1",
+            host=name,
             data_centre="z1",
             region="r1",
             regions={"z1": "r1"},
@@ -118,13 +132,11 @@
             store=store,
             bounds=model.Bounds(grace=3.0),
         )
-        self.host_process = dogwoodgate.Process(
+        process = dogwoodgate.Process(
             source=pathlib.Path("unused"), deployment=deployment, metrics_port=0
         )
-        await self.host_process.start()
-        self.address = f"127.0.0.1:{self.host_process.ports['callers']}"
-        self.session = aiohttp.ClientSession()
-        await support.until(self.host_process.gateway.ready)
+        self.host_processes.append(process)
+        await process.start()
 
     async def stop(self):
         await self.session.close()
@@ -135,15 +147,21 @@
         """Stop the host as a SIGTERM does, unless it was stopped already."""
         if not self._is_host_stopped:
             self._is_host_stopped = True
-            await self.host_process.stop()
+            for process in self.host_processes:
+                await process.stop()
 
     async def stop_listeners(self):
         """Stop the store and the endpoints."""
         for listener in self._servers:
             await listener.stop()
 
-    async def ask(self, path, *, attempt="a1", method="POST", key=KEY, **headers):
-        """Send a request; return the status, headers and body of the answer."""
+    async def ask(
+        self, path, *, attempt="a1", method="POST", key=KEY, address=None, **headers
+    ):
+        """Send a request; return the status, headers and body of the answer.
+
+        It goes to the first host unless `address` names another one.
+        """
         request_headers = {
             "Host": "site.example",
             "X-Dogwoodchute-Attempt-Id": attempt,
@@ -152,7 +170,7 @@
         }
         if key is not None:
             request_headers["X-Dogwoodchute-Credential"] = key
-        url = f"http://{self.address}{path}"
+        url = f"http://{address or self.address}{path}"
         async with self.session.request(
             method, url, headers=request_headers
         ) as response:
