Hosts share the limit that an endpoint names, and leave it out beyond that

Callers saw nothing; an endpoint in need that named 1 request a second got as many as before. Cause: no host read the header (H1), and one that kept the rate by itself would have broken it all the same (H2): the limit is of the whole fleet, so nine hosts make nine times the rate, and a first request of each host breaks a low one alone.

Hosts divide the rate without talking, by rendezvous hashing; few hold a low rate, and the others leave the endpoint out as one that wants a pause (0068). What endpoints say of themselves has one way between hosts: words of leaving and of limits, in the load reports. Each send goes through Endpoints.start_request, which takes the permit (H3): retries, offers and resumed streams as well. Requests that no endpoint may take are refused at once, with a turn of their own as Retry-After.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -157,5 +157,6 @@
             return await failed_calls.forward_error(call, last)
         if found is not None:
             return failed_calls.quarantined(call, found)
-        seconds = self._endpoints.table.seconds_until_usable(call.service.name)
-        return failed_calls.outcome(call, last, usable_in=seconds or 0.0)
+        table, service = self._endpoints.table, call.service.name
+        turn = table.next_turn if last is None else table.seconds_until_usable
+        return failed_calls.outcome(call, last, usable_in=turn(service) or 0.0)
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -1,18 +1,28 @@
 """The registered endpoints, and which of them take new requests."""
 
+import math
 import typing
 from collections import abc
 
 import prometheus_client
 
 from dogwoodchute import log
-from dogwoodchute.coordination import hold_offs, leaving
-from dogwoodchute.gateway import endpoint_limits, model, row_reader, rows
+from dogwoodchute.coordination import hold_offs, leaving, turns
+from dogwoodchute.gateway import (
+    endpoint_limits,
+    endpoint_words,
+    model,
+    row_reader,
+    rows,
+)
 
 # Seconds after an outage of the store in which endpoints renew entries that expired.
 RENEWAL_TIME = 2.5
 OWN_ANSWER = "answer"  # the endpoint said so in an answer to this host
 OTHER_HOST = "other_host"  # another host reported that it did
+# Seconds after which a caller finds another host, if this one may send nothing to
+# endpoints at their limits.
+OTHER_HOSTS_WAIT = 0.3
 
 leaving_signals = prometheus_client.Counter(
     "dogwoodchute_endpoints_left",
@@ -25,15 +35,13 @@
     ["outcome"],
 )
 
-Decode = abc.Callable[[str, bytes], model.Endpoint]
-
-
-class Departure(typing.NamedTuple):
-    """An endpoint's own word that it is leaving."""
+held_back = prometheus_client.Counter(
+    "dogwoodchute_sends_held_back",
+    "Choices of an endpoint that left out others at their limits.",
+    ["service"],
+)
 
-    endpoint: str
-    started_at_ms: int  # of the endpoint's process, see `model.Endpoint`
-    age: float  # seconds since the endpoint said so
+Decode = abc.Callable[[str, bytes], model.Endpoint]
 
 
 class Listeners(typing.NamedTuple):
@@ -70,6 +78,7 @@
         self._leaving = leaving.LeavingEndpoints()
         self._hold_offs = hold_offs.HoldOffs()
         self._reported_hold_offs: set[str] = set()  # endpoints with a logged bad value
+        self._turns = turns.Turns()
         self._regained_at: abc.Callable[[], float] = lambda: 0.0
 
     def set_regained_at(self, regained_at: abc.Callable[[], float]) -> None:
@@ -107,11 +116,10 @@
 
     def usable(self, service: str) -> list[model.Endpoint]:
         """Return the endpoints of a service that take new requests now."""
-        now = self._now()
         return [
             endpoint
             for endpoint in self._staying(service)
-            if not self._hold_offs.remaining(endpoint.id, now)
+            if not self._seconds_held_off(endpoint)
         ]
 
     def seconds_until_usable(self, service: str) -> float | None:
@@ -119,11 +127,30 @@
 
         This is 0 if one does now.
         """
-        now = self._now()
-        return min(
-            (self._hold_offs.remaining(e.id, now) for e in self._staying(service)),
-            default=None,
-        )
+        waits = [self._seconds_held_off(each) for each in self._staying(service)]
+        if not waits:
+            return None
+        first = min(waits)
+        return first if math.isfinite(first) else OTHER_HOSTS_WAIT
+
+    def next_turn(self, service: str) -> float | None:
+        """Return when a refused caller should return, None if that isn't known.
+
+        Unlike `seconds_until_usable` this leaves each caller a turn of its own at
+        endpoints that are at their limits.
+        """
+        first = self.seconds_until_usable(service)
+        if not first:
+            return first
+        rate = self.limits.granted([each.id for each in self._staying(service)])
+        return self._turns.next(service, first, rate, self._now()) if rate else first
+
+    def count_held_back(self, service: str) -> None:
+        """Count a choice that leaves out endpoints of a service at their limits."""
+        if self.limits.has_any and any(
+            self.limits.wait(each.id) for each in self._staying(service)
+        ):
+            held_back.labels(service).inc()
 
     def mark_ended(self, endpoint: model.Endpoint) -> None:
         """Exclude an endpoint at whose address another one answered.
@@ -141,29 +168,38 @@
         """
         self._set_leaving(endpoint.id, self._now(), OWN_ANSWER)
 
-    def learn_departures(self, departures: abc.Iterable[Departure]) -> None:
-        """Exclude endpoints that told another host that they are leaving."""
-        for each in departures:
-            endpoint = self._all.get(each.endpoint)
-            is_same_run = endpoint and endpoint.started_at_ms == each.started_at_ms
-            if not is_same_run or not 0 <= each.age < leaving.SIGNAL_LIFETIME:
+    def learn_words(self, words: abc.Iterable[endpoint_words.Word]) -> None:
+        """Heed what endpoints said of themselves to other hosts."""
+        for word in words:
+            endpoint = self._all.get(word.endpoint)
+            is_same_run = endpoint and endpoint.started_at_ms == word.started_at_ms
+            if not is_same_run or not 0 <= word.age < leaving.SIGNAL_LIFETIME:
+                continue
+            said_at = self._now() - word.age
+            if word.kind == endpoint_words.LIMIT:
+                self.limits.learn(word.endpoint, word.rate, said_at)
                 continue
-            said_at = self._now() - each.age
-            known_at = self._leaving.signalled_at(each.endpoint, leaving.ENDPOINT)
+            known_at = self._leaving.signalled_at(word.endpoint, leaving.ENDPOINT)
             if known_at is None or known_at < said_at:
-                self._set_leaving(each.endpoint, said_at, OTHER_HOST)
+                self._set_leaving(word.endpoint, said_at, OTHER_HOST)
 
-    def departures(self) -> list[Departure]:
-        """Return the endpoints that said that they are leaving, to tell other hosts."""
+    def words(self) -> list[endpoint_words.Word]:
+        """Return what endpoints said of themselves, to tell other hosts."""
         now = self._now()
         self._leaving.expire(now)
-        found = []
-        for name, said_at in self._leaving.signalled(leaving.ENDPOINT).items():
-            if name not in self._all:
-                continue
-            started_at_ms = self._all[name].started_at_ms
-            found.append(Departure(name, started_at_ms, max(0.0, now - said_at)))
-        return found
+        signals = self._leaving.signalled(leaving.ENDPOINT).items()
+        said = [(name, at, endpoint_words.LEAVING, None) for name, at in signals]
+        said += [
+            (name, at, endpoint_words.LIMIT, rate)
+            for name, rate, at in self.limits.said()
+        ]
+        return [
+            endpoint_words.Word(
+                name, self._all[name].started_at_ms, max(0.0, now - at), kind, rate
+            )
+            for name, at, kind, rate in said
+            if name in self._all
+        ]
 
     def hold_off(self, endpoint: model.Endpoint, seconds: float) -> None:
         """Send an endpoint nothing for `seconds`, as it asked when it refused."""
@@ -179,6 +215,14 @@
         self._reported_hold_offs.add(endpoint.id)
         log.warning("endpoint_hold_off_ignored", endpoint=endpoint.id, value=text)
 
+    def _seconds_held_off(self, endpoint: model.Endpoint) -> float:
+        """Return the seconds until an endpoint takes a request of this host.
+
+        This is infinite if its limit leaves nothing to this host.
+        """
+        pause = self._hold_offs.remaining(endpoint.id, self._now())
+        return max(pause, self.limits.wait(endpoint.id))
+
     def _staying(self, service: str) -> list[model.Endpoint]:
         """Return the endpoints of a service that aren't leaving, replaced or gone."""
         self._delete_expired()
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -10,6 +10,7 @@
     endpoint_limits,
     endpoint_table,
     gossip,
+    host_rows,
     model,
 )
 
@@ -47,6 +48,7 @@
         table_name: str,
         decode: endpoint_table.Decode,
         host_count: abc.Callable[[], int],
+        other_hosts: abc.Callable[[], tuple[host_rows.Host, ...]],
         loads: abc.Callable[[], gossip.Loads],
         now: abc.Callable[[], float],
     ) -> None:
@@ -65,7 +67,9 @@
                 removed=self._drop_unused,
                 restarted=self._forget_run,
             ),
-            limits=endpoint_limits.EndpointLimits(now=now),
+            limits=endpoint_limits.EndpointLimits(
+                host=deployment.host, others=other_hosts, now=now
+            ),
             now=now,
         )
         self._usage: dict[str, _Usage] = {}
@@ -85,6 +89,7 @@
 
         Endpoints that the call was sent to before are left out.
         """
+        self.table.count_held_back(call.service.name)
         untried = self._untried(call)
         if not untried:
             return None
@@ -128,6 +133,7 @@
 
     def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> calls.Send:
         """Count a call as sent to an endpoint that was just chosen for it."""
+        self.table.limits.take(endpoint.id)
         usage = self._usage_of(endpoint.id, call.service)
         usage.running += 1
         send = calls.Send(
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -117,8 +117,8 @@
             id=incarnation,
             load=lambda: self._endpoints.load(),
             peers=lambda: {host.id: host.gossip for host in self._hosts.live},
-            departures=lambda: self._endpoints.table.departures(),
-            on_departures=lambda found: self._endpoints.table.learn_departures(found),
+            words=lambda: self._endpoints.table.words(),
+            on_words=lambda words: self._endpoints.table.learn_words(words),
             crashes=self._crashes,
             now=now,
         )
@@ -127,6 +127,7 @@
             table_name=platform.endpoints_table,
             decode=platform.decode_endpoint,
             host_count=lambda: self._hosts.count,
+            other_hosts=lambda: self._hosts.live,
             loads=self._gossip.loads,
             now=now,
         )
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip of load at endpoints, and of leaving and crashed ones, by UDP datagrams.
+"""Gossip of load at endpoints, of what they say and of crashes, by UDP datagrams.
 
 Nothing depends on a datagram's arrival: a load is a hint for the choice of endpoints,
 and an old one is ignored. In a large fleet a host sends its own load to the hosts of
@@ -15,7 +15,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import crash_reports, datagrams, endpoint_table
+from dogwoodchute.gateway import crash_reports, datagrams, endpoint_words
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
@@ -23,11 +23,8 @@
 DATAGRAMS_PER_SECOND = 80
 MAX_AGE = 1.5  # seconds for which a load counts: several intervals
 MAX_REPORTED_AGE = 60.0  # seconds; an older report is none of a running host
-FORMAT = 4  # version of the datagrams; others are ignored
+FORMAT = 5  # version of the datagrams; others are ignored
 MAX_ENDPOINTS = 256  # in one datagram
-MAX_DEPARTURES = 16  # endpoints that are leaving, in one datagram
-# Seconds for which each is reported: two hops, each tried several times.
-DEPARTURE_SECONDS = 5.0
 
 Load = dict[str, tuple[int, int]]  # requests and waiting prompt tokens by endpoint
 
@@ -42,7 +39,7 @@
     host_count: int  # whose loads are summed
     age: float  # seconds: the mean age of those loads when this was sent
     load: Load
-    departures: tuple[endpoint_table.Departure, ...] = ()
+    words: tuple[endpoint_words.Word, ...] = ()
     crashes: crash_reports.Report = crash_reports.Report()
 
     @property
@@ -86,16 +83,16 @@
         id: str,
         load: abc.Callable[[], Load],
         peers: abc.Callable[[], dict[str, str]],
-        departures: abc.Callable[[], list[endpoint_table.Departure]],
-        on_departures: abc.Callable[[tuple[endpoint_table.Departure, ...]], None],
+        words: abc.Callable[[], list[endpoint_words.Word]],
+        on_words: abc.Callable[[tuple[endpoint_words.Word, ...]], None],
         crashes: crash_reports.CrashReports,
         now: abc.Callable[[], float],
     ) -> None:
         super().__init__()
         self._id = id
         self._load = load
-        self._departures = departures  # of the endpoints that are leaving
-        self._on_departures = on_departures  # called with those of other hosts
+        self._words = words  # of endpoints on themselves
+        self._on_words = on_words  # called with those that other hosts tell
         self._crashes = crashes
         self._peers = peers  # IP number and port of other hosts, by incarnation
         self._now = now
@@ -140,8 +137,8 @@
         if report is None:
             log.warning("datagram_unreadable", peer=f"{addr[0]}:{addr[1]}")
             return
-        if report.departures:
-            self._on_departures(report.departures)
+        if report.words:
+            self._on_words(report.words)
         self._crashes.learn(report.crashes)
         before = self._received.get(report.source)
         if before is not None and not _is_newer(report, before.report):
@@ -167,8 +164,9 @@
         self._round += 1
         plan = self._plan
         own_load = self._load()
-        departures, crashes = self._recent_departures(), self._crashes.report()
-        has_news = bool(departures) or crashes != crash_reports.Report()
+        words = endpoint_words.recent(self._words())
+        crashes = self._crashes.report()
+        has_news = bool(words) or crashes != crash_reports.Report()
         if own_load or has_news or not self._was_empty_in_group:
             report = LoadReport(
                 sender=self._id,
@@ -178,7 +176,7 @@
                 host_count=1,
                 age=0.0,
                 load=own_load,
-                departures=departures,
+                words=words,
                 crashes=crashes,
             )
             self._send_to(report, plan.group_peers)
@@ -196,19 +194,13 @@
             host_count=1 + len(received),
             age=sum(now - each.received_at for each in received) / (1 + len(received)),
             load=group_load,
-            departures=departures,
+            words=words,
             crashes=crashes,
         )
         if group_load or has_news or not self._was_empty_outside:
             self._send_to(report, plan.outside_peers)
         self._was_empty_outside = not group_load
 
-    def _recent_departures(self) -> tuple[endpoint_table.Departure, ...]:
-        """Return the latest departures, so that each is reported for some seconds."""
-        latest = sorted(self._departures(), key=lambda departure: departure.age)
-        recent = [each for each in latest if each.age <= DEPARTURE_SECONDS]
-        return tuple(recent[:MAX_DEPARTURES])
-
     def _group_reports(self, now: float) -> list[_Received]:
         """Return recent reports of the other hosts of this host's group."""
         return [
@@ -299,14 +291,10 @@
         if version != FORMAT:
             return None
         sender, sequence, group_count, group, host_count, age, *content = fields
-        plain_load, departed, crashed = content
+        plain_load, plain_words, crashed = content
         load = {str(k): (int(n), int(t)) for k, (n, t) in plain_load.items()}
         if not 0 <= age <= MAX_REPORTED_AGE:
             return None
-        departures = [
-            endpoint_table.Departure(str(endpoint), int(started_at_ms), float(seconds))
-            for endpoint, started_at_ms, seconds in departed[:MAX_DEPARTURES]
-        ]
         return LoadReport(
             sender=str(sender),
             sequence=int(sequence),
@@ -315,7 +303,7 @@
             host_count=max(1, int(host_count)),
             age=float(age),
             load=load,
-            departures=tuple(departures),
+            words=endpoint_words.decode(plain_words),
             crashes=crash_reports.decode(crashed),
         )
     except (ValueError, TypeError, AttributeError, OverflowError):
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -151,6 +151,7 @@
             decode=None,
             table_name="servers",
             host_count=lambda: hosts,
+            other_hosts=lambda: (),
             loads=lambda: self._loads(number),
             now=lambda: self._now,
         )
--- a/dogwoodchute/tests/test_endpoint_signals.py
+++ b/dogwoodchute/tests/test_endpoint_signals.py
@@ -5,7 +5,7 @@
 import json
 
 from dogwoodchute.coordination import hold_offs, leaving
-from dogwoodchute.gateway import endpoint_limits, endpoint_table, rows
+from dogwoodchute.gateway import endpoint_limits, endpoint_table, endpoint_words, rows
 from dogwoodchute.platform import egress
 from dogwoodchute.tests import gateway_site, raw_endpoint, support, test_odd_rows
 
@@ -19,6 +19,7 @@
     def setUp(self):
         super().setUp()
         self.now = 100.0
+        self.others = ()
         self.restarted = []
         self.table = endpoint_table.EndpointTable(
             table="servers",
@@ -28,7 +29,9 @@
                 removed=lambda name: None,
                 restarted=self.restarted.append,
             ),
-            limits=endpoint_limits.EndpointLimits(now=lambda: self.now),
+            limits=endpoint_limits.EndpointLimits(
+                host="h1", others=lambda: self.others, now=lambda: self.now
+            ),
             now=lambda: self.now,
         )
         self.register("e1")
@@ -68,16 +71,16 @@
     def test_what_another_host_learned_holds_as_long_as_there(self):
         said = test_odd_rows.SOUND["born"]
         departures = [
-            endpoint_table.Departure("e1", said, 2.0),
-            endpoint_table.Departure("e2", said - 1, 2.0),  # an earlier process
-            endpoint_table.Departure("unknown", said, 2.0),
+            endpoint_words.Word("e1", said, 2.0),
+            endpoint_words.Word("e2", said - 1, 2.0),  # an earlier process
+            endpoint_words.Word("unknown", said, 2.0),
         ]
-        self.table.learn_departures(departures)
+        self.table.learn_words(departures)
         self.assertEqual(["e2"], self.usable())
-        (told_on,) = self.table.departures()
+        (told_on,) = self.table.words()
         self.assertEqual(2.0, told_on.age)
         self.now += leaving.SIGNAL_LIFETIME - 2.0
-        self.table.learn_departures([departures[0]._replace(age=60.0)])
+        self.table.learn_words([departures[0]._replace(age=60.0)])
         self.assertEqual(["e1", "e2"], self.usable())
 
     def test_a_pause_is_kept_and_bounded(self):
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from dogwoodchute.coordination import load_groups, quarantine
-from dogwoodchute.gateway import crash_reports, endpoint_table, gossip
+from dogwoodchute.gateway import crash_reports, endpoint_words, gossip
 from dogwoodchute.tests import support, virtual
 
 SECONDS = 4.0
@@ -66,8 +66,8 @@
         self.loss = loss  # share of datagrams
         self.busy = True
         self.sent = collections.Counter()
-        self.departures = collections.defaultdict(list)  # by number of the host
-        self.learned = collections.defaultdict(list)  # departures, by receiving host
+        self.words = collections.defaultdict(list)  # by number of the host
+        self.learned = collections.defaultdict(list)  # words, by receiving host
         self.crashes = {}  # reports, by name of the host
         self.hosts = {}
         self.tasks = []
@@ -82,8 +82,8 @@
                 peers=lambda name=name: {
                     other: f"{other}:1" for other in self.hosts if other != name
                 },
-                departures=lambda number=number: self.departures[number],
-                on_departures=lambda found, name=name: self.learned[name].extend(found),
+                words=lambda number=number: self.words[number],
+                on_words=lambda found, name=name: self.learned[name].extend(found),
                 crashes=self.crashes[name],
                 now=self.loop.time,
             )
@@ -185,8 +185,8 @@
             fleet = self.fleet(count)
             fleet.loop.run_for(SECONDS)
             fleet.busy = False
-            departure = endpoint_table.Departure("e1", 1_700_000_000_000, 0.0)
-            fleet.departures[3].append(departure)
+            departure = endpoint_words.Word("e1", 1_700_000_000_000, 0.0)
+            fleet.words[3].append(departure)
             fleet.loop.run_for(1.5)
             told_directly = [f for f in fleet.learned.values() if departure in f]
             self.assertGreaterEqual(len(told_directly), 6 if count == 7 else 10)
@@ -194,15 +194,15 @@
     def test_a_departure_is_told_for_some_seconds_only(self):
         fleet = self.fleet(7)
         fleet.busy = False
-        late = gossip.DEPARTURE_SECONDS + 0.1
-        fleet.departures[3].append(endpoint_table.Departure("e1", 1, late))
+        late = endpoint_words.TOLD_SECONDS + 0.1
+        fleet.words[3].append(endpoint_words.Word("e1", 1, late))
         fleet.loop.run_for(SECONDS)
         self.assertEqual(0, fleet.sent.total())
 
 
 class DatagramTest(support.TestCase):
     def test_what_is_encoded_is_decoded(self):
-        departure = endpoint_table.Departure("e1", 1_700_000_000_000, 0.5)
+        departure = endpoint_words.Word("e1", 1_700_000_000_000, 0.5)
         load = {"e1": (2, 300)}
         crash = quarantine.Crash(quarantine.Run("e2", 1_700_000_000_000), ("p1", "p2"))
         crashes = crash_reports.Report(
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -9,6 +9,7 @@
 from dogwoodchute import bounded_json
 from dogwoodchute.gateway import (
     account_rows,
+    endpoint_limits,
     endpoint_table,
     host_rows,
     mirror,
@@ -91,6 +92,9 @@
         table="servers",
         decode=decode.endpoint,
         listeners=listeners or ignore,
+        limits=endpoint_limits.EndpointLimits(
+            host="h1", others=lambda: (), now=lambda: 100.0
+        ),
         now=lambda: 100.0,
     )
 
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -190,6 +190,7 @@
             decode=plain_endpoint,
             table_name="servers",
             host_count=lambda: 62,
+            other_hosts=lambda: (),
             loads=lambda: gossip.Loads([], 0.0),
             now=now,
         )
@@ -286,6 +287,7 @@
             decode=plain_endpoint,
             table_name="servers",
             host_count=lambda: host_count[0],
+            other_hosts=lambda: (),
             loads=lambda: gossip.Loads([], 0.0),
             now=time.monotonic,
         )
