An endpoint that gives nothing back gets a request a second

An endpoint that reads nothing accepts connections and requests all the same, and works on them later, when their callers have left. What a kernel has taken can't be called back, so few are sent: after four without a byte, and half a second or two target latencies, one a second until something comes. Engines, which may rightly be silent for seconds, are left out only while others answer. Each host counts for itself; what 195 hosts send together to a silent endpoint is not bounded by this.

--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -4,7 +4,13 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import ejection, placement, retry_budget, sizing
+from dogwoodchute.coordination import (
+    ejection,
+    placement,
+    retry_budget,
+    sizing,
+    unanswered,
+)
 from dogwoodchute.gateway import (
     calls,
     endpoint_limits,
@@ -15,6 +21,8 @@
 )
 
 PROMPT_RATE_WINDOW = 4.0  # seconds over which the sent prompt tokens are averaged
+# Target latencies for which an endpoint may be silent with several requests.
+QUIET_LATENCIES = 2.0
 # Of the retry slack of the whole fleet that its hosts share. The rest covers hosts that
 # restart, whose budgets begin anew.
 BUDGET_SHARE = 0.5
@@ -27,11 +35,13 @@
         self.running = 0  # requests
         self.waiting_tokens = 0  # prompt tokens that the engine has yet to process
         self.heard_at = -math.inf  # monotonic seconds of the last bytes received
+        self.unanswered = unanswered.Unanswered()
         self._memory_tokens = memory_tokens
         self.forget_run()
 
     def forget_run(self) -> None:
         """Forget what was observed of the endpoint's process, as a new one runs."""
+        self.unanswered.record_sign_of_life()
         self.sent = placement.SentPrompts(memory_tokens=self._memory_tokens)
         self.slowness_estimator = placement.SlownessEstimator()
         # Monotonic seconds of the latest send whose answer has begun.
@@ -123,19 +133,33 @@
     def _untried(self, call: calls.Call) -> dict[str, model.Endpoint]:
         """Return the endpoints for the next try of a call, by id.
 
-        If all were tried, these are the ones to which connecting took too long.
+        If all were tried, these are the ones to which connecting took too long. Silent
+        endpoints are left out; engines only while others answer, as they may rightly
+        be silent for seconds.
         """
         usable = {e.id: e for e in self.table.usable(call.service.name)}
+        answering = {i: e for i, e in usable.items() if not self._is_silent(call, i)}
+        if answering or call.service.engine is None:
+            usable = answering
         untried = {i: e for i, e in usable.items() if i not in call.tried_endpoints}
         if untried:
             return untried
         return {i: e for i, e in usable.items() if i in call.slow_to_connect}
 
+    def _is_silent(self, call: calls.Call, name: str) -> bool:
+        """Return whether an endpoint gave nothing back for what it got."""
+        usage = self._usage.get(name)
+        if usage is None:
+            return False
+        quiet = QUIET_LATENCIES * call.route.target_latency
+        return usage.unanswered.seconds_until_trial(quiet, self._now()) > 0
+
     def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> calls.Send:
         """Count a call as sent to an endpoint that was just chosen for it."""
         self.table.limits.take(endpoint.id)
         usage = self._usage_of(endpoint.id, call.service)
         usage.running += 1
+        usage.unanswered.record_send(self._now())
         send = calls.Send(
             endpoint=endpoint, at=self._now(), expected_wait=call.expected_wait
         )
@@ -170,7 +194,13 @@
 
     def record_sign_of_life(self, endpoint: str) -> None:
         """Record that bytes of an endpoint have just arrived."""
-        self._usage[endpoint].heard_at = self._now()
+        usage = self._usage[endpoint]
+        usage.heard_at = self._now()
+        usage.unanswered.record_sign_of_life()
+
+    def record_not_sent(self, endpoint: str) -> None:
+        """Record that no byte of a request was sent to an endpoint."""
+        self._usage[endpoint].unanswered.record_not_sent()
 
     def seconds_silent(self, endpoint: str) -> float:
         """Return the seconds since the last bytes of an endpoint arrived here."""
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -106,6 +106,7 @@
         if isinstance(answer, upstream.NotSent):
             call.may_have_run = send.may_have_run_before
             call.sends -= 1
+            self._endpoints.record_not_sent(send.endpoint.id)
             if answer.timed_out and not send.is_second_connect:
                 call.slow_to_connect.add(send.endpoint.id)
         elif isinstance(result, try_results.Refused):
@@ -169,6 +170,8 @@
         send.answer_began = isinstance(answer, upstream.Answer) or (
             isinstance(answer, upstream.Lost) and not answer.silent
         )
+        if send.answer_began:
+            self._endpoints.record_sign_of_life(send.endpoint.id)
         return answer
 
     async def _send(
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -21,6 +21,20 @@
 RUN_TIME = 1.0  # seconds from the first event to the last
 WARM_UP = 12.0  # seconds until each shared part was processed once
 
+ROUTE = model.Route(
+    name="r1",
+    host="site.example",
+    prefix="/s/",
+    kind=model.STREAM,
+    timeout=10.0,
+    target_latency=0.8,
+    priority=0,
+    splits=(("engines", 1),),
+    max_attempts=2,
+    public=True,
+    resumable=True,
+)
+
 
 class Kind(typing.NamedTuple):
     """Requests of one kind; sizes are in tokens."""
@@ -212,4 +226,5 @@
         prompt = model.Prompt(tokens, 120, parts)
         call = gateway_calls.call(received=self._now, prompt=prompt)
         call.service = self._service
+        call.route = ROUTE
         return call
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -5,6 +5,7 @@
 import socket
 
 from dogwoodchute import endpoint_check
+from dogwoodchute.coordination import unanswered
 from dogwoodchute.tests import gateway_site, raw_endpoint, support
 
 WORK_BOUND = 0.5  # seconds after a caller has left, from the users' rules
@@ -81,7 +82,10 @@
 async def running(service, **options):
     """Run a site whose only endpoint of a service is a silent one."""
     site = gateway_site.Site()
-    site.put("op", "config", gateway_site.config(prepaid=1_000_000))
+    config = gateway_site.config(prepaid=1_000_000)
+    for route in config["routes"]:
+        route["targetLatencyMs"] = 200
+    site.put("op", "config", config)
     await site.add_endpoint("other", "plain" if service == "engines" else "engines")
     endpoint = SilentEndpoint(**options)
     await endpoint.start()
@@ -253,3 +257,39 @@
                 pair.stop()
 
         self.run_async(scenario())
+
+
+class SilentEndpointTest(support.TestCase):
+    def test_an_endpoint_that_reads_nothing_gets_few_requests(self):
+        """Its kernel takes them, and it works on them after their callers have left."""
+
+        async def scenario():
+            async with running("plain", reads_at_once=False) as (site, endpoint):
+                data = request("a", path="/look/x", tokens=False)
+                callers = []
+                for _ in range(45):
+                    left = leave_after(site, data, seconds=0.5)
+                    callers.append(asyncio.create_task(left))
+                    await asyncio.sleep(3.0 / 45)
+                await asyncio.gather(*callers)
+                endpoint.reads.set()
+                await support.until(lambda: endpoint.closed == endpoint.opened)
+                sent = sum(size > 0 for size in endpoint.received)
+                in_quiet = 45 * unanswered.MIN_QUIET / 3.0 + 1
+                trials = 3.0 / unanswered.TRIAL_INTERVAL
+                self.assertLessEqual(sent, in_quiet + trials)
+
+        self.run_async(scenario())
+
+    def test_one_that_answers_again_is_used_again(self):
+        kept = unanswered.Unanswered()
+        for number in range(unanswered.MAX_UNANSWERED):
+            self.assertEqual(0.0, kept.seconds_until_trial(0.0, number / 10))
+            kept.record_send(number / 10)
+        self.assertGreater(kept.seconds_until_trial(0.0, 0.6), 0.0)
+        self.assertEqual(0.0, kept.seconds_until_trial(2.0, 0.6))
+        self.assertEqual(0.0, kept.seconds_until_trial(0.0, 1.4))
+        kept.record_send(1.4)
+        self.assertEqual(1.0, kept.seconds_until_trial(0.0, 1.4))
+        kept.record_sign_of_life()
+        self.assertEqual(0.0, kept.seconds_until_trial(0.0, 1.5))
