--- a/dogwoodchute/tests/test_dogwoodload.py
+++ b/dogwoodchute/tests/test_dogwoodload.py
@@ -8,23 +8,41 @@
 
 
 class DogwoodloadTest(support.TestCase):
-    def test_every_request_is_accounted_for(self):
+    def load(self, **options):
+        """Load the demo's host; return the report and the number of runs."""
+
         async def scenario():
             host = demo.Demo()
             await host.start()
-            options = dogwoodload.Dogwoodload(
+            load = dogwoodload.Dogwoodload(
                 hosts=[f"127.0.0.1:{host.daemon.callers.port}"],
                 key=demo.CLIENT_KEY,
                 model="assistant-llm",
                 rate=30.0,
                 seconds=1.0,
-                tokens=4,
+                **options,
             )
-            report = await dogwoodload.run(options)
+            report = await dogwoodload.run(load)
             await host.stop()
             return report, len(host.engine.runs)
 
-        report, runs = self.run_async(scenario())
+        return self.run_async(scenario())
+
+    def test_callers_leave_before_their_answers_are_complete(self):
+        report, _ = self.load(tokens=100, leave_share=1.0, leave_after=0.05)
+        self.assertEqual(["left"], list(report["outcomes"]))
+
+    def test_a_share_that_is_none_is_refused(self):
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            code = dogwoodload.main(
+                ["127.0.0.1:80", "--key=k", "--model=m", "--leave-share=1.5"]
+            )
+        self.assertEqual(2, code)
+        self.assertIn("--leave-share", errors.getvalue())
+
+    def test_every_request_is_accounted_for(self):
+        report, runs = self.load(tokens=4)
         outcomes = report["outcomes"]
         self.assertGreater(outcomes["answered"], 0)
         self.assertEqual(runs, outcomes["answered"])
--- a/dogwoodchute/tools/dogwoodload.py
+++ b/dogwoodchute/tools/dogwoodload.py
@@ -55,6 +55,12 @@
     repeats: typing.Annotated[
         int, cappa.Arg(long="--repeats", help="Tries after a failure, same key")
     ] = 0
+    leave_share: typing.Annotated[
+        float, cappa.Arg(long="--leave-share", help="Share of callers that leave early")
+    ] = 0.0
+    leave_after: typing.Annotated[
+        float, cappa.Arg(long="--leave-after", help="Seconds until these close")
+    ] = 0.5
     seed: typing.Annotated[int, cappa.Arg(long="--seed", help="Seed of arrivals")] = 0
     as_json: typing.Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
 
@@ -103,6 +109,12 @@
         faults.append(f"--seconds {options.seconds}: above 0, at most {MAX_SECONDS}")
     if not 0 < options.rate <= MAX_RATE:
         faults.append(f"--rate {options.rate}: above 0, at most {MAX_RATE}")
+    if not 0 <= options.leave_share <= 1:
+        faults.append(f"--leave-share {options.leave_share}: from 0 to 1")
+    if not 0 < options.leave_after <= MAX_SECONDS:
+        faults.append(
+            f"--leave-after {options.leave_after}: above 0, at most {MAX_SECONDS}"
+        )
     return faults
 
 
@@ -115,8 +127,11 @@
 ) -> None:
     """Send one chat; on failure repeat it with its key as often as options allow.
 
-    The host of each attempt is chosen at random.
+    The host of each attempt is chosen at random. A share of the callers close their
+    connection before the answer is complete, and don't repeat.
     """
+    leaves = rng.random() < options.leave_share
+    patience = options.leave_after if leaves else None
     body = {
         "model": options.model,
         "stream": True,
@@ -129,10 +144,11 @@
         headers[exchange.ATTEMPT_HEADER] = str(attempt + 1)
         url = f"http://{host}/v1/chat/completions"
         try:
-            outcome = await _send_once(session, url, body, headers, tally)
+            async with asyncio.timeout(patience) as wait:
+                outcome = await _send_once(session, url, body, headers, tally)
         except (aiohttp.ClientError, OSError, TimeoutError):
-            outcome = "no_answer"
-        if outcome == "answered" or attempt == options.repeats:
+            outcome = "left" if wait.expired() else "no_answer"
+        if outcome in ("answered", "left") or attempt == options.repeats:
             tally.outcomes[outcome] += 1
             return
         tally.outcomes["repeated"] += 1
