An end of a limit is remembered where the limit was not heard

A host that learned of the end of a limit, and then of the limit by an older datagram, left the endpoint out until the limit expired (failed before).

--- a/dogwoodchute/gateway/endpoint_limits.py
+++ b/dogwoodchute/gateway/endpoint_limits.py
@@ -83,6 +83,8 @@
             self._set(name, rate, said_at, OTHER_HOST)
         elif limit is not None:
             self._end(name, said_at, OTHER_HOST)
+        else:
+            self._ended[name] = said_at
 
     def said(self) -> list[tuple[str, float | None, float]]:
         """Return endpoints, the rates they named last (or None), and when."""
--- a/dogwoodchute/tests/test_named_limits.py
+++ b/dogwoodchute/tests/test_named_limits.py
@@ -290,6 +290,12 @@
         self.limits.learn("e1", 3.0, 99.8)
         self.assertEqual({"e1": 3.0}, self.rates())
 
+    def test_an_end_beats_an_older_word_that_was_not_heard_before(self):
+        self.limits.learn("e1", None, 99.5)
+        self.limits.learn("e1", 1.0, 99.0)
+        self.assertEqual({"e1": None}, self.rates())
+        self.assertFalse(self.limits.has_any)
+
     def test_a_limit_of_which_nobody_hears_expires(self):
         self.limits.hear(self.endpoint, 0.0, sent_at=99.0)
         self.now += endpoint_limits.LIFETIME + 0.1
