--- a/dogwoodchute/coordination/named_limits.py
+++ b/dogwoodchute/coordination/named_limits.py
@@ -19,7 +19,7 @@
 # at any moment, whatever its share.
 SPARE_HOLDERS = 3
 GROWTH_DELAY = 2.0  # seconds; hosts learn of each other's changes sooner
-KEPT = 0.2  # seconds for which unused permits are kept, and one for longer
+KEPT = 0.2  # seconds: unused permits of that time are kept, and at least one
 # Requests a second to an endpoint that takes none, so that the end of that is heard.
 PROBE_RATE = 0.1
 ROUNDING = 1e-6  # requests
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -157,6 +157,9 @@
             return await failed_calls.forward_error(call, last)
         if found is not None:
             return failed_calls.quarantined(call, found)
-        table, service = self._endpoints.table, call.service.name
-        turn = table.next_turn if last is None else table.seconds_until_usable
-        return failed_calls.outcome(call, last, usable_in=turn(service) or 0.0)
+        if last is None:
+            usable_in = self._endpoints.seconds_until_turn(call)
+        else:
+            table = self._endpoints.table
+            usable_in = table.seconds_until_usable(call.service.name) or 0.0
+        return failed_calls.outcome(call, last, usable_in=usable_in)
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -138,7 +138,7 @@
         be silent for seconds.
         """
         usable = {e.id: e for e in self.table.usable(call.service.name)}
-        answering = {i: e for i, e in usable.items() if not self._is_silent(call, i)}
+        answering = {i: e for i, e in usable.items() if not self._silence(call, i)}
         if answering or call.service.engine is None:
             usable = answering
         untried = {i: e for i, e in usable.items() if i not in call.tried_endpoints}
@@ -146,13 +146,22 @@
             return untried
         return {i: e for i, e in usable.items() if i in call.slow_to_connect}
 
-    def _is_silent(self, call: calls.Call, name: str) -> bool:
-        """Return whether an endpoint gave nothing back for what it got."""
+    def seconds_until_turn(self, call: calls.Call) -> float:
+        """Return when the caller of a call without an endpoint should return."""
+        service = call.service.name
+        seconds = self.table.next_turn(service)
+        if seconds:
+            return seconds
+        usable = self.table.usable(service)
+        return min((self._silence(call, each.id) for each in usable), default=0.0)
+
+    def _silence(self, call: calls.Call, name: str) -> float:
+        """Return the seconds for which an endpoint is left out, as it is silent."""
         usage = self._usage.get(name)
         if usage is None:
-            return False
+            return 0.0
         quiet = QUIET_LATENCIES * call.route.target_latency
-        return usage.unanswered.seconds_until_trial(quiet, self._now()) > 0
+        return usage.unanswered.seconds_until_trial(quiet, self._now())
 
     def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> calls.Send:
         """Count a call as sent to an endpoint that was just chosen for it."""
--- a/dogwoodchute/tests/test_callers_leave.py
+++ b/dogwoodchute/tests/test_callers_leave.py
@@ -281,6 +281,18 @@
 
         self.run_async(scenario())
 
+    def test_callers_of_a_silent_service_are_told_when_it_is_tried_again(self):
+        async def scenario():
+            async with running("plain", reads_at_once=False) as (site, endpoint):
+                data = request("a", path="/look/x", tokens=False)
+                for _ in range(unanswered.MAX_UNANSWERED):
+                    await leave_after(site, data, seconds=0.2)
+                status, headers, _ = await site.ask("/look/x", attempt="b")
+                self.assertEqual(503, status)
+                self.assertGreater(float(headers["Retry-After"]), 0.5)
+
+        self.run_async(scenario())
+
     def test_one_that_answers_again_is_used_again(self):
         kept = unanswered.Unanswered()
         for number in range(unanswered.MAX_UNANSWERED):
