--- a/dogwoodchute/controllers/bills.py
+++ b/dogwoodchute/controllers/bills.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from dogwoodchute import controller, log, metrics_money as metrics, state
-from dogwoodchute.controllers import grants
+from dogwoodchute.controllers import account_grants, grants
 from dogwoodchute.coordination import bills, pacing, rows
 from dogwoodchute.platform import table
 
@@ -238,10 +238,10 @@
         if missing_tokens() <= 0:
             return True
         failure = await self._grants.draw(account, missing_tokens)
-        if isinstance(failure, grants.Spent) and failure.remaining > 0:
+        if isinstance(failure, account_grants.Spent) and failure.remaining > 0:
             remaining = failure.remaining
             failure = await self._grants.draw(account, lambda: remaining) or failure
-        if isinstance(failure, grants.OutOfReach):
+        if isinstance(failure, account_grants.OutOfReach):
             return False
         if failure is None or missing_tokens() <= 0:
             return True
--- a/dogwoodchute/controllers/copies.py
+++ b/dogwoodchute/controllers/copies.py
@@ -9,7 +9,7 @@
 import typing
 
 from dogwoodchute import controller, log, metrics_money as metrics, peers, state
-from dogwoodchute.controllers import bills, grants
+from dogwoodchute.controllers import account_grants, bills, grants
 from dogwoodchute.coordination import bills as pure_bills, rows
 from dogwoodchute.platform import table
 
@@ -189,7 +189,7 @@
     async def _write(self, copy: Copy) -> None:
         entry = copy.entry
         result = await self._grants.reserve(entry.account, entry.tokens)
-        if not isinstance(result, grants.Reserved):
+        if not isinstance(result, account_grants.Reserved):
             return
         self._grants.settle(entry.account, entry.tokens, entry.tokens)
         bill = self._bills.submit(
--- a/dogwoodchute/controllers/grants.py
+++ b/dogwoodchute/controllers/grants.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-import dataclasses
-import typing
 from collections import abc
 
 from dogwoodchute import controller, log, metrics_money as metrics, state
+from dogwoodchute.controllers import account_grants
 from dogwoodchute.coordination import backoff, grants, rows, sizing
 from dogwoodchute.platform import table
 
@@ -18,59 +17,8 @@
 CONFLICT_BACKOFF_LIMIT = 0.2  # seconds
 RETURN_INTERVAL = 5.0  # seconds
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reserved:
-    """The tokens are reserved on this host."""
-
-    tokens: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Spent:
-    """The budget does not cover the tokens; `remaining` is what it still covers."""
-
-    remaining: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OutOfReach:
-    """The grant is used up, and the rest of the budget can't be drawn now."""
-
-    reason: str
-    peer: str | None = None
-
-
-Reservation = Reserved | Spent | OutOfReach
-
-
-class ReclaimResult(typing.NamedTuple):
-    """What a scan of other hosts' grants returned to the budget, in tokens."""
-
-    returned: int  # to the budget, from grants of lost hosts
-    held: int  # unspent in the grants of other hosts
-
-
-class Waiter(typing.NamedTuple):
-    """A request that waits for a draw; `result` is set to a `Reservation`."""
-
-    tokens: int
-    result: asyncio.Future
-
-
-class AccountState:
-    """One client account on this host; `lock` serializes writes of its grant row."""
-
-    def __init__(self) -> None:
-        self.ledger = grants.Ledger()
-        self.demand = sizing.Demand()
-        self.lock = asyncio.Lock()
-        self.version = 0  # of the grant row, 0 while there is none
-        self.budget: table.Row | None = None  # as last read or written
-        self.waiters: list[Waiter] = []
-        self.drawing: asyncio.Task | None = None
-        self.last_used = 0.0  # monotonic seconds
-        self.scarce_until = 0.0  # monotonic seconds; until then no refills
+# Closes grants of lost hosts of an account.
+ReclaimLost = abc.Callable[[str], abc.Awaitable[account_grants.ReclaimResult]]
 
 
 class Grants:
@@ -78,11 +26,9 @@
 
     def __init__(self, *, host: state.HostState) -> None:
         self._host = host
-        self._accounts: dict[str, AccountState] = {}
+        self._accounts: dict[str, account_grants.AccountState] = {}
         self._listed_revision: int | None = None
-        self.reclaim_lost: abc.Callable[[str], abc.Awaitable[ReclaimResult]] | None = (
-            None
-        )
+        self.reclaim_lost: ReclaimLost | None = None
         self.recall: abc.Callable[[str], abc.Awaitable[int]] | None = None
 
     @property
@@ -90,9 +36,9 @@
         """The names of the accounts that this host has served."""
         return list(self._accounts)
 
-    def account(self, name: str) -> AccountState:
+    def account(self, name: str) -> account_grants.AccountState:
         """Return the account's state on this host."""
-        return self._accounts.setdefault(name, AccountState())
+        return self._accounts.setdefault(name, account_grants.AccountState())
 
     def ledger(self, account: str) -> grants.Ledger:
         """Return the account's ledger on this host."""
@@ -112,7 +58,7 @@
             self._listed_revision = listed.revision
         return {**grants.grant_value(grant), "listed": self._listed_revision}
 
-    async def reserve(self, account: str, tokens: int) -> Reservation:
+    async def reserve(self, account: str, tokens: int) -> account_grants.Reservation:
         """Reserve `tokens` for a request, drawing from the budget as needed.
 
         Waits for a draw at most the settings' `draw_timeout`.
@@ -120,8 +66,9 @@
         account_state = self.account(account)
         account_state.last_used = self._host.now()
         if not account_state.waiters and account_state.ledger.reserve(tokens):
-            return Reserved(tokens=tokens)
-        waiter = Waiter(tokens, asyncio.get_running_loop().create_future())
+            return account_grants.Reserved(tokens=tokens)
+        result = asyncio.get_running_loop().create_future()
+        waiter = account_grants.Waiter(tokens, result)
         account_state.waiters.append(waiter)
         if account_state.drawing is None or account_state.drawing.done():
             account_state.drawing = asyncio.create_task(self._draw_for_waiters(account))
@@ -131,7 +78,7 @@
             return waiter.result.result()
         waiter.result.cancel()
         account_state.waiters.remove(waiter)
-        return OutOfReach(reason=f"no draw in {timeout} s")
+        return account_grants.OutOfReach(reason=f"no draw in {timeout} s")
 
     def settle(self, account: str, reserved: int, used: int) -> int:
         """End a reservation and return how many tokens of it are to be billed."""
@@ -143,7 +90,7 @@
 
     async def draw(
         self, account: str, needed: abc.Callable[[], int]
-    ) -> Spent | OutOfReach | None:
+    ) -> account_grants.Spent | account_grants.OutOfReach | None:
         """Draw at least `needed()` tokens; return None once the need is met.
 
         The caller holds the account's lock. `needed` is called before each attempt,
@@ -156,16 +103,16 @@
             if account_state.budget is None:
                 failure = await self._read_rows(account)
                 if failure is not None:
-                    return OutOfReach(reason=failure.reason, peer=failure.peer)
+                    return _out_of_reach(failure)
                 budget_is_fresh = True
             if account_state.budget is None:
-                return Spent(remaining=0)
+                return account_grants.Spent(remaining=0)
             if needed() <= 0:
                 return None
             balance = grants.balance_of(account_state.budget.value)
             size = self._draw_size(account_state, balance, needed())
             if size == 0 and budget_is_fresh:
-                return Spent(remaining=balance.remaining)
+                return account_grants.Spent(remaining=balance.remaining)
             if size == 0:
                 account_state.budget = None
                 continue
@@ -173,10 +120,10 @@
             if isinstance(outcome, table.Committed):
                 return None
             if not isinstance(outcome, table.Conflict):
-                return OutOfReach(reason=outcome.reason, peer=outcome.peer)
+                return _out_of_reach(outcome)
             budget_is_fresh = budget_key in outcome.rows
             await self._pause(attempt)
-        return OutOfReach(reason="too many racing draws")
+        return account_grants.OutOfReach(reason="too many racing draws")
 
     def replace_lost_grant(self, account: str, row: table.Row | None) -> None:
         """Adopt this host's grant row as another host left it.
@@ -245,7 +192,10 @@
         )
 
     def _draw_size(
-        self, account_state: AccountState, balance: grants.Balance, needed: int
+        self,
+        account_state: account_grants.AccountState,
+        balance: grants.Balance,
+        needed: int,
     ) -> int:
         budget = self._host.config.budget
         return sizing.draw_size(
@@ -262,15 +212,16 @@
         recalls = [self.recall] if self.recall is not None else []
         while account_state.waiters:
             async with account_state.lock:
-                _reserve_for_waiters(account_state)
+                account_grants.reserve_for_waiters(account_state)
                 if not account_state.waiters:
                     return
                 failure = await self.draw(
-                    account, lambda: _lacking_tokens(account_state)
+                    account, lambda: account_grants.lacking_tokens(account_state)
                 )
-                _reserve_for_waiters(account_state)
-            if isinstance(failure, OutOfReach):
-                _refuse(account_state, list(account_state.waiters), failure)
+                account_grants.reserve_for_waiters(account_state)
+            if isinstance(failure, account_grants.OutOfReach):
+                waiting = list(account_state.waiters)
+                account_grants.refuse(account_state, waiting, failure)
                 continue
             if failure is None:
                 continue
@@ -281,7 +232,7 @@
                 if reclaimed.returned > 0:
                     continue
             held = reclaimed.held if reclaimed is not None else 0
-            _refuse_uncovered(account_state, failure.remaining, held)
+            account_grants.refuse_uncovered(account_state, failure.remaining, held)
 
     async def _refill(self, account: str) -> None:
         account_state = self.account(account)
@@ -393,43 +344,7 @@
         )
 
 
-def _lacking_tokens(account_state: AccountState) -> int:
-    return (
-        sum(waiter.tokens for waiter in account_state.waiters)
-        - account_state.ledger.available
-    )
-
-
-def _reserve_for_waiters(account_state: AccountState) -> None:
-    for waiter in list(account_state.waiters):
-        if account_state.ledger.reserve(waiter.tokens):
-            account_state.waiters.remove(waiter)
-            waiter.result.set_result(Reserved(tokens=waiter.tokens))
-
-
-def _refuse_uncovered(account_state: AccountState, remaining: int, held: int) -> None:
-    """Refuse the waiters that `remaining` tokens of the budget do not cover.
-
-    Those that the `held` tokens of other hosts would cover get `OutOfReach`, since
-    those tokens may come back to the budget; the others get `Spent`.
-    """
-    room = remaining + account_state.ledger.available
-    for waiter in list(account_state.waiters):
-        if waiter.tokens <= room:
-            room -= waiter.tokens
-        elif waiter.tokens <= room + held:
-            _refuse(
-                account_state,
-                [waiter],
-                OutOfReach(reason="other hosts hold the tokens"),
-            )
-        else:
-            _refuse(account_state, [waiter], Spent(remaining=max(0, room + held)))
-
-
-def _refuse(
-    account_state: AccountState, waiters: list[Waiter], reason: Spent | OutOfReach
-) -> None:
-    for waiter in waiters:
-        account_state.waiters.remove(waiter)
-        waiter.result.set_result(reason)
+def _out_of_reach(
+    failure: table.Unavailable | table.Unknown,
+) -> account_grants.OutOfReach:
+    return account_grants.OutOfReach(reason=failure.reason, peer=failure.peer)
--- a/dogwoodchute/controllers/reclaim.py
+++ b/dogwoodchute/controllers/reclaim.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from dogwoodchute import clock, controller, log, metrics_money as metrics, state
-from dogwoodchute.controllers import copies, grants
+from dogwoodchute.controllers import account_grants, copies, grants
 from dogwoodchute.coordination import (
     bills as pure_bills,
     grants as pure_grants,
@@ -38,14 +38,14 @@
         self._held_by_others: dict[str, int] = {}
         grant_controller.reclaim_lost = self.reclaim_if_due
 
-    async def reclaim_if_due(self, account: str) -> grants.ReclaimResult:
+    async def reclaim_if_due(self, account: str) -> account_grants.ReclaimResult:
         """Close the account's lost grants, unless that was done a few seconds ago.
 
         For a request that the budget does not cover.
         """
         last = self._checked_at.get(account)
         if last is not None and self._host.now() - last < SPENT_INTERVAL:
-            return grants.ReclaimResult(0, self._held_by_others.get(account, 0))
+            return account_grants.ReclaimResult(0, self._held_by_others.get(account, 0))
         return await self.check(account)
 
     async def step(self) -> None:
@@ -62,13 +62,13 @@
         if oldest is not None:
             await self.check(oldest[1])
 
-    async def check(self, account: str) -> grants.ReclaimResult:
+    async def check(self, account: str) -> account_grants.ReclaimResult:
         """Close the account's lost grants, and add up what other hosts hold."""
         self._checked_at[account] = self._host.now()
         prefix = rows.grant(account, "")
         found = await self._host.store.scan(prefix)
         if isinstance(found, table.Unavailable):
-            return grants.ReclaimResult(0, self._held_by_others.get(account, 0))
+            return account_grants.ReclaimResult(0, self._held_by_others.get(account, 0))
         others = {}
         for key, row in found.rows.items():
             incarnation = key.removeprefix(prefix)
@@ -85,7 +85,7 @@
                 continue
             held += pure_grants.grant_of(row.value).unspent
         self._held_by_others[account] = held
-        return grants.ReclaimResult(returned, held)
+        return account_grants.ReclaimResult(returned, held)
 
     def controller(self) -> controller.Controller:
         """Return the controller that checks for lost grants."""
--- a/dogwoodchute/filters/reserve.py
+++ b/dogwoodchute/filters/reserve.py
@@ -3,7 +3,7 @@
 import http
 
 from dogwoodchute import exchange as exchanges, metrics_money as metrics, outcomes
-from dogwoodchute.controllers import grants
+from dogwoodchute.controllers import account_grants, grants
 
 OUT_OF_REACH_RETRY_AFTER = 5.0  # seconds
 
@@ -18,7 +18,7 @@
             return await proceed()
         account = exchange.account.name
         result = await grant_controller.reserve(account, exchange.reserved)
-        if not isinstance(result, grants.Reserved):
+        if not isinstance(result, account_grants.Reserved):
             return _refuse(exchange, result)
         try:
             return await proceed()
@@ -30,9 +30,10 @@
 
 
 def _refuse(
-    exchange: exchanges.Exchange, result: grants.Spent | grants.OutOfReach
+    exchange: exchanges.Exchange,
+    result: account_grants.Spent | account_grants.OutOfReach,
 ) -> outcomes.NotRun:
-    if isinstance(result, grants.Spent):
+    if isinstance(result, account_grants.Spent):
         metrics.REFUSALS.labels("budget_spent").inc()
         return outcomes.refuse(
             http.HTTPStatus.PAYMENT_REQUIRED,
