A failing test of CONFIG: a host waits too long to ask the store itself

While all sources answer with old tables a host waits for the groups before it, 0.25 s each, and their number grows with the fleet: 6.58 s in the test for the last of 97 hosts of a region.

--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -1,5 +1,6 @@
 """How a change of a large table spreads over the hosts of two regions."""
 
+from dogwoodchute.coordination import sources
 from dogwoodchute.tests import support, table_fleet
 
 LARGE = 400_000  # bytes of a configuration of 1,600 routes
@@ -66,6 +67,19 @@
         self.assertLessEqual(fleet.fetches(version), 3)
         self.assertLess(seconds, LARGE_SITE_BOUND)
 
+    def test_a_host_asks_the_store_in_time_while_all_others_are_cut_from_it(self):
+        """It waited for the groups before it, whose number grows with the fleet."""
+        fleet = self.fleet(near=98, far=97)
+        last = sources.rank(p for p in fleet.peers() if p.region == "far")[-1]
+        for host in fleet.hosts.values():
+            host.cut_from_store = host.peer != last
+        fleet.loop.run_for(2.0)
+        version, written_at = fleet.put(100), fleet.loop.time()
+        fleet.loop.run_for(8.0)
+        adopted = fleet.hosts[last.name].adopted
+        self.assertIn(version, adopted)
+        self.assertLess(adopted[version] - written_at, LARGE_SITE_BOUND)
+
     def test_a_source_with_a_slow_way_to_the_store_takes_what_another_has_got(self):
         """Guards against a host that waits 8 s for its own transfer to end."""
         fleet = self.fleet()
