--- a/dogwoodchute/gateway/endpoint_limits.py
+++ b/dogwoodchute/gateway/endpoint_limits.py
@@ -7,10 +7,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import named_limits
-from dogwoodchute.gateway import host_rows, model
+from dogwoodchute.gateway import endpoint_words, host_rows, model
 
-OWN_ANSWER = "answer"  # the endpoint named it in an answer to this host
-OTHER_HOST = "other_host"  # another host told that it did
 # Seconds after the last word on a limit. As long as requests are sent to the endpoint
 # by any host, all of them hear of it more often.
 LIFETIME = 60.0
@@ -66,12 +64,12 @@
         `rate` is None if the answer names no limit, which ends one.
         """
         if rate is not None:
-            self._set(endpoint.id, rate, self._now(), OWN_ANSWER)
+            self._set(endpoint.id, rate, self._now(), endpoint_words.OWN_ANSWER)
             return
         limit = self._limits.get(endpoint.id)
         # An answer may have been made before the one that named the limit.
         if limit is not None and sent_at > limit.said_at:
-            self._end(endpoint.id, self._now(), OWN_ANSWER)
+            self._end(endpoint.id, self._now(), endpoint_words.OWN_ANSWER)
 
     def learn(self, name: str, rate: float | None, said_at: float) -> None:
         """Heed what another host heard at `said_at`, unless younger words are known."""
@@ -80,9 +78,9 @@
         if known_at is not None and said_at <= known_at:
             return
         if rate is not None:
-            self._set(name, rate, said_at, OTHER_HOST)
+            self._set(name, rate, said_at, endpoint_words.OTHER_HOST)
         elif limit is not None:
-            self._end(name, said_at, OTHER_HOST)
+            self._end(name, said_at, endpoint_words.OTHER_HOST)
         else:
             self._ended[name] = said_at
 
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -18,8 +18,6 @@
 
 # Seconds after an outage of the store in which endpoints renew entries that expired.
 RENEWAL_TIME = 2.5
-OWN_ANSWER = "answer"  # the endpoint said so in an answer to this host
-OTHER_HOST = "other_host"  # another host reported that it did
 # Seconds after which a caller finds another host, if this one may send nothing to
 # endpoints at their limits.
 OTHER_HOSTS_WAIT = 0.3
@@ -166,7 +164,7 @@
         It is used again if it restarts, or if it stays registered and doesn't repeat
         that for `leaving.SIGNAL_LIFETIME` seconds.
         """
-        self._set_leaving(endpoint.id, self._now(), OWN_ANSWER)
+        self._set_leaving(endpoint.id, self._now(), endpoint_words.OWN_ANSWER)
 
     def learn_words(self, words: abc.Iterable[endpoint_words.Word]) -> None:
         """Heed what endpoints said of themselves to other hosts."""
@@ -181,7 +179,7 @@
                 continue
             known_at = self._leaving.signalled_at(word.endpoint, leaving.ENDPOINT)
             if known_at is None or known_at < said_at:
-                self._set_leaving(word.endpoint, said_at, OTHER_HOST)
+                self._set_leaving(word.endpoint, said_at, endpoint_words.OTHER_HOST)
 
     def words(self) -> list[endpoint_words.Word]:
         """Return what endpoints said of themselves, to tell other hosts."""
--- a/dogwoodchute/gateway/endpoint_words.py
+++ b/dogwoodchute/gateway/endpoint_words.py
@@ -7,6 +7,9 @@
 LEAVING = "leaving"
 LIMIT = "limit"
 KINDS = (LEAVING, LIMIT)
+# Sources of words.
+OWN_ANSWER = "answer"  # the endpoint said so in an answer to this host
+OTHER_HOST = "other_host"  # another host reported that it did
 MAX_WORDS = 48  # in one datagram
 # Seconds for which each is told: two hops, each tried several times.
 TOLD_SECONDS = 5.0
