Callers of the load tool's test leave answers that last

Cause: the demo's endpoint pauses for no time between tokens, so on this machine (x86-64, faster than the one on which the test was written) 100 tokens reach the caller within the 0.05 s after which it leaves: an answer that is complete isn't left. The tool's report was right, the test's assumption was not.

--- a/dogwoodchute/tests/test_dogwoodload.py
+++ b/dogwoodchute/tests/test_dogwoodload.py
@@ -8,11 +8,15 @@
 
 
 class DogwoodloadTest(support.TestCase):
-    def load(self, **options):
-        """Load the demo's host; return the report and the number of runs."""
+    def load(self, *, token_seconds=0.0, **options):
+        """Load the demo's host; return the report and the number of runs.
+
+        `token_seconds` is the pause of its endpoint before each token.
+        """
 
         async def scenario():
             host = demo.Demo()
+            host.engine.batch.token_seconds = token_seconds
             await host.start()
             load = dogwoodload.Dogwoodload(
                 hosts=[f"127.0.0.1:{host.daemon.callers.port}"],
@@ -29,7 +33,9 @@
         return self.run_async(scenario())
 
     def test_callers_leave_before_their_answers_are_complete(self):
-        report, _ = self.load(tokens=100, leave_share=1.0, leave_after=0.05)
+        report, _ = self.load(
+            token_seconds=0.01, tokens=100, leave_share=1.0, leave_after=0.05
+        )
         self.assertEqual(["left"], list(report["outcomes"]))
 
     def test_a_share_that_is_none_is_refused(self):
