Below stale sources hosts follow one another, and none waits for the size of the fleet

Cause: while all sources answer with old tables, each other host asked the store itself, in groups of three, each 0.25 s after the one before: up to 8 s at 97 hosts a region. Shorter waits alone were tried: the test passes, but 94 of 97 hosts then fetch a change of 400 KB together and the last has it after 13.4 s, which was as bad before (13.4 to 14.3 s). So the wait was a symptom: hosts that the store answered were of no use to the others.

Change: groups form a binary tree below the sources (decision 0069). A host follows the nearest one above it with fresh tables; the wait grows by the level, with the logarithm of the number of hosts. Sources end held calls when their tables are no longer fresh; hosts with old tables aren't held.

Tests replaced: followers_go_to_the_store_in_groups checked that at most three hosts have the same wait. Waits are by level now; in its place: a host waits longer than each one above it, three hosts are first, each host has two below it at most, the last wait holds at 340 hosts too, and the fleet's tests bound the fetches. nobody_is_asked_while_all_sources_rest lets the hosts above rest as well.

--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -7,9 +7,13 @@
 same ones. Hosts whose views differ still work: each answer tells the age of the
 source's tables, and a host asks the store itself when its own become too old.
 
-When all sources fail together, as when the store is unreachable, the other hosts ask
-the store in groups, one group after another, so that they don't all fetch the same
-bytes at once.
+When all sources fail together, as when the store is unreachable for them, the groups of
+the other hosts form a binary tree. A host then follows the nearest one above it that
+has fresh tables, and asks the store itself if there is none. Each level of the tree
+waits longer than the one above it, so that hosts don't all fetch the same bytes at
+once, and the longest wait grows with the logarithm of the number of hosts. A host that
+the store answers goes on following it, for those below, until another host has fresh
+tables.
 """
 
 import typing
@@ -20,7 +24,7 @@
 SOURCES_PER_REGION = 3  # hosts of a region, also the size of a group
 MAX_AGE = 1.5  # seconds of age of fresh tables; below the bound of small deployments
 MAX_RECEIVING_AGE = 4.0  # seconds, while the source is receiving a change
-GROUP_DELAY = 0.25  # seconds between groups that start to ask the store
+LEVEL_DELAY = 0.25  # seconds between levels of groups that start to ask the store
 RETRY_DELAY = 1.0  # seconds between calls to a failing store, times the group
 STALE_SOURCE_PAUSE = 1.0  # seconds without calls to a source without fresh tables
 FAILED_SOURCE_PAUSE = 3.0  # seconds without calls to a source that did not answer
@@ -40,11 +44,13 @@
     """Which peers to ask for the tables, in order, and when to ask the store.
 
     `group` is 0 for a host that always asks the store, such as a source. Otherwise it
-    is the number of groups of hosts that ask the store before this host does.
+    is the number of groups of hosts before this host's, and `ancestors` are the hosts
+    above it in the tree, nearest first, to ask when it is time to ask the store.
     """
 
     peers: list[Peer]
     group: int
+    ancestors: abc.Sequence[Peer] = ()
 
 
 def is_fresh(age: float, *, receiving: bool = False) -> bool:
@@ -53,7 +59,22 @@
     `receiving` tells that the source is receiving a change. Then another host that
     fetched the same bytes from the store would only delay them for all.
     """
-    return age <= (MAX_RECEIVING_AGE if receiving else MAX_AGE)
+    return seconds_fresh(age, receiving=receiving) >= 0
+
+
+def seconds_fresh(age: float, *, receiving: bool = False) -> float:
+    """Return the seconds for which tables of this age stay fresh, negative if old."""
+    return (MAX_RECEIVING_AGE if receiving else MAX_AGE) - age
+
+
+def level(group: int) -> int:
+    """Return how deep a group is in the tree, 0 for the sources."""
+    return group.bit_length()
+
+
+def _above(group: int) -> list[int]:
+    """Return the groups on the way from a group to the sources, nearest first."""
+    return [group >> height for height in range(1, level(group) + 1)]
 
 
 def rank(peers: abc.Iterable[Peer]) -> list[Peer]:
@@ -71,6 +92,7 @@
     """
 
     def __init__(self, *, name: str, region: str) -> None:
+        self.follows_store = False  # whether the store answered last, not a peer
         self._name = name
         self._region = region
         self._stale_until: dict[str, float] = {}  # by host; not asked until then
@@ -106,7 +128,18 @@
         )
         if not store_reachable:
             sources = [*sources, *self._remote_sources(peers)]
-        return Plan(self._ask_order(sources, now), group=position // SOURCES_PER_REGION)
+        group, place = divmod(position, SOURCES_PER_REGION)
+        ancestors = [
+            candidates[above * SOURCES_PER_REGION + place] for above in _above(group)
+        ]
+        asked = self._ask_order(sources, now)
+        if not asked:
+            asked = [peer for peer in ancestors if self._may_ask(peer, now)][:1]
+        return Plan(asked, group=group, ancestors=ancestors)
+
+    def record_fresh_peer(self) -> None:
+        """Record that a peer had fresh tables."""
+        self.follows_store = False
 
     def record_peer_result(self, name: str, *, answered: bool, now: float) -> None:
         """Record that a source had no fresh tables, or did not answer.
@@ -122,19 +155,22 @@
 
     def record_store_result(self, *, answered: bool, group: int, now: float) -> None:
         """Record whether the store answered a call."""
+        self.follows_store = answered
         self._store_after = now if answered else now + RETRY_DELAY * group
 
-    def should_ask_store(self, age: float | None, *, group: int, now: float) -> bool:
-        """Return whether to ask the store, if no source had fresh tables.
+    def store_pause(self, age: float | None, *, group: int, now: float) -> float:
+        """Return the seconds until the store is to be asked, 0 for now.
 
-        `age` is that of this host's own tables in seconds, None if it has none. After a
-        source failed, each group waits `GROUP_DELAY` longer than the one before it, so
-        that the hosts that replace failed sources ask first.
+        No other host had fresh tables. `age` is that of this host's own tables in
+        seconds, None if it has none. After a source failed, each level waits
+        `LEVEL_DELAY` longer than the one above it, so that the hosts that replace
+        failed sources ask first.
         """
-        if group == 0 or age is None:
-            return True
-        earliest = max(self._store_after, self._failed_at + GROUP_DELAY * group)
-        return age > MAX_AGE + GROUP_DELAY * (group - 1) and now >= earliest
+        if group == 0 or age is None or self.follows_store:
+            return 0.0
+        delay = LEVEL_DELAY * level(group)
+        earliest = max(self._store_after, self._failed_at + delay)
+        return max(0.0, MAX_AGE + delay - LEVEL_DELAY - age, earliest - now)
 
     def _ranked(self, peers: list[Peer]) -> list[Peer]:
         """Return the hosts of this region, ranked once for each list."""
@@ -161,4 +197,8 @@
                 p.name,
             ),
         )
-        return [p for p in ordered if now >= self._stale_until.get(p.name, 0.0)]
+        return [peer for peer in ordered if self._may_ask(peer, now)]
+
+    def _may_ask(self, peer: Peer, now: float) -> bool:
+        """Return whether it is long enough since a peer had no fresh tables."""
+        return now >= self._stale_until.get(peer.name, 0.0)
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -31,12 +31,15 @@
     read_at: float
     regained_at: float = 0.0
     is_fresh: bool = True  # whether `read_at` is recent
+    receiving: bool = False  # whether the peer is about to have changes
     peer: str | None = None  # the host that answered, None for the store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Postponed:
-    """No other host had recent data, and it is not yet time to ask the store."""
+    """No other host had recent data; it is time to ask the store in `seconds`."""
+
+    seconds: float
 
 
 Outcome = Fetched | Postponed | rows.Unavailable
@@ -56,7 +59,8 @@
     changes: table_copy.Changes
     read_at: float
     regained_at: float
-    receiving: bool  # whether bytes of an answer are arriving from the store now
+    receiving: bool  # whether bytes of an answer are arriving from the store now, at
+    # this host or at the one that it follows
 
 
 class Mirror:
@@ -85,7 +89,8 @@
         self._pause = pause
         self._wait = wait
         self._listeners = [on_change]
-        self._receiving = receiving
+        self._receiving_bytes = receiving
+        self._is_peer_receiving = False  # as the last answer told
         self._now = now
         self._copy = table_copy.TableCopy()
         self._failing = False
@@ -109,8 +114,9 @@
     async def step(self) -> float:
         """Make one call; return the seconds until the next one."""
         outcome = await self._fetch(self._copy.version, self.read_at, self._wait)
+        self._is_peer_receiving = isinstance(outcome, Fetched) and outcome.receiving
         if isinstance(outcome, Postponed):
-            return RETRY_INTERVAL
+            return max(PEER_PAUSE, min(RETRY_INTERVAL, outcome.seconds))
         if isinstance(outcome, rows.Unavailable):
             self._record_failure(outcome)
             return RETRY_INTERVAL
@@ -128,23 +134,29 @@
         """Return what changed after version `since`, None before the first answer.
 
         Without changes, and while the copy is recent, waits up to `hold` seconds for
-        the next answer of the store.
+        the next answer of the store: the other host is to learn at once that the copy
+        isn't recent any more.
         """
         changes = self._copy.since(since)
         has_changes = changes is None or changes.is_snapshot or changes.rows
-        if not has_changes and hold > 0 and self._is_fresh:
+        hold = min(hold, self._seconds_fresh)
+        if not has_changes and hold > 0:
             await self._wait_for_answer(hold)
             changes = self._copy.since(since)
         if changes is None or self.read_at is None:
             return None
-        return TableUpdate(changes, self.read_at, self.regained_at, self._receiving())
+        return TableUpdate(changes, self.read_at, self.regained_at, self._receiving)
+
+    @property
+    def _receiving(self) -> bool:
+        return self._is_peer_receiving or self._receiving_bytes()
 
     @property
-    def _is_fresh(self) -> bool:
+    def _seconds_fresh(self) -> float:
         if self.read_at is None:
-            return False
+            return 0.0
         age = self._now() - self.read_at
-        return sources.is_fresh(age, receiving=self._receiving())
+        return sources.seconds_fresh(age, receiving=self._receiving)
 
     async def _wait_for_answer(self, hold: float) -> None:
         try:
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -127,30 +127,47 @@
         self, since: int | None, current_at: float | None, wait: float
     ) -> mirror.Outcome:
         """Fetch what changed after `since`; see `mirror.Fetch`."""
-        answer = await self._fetch_from(self._plan().peers, since)
+        age = None if current_at is None else self._now() - current_at
+        answer = await self._fetch_from(self._plan().peers, since, _hold(age))
         # A host with an older copy takes changes from an old one. A host without a copy
         # does not start from an old one.
         if answer is not None and (answer.is_fresh or since is not None):
-            self._record_source(answer.peer)
-            return answer
-        group = self._plan().group  # again, as failed sources change the plan
+            return self._accepted(answer)
+        plan = self._plan()  # again, as failed sources change the plan
         age = None if current_at is None else self._now() - current_at
-        if not self._chooser.should_ask_store(age, group=group, now=self._now()):
-            return mirror.Postponed()
+        pause = self._chooser.store_pause(age, group=plan.group, now=self._now())
+        if pause:
+            return mirror.Postponed(seconds=pause)
+        if plan.ancestors and since is not None:
+            above = await self._from_ancestors(plan.ancestors, since)
+            if above is not None and above.is_fresh:
+                return self._accepted(above)
+        if plan.group and not self._chooser.follows_store:
+            wait = 0.0  # others below this host have old tables too
         outcome = await self._from_store(since, current_at, wait)
         if isinstance(outcome, mirror.Fetched) and outcome.peer is not None:
-            self._record_source(outcome.peer)
-            return outcome
+            return self._accepted(outcome)
         answered = not isinstance(outcome, rows.Unavailable)
         self._chooser.record_store_result(
-            answered=answered, group=group, now=self._now()
+            answered=answered, group=plan.group, now=self._now()
         )
         if not answered and answer is not None:
             return answer
         if answered:
-            self._record_source(None)
+            self._log_source(None)
         return outcome
 
+    async def _from_ancestors(
+        self, ancestors: abc.Sequence[sources.Peer], since: int
+    ) -> mirror.Fetched | None:
+        """Return the best answer of hosts whose turn to ask the store came before."""
+        call = asyncio.create_task(self._ask_all(ancestors, since, 0.0))
+        try:
+            await asyncio.wait([call], timeout=SLOW_SOURCE)
+            return call.result() if call.done() else None
+        finally:
+            call.cancel()
+
     async def _from_store(
         self, since: int | None, current_at: float | None, wait: float
     ) -> mirror.Outcome:
@@ -195,16 +212,17 @@
         )
 
     async def _fetch_from(
-        self, peers: list[sources.Peer], since: int | None
+        self, peers: list[sources.Peer], since: int | None, hold: float
     ) -> mirror.Fetched | None:
         """Return a recent answer of these sources, or else one with new rows.
 
-        The first source holds the call until it has changes. If it fails or is slow,
-        all others are asked at the same time, since much time is lost already.
+        The first source holds the call until it has changes, `hold` seconds at most. If
+        it fails or is slow, all others are asked at the same time, since much time is
+        lost already.
         """
-        first = asyncio.create_task(self._ask_all(peers[:1], since, HOLD))
+        first = asyncio.create_task(self._ask_all(peers[:1], since, hold))
         try:
-            await asyncio.wait([first], timeout=HOLD + SLOW_SOURCE)
+            await asyncio.wait([first], timeout=hold + SLOW_SOURCE)
             if first.done() and _rank(first.result()) >= FRESH:
                 return first.result()
             second = await self._ask_all(peers[1:], since, 0.0)
@@ -213,7 +231,7 @@
             first.cancel()
 
     async def _ask_all(
-        self, peers: list[sources.Peer], since: int | None, hold: float
+        self, peers: abc.Sequence[sources.Peer], since: int | None, hold: float
     ) -> mirror.Fetched | None:
         """Return the first recent answer of these hosts, else the best one.
 
@@ -252,6 +270,7 @@
             read_at=self._now() - answer.age,
             regained_at=self._now() - answer.seconds_since_regained,
             is_fresh=sources.is_fresh(answer.age, receiving=answer.receiving),
+            receiving=answer.receiving,
             peer=peer.name,
         )
         if fetched.is_fresh:
@@ -264,12 +283,28 @@
             log.info("source_stale", table=self._table, peer=peer.name, age=age)
         return fetched
 
-    def _record_source(self, name: str | None) -> None:
+    def _accepted(self, answer: mirror.Fetched) -> mirror.Fetched:
+        """Record that another host's answer is used, and return it."""
+        if answer.is_fresh:
+            self._chooser.record_fresh_peer()
+        self._log_source(answer.peer)
+        return answer
+
+    def _log_source(self, name: str | None) -> None:
         if name != self._source:
             log.info("table_source", table=self._table, peer=name, before=self._source)
         self._source = name
 
 
+def _hold(age: float | None) -> float:
+    """Return the seconds for which a source may hold a call of a host with such tables.
+
+    A host whose tables are old is to learn at once that the source's are not: others
+    may follow it in their turn.
+    """
+    return min(HOLD, max(0.0, sources.seconds_fresh(age or 0.0)))
+
+
 def _rank(answer: mirror.Fetched | None) -> tuple[bool, bool, int]:
     """Return the sort key of an answer: is it usable, is it recent, its version."""
     if answer is None or not (answer.is_fresh or answer.changes.rows):
--- a/dogwoodchute/tests/test_sources.py
+++ b/dogwoodchute/tests/test_sources.py
@@ -58,7 +58,7 @@
             sources.Plan([], 0),
             chooser.plan(peers("r2", 9), store_reachable=True, now=NOW),
         )
-        self.assertTrue(chooser.should_ask_store(None, group=5, now=NOW))
+        self.assertEqual(0.0, chooser.store_pause(None, group=5, now=NOW))
 
     def test_a_source_that_did_not_answer_rests(self):
         known = peers("r1", 9)
@@ -96,7 +96,9 @@
         known = peers("r1", 9)
         follower = next(p for p, plan in self.plans(known).items() if plan.group)
         chooser = sources_for(follower)
-        for peer in sources.rank(known)[: sources.SOURCES_PER_REGION]:
+        ranked = sources.rank(known)
+        above = chooser.plan(known, store_reachable=True, now=NOW).ancestors
+        for peer in {*ranked[: sources.SOURCES_PER_REGION], *above}:
             chooser.record_peer_result(peer.name, answered=True, now=NOW)
         later = NOW + sources.STALE_SOURCE_PAUSE
         self.assertEqual(
@@ -104,27 +106,66 @@
         )
         self.assertTrue(chooser.plan(known, store_reachable=True, now=later).peers)
 
-    def test_followers_go_to_the_store_in_groups_when_all_sources_fail(self):
-        known = peers("r2", 31)
+    def due_ages(self, known):
+        """Return the age at which each follower asks the store, and its plan."""
         due = {}
         for peer, plan in self.plans(known).items():
             if plan.group == 0:
                 continue
-            age = 0.0
-            while not sources_for(peer).should_ask_store(
-                age, group=plan.group, now=NOW
-            ):
-                age += 0.05
-            due.setdefault(round(age, 1), []).append(peer)
-        self.assertLessEqual(max(map(len, due.values())), sources.SOURCES_PER_REGION)
-        self.assertLess(min(due), 1.7)
-        self.assertLess(max(due), 4.0)
+            pause = sources_for(peer).store_pause(0.0, group=plan.group, now=NOW)
+            due[peer] = pause, plan
+        return due
+
+    def test_followers_go_to_the_store_after_those_above_them(self):
+        """Otherwise all hosts of the region fetch the same bytes from the store."""
+        for count in (31, 113):
+            known = peers("r2", count)
+            ranked = sources.rank(known)
+            due = self.due_ages(known)
+            for age, plan in due.values():
+                for above in plan.ancestors[:-1]:
+                    self.assertLess(due[above][0], age)
+                self.assertIn(plan.ancestors[-1], ranked[: sources.SOURCES_PER_REGION])
+            first = min(age for age, _ in due.values())
+            self.assertLess(first, 1.7)
+            at_first = [age for age, _ in due.values() if age == first]
+            self.assertEqual(sources.SOURCES_PER_REGION, len(at_first))
+
+    def test_the_last_follower_goes_to_the_store_in_time_whatever_the_size(self):
+        for count in (31, 68, 113, 340):
+            last = max(age for age, _ in self.due_ages(peers("r2", count)).values())
+            self.assertLess(last, 4.0)
+
+    def test_a_host_is_above_few_others(self):
+        known = peers("r2", 113)
+        nearest = [plan.ancestors[0] for _, plan in self.due_ages(known).values()]
+        self.assertLessEqual(max(map(nearest.count, nearest)), 2)
+
+    def test_a_follower_passes_over_hosts_above_it_without_fresh_tables(self):
+        known = peers("r1", 60)
+        ranked = sources.rank(known)
+        chooser = sources_for(ranked[50])
+        above = chooser.plan(known, store_reachable=True, now=NOW).ancestors
+        for number, peer in enumerate(above[:-1]):
+            for stale in ranked[: sources.SOURCES_PER_REGION]:
+                chooser.record_peer_result(stale.name, answered=True, now=NOW)
+            plan = chooser.plan(known, store_reachable=True, now=NOW)
+            self.assertEqual([peer], plan.peers, number)
+            chooser.record_peer_result(peer.name, answered=True, now=NOW)
+
+    def test_a_host_that_the_store_answers_follows_it_until_another_is_fresh(self):
+        chooser = sources_for(peers("r1", 1)[0])
+        self.assertGreater(chooser.store_pause(0.1, group=2, now=NOW), 0.0)
+        chooser.record_store_result(answered=True, group=2, now=NOW)
+        self.assertEqual(0.0, chooser.store_pause(0.1, group=2, now=NOW))
+        chooser.record_fresh_peer()
+        self.assertGreater(chooser.store_pause(0.1, group=2, now=NOW), 0.0)
 
     def test_a_store_that_fails_is_asked_with_pauses(self):
         chooser = sources_for(peers("r1", 1)[0])
         chooser.record_store_result(answered=False, group=2, now=NOW)
-        self.assertFalse(chooser.should_ask_store(60.0, group=2, now=NOW + 1.9))
-        self.assertTrue(chooser.should_ask_store(60.0, group=2, now=NOW + 2.0))
+        self.assertGreater(chooser.store_pause(60.0, group=2, now=NOW + 1.9), 0.0)
+        self.assertEqual(0.0, chooser.store_pause(60.0, group=2, now=NOW + 2.0))
 
     def test_a_host_that_the_store_turns_away_asks_its_peers(self):
         known = peers("r1", 9) + peers("r2", 9)
--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -1,11 +1,15 @@
 """How a change of a large table spreads over the hosts of two regions."""
 
+import random
+
 from dogwoodchute.coordination import sources
 from dogwoodchute.tests import support, table_fleet
 
 LARGE = 400_000  # bytes of a configuration of 1,600 routes
 SMALL_SITE_BOUND = 2.5  # seconds until all hosts must have a change
 LARGE_SITE_BOUND = 4.0  # seconds, on sites of 60 hosts and more
+# So many fetches of a large row cross the link between regions in that time.
+FETCHES_IN_TIME = 28
 
 
 class SpreadTest(support.TestCase):
@@ -80,6 +84,46 @@
         self.assertIn(version, adopted)
         self.assertLess(adopted[version] - written_at, LARGE_SITE_BOUND)
 
+    def test_sources_cut_from_the_store_send_few_hosts_of_a_large_site_to_it(self):
+        """All others went there one by one, and filled the link between regions."""
+        for age_of_cut in (0.0, 1.75, 6.0):
+            fleet = self.fleet(near=98, far=97)
+            cut = [*fleet.sources_of("near"), *fleet.sources_of("far")]
+            self.spread_past(fleet, cut, age_of_cut)
+
+    def test_half_of_a_large_site_is_cut_from_the_store(self):
+        for age_of_cut in (1.0, 10.0):
+            fleet = self.fleet(near=98, far=97)
+            rng = random.Random(7)
+            cut = [h for h in fleet.hosts.values() if rng.random() < 0.5]
+            cut += [*fleet.sources_of("near"), *fleet.sources_of("far")]
+            self.spread_past(fleet, cut, age_of_cut)
+
+    def spread_past(self, fleet, cut, age_of_cut):
+        """Check that a change spreads over all but those cut from the store."""
+        for host in cut:
+            host.cut_from_store = True
+        fleet.loop.run_for(age_of_cut)
+        version, written_at = fleet.put(LARGE), fleet.loop.time()
+        fleet.loop.run_for(LARGE_SITE_BOUND)
+        self.assertLessEqual(fleet.fetches(version), FETCHES_IN_TIME)
+        for host in fleet.hosts.values():
+            if host in cut:
+                continue
+            self.assertIn(version, host.adopted, host.peer.name)
+            self.assertLess(host.adopted[version] - written_at, LARGE_SITE_BOUND)
+
+    def test_a_large_site_doesn_t_fetch_a_change_at_once_when_the_store_is_back(self):
+        fleet = self.fleet(near=98, far=97)
+        fleet.store_down = True
+        fleet.loop.run_for(9.0)
+        version = fleet.put(LARGE)
+        fleet.store_down = False
+        available_at = fleet.loop.time()
+        fleet.loop.run_for(6.0)
+        self.assertLess(fleet.last_adopted(version) - available_at, LARGE_SITE_BOUND)
+        self.assertLessEqual(fleet.fetches(version), FETCHES_IN_TIME)
+
     def test_a_source_with_a_slow_way_to_the_store_takes_what_another_has_got(self):
         """Guards against a host that waits 8 s for its own transfer to end."""
         fleet = self.fleet()
