A pause between calls to a failing store ends soon after the store is back

Cause: after a failed call a host paused for 1 s times its group. Nothing ended that pause when other calls of the host reached the store again.

Change: a host that regains contact asks 1 s and 0.2 s a level later, sources first. Tried and left: pauses by the level (48 to 60 of 97 hosts fetched a change of 400 KB together when the store came back). A level's delay is 0.2 s in place of 0.25 s, so that six levels and the second fit into the 3 s.

--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -24,8 +24,9 @@
 SOURCES_PER_REGION = 3  # hosts of a region, also the size of a group
 MAX_AGE = 1.5  # seconds of age of fresh tables; below the bound of small deployments
 MAX_RECEIVING_AGE = 4.0  # seconds, while the source is receiving a change
-LEVEL_DELAY = 0.25  # seconds between levels of groups that start to ask the store
+LEVEL_DELAY = 0.2  # seconds between levels of groups that start to ask the store
 RETRY_DELAY = 1.0  # seconds between calls to a failing store, times the group
+REGAIN_DELAY = 1.0  # seconds for which sources may still be in a call that fails
 STALE_SOURCE_PAUSE = 1.0  # seconds without calls to a source without fresh tables
 FAILED_SOURCE_PAUSE = 3.0  # seconds without calls to a source that did not answer
 KEY = "tables"  # hash key of the ranking of sources
@@ -99,6 +100,9 @@
         self._failed_until: dict[str, float] = {}  # by host; not a source until then
         self._failed_at = 0.0  # when a source last failed to answer
         self._store_after = 0.0  # when the store may be asked again
+        self._store_failed_at = 0.0
+        self._is_store_reachable = True
+        self._regained_at = 0.0  # when the store was reachable again
         self._last_peers: list[Peer] | None = None
         self._last_ranked: list[Peer] = []  # those of this region
 
@@ -137,6 +141,12 @@
             asked = [peer for peer in ancestors if self._may_ask(peer, now)][:1]
         return Plan(asked, group=group, ancestors=ancestors)
 
+    def record_contact(self, *, reachable: bool, now: float) -> None:
+        """Record whether the store answers this host, as seen from all its calls."""
+        if reachable and not self._is_store_reachable:
+            self._regained_at = now
+        self._is_store_reachable = reachable
+
     def record_fresh_peer(self) -> None:
         """Record that a peer had fresh tables."""
         self.follows_store = False
@@ -156,20 +166,25 @@
     def record_store_result(self, *, answered: bool, group: int, now: float) -> None:
         """Record whether the store answered a call."""
         self.follows_store = answered
+        if not answered:
+            self._store_failed_at = now
         self._store_after = now if answered else now + RETRY_DELAY * group
 
     def store_pause(self, age: float | None, *, group: int, now: float) -> float:
         """Return the seconds until the store is to be asked, 0 for now.
 
         No other host had fresh tables. `age` is that of this host's own tables in
-        seconds, None if it has none. After a source failed, each level waits
-        `LEVEL_DELAY` longer than the one above it, so that the hosts that replace
-        failed sources ask first.
+        seconds, None if it has none. After a source failed, and once the store is
+        reachable again, each level waits `LEVEL_DELAY` longer than the one above it, so
+        that sources and the hosts that replace failed ones ask first.
         """
         if group == 0 or age is None or self.follows_store:
             return 0.0
         delay = LEVEL_DELAY * level(group)
-        earliest = max(self._store_after, self._failed_at + delay)
+        store_after = self._store_after
+        if self._regained_at > self._store_failed_at:
+            store_after = min(store_after, self._regained_at + REGAIN_DELAY + delay)
+        earliest = max(store_after, self._failed_at + delay)
         return max(0.0, MAX_AGE + delay - LEVEL_DELAY - age, earliest - now)
 
     def _ranked(self, peers: list[Peer]) -> list[Peer]:
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -127,6 +127,9 @@
         self, since: int | None, current_at: float | None, wait: float
     ) -> mirror.Outcome:
         """Fetch what changed after `since`; see `mirror.Fetch`."""
+        self._chooser.record_contact(
+            reachable=self._is_store_reachable(), now=self._now()
+        )
         age = None if current_at is None else self._now() - current_at
         answer = await self._fetch_from(self._plan().peers, since, _hold(age))
         # A host with an older copy takes changes from an old one. A host without a copy
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -15,6 +15,7 @@
 CHUNK = 16_000  # bytes that an answer sends before it yields the link to others
 BASE64 = 4 / 3  # bytes sent for each byte of a row
 PROGRESS_TIMEOUT = 1.2  # seconds
+OTHER_CALLS_INTERVAL = 0.5  # seconds between other calls, which find the store back
 WAIT = followed_tables.CONFIG_WAIT  # seconds for which the store holds a feed open
 TABLE = "t"
 KEY = "config"
@@ -141,6 +142,13 @@
             update.receiving,
         )
 
+    async def call_store(self):
+        """Find out by other calls than those for the table that the store is back."""
+        while True:
+            await asyncio.sleep(OTHER_CALLS_INTERVAL)
+            if not (self.stopped or self.cut_from_store or self._fleet.store_down):
+                self.is_store_reachable = True
+
     async def run(self):
         while True:
             if self.stopped:
@@ -174,6 +182,7 @@
         self.put(size)
         for host in self.hosts.values():
             self.loop.create_task(host.run())
+            self.loop.create_task(host.call_store())
         self.loop.run_for(15.0)
 
     def put(self, size):
--- a/dogwoodchute/tests/test_sources.py
+++ b/dogwoodchute/tests/test_sources.py
@@ -167,6 +167,25 @@
         self.assertGreater(chooser.store_pause(60.0, group=2, now=NOW + 1.9), 0.0)
         self.assertEqual(0.0, chooser.store_pause(60.0, group=2, now=NOW + 2.0))
 
+    def test_a_pause_ends_soon_after_the_store_is_reachable_again(self):
+        """It lasted as many seconds as there are groups before this host's."""
+        for group in (1, 31):
+            chooser = sources_for(peers("r1", 1)[0])
+            chooser.record_contact(reachable=False, now=NOW)
+            chooser.record_store_result(answered=False, group=group, now=NOW)
+            chooser.record_contact(reachable=True, now=NOW + 0.1)
+            pause = chooser.store_pause(60.0, group=group, now=NOW + 0.1)
+            self.assertGreater(pause, 0.0)
+            self.assertLess(pause, 3.0 - 0.5, "0.5 s to find the store back")
+
+    def test_a_pause_after_a_failure_lasts_while_the_store_stays_away(self):
+        chooser = sources_for(peers("r1", 1)[0])
+        chooser.record_contact(reachable=False, now=NOW)
+        chooser.record_contact(reachable=True, now=NOW + 0.1)
+        chooser.record_store_result(answered=False, group=9, now=NOW + 0.2)
+        chooser.record_contact(reachable=False, now=NOW + 0.2)
+        self.assertGreater(chooser.store_pause(60.0, group=9, now=NOW + 8.0), 0.0)
+
     def test_a_host_that_the_store_turns_away_asks_its_peers(self):
         known = peers("r1", 9) + peers("r2", 9)
         for peer, plan in self.plans(known, store_reachable=False).items():
--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -10,6 +10,7 @@
 LARGE_SITE_BOUND = 4.0  # seconds, on sites of 60 hosts and more
 # So many fetches of a large row cross the link between regions in that time.
 FETCHES_IN_TIME = 28
+CONTACT = 3.0  # seconds in contact after which a host must have a change
 
 
 class SpreadTest(support.TestCase):
@@ -84,6 +85,19 @@
         self.assertIn(version, adopted)
         self.assertLess(adopted[version] - written_at, LARGE_SITE_BOUND)
 
+    def test_a_host_whose_way_to_the_store_heals_asks_it_in_time(self):
+        """It paused longer the more groups came before it, up to 32 s."""
+        fleet = self.fleet(near=98, far=97)
+        last = sources.rank(p for p in fleet.peers() if p.region == "far")[-1]
+        for host in fleet.hosts.values():
+            host.cut_from_store = True
+        fleet.loop.run_for(10.0)
+        version = fleet.put(100)
+        fleet.hosts[last.name].cut_from_store = False
+        healed_at = fleet.loop.time()
+        fleet.loop.run_for(CONTACT)
+        self.assertIn(version, fleet.hosts[last.name].adopted, healed_at)
+
     def test_sources_cut_from_the_store_send_few_hosts_of_a_large_site_to_it(self):
         """All others went there one by one, and filled the link between regions."""
         for age_of_cut in (0.0, 1.75, 6.0):
