Split the store's client: its tables' calls get a module of their own

platform/store.py had 410 lines: the connections and paths of the client, and the protocol of the tables' rows. The latter is platform/store_rows.py now. What an outcome of a call says (refused, too many, reached the store) is told by functions beside the outcomes in platform/transport.py, once in place of in both modules. No change of behaviour.

--- a/dogwoodchute/platform/backpressure.py
+++ b/dogwoodchute/platform/backpressure.py
@@ -10,7 +10,6 @@
 import random
 import typing
 
-TOO_MANY_REQUESTS = 429  # of an answer to a call beyond a bound
 FIRST_PAUSE = 0.1  # seconds
 MAX_PAUSE = 1.0  # seconds; the pause doubles up to it
 JITTER = 0.5  # share of a pause; spreads the calls of different hosts
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -7,15 +7,11 @@
 """
 
 import asyncio
-import base64
-import json
 import random
-import urllib.parse
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import rows
-from dogwoodchute.platform import backpressure, names, transport
+from dogwoodchute.platform import backpressure, transport
 
 CALL_TIMEOUT = 1.2  # seconds; the store's slowest answers take some 0.3 s
 # Commits are queued at the store, so a commit may take longer than another call by this
@@ -27,8 +23,6 @@
 READ_TIMEOUT = 15.0  # seconds for a whole answer while its bytes keep arriving
 PROBE_INTERVAL = 0.5  # seconds between tries of the direct path after it failed
 RELAY_PAUSE = 0.3  # seconds without relayed calls after a relay did not reach the store
-MAX_PAGES = 40  # of one read, in case the store never sends a last page
-SERVICE_UNAVAILABLE = 503  # status of an answer: the store did nothing
 
 Relays = abc.Callable[[], list[str]]
 
@@ -132,9 +126,9 @@
             self._update_lane(lane, outcome, part)
             # A commit on a connection that has gone silent tells nothing of new ones,
             # and isn't sent again here.
-            if not _is_stale_connection(outcome):
+            if not transport.is_stale_connection(outcome):
                 self._update_direct_path(outcome, sent_at)
-        if isinstance(outcome, transport.Answer) and not _is_refusal(outcome):
+        if isinstance(outcome, transport.Answer) and not transport.is_refusal(outcome):
             return outcome
         if isinstance(outcome, transport.NoAnswer) and method != "GET":
             return outcome
@@ -143,7 +137,7 @@
                 read_timeout=CALL_TIMEOUT, total_timeout=_total_timeout(method)
             )
             relayed = await self._call_through_relay(short, outcome)
-            if relayed is not outcome and _is_too_many_requests(relayed):
+            if relayed is not outcome and transport.is_too_many_requests(relayed):
                 self._pause_lane(lane, part)
             return relayed
         return outcome
@@ -163,7 +157,7 @@
             is_read = call.method == "GET" and not call.wait
             if isinstance(outcome, transport.Answer) and is_read and sink is None:
                 self._read_latency = self._now() - sent_at
-            if call.method != "GET" or not _is_stale_connection(outcome):
+            if call.method != "GET" or not transport.is_stale_connection(outcome):
                 return outcome
             self._update_direct_path(outcome, sent_at)
 
@@ -178,10 +172,7 @@
             self._relay = random.choice(relays)
         relay = self._relay
         outcome = await self._transport.send(relay, call)
-        if (
-            not isinstance(outcome, transport.Answer)
-            or outcome.status == SERVICE_UNAVAILABLE
-        ):
+        if not transport.reached_store(outcome):
             self._relay = random.choice(relays)
             self._relay_retry_at = self._now() + RELAY_PAUSE * random.uniform(0.5, 1.5)
         return outcome
@@ -190,13 +181,10 @@
         self, lane: backpressure.Lane, outcome: transport.CallOutcome, part: str | None
     ) -> None:
         """Apply the outcome of a direct call to its lane's pause."""
-        if (
-            not isinstance(outcome, transport.Answer)
-            or outcome.status == SERVICE_UNAVAILABLE
-        ):
+        if not transport.reached_store(outcome):
             return
         now = self._now()
-        if not _is_too_many_requests(outcome):
+        if not transport.is_too_many_requests(outcome):
             self._latest = self._latest._replace(answered_at=now)
             lane.end_pause()
             return
@@ -220,8 +208,10 @@
         If that was before the path's last answer, a failure of the call says nothing of
         the path's present state and is ignored.
         """
-        failed = not isinstance(outcome, transport.Answer) or _is_refusal(outcome)
-        if _is_too_many_requests(outcome) and not backpressure.is_path_refused(
+        failed = not isinstance(outcome, transport.Answer) or transport.is_refusal(
+            outcome
+        )
+        if transport.is_too_many_requests(outcome) and not backpressure.is_path_refused(
             self._latest
         ):
             return
@@ -232,7 +222,11 @@
         if failed:
             self._probe_at = self._now() + PROBE_INTERVAL * random.uniform(0.8, 1.2)
         if failed and not self._direct_failed:
-            log.warning("store_lost", peer=self._address, reason=_reason(outcome))
+            log.warning(
+                "store_lost",
+                peer=self._address,
+                reason=transport.failure_reason(outcome),
+            )
         if not failed and self._direct_failed:
             log.info("store_regained", peer=self._address)
         self._direct_failed = failed
@@ -246,165 +240,3 @@
 def _total_timeout(method: str) -> float:
     """Return the seconds in which the whole answer to a call must have arrived."""
     return READ_TIMEOUT if method == "GET" else CALL_TIMEOUT
-
-
-def _is_refusal(answer: transport.Answer) -> bool:
-    return answer.status in (backpressure.TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE)
-
-
-def _is_too_many_requests(outcome: transport.CallOutcome) -> bool:
-    """Return whether the store answered that it gets too many calls."""
-    return (
-        isinstance(outcome, transport.Answer)
-        and outcome.status == backpressure.TOO_MANY_REQUESTS
-    )
-
-
-def _is_stale_connection(outcome: transport.CallOutcome) -> bool:
-    return isinstance(outcome, transport.NoAnswer) and outcome.is_stale_connection
-
-
-def _reason(outcome: transport.CallOutcome) -> str:
-    if isinstance(outcome, transport.Answer):
-        return f"status {outcome.status}"
-    return outcome.reason
-
-
-def store(client: Client) -> rows.Store:
-    """Return the store that `client` calls, as the gateway uses it."""
-
-    async def read(
-        table: str, part: str, first: str | None, stop: str | None
-    ) -> rows.ReadOutcome:
-        query = {"table": table, "part": part}
-        if first is not None:
-            query["from"] = first
-        if stop is not None:
-            query["target"] = stop
-        all_rows: list[rows.Row] = []
-        version = 0
-        for _ in range(MAX_PAGES):
-            answer = await client.call(
-                "GET", _target(names.GET_PATH, query), table=table
-            )
-            page = _decode_page(answer, client)
-            if isinstance(page, rows.Unavailable | rows.Compacted):
-                return _unavailable(answer)
-            plain, page_rows = page
-            all_rows.extend(page_rows)
-            version = version or int(plain.get("ver", 0))
-            if not plain.get("hasMore") or not page_rows:
-                return rows.Rows(rows=all_rows, version=version, now=_now(plain))
-            query["from"] = page_rows[-1].key + "\0"
-        return rows.Unavailable(reason="the read has no end", peer=None)
-
-    async def feed(table: str, since: int, wait: float) -> rows.FeedOutcome:
-        query = {
-            "table": table,
-            "sinceRev": str(since),
-            "waitMs": str(int(wait * 1000)),
-        }
-        answer = await client.call(
-            "GET", _target(names.FEED_PATH, query), wait=wait, table=table
-        )
-        page = _decode_page(answer, client)
-        if isinstance(page, rows.Unavailable | rows.Compacted):
-            return page
-        plain, changed_rows = page
-        version = int(plain.get("ver", since))
-        return rows.Rows(rows=changed_rows, version=version, now=_now(plain))
-
-    async def commit(
-        part: str, checks: list[rows.Check], puts: list[rows.Put]
-    ) -> rows.CommitOutcome:
-        body = json.dumps(_transaction(part, checks, puts)).encode()
-        answer = await client.call("POST", names.TX_PATH, body, part=part)
-        if isinstance(answer, transport.NotSent):
-            return rows.Unavailable(reason=answer.reason, peer=answer.peer)
-        if isinstance(answer, transport.NoAnswer):
-            return rows.Unknown(reason=answer.reason, peer=answer.peer)
-        if _is_refusal(answer):
-            return rows.Unavailable(
-                reason=f"status {answer.status}",
-                overloaded=_is_too_many_requests(answer),
-            )
-        if answer.status not in (200, 412):
-            text = answer.content[:200].decode(errors="replace")
-            return rows.Unknown(reason=f"status {answer.status}: {text}")
-        try:
-            plain = json.loads(answer.content)
-            client.update_clock(_now(plain))
-            if answer.status == 200:
-                return rows.Committed(version=int(plain["ver"]))
-            return rows.Conflict(rows=[_row(each) for each in plain.get("rows", ())])
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return rows.Unknown(reason=f"bad answer: {error!r}")
-
-    return rows.Store(
-        read=read,
-        feed=feed,
-        commit=commit,
-        now=client.store_now,
-        receiving=client.receiving,
-    )
-
-
-def _now(plain: dict) -> float:
-    """Return the store's clock in seconds, as stated in an answer's body."""
-    return float(plain.get("nowMs", 0)) / 1000
-
-
-def _target(path: str, query: dict[str, str]) -> str:
-    return f"{path}?{urllib.parse.urlencode(query)}"
-
-
-def _unavailable(answer: transport.CallOutcome) -> rows.Unavailable:
-    return rows.Unavailable(reason=_reason(answer), peer=getattr(answer, "peer", None))
-
-
-def _decode_page(
-    answer: transport.CallOutcome, client: Client
-) -> tuple[dict, list[rows.Row]] | rows.Unavailable | rows.Compacted:
-    """Return the body of an answer and the rows in it."""
-    if not isinstance(answer, transport.Answer):
-        return _unavailable(answer)
-    if answer.status == 410:
-        return rows.Compacted()
-    if answer.status != 200:
-        return _unavailable(answer)
-    try:
-        plain = json.loads(answer.content)
-        client.update_clock(_now(plain))
-        return plain, [_row(each) for each in plain["rows"]]
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return rows.Unavailable(reason=f"bad answer: {error!r}")
-
-
-def _row(plain: dict) -> rows.Row:
-    value = None
-    if not plain.get("removed"):
-        value = base64.b64decode(plain.get("value") or "")
-    return rows.Row(
-        key=str(plain["key"]),
-        value=value,
-        version=int(plain.get("ver", 0)),
-        table=str(plain.get("table", "")),
-        part=str(plain.get("part", "")),
-    )
-
-
-def _transaction(part: str, checks: list[rows.Check], puts: list[rows.Put]) -> dict:
-    """Return the body of a commit."""
-    written = []
-    removed = []
-    for put in puts:
-        entry = {"table": put.table, "part": part, "key": put.key}
-        if put.value is None:
-            removed.append(entry)
-            continue
-        written.append({**entry, "value": base64.b64encode(put.value).decode()})
-    conditions = [
-        {"table": check.table, "part": part, "key": check.key, "ver": check.version}
-        for check in checks
-    ]
-    return {"expectedRev": conditions, "puts": written, "remove": removed}
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -25,6 +25,8 @@
 RELAY_STATUS_HEADER = "X-Relay-Status"
 NOT_SENT = "not-sent"
 NO_ANSWER = "no-answer"
+TOO_MANY_REQUESTS = 429  # status of an answer to a call beyond a bound
+SERVICE_UNAVAILABLE = 503  # status of an answer: the store did nothing
 
 call_seconds = prometheus_client.Histogram(
     "dogwoodchute_store_call_seconds",
@@ -66,6 +68,34 @@
 CallOutcome = Answer | NotSent | NoAnswer
 
 
+def is_too_many_requests(outcome: CallOutcome) -> bool:
+    """Return whether the store answered that it gets too many calls."""
+    return isinstance(outcome, Answer) and outcome.status == TOO_MANY_REQUESTS
+
+
+def reached_store(outcome: CallOutcome) -> bool:
+    """Return whether the store answered, and did more than turn the call away."""
+    return isinstance(outcome, Answer) and outcome.status != SERVICE_UNAVAILABLE
+
+
+def is_refusal(outcome: CallOutcome) -> bool:
+    """Return whether the store, or a relay, answered that it did nothing."""
+    refusals = (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE)
+    return isinstance(outcome, Answer) and outcome.status in refusals
+
+
+def is_stale_connection(outcome: CallOutcome) -> bool:
+    """Return whether only a connection that was open before has failed."""
+    return isinstance(outcome, NoAnswer) and outcome.is_stale_connection
+
+
+def failure_reason(outcome: CallOutcome) -> str:
+    """Return the words for an outcome that is no success, for logs and results."""
+    if isinstance(outcome, Answer):
+        return f"status {outcome.status}"
+    return outcome.reason
+
+
 class Sink(typing.NamedTuple):
     """Receives an answer as it arrives: its status first, then its bytes."""
 
--- a/dogwoodchute/tests/test_call_waits.py
+++ b/dogwoodchute/tests/test_call_waits.py
@@ -6,7 +6,7 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import account_rows, reclaim, rows
-from dogwoodchute.platform import relay, store, transport
+from dogwoodchute.platform import relay, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support, test_reclaim
 
@@ -126,7 +126,9 @@
             try:
                 outcomes = []
                 for _ in range(3):
-                    outcomes.append(await store.store(client).read("t", "", None, None))
+                    outcomes.append(
+                        await store_rows.open_store(client).read("t", "", None, None)
+                    )
                     await asyncio.sleep(0.5)
                 self.assertTrue(
                     any(isinstance(each, rows.Rows) for each in outcomes), outcomes
--- a/dogwoodchute/tests/test_silent_connections.py
+++ b/dogwoodchute/tests/test_silent_connections.py
@@ -19,7 +19,7 @@
     transfer_protocol,
     upstream,
 )
-from dogwoodchute.platform import egress, store
+from dogwoodchute.platform import egress, store, store_rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import silent_proxy, support, test_upstream
 
@@ -71,7 +71,7 @@
         With several silences, the change comes after the last one.
         """
         async with store_behind_proxy() as (row_table, proxy, client):
-            opened = store.store(client)
+            opened = store_rows.open_store(client)
             row_table.commit("", [], [rows.Put("op", "config", b"1")])
             seen = []
 
@@ -122,7 +122,7 @@
     def test_silent_connections_cost_the_fleets_commits_one_timeout(self):
         async def scenario():
             async with store_behind_proxy() as (row_table, proxy, client):
-                opened = store.store(client)
+                opened = store_rows.open_store(client)
                 await asyncio.gather(
                     *(opened.read("t", str(each), None, None) for each in range(POOL))
                 )
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import rows
-from dogwoodchute.platform import relay, store, transport
+from dogwoodchute.platform import relay, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support
 
@@ -49,7 +49,7 @@
         relays=lambda: setup.relays,
         now=clock.monotonic,
     )
-    setup.store = store.store(setup.client)
+    setup.store = store_rows.open_store(setup.client)
     try:
         yield setup
     finally:
@@ -296,7 +296,7 @@
                 address=f"127.0.0.1:{port}", relays=lambda: [], now=clock.monotonic
             )
             started_at = clock.monotonic()
-            found = await store.store(client).read("t", "", None, None)
+            found = await store_rows.open_store(client).read("t", "", None, None)
             self.assertIsInstance(found, rows.Unavailable)
             self.assertIn("exceeds", found.reason)
             self.assertLess(clock.monotonic() - started_at, store.READ_TIMEOUT / 2)
--- a/dogwoodchute/tests/test_store_metrics.py
+++ b/dogwoodchute/tests/test_store_metrics.py
@@ -7,7 +7,7 @@
 
 from dogwoodchute import clock, log, server
 from dogwoodchute.gateway import configuration, mirror, rows, table_source
-from dogwoodchute.platform import decode, store, transport
+from dogwoodchute.platform import decode, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support
 
@@ -47,7 +47,7 @@
                 now=clock.monotonic,
             )
             before = sample("dogwoodchute_store_bytes_received_total", kind="read")
-            await store.store(client).read("t", "", None, None)
+            await store_rows.open_store(client).read("t", "", None, None)
             after = sample("dogwoodchute_store_bytes_received_total", kind="read")
             self.assertGreater(after - before, transport.LARGE_ANSWER_BYTES)
             answered = {"kind": "read", "outcome": "answered"}
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -37,7 +37,16 @@
     witness_protocol,
     witnessing,
 )
-from dogwoodchute.platform import boot, decode, egress, ingress, names, relay, store
+from dogwoodchute.platform import (
+    boot,
+    decode,
+    egress,
+    ingress,
+    names,
+    relay,
+    store,
+    store_rows,
+)
 
 METRICS_PORT = 9464  # TCP, the same as in `deploy/system.toml`
 METRICS_PATH = "/metrics"
@@ -77,7 +86,7 @@
         self.gateway = gateway.Gateway(
             deployment=deployment,
             platform=platform_access.Platform(
-                store=store.store(self._store_client),
+                store=store_rows.open_store(self._store_client),
                 wire=egress.wire_format(),
                 decode_config=decode.config,
                 decode_endpoint=decode.endpoint,
