--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -69,15 +69,10 @@
 
 
 def level(group: int) -> int:
-    """Return how deep a group is in the tree, 0 for the sources."""
+    """Return the depth of a group in the binary tree, 0 for the sources."""
     return group.bit_length()
 
 
-def _above(group: int) -> list[int]:
-    """Return the groups on the way from a group to the sources, nearest first."""
-    return [group >> height for height in range(1, level(group) + 1)]
-
-
 def rank(peers: abc.Iterable[Peer]) -> list[Peer]:
     """Return the hosts of a region in the order in which they become sources."""
     return sorted(
@@ -86,6 +81,11 @@
     )
 
 
+def _above(group: int) -> list[int]:
+    """Return the groups on the way from a group to the sources, nearest first."""
+    return [group >> height for height in range(1, level(group) + 1)]
+
+
 class Sources:
     """The sources that one host chooses, and the results of its calls.
 
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -59,8 +59,9 @@
     changes: table_copy.Changes
     read_at: float
     regained_at: float
-    receiving: bool  # whether bytes of an answer are arriving from the store now, at
-    # this host or at the one that it follows
+    # Whether bytes of an answer of the store are arriving now, at this host or at the
+    # one that it follows.
+    receiving: bool
 
 
 class Mirror:
@@ -133,9 +134,8 @@
     async def changes_since(self, since: int | None, hold: float) -> TableUpdate | None:
         """Return what changed after version `since`, None before the first answer.
 
-        Without changes, and while the copy is recent, waits up to `hold` seconds for
-        the next answer of the store: the other host is to learn at once that the copy
-        isn't recent any more.
+        Without changes, waits up to `hold` seconds for the next answer of the store,
+        and no longer than the copy is recent: the other host is to learn when it isn't.
         """
         changes = self._copy.since(since)
         has_changes = changes is None or changes.is_snapshot or changes.rows
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -132,24 +132,22 @@
         self._chooser.record_contact(
             reachable=self._is_store_reachable(), now=self._now()
         )
-        age = None if current_at is None else self._now() - current_at
-        hold = HOLD if self._is_source_receiving else _hold(age)
+        hold = HOLD if self._is_source_receiving else _hold(self._age(current_at))
+        self._is_source_receiving = False
         answer = await self._fetch_from(self._plan().peers, since, hold)
-        self._is_source_receiving = answer is not None and answer.receiving
         # A host with an older copy takes changes from an old one. A host without a copy
         # does not start from an old one.
         if answer is not None and (answer.is_fresh or since is not None):
             return self._accepted(answer)
         plan = self._plan()  # again, as failed sources change the plan
-        age = None if current_at is None else self._now() - current_at
-        pause = self._chooser.store_pause(age, group=plan.group, now=self._now())
+        pause = self._chooser.store_pause(
+            self._age(current_at), group=plan.group, now=self._now()
+        )
         if pause:
             return mirror.Postponed(seconds=pause)
-        if plan.ancestors and since is not None:
-            above = await self._from_ancestors(plan.ancestors, since)
-            if above is not None and above.is_fresh:
-                self._is_source_receiving = above.receiving
-                return self._accepted(above)
+        above = await self._from_ancestors(plan.ancestors, since)
+        if above is not None:
+            return self._accepted(above)
         if plan.group and not self._chooser.follows_store:
             wait = 0.0  # others below this host have old tables too
         outcome = await self._from_store(since, current_at, wait)
@@ -165,16 +163,26 @@
             self._log_source(None)
         return outcome
 
+    def _age(self, current_at: float | None) -> float | None:
+        """Return the age in seconds of a copy that was current then."""
+        return None if current_at is None else self._now() - current_at
+
     async def _from_ancestors(
-        self, ancestors: abc.Sequence[sources.Peer], since: int
+        self, ancestors: abc.Sequence[sources.Peer], since: int | None
     ) -> mirror.Fetched | None:
-        """Return the best answer of hosts whose turn to ask the store came before."""
+        """Return a recent answer of hosts whose turn to ask the store came before.
+
+        Returns None for a host without a copy, which starts from the store.
+        """
+        if not ancestors or since is None:
+            return None
         call = asyncio.create_task(self._ask_all(ancestors, since, 0.0))
         try:
             await asyncio.wait([call], timeout=SLOW_SOURCE)
-            return call.result() if call.done() else None
+            answer = call.result() if call.done() else None
         finally:
             call.cancel()
+        return answer if answer is not None and answer.is_fresh else None
 
     async def _from_store(
         self, since: int | None, current_at: float | None, wait: float
@@ -293,6 +301,7 @@
 
     def _accepted(self, answer: mirror.Fetched) -> mirror.Fetched:
         """Record that another host's answer is used, and return it."""
+        self._is_source_receiving = answer.receiving
         if answer.is_fresh:
             self._chooser.record_fresh_peer()
         self._log_source(answer.peer)
@@ -305,10 +314,10 @@
 
 
 def _hold(age: float | None) -> float:
-    """Return the seconds for which a source may hold a call of a host with such tables.
+    """Return the seconds for which a source may hold the call of a host.
 
-    A host whose tables are old is to learn at once that the source's are not: others
-    may follow it in their turn.
+    `age` is that of the host's own tables in seconds, None if it has none. If they are
+    old it is to learn at once whether the source's are, as others may follow it.
     """
     fresh = sources.seconds_fresh(age or 0.0)
     return min(HOLD, max(MIN_HOLD, fresh)) if fresh > 0 else 0.0
