The slower the store's answers, the shorter it is asked to hold calls open

Cause: a copy gets as old as two calls are long. Sources let the store hold a call for 0.6 s; when answers then wait some 0.6 s for the full link between regions, the sources' tables are over 1.5 s old half of the time, so they seem stale, other hosts go to the store too and fill the link more.

Evidence: test_a_full_link_between_regions_sends_no_other_host_to_the_store failed (37 fetches, bound 3) and passes. Tried first inside the store's own function: worse at 1.4 s on the way (97 fetches), as other hosts were then asked too late.

--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -7,6 +7,9 @@
 from dogwoodchute.coordination import sources
 from dogwoodchute.gateway import host_rows, mirror, model, rows, table_copy, tables
 
+# Seconds that a held call of the store and the way of its answer may take. Until the
+# next answer a copy gets as old as two calls are long, and must still be fresh then.
+MAX_CALL = sources.MAX_AGE / 2 - 0.1
 # Seconds beyond the wait of a call of the store, after which other hosts are asked in
 # parallel, and seconds between such rounds.
 SLOW_STORE = 0.8
@@ -124,6 +127,8 @@
         self._source: str | None = None  # the host that answered last, None: the store
         self._stale: set[str] = set()  # hosts whose last answer was too old
         self._is_source_receiving = False  # whether the last answer told so
+        # Seconds of the store's last answer without changes, beyond the call's wait.
+        self._store_latency = 0.0
 
     async def fetch(
         self, since: int | None, current_at: float | None, wait: float
@@ -150,7 +155,9 @@
             return self._accepted(above)
         if plan.group and not self._chooser.follows_store:
             wait = 0.0  # others below this host have old tables too
-        outcome = await self._from_store(since, current_at, wait)
+        outcome = await self._from_store(
+            since, current_at, max(0.0, min(wait, MAX_CALL - self._store_latency))
+        )
         if isinstance(outcome, mirror.Fetched) and outcome.peer is not None:
             return self._accepted(outcome)
         answered = not isinstance(outcome, rows.Unavailable)
@@ -191,6 +198,7 @@
 
         Returns the answer of another host if it is recent and has changes.
         """
+        asked_at = self._now()
         call = asyncio.create_task(self._store(since, current_at, wait))
         parallel: asyncio.Task | None = None
         timeout = wait + SLOW_STORE
@@ -201,6 +209,7 @@
                     running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
                 )
                 if call.done():
+                    self._record_latency(call.result(), self._now() - asked_at - wait)
                     return call.result()
                 if parallel is not None and parallel.done():
                     answer, parallel = parallel.result(), None
@@ -216,6 +225,11 @@
             if parallel is not None:
                 parallel.cancel()
 
+    def _record_latency(self, outcome: mirror.Outcome, latency: float) -> None:
+        """Note how long the store's answer was on its way if it had no changes."""
+        if isinstance(outcome, mirror.Fetched) and not outcome.changes.rows:
+            self._store_latency = max(0.0, latency)
+
     async def _ask_others(self, since: int | None) -> mirror.Fetched | None:
         others = self._chooser.plan(
             self._peers(), store_reachable=False, now=self._now()
--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -50,6 +50,16 @@
         version, _ = self.spread(fleet, size=3 * LARGE)
         self.assertLessEqual(fleet.fetches(version), 3)
 
+    def test_a_full_link_between_regions_sends_no_other_host_to_the_store(self):
+        """Sources that waited for it seemed stale, and the others filled it more."""
+        for queueing in (0.3, 0.6, 1.4):
+            fleet = self.fleet(near=98, far=97)
+            fleet.queueing = queueing
+            fleet.loop.run_for(6.0)
+            version, seconds = self.spread(fleet)
+            self.assertLessEqual(fleet.fetches(version), 3)
+            self.assertLess(seconds, SMALL_SITE_BOUND)
+
     def test_a_slow_transfer_to_the_sources_makes_no_host_ask_them_all_the_time(self):
         fleet = self.fleet()
         before = [host.asked for host in fleet.sources_of("far")]
