Say exactly which outcomes have reached the store

The docstring of transport.reached_store denied that an answer of too many requests counts, but it does.

--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -74,7 +74,7 @@
 
 
 def reached_store(outcome: CallOutcome) -> bool:
-    """Return whether the store answered, and did more than turn the call away."""
+    """Return whether the store itself answered, if only that it gets too many calls."""
     return isinstance(outcome, Answer) and outcome.status != SERVICE_UNAVAILABLE
 
 
