A host takes over another's outage of the store only if it lost the table too

Callers' requests reach an endpoint over 2.5 s after its row was removed. Cause of this part: an answer about a table carries when its host regained it, and the asking host took over the later time, though it had the table all along. For 2.5 s after that a removed row counts as lapsed, so hosts in contact go on using what has left, and each further host that returns prolongs it.

Now the time counts only at a host whose own copy had a gap of MIN_OUTAGE.

The test failed before: a removed endpoint was kept for as long as hosts returned one after another.

--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -183,10 +183,10 @@
                     log.exception("row_failed", table=self._table, row=row.key)
 
     def _record_answer(self, outcome: Fetched) -> None:
+        had_outage = outcome.read_at - (self.read_at or -math.inf) >= MIN_OUTAGE
         if outcome.is_fresh and self._failing:
             self._failing = False
-            outage = outcome.read_at - (self.read_at or -math.inf)
-            if outage >= MIN_OUTAGE:
+            if had_outage:
                 self.regained_at = self._now()
             log.info(
                 "table_regained",
@@ -195,7 +195,8 @@
                 peer=outcome.peer,
                 age=self._rounded_age(),
             )
-        self.regained_at = max(outcome.regained_at, self.regained_at)
+        if had_outage:
+            self.regained_at = max(outcome.regained_at, self.regained_at)
         self.read_at = max(outcome.read_at, self.read_at or 0.0)
 
     def _record_failure(self, outcome: rows.Unavailable) -> None:
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -205,6 +205,30 @@
     def test_without_failed_calls_a_gone_endpoint_goes(self):
         self.assertLessEqual(self.seconds_kept(lambda call: False), BOUND)
 
+    def test_hosts_that_regain_the_table_in_turn_keep_no_gone_endpoint_elsewhere(self):
+        loop = virtual.Loop()
+        self.addCleanup(loop.finish)
+        now = loop.time
+        answers = [table_copy.Changes([rows.Row("e1", b"", 5)], 5, True)]
+
+        async def from_source(since, current_at, wait):
+            return mirror.Fetched(
+                changes=answers[-1],
+                read_at=now(),
+                regained_at=now() - 0.1,
+                peer="source",
+            )
+
+        known_endpoints = self.make_endpoints(now)
+        following = self.mirror(from_source, known_endpoints.table.apply_changes, now)
+        known_endpoints.table.set_regained_at(lambda: following.regained_at)
+        loop.create_task(following.run())
+        loop.run_for(5.0)
+        self.assertEqual(1, len(known_endpoints.table.usable("plain")))
+        answers.append(table_copy.Changes([rows.Row("e1", None, 9)], 9, False))
+        loop.run_for(BOUND)
+        self.assertEqual([], known_endpoints.table.usable("plain"))
+
     def seconds_kept(self, fails):
         """Return the seconds for which a follower keeps a removed endpoint."""
         loop = virtual.Loop()
