An outage of one host doesn't count as one of the store

Callers' requests reach an endpoint over 2.5 s after its row was removed. Cause: while the store is away endpoints can't renew their rows, so for 2.5 s after an outage a removed row counts as lapsed and is used on. A host that alone lost the table (the store turns it away while its sources are killed) took its own outage for one of the store.

A host that the store answers again after an outage now asks the nearest hosts how long their tables have been current. If one had the table all along, the store wasn't away; else the first that had it again tells when the store was back. A follower takes this time over from its source. Answers about tables carry it in place of the time of the source's own return, so hosts of before and after don't follow one another: a fleet is updated at once.

test_a_host_that_lost_the_table_alone_drops_what_left_meanwhile failed before (used at 3.0 s after the host is in contact again). Rows that expire while the store is away from all are used as before.

--- a/dogwoodchute/coordination/sources.py
+++ b/dogwoodchute/coordination/sources.py
@@ -141,6 +141,14 @@
             asked = [peer for peer in ancestors if self._may_ask(peer, now)][:1]
         return Plan(asked, group=group, ancestors=ancestors)
 
+    def nearest(self, peers: list[Peer]) -> list[Peer]:
+        """Return other hosts to ask what they know: a few here, one of each region.
+
+        `peers` are as in `plan`. Hosts that failed lately are included.
+        """
+        local = [peer for peer in self._ranked(peers) if peer.name != self._name]
+        return [*local[:SOURCES_PER_REGION], *self._remote_sources(peers)]
+
     def record_contact(self, *, reachable: bool, now: float) -> None:
         """Record whether the store answers this host, as seen from all its calls."""
         if reachable and not self._is_store_reachable:
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -77,14 +77,11 @@
         self._hold_offs = hold_offs.HoldOffs()
         self._reported_hold_offs: set[str] = set()  # endpoints with a logged bad value
         self._turns = turns.Turns()
-        self._regained_at: abc.Callable[[], float] = lambda: 0.0
+        self._store_returned_at: abc.Callable[[], float] = lambda: 0.0
 
-    def set_regained_at(self, regained_at: abc.Callable[[], float]) -> None:
-        """Set the source of the time at which the table was readable again.
-
-        `regained_at` returns the monotonic seconds of the end of the last outage.
-        """
-        self._regained_at = regained_at
+    def set_store_returned_at(self, returned_at: abc.Callable[[], float]) -> None:
+        """Set the source of the monotonic seconds at which the store was back."""
+        self._store_returned_at = returned_at
 
     def apply_changes(
         self, all_rows: dict[str, rows.Row], changed: list[rows.Row]
@@ -265,14 +262,14 @@
             return
         # While the store is unavailable endpoints can't renew their rows, which expire;
         # they come back soon after it is available again.
-        if self._now() - self._regained_at() < RENEWAL_TIME:
+        if self._now() - self._store_returned_at() < RENEWAL_TIME:
             self._missing.setdefault(name, self._now())
             log.info("endpoint_lapsed", endpoint=name)
             return
         self._delete(name)
 
     def _delete_expired(self) -> None:
-        if not self._missing or self._now() - self._regained_at() < RENEWAL_TIME:
+        if not self._missing or self._now() - self._store_returned_at() < RENEWAL_TIME:
             return
         for name in list(self._missing):
             del self._missing[name]
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -356,7 +356,9 @@
         )
         config_mirror, endpoints_mirror, hosts_mirror = mirrors.values()
         self._configuration.set_read_at(lambda: config_mirror.read_at)
-        self._endpoints.table.set_regained_at(lambda: endpoints_mirror.regained_at)
+        self._endpoints.table.set_store_returned_at(
+            lambda: endpoints_mirror.store_returned_at
+        )
         self._hosts.set_read_at(lambda: hosts_mirror.read_at)
         hosts_mirror.add_listener(self._own_row.apply_changes)
         return mirrors
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -23,13 +23,13 @@
 class Fetched:
     """The changes that a call returned, which were current at `read_at`.
 
-    `regained_at` is the time at which the store answered the source again after a
-    failure. Times are in monotonic seconds.
+    `store_returned_at` is when the store was back after it was away from all hosts, 0
+    if that isn't known to have happened. Times are in monotonic seconds.
     """
 
     changes: table_copy.Changes
     read_at: float
-    regained_at: float = 0.0
+    store_returned_at: float = 0.0
     is_fresh: bool = True  # whether `read_at` is recent
     receiving: bool = False  # whether the peer is about to have changes
     peer: str | None = None  # the host that answered, None for the store
@@ -53,12 +53,13 @@
 class TableUpdate(typing.NamedTuple):
     """This host's answer to another one about a table.
 
-    Times are in monotonic seconds.
+    Times are in monotonic seconds, as the attributes of `Mirror`.
     """
 
     changes: table_copy.Changes
     read_at: float
-    regained_at: float
+    current_since: float
+    store_returned_at: float
     # Whether bytes of an answer of the store are arriving now, at this host or at the
     # one that it follows.
     receiving: bool
@@ -84,7 +85,10 @@
         now: abc.Callable[[], float],
     ) -> None:
         self.read_at: float | None = None  # monotonic seconds: the copy was current
-        self.regained_at = 0.0  # monotonic seconds: the end of the last outage
+        # Monotonic seconds from which the copy was fresh without a break.
+        self.current_since = 0.0
+        # Monotonic seconds: the store was back after it was away from all hosts.
+        self.store_returned_at = 0.0
         self._table = table
         self._fetch = fetch
         self._pause = pause
@@ -145,7 +149,13 @@
             changes = self._copy.since(since)
         if changes is None or self.read_at is None:
             return None
-        return TableUpdate(changes, self.read_at, self.regained_at, self._receiving)
+        return TableUpdate(
+            changes,
+            self.read_at,
+            self.current_since,
+            self.store_returned_at,
+            self._receiving,
+        )
 
     @property
     def _receiving(self) -> bool:
@@ -183,11 +193,16 @@
                     log.exception("row_failed", table=self._table, row=row.key)
 
     def _record_answer(self, outcome: Fetched) -> None:
-        had_outage = outcome.read_at - (self.read_at or -math.inf) >= MIN_OUTAGE
+        gap = outcome.read_at - (self.read_at or -math.inf)
+        if gap > sources.MAX_AGE:
+            self.current_since = outcome.read_at
+        # Else this host had the table while another one lost it.
+        if gap >= MIN_OUTAGE:
+            self.store_returned_at = max(
+                outcome.store_returned_at, self.store_returned_at
+            )
         if outcome.is_fresh and self._failing:
             self._failing = False
-            if had_outage:
-                self.regained_at = self._now()
             log.info(
                 "table_regained",
                 table=self._table,
@@ -195,8 +210,6 @@
                 peer=outcome.peer,
                 age=self._rounded_age(),
             )
-        if had_outage:
-            self.regained_at = max(outcome.regained_at, self.regained_at)
         self.read_at = max(outcome.read_at, self.read_at or 0.0)
 
     def _record_failure(self, outcome: rows.Unavailable) -> None:
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -1,6 +1,7 @@
 """Fetches a table from the store, or from other hosts that follow the store."""
 
 import asyncio
+import dataclasses
 from collections import abc
 
 from dogwoodchute import log
@@ -127,6 +128,7 @@
         self._source: str | None = None  # the host that answered last, None: the store
         self._stale: set[str] = set()  # hosts whose last answer was too old
         self._is_source_receiving = False  # whether the last answer told so
+        self._has_store_failed = False  # since its last answer to this host
         # Seconds of the store's last answer without changes, beyond the call's wait.
         self._store_latency = 0.0
 
@@ -164,12 +166,54 @@
         self._chooser.record_store_result(
             answered=answered, group=plan.group, now=self._now()
         )
-        if not answered and answer is not None:
-            return answer
-        if answered:
-            self._log_source(None)
+        if not answered:
+            self._has_store_failed = True
+            return outcome if answer is None else answer
+        if self._has_store_failed:
+            self._has_store_failed = False
+            outcome = await self._with_outage(outcome, current_at)
+        self._log_source(None)
         return outcome
 
+    async def _with_outage(
+        self, outcome: mirror.Fetched, current_at: float | None
+    ) -> mirror.Fetched:
+        """Return an answer of the store with the time of its return, if it was away.
+
+        This host had no recent table since `current_at`. If another host had one all
+        along, only this host was out of contact.
+        """
+        if outcome.read_at - (current_at or 0.0) < mirror.MIN_OUTAGE:
+            return outcome
+        nearest = self._chooser.nearest(self._peers())
+        version = outcome.changes.version
+        calls = [
+            asyncio.create_task(self._ask(each.address, self._table, version, 0.0))
+            for each in nearest
+        ]
+        if calls:
+            await asyncio.wait(calls, timeout=SLOW_SOURCE)
+        answers = [call.result() for call in calls if call.done()]
+        for call in calls:
+            call.cancel()
+        now = self._now()
+        current_since = [
+            now - answer.seconds_current
+            for answer in answers
+            if isinstance(answer, tables.Answer) and sources.is_fresh(answer.age)
+        ]
+        had_table = any(at <= (current_at or 0.0) for at in current_since)
+        returned_at = 0.0 if had_table else min([now, *current_since])
+        log.info(
+            "table_outage",
+            table=self._table,
+            asked=len(nearest),
+            current=len(current_since),
+            alone=had_table,
+            returned=None if had_table else round(now - returned_at, 3),
+        )
+        return dataclasses.replace(outcome, store_returned_at=returned_at)
+
     def _age(self, current_at: float | None) -> float | None:
         """Return the age in seconds of a copy that was current then."""
         return None if current_at is None else self._now() - current_at
@@ -298,7 +342,7 @@
         fetched = mirror.Fetched(
             changes=answer.changes,
             read_at=self._now() - answer.age,
-            regained_at=self._now() - answer.seconds_since_regained,
+            store_returned_at=self._now() - answer.seconds_since_return,
             is_fresh=sources.is_fresh(answer.age, receiving=answer.receiving),
             receiving=answer.receiving,
             peer=peer.name,
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/tables.py
@@ -29,8 +29,9 @@
 
     changes: table_copy.Changes
     age: float  # seconds since the host's copy was current
-    # Seconds since the store answered the host again after a failure.
-    seconds_since_regained: float
+    seconds_current: float  # seconds for which it was fresh without a break
+    # Seconds since the store was back after it was away from all hosts.
+    seconds_since_return: float
     receiving: bool  # whether bytes from the store are arriving at the host now
 
 
@@ -107,12 +108,14 @@
         if response.status != 200:
             return NoAnswer(f"status {response.status}")
         try:
-            age, since_regained, held, receiving, packed = msgpack.unpackb(content)
+            *times, held, receiving, packed = msgpack.unpackb(content)
             in_transit = max(0.0, self._now() - asked_at - _checked_seconds(held))
+            age, current, since_return = map(_checked_seconds, times)
             return Answer(
                 _unpack(packed),
-                _checked_seconds(age) + in_transit,
-                _checked_seconds(since_regained) + in_transit,
+                age + in_transit,
+                current + in_transit,
+                since_return + in_transit,
                 bool(receiving),
             )
         except (ValueError, TypeError, OverflowError, zlib.error) as error:
@@ -144,7 +147,8 @@
         sent_at = now()
         times = [
             sent_at - update.read_at,
-            sent_at - update.regained_at,
+            sent_at - update.current_since,
+            sent_at - update.store_returned_at,
             sent_at - received_at,
         ]
         packed = packer.pack(table, since, update.changes)
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -29,6 +29,8 @@
         self.frozen = False
         self.killed = False
         self.cut_from_store = False
+        self.asks_fail = False  # its calls of other hosts
+        self.silent_seconds = PROGRESS_TIMEOUT  # of a call that fails
         self.slowness = 1.0  # factor on the time that the store's answers take
         self.is_store_reachable = True
         self._receiving = False
@@ -40,8 +42,8 @@
         self.mirror = mirror.Mirror(
             table=TABLE,
             fetch=self._fetch(),
-            pause=0.05,
-            wait=WAIT,
+            pause=fleet.pause,
+            wait=fleet.wait,
             on_change=self._changed,
             receiving=lambda: self._receiving,
             now=fleet.loop.time,
@@ -95,13 +97,14 @@
 
     async def _call(self, operation):
         if self.cut_from_store or self._fleet.store_down:
-            await asyncio.sleep(PROGRESS_TIMEOUT if self.is_store_reachable else 0.05)
+            silent = self.silent_seconds if self.is_store_reachable else 0.05
+            await asyncio.sleep(silent)
             self.is_store_reachable = False
             return rows.Unavailable(reason="cut")
         if self.stopped:
             await asyncio.Event().wait()
         answer = operation()
-        size = int(sum(len(row.value) for row in answer.rows) * BASE64)
+        size = int(sum(len(row.value or b"") for row in answer.rows) * BASE64)
         await self._fleet.queue(self.peer.region)
         if size > CHUNK:
             self.fetched.append(max(row.version for row in answer.rows))
@@ -118,7 +121,7 @@
         other.asked += 1
         if other.killed:
             return tables.NoAnswer("refused")
-        if other.frozen:
+        if other.frozen or self.asks_fail:
             await asyncio.sleep(hold + tables.ANSWER_TIMEOUT)
             return tables.NoAnswer("timed out")
         update_task = asyncio.ensure_future(other.mirror.changes_since(since, hold))
@@ -141,7 +144,8 @@
         return tables.Answer(
             update.changes,
             now - update.read_at + 0.002,
-            now - update.regained_at,
+            now - update.current_since,
+            now - update.store_returned_at,
             update.receiving,
         )
 
@@ -163,7 +167,11 @@
 class Fleet:
     """The hosts, the store and the link between the regions."""
 
-    def __init__(self, *, near, far, alone=False):
+    def __init__(
+        self, *, near, far, alone=False, pause=followed_tables.CONFIG_PAUSE, wait=WAIT
+    ):
+        self.pause = pause  # seconds between a host's calls
+        self.wait = wait  # seconds for which the store holds a call open
         self.loop = virtual.Loop()
         self.store = row_store.RowStore(now=self.loop.time)
         self.store_down = False
--- /dev/null
+++ b/dogwoodchute/tests/test_lapsed_endpoints.py
@@ -0,0 +1,124 @@
+"""Rows of endpoints that are removed around outages of one host or of the store."""
+
+from dogwoodchute.gateway import (
+    endpoint_limits,
+    endpoint_table,
+    followed_tables,
+    model,
+    rows,
+)
+from dogwoodchute.tests import support, table_fleet
+
+BOUND = 2.5  # seconds after its removal in which an endpoint must be left out
+CONTACT = 3.0  # seconds of contact after which the bound holds for a host
+OUTAGE = 4.0  # seconds; rows that aren't renewed expire meanwhile
+ENDPOINT = "e1"
+
+
+def decode(name, value):
+    return model.Endpoint(
+        id=name,
+        service="plain",
+        address="127.0.0.1:1",
+        data_centre="z1",
+        state=model.READY,
+        slots=1,
+    )
+
+
+class LapsedEndpointsTest(support.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = table_fleet.Fleet(
+            near=5, far=2, pause=followed_tables.ENDPOINTS_PAUSE, wait=0.0
+        )
+        self.addCleanup(self.fleet.loop.finish)
+        self.tables = {name: self.follow(h) for name, h in self.fleet.hosts.items()}
+        self.write(b"1")
+        self.fleet.start(size=100)
+
+    def follow(self, host):
+        """Return the endpoints as a host of the fleet knows them."""
+        now = self.fleet.loop.time
+        table = endpoint_table.EndpointTable(
+            table=table_fleet.TABLE,
+            decode=decode,
+            listeners=endpoint_table.Listeners(
+                changed=lambda: None,
+                removed=lambda name: None,
+                restarted=lambda name: None,
+            ),
+            limits=endpoint_limits.EndpointLimits(
+                host=host.peer.name, others=lambda: (), now=now
+            ),
+            now=now,
+        )
+        table.set_store_returned_at(lambda: host.mirror.store_returned_at)
+        host.mirror.add_listener(table.apply_changes)
+        return table
+
+    def write(self, value):
+        put = rows.Put(table_fleet.TABLE, ENDPOINT, value)
+        self.fleet.store.commit("", [], [put])
+
+    def users(self):
+        """Return the hosts that would send a request to the endpoint now."""
+        return [
+            name
+            for name, table in self.tables.items()
+            if any(e.id == ENDPOINT for e in table.usable("plain"))
+        ]
+
+    def returns(self, hosts):
+        """Let each host lose the table in turn; yield it when others answer it."""
+        for number in range(2 * len(hosts)):
+            host = hosts[number % len(hosts)]
+            self.write(b"1")
+            self.fleet.loop.run_for(CONTACT)
+            host.cut_from_store, host.is_store_reachable = True, False
+            host.asks_fail = True
+            self.fleet.loop.run_for(OUTAGE + 0.17 * number)
+            host.asks_fail = False
+            yield host
+            host.cut_from_store = False
+            self.fleet.loop.run_for(CONTACT)
+
+    def test_a_host_that_lost_the_table_alone_drops_what_left_meanwhile(self):
+        for _ in self.returns(list(self.fleet.hosts.values())):
+            self.write(None)
+            self.fleet.loop.run_for(CONTACT)
+            self.assertEqual([], self.users())
+
+    def test_a_row_that_expired_while_the_store_was_away_is_renewed_in_time(self):
+        for seconds in (OUTAGE, OUTAGE + 0.3, OUTAGE + 0.7):
+            self.fleet.store_down = True
+            self.fleet.loop.run_for(seconds)
+            self.write(None)
+            self.fleet.store_down = False
+            for _ in range(15):
+                self.fleet.loop.run_for(0.1)
+                self.assertEqual(len(self.tables), len(self.users()))
+            self.write(b"2")
+            self.fleet.loop.run_for(CONTACT)
+            self.assertEqual(len(self.tables), len(self.users()))
+
+    def test_what_did_not_come_back_after_an_outage_of_the_store_is_dropped(self):
+        self.fleet.store_down = True
+        self.fleet.loop.run_for(OUTAGE)
+        self.write(None)
+        self.fleet.store_down = False
+        self.fleet.loop.run_for(CONTACT + BOUND)
+        self.assertEqual([], self.users())
+
+    def test_a_host_towards_which_the_store_is_silent_knows_what_others_know(self):
+        for number in range(6):
+            host = self.fleet.sources_of("near")[number % 2]
+            self.write(b"1")
+            self.fleet.loop.run_for(CONTACT + 0.1 * number)
+            host.cut_from_store, host.silent_seconds = True, 2.4
+            self.fleet.loop.run_for(1.9 + 0.1 * number)
+            self.write(None)
+            self.fleet.loop.run_for(BOUND)
+            self.assertEqual([], self.users())
+            host.cut_from_store = False
+            self.fleet.loop.run_for(CONTACT)
--- a/dogwoodchute/tests/test_silent_connections.py
+++ b/dogwoodchute/tests/test_silent_connections.py
@@ -143,7 +143,7 @@
         changes = table_copy.Changes([], 7, is_snapshot=False)
 
         async def changes_since(table, since, hold):
-            return mirror.TableUpdate(changes, clock.monotonic(), 0.0, False)
+            return mirror.TableUpdate(changes, clock.monotonic(), 0.0, 0.0, False)
 
         async def scenario():
             def add_routes(app):
@@ -171,6 +171,7 @@
                 table_copy.Changes([], 7, is_snapshot=False),
                 clock.monotonic(),
                 0.0,
+                0.0,
                 False,
             )
 
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -83,7 +83,7 @@
                     return await client.ask(address, table, since, hold)
                 if number == 0 and first_fails:
                     return tables.NoAnswer("refused")
-                return tables.Answer(CHANGES, 0.1, 100.0, False)
+                return tables.Answer(CHANGES, 0.1, 100.0, 100.0, False)
 
             async def store(since, current_at, wait):
                 return mirror.Fetched(changes=CHANGES, read_at=time.monotonic())
@@ -120,7 +120,7 @@
             async def ask(name, table, since, hold):
                 if name == "b":
                     return await client.ask(address, table, since, hold)
-                return tables.Answer(CHANGES, 0.1, 100.0, False)
+                return tables.Answer(CHANGES, 0.1, 100.0, 100.0, False)
 
             async def store(since, current_at, wait):
                 await asyncio.sleep(30.0)
@@ -157,7 +157,7 @@
             )
 
             async def ask(name, table, since, hold):
-                return tables.Answer(old, 30.0, 100.0, False)
+                return tables.Answer(old, 30.0, 100.0, 100.0, False)
 
             async def store(since, current_at, wait):
                 snapshot = CHANGES._replace(is_snapshot=True)
@@ -215,13 +215,13 @@
             return mirror.Fetched(
                 changes=answers[-1],
                 read_at=now(),
-                regained_at=now() - 0.1,
+                store_returned_at=now() - 0.1,
                 peer="source",
             )
 
         known_endpoints = self.make_endpoints(now)
         following = self.mirror(from_source, known_endpoints.table.apply_changes, now)
-        known_endpoints.table.set_regained_at(lambda: following.regained_at)
+        known_endpoints.table.set_store_returned_at(lambda: following.store_returned_at)
         loop.create_task(following.run())
         loop.run_for(5.0)
         self.assertEqual(1, len(known_endpoints.table.usable("plain")))
@@ -255,13 +255,13 @@
             return mirror.Fetched(
                 changes=update.changes,
                 read_at=update.read_at,
-                regained_at=update.regained_at,
+                store_returned_at=update.store_returned_at,
                 peer="source",
             )
 
         known_endpoints = self.make_endpoints(now)
         following = self.mirror(from_source, known_endpoints.table.apply_changes, now)
-        known_endpoints.table.set_regained_at(lambda: following.regained_at)
+        known_endpoints.table.set_store_returned_at(lambda: following.store_returned_at)
         loop.create_task(source.run())
         loop.create_task(following.run())
         while state["calls"] < FAILED_CALL:
--- a/dogwoodchute/tests/test_tables.py
+++ b/dogwoodchute/tests/test_tables.py
@@ -195,14 +195,17 @@
         async def changes_since(table, since, hold):
             now = clock.monotonic()
             await asyncio.sleep(0.2)
-            return mirror.TableUpdate(changes, now - 5.0, now - 60.0, receiving=True)
+            return mirror.TableUpdate(
+                changes, now - 5.0, now - 40.0, now - 60.0, receiving=True
+            )
 
         answer = self.run_async(self.ask(changes_since, since=3))
         self.assertEqual(changes, answer.changes)
         self.assertTrue(answer.receiving)
         self.assertGreaterEqual(answer.age, 5.2)
         self.assertLess(answer.age, 6.0)
-        self.assertGreaterEqual(answer.seconds_since_regained, 60.2)
+        self.assertGreaterEqual(answer.seconds_current, 40.2)
+        self.assertGreaterEqual(answer.seconds_since_return, 60.2)
 
     def test_a_host_that_knows_nothing_or_hangs_gives_no_answer(self):
         async def nothing(table, since, hold):
