A host that the store turns away asks any host for tables once its sources have left

Callers' requests reach an endpoint over 2.5 s after it said that it leaves. Cause of this part: a host that the store turns away gets tables from ready hosts only, and hosts that leave answer no question about them. If all ready hosts that the store answers are restarted within a few seconds, it knows nobody who has recent tables, nor the processes that started at their addresses, since that too stands in a table.

Now such a host asks three others at random, whatever is known of them, twice a second at most, and a host that leaves answers those whose tables are old.

test_hosts_that_the_store_turns_away_get_tables_from_hosts_that_leave failed before (never got the change).

--- a/dogwoodchute/gateway/followed_tables.py
+++ b/dogwoodchute/gateway/followed_tables.py
@@ -41,13 +41,15 @@
     store: rows.Store,
     is_store_reachable: abc.Callable[[], bool],
     peers: abc.Callable[[], list[sources.Peer]],
+    anyone: abc.Callable[[], list[str]],
     ask: tables.Ask,
     on_change: abc.Callable[[mirror.OnChange], mirror.OnChange],
     now: abc.Callable[[], float],
 ) -> dict[str, mirror.Mirror]:
     """Return a mirror for each table, by the table's name.
 
-    A table comes from the store, or from other hosts (`peers`) through `ask`.
+    A table comes from the store, or from other hosts through `ask`; see
+    `table_source.Follower` for `peers` and `anyone`.
     `on_change` wraps the consumers' callbacks.
     """
 
@@ -62,6 +64,7 @@
             ask=ask,
             table=each.table,
             store=from_store,
+            anyone=anyone,
             now=now,
         )
         return follower.fetch
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -245,10 +245,11 @@
         """Return what changed in a table after version `since`, for another host.
 
         Without changes the answer may be delayed by up to `hold` seconds. Returns None
-        if the other host should ask elsewhere.
+        if the other host should ask elsewhere. While this host leaves it answers only
+        those that can't wait: their tables are old, and it may be all that they know.
         """
         followed = self._mirrors.get(table)
-        if followed is None or self.leaving:
+        if followed is None or (self.leaving and hold > 0):
             return None
         return await followed.changes_since(since, min(hold, table_source.HOLD))
 
@@ -350,6 +351,7 @@
             store=platform.store,
             is_store_reachable=platform.is_store_reachable,
             peers=self._ready_peers,
+            anyone=self._hosts.control_addresses,
             ask=self._ask_table,
             on_change=self._readiness.wrap,
             now=self._now,
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -177,6 +177,11 @@
         own_address = self._deployment.control
         return [seed for seed in self._deployment.seeds if seed != own_address]
 
+    def control_addresses(self) -> list[str]:
+        """Return the control addresses of all other hosts that are known, and seeds."""
+        known = {host.control for host in self.live} | set(self._deployment.seeds)
+        return sorted(known - {self._deployment.control})
+
     def row_version(self, incarnation: str) -> int:
         """Return the version of an incarnation's row as last read, 0 without a row."""
         return self._row_versions.get(incarnation, 0)
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import math
+import random
 import typing
 from collections import abc
 
@@ -16,6 +18,7 @@
 # parallel, and seconds between such rounds.
 SLOW_STORE = 0.8
 PARALLEL_INTERVAL = 0.5
+ANYONE_INTERVAL = 0.5  # seconds between calls of hosts that are no sources
 HOLD = 0.9  # seconds for which a source may hold a call until it has changes
 MIN_HOLD = 0.25  # seconds; bounds the calls of hosts whose tables are nearly old
 SLOW_SOURCE = 0.5  # seconds beyond that, after which the other sources are asked too
@@ -114,6 +117,8 @@
 
     `peers` returns the ready hosts, this one included; `is_store_reachable` returns
     whether the store answers this host directly; `store` fetches from the store.
+    `anyone` returns the control addresses of all other hosts, also of those that start
+    or leave.
     """
 
     def __init__(
@@ -125,10 +130,12 @@
         ask: tables.Ask,
         table: str,
         store: mirror.Fetch,
+        anyone: abc.Callable[[], list[str]],
         now: abc.Callable[[], float],
     ) -> None:
         self._chooser = chooser
         self._peers = peers
+        self._anyone = anyone
         self._is_store_reachable = is_store_reachable
         self._ask = ask
         self._table = table
@@ -138,6 +145,7 @@
         self._stale: set[str] = set()  # hosts whose last answer was too old
         self._is_source_receiving = False  # whether the last answer told so
         self._kept: _StoreCall | None = None  # goes on beyond the fetch that sent it
+        self._asked_anyone_at = -math.inf  # monotonic seconds
         self._has_store_failed = False  # since its last answer to this host
         # Seconds of the store's last answer without changes, beyond the call's wait.
         self._store_latency = 0.0
@@ -179,6 +187,9 @@
         )
         if not answered:
             self._has_store_failed = True
+            found = await self._from_anyone(since)
+            if found is not None:
+                return self._accepted(found)
             return outcome if answer is None else answer
         if self._has_store_failed:
             self._has_store_failed = False
@@ -288,6 +299,27 @@
             if parallel is not None:
                 parallel.cancel()
 
+    async def _from_anyone(self, since: int | None) -> mirror.Fetched | None:
+        """Return a recent answer of some hosts, whatever is known of them.
+
+        All that were known to have the tables may have left since then, and others may
+        have started at their addresses.
+        """
+        if self._now() - self._asked_anyone_at < ANYONE_INTERVAL:
+            return None
+        self._asked_anyone_at = self._now()
+        addresses = self._anyone()
+        some = random.sample(addresses, min(len(addresses), sources.SOURCES_PER_REGION))
+        calls = [self._ask(address, self._table, since, 0.0) for address in some]
+        answers = await asyncio.gather(*calls)
+        fetched = [
+            self._fetched(answer, address)
+            for address, answer in zip(some, answers, strict=True)
+            if isinstance(answer, tables.Answer)
+        ]
+        best = max(fetched, key=_rank, default=None)
+        return best if _rank(best) >= FRESH else None
+
     def _drop_kept(self) -> None:
         """Cancel a call of the store that was to go on."""
         if self._kept is not None:
@@ -364,14 +396,7 @@
                 "source_failed", table=self._table, peer=peer.name, reason=answer.reason
             )
             return None
-        fetched = mirror.Fetched(
-            changes=answer.changes,
-            read_at=self._now() - answer.age,
-            store_returned_at=self._now() - answer.seconds_since_return,
-            is_fresh=sources.is_fresh(answer.age, receiving=answer.receiving),
-            receiving=answer.receiving,
-            peer=peer.name,
-        )
+        fetched = self._fetched(answer, peer.name)
         if fetched.is_fresh:
             self._stale.discard(peer.name)
             return fetched
@@ -382,6 +407,17 @@
             log.info("source_stale", table=self._table, peer=peer.name, age=age)
         return fetched
 
+    def _fetched(self, answer: tables.Answer, name: str) -> mirror.Fetched:
+        """Return another host's answer in this host's time."""
+        return mirror.Fetched(
+            changes=answer.changes,
+            read_at=self._now() - answer.age,
+            store_returned_at=self._now() - answer.seconds_since_return,
+            is_fresh=sources.is_fresh(answer.age, receiving=answer.receiving),
+            receiving=answer.receiving,
+            peer=name,
+        )
+
     def _accepted(self, answer: mirror.Fetched) -> mirror.Fetched:
         """Record that another host's answer is used, and return it."""
         self._is_source_receiving = answer.receiving
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -28,6 +28,7 @@
         self.peer = peer
         self.frozen = False
         self.killed = False
+        self.leaving = False
         self.cut_from_store = False
         self.asks_fail = False  # its calls of other hosts
         self.silent_seconds = PROGRESS_TIMEOUT  # of a call that fails
@@ -69,6 +70,7 @@
             ask=self._ask,
             table=TABLE,
             store=self._from_store(),
+            anyone=lambda: [name for name in fleet.hosts if name != own.name],
             now=fleet.loop.time,
         )
         return follower.fetch
@@ -121,6 +123,8 @@
         other.asked += 1
         if other.killed:
             return tables.NoAnswer("refused")
+        if other.leaving and hold > 0:
+            return tables.NoAnswer("status 503")
         if other.frozen or self.asks_fail:
             await asyncio.sleep(hold + tables.ANSWER_TIMEOUT)
             return tables.NoAnswer("timed out")
--- a/dogwoodchute/tests/test_table_fleet.py
+++ b/dogwoodchute/tests/test_table_fleet.py
@@ -203,6 +203,20 @@
         _, seconds = self.spread(fleet)
         self.assertLess(seconds, LARGE_SITE_BOUND)
 
+    def test_hosts_that_the_store_turns_away_get_tables_from_hosts_that_leave(self):
+        """All that the store answers are restarted before the others know of it."""
+        fleet = self.fleet(near=5, far=2)
+        for number, host in enumerate(fleet.hosts.values()):
+            host.leaving = number % 2 == 0
+            host.cut_from_store = not host.leaving
+            host.is_store_reachable = host.leaving
+        staying = [host.peer for host in fleet.hosts.values() if not host.leaving]
+        for host in fleet.hosts.values():
+            host.view = lambda: staying
+        fleet.loop.run_for(CONTACT)
+        _, seconds = self.spread(fleet)
+        self.assertLess(seconds, SMALL_SITE_BOUND)
+
     def test_hosts_that_take_each_other_for_a_source_still_ask_the_store(self):
         fleet = self.fleet(near=0, far=2)
         one, other = fleet.hosts.values()
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -62,6 +62,7 @@
         ask=ask,
         table="op",
         store=store,
+        anyone=list,
         now=time.monotonic,
     )
     return follower, [peer.name for peer in plan.peers]
@@ -133,6 +134,7 @@
                 ask=ask,
                 table="op",
                 store=store,
+                anyone=list,
                 now=time.monotonic,
             )
             asked_at = time.monotonic()
