Versions of the store only rise, also after it came back from an older copy

Cause: a restored store counts on from an older version.

The store says its era in `Store-Era`. The adapter now puts it in front of each version (`rows.ERA_SPAN`), so that versions rise over a restore. A feed from a version of an earlier era says that history is lost, and a commit under one meets a conflict, instead of passing by chance when its number is given out again. Relays pass the header on, a late answer of an earlier era counts as none. Stores without the header keep their plain versions. store_restored is logged. The stand-in can be restored from a copy.

--- a/dogwoodchute/gateway/rows.py
+++ b/dogwoodchute/gateway/rows.py
@@ -3,12 +3,22 @@
 A partition is called `part`; all checks and puts of a commit belong to one partition.
 Versions come from one counter of the whole store, so a version check never passes by
 coincidence. Version 0 stands for an absent row.
+
+A store that was away may come back from an older copy, without what was written since.
+That begins a new era, whose versions are all higher than those of the eras before.
 """
 
 import dataclasses
 import typing
 from collections import abc
 
+ERA_SPAN = 10**12  # versions of one era
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version."""
+    return version // ERA_SPAN
+
 
 class Row(typing.NamedTuple):
     """One row; `value` is None where a change removed it."""
@@ -107,5 +117,6 @@
     feed: abc.Callable[[str, int, float], abc.Awaitable[FeedOutcome]]
     now: abc.Callable[[], float]  # seconds, never ahead of the store's steady clock
     commit: abc.Callable[[str, list[Check], list[Put]], abc.Awaitable[CommitOutcome]]
+    era: abc.Callable[[], int] = lambda: 0  # the latest that an answer told
     # Whether bytes of a table's rows are arriving now.
     receiving: abc.Callable[[str], bool] = lambda table: False
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -14,6 +14,7 @@
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"  # in answers of an endpoint
 LIMIT = "Server-Limit"  # in answers: requests a second from all hosts
+STORE_ERA = "Store-Era"  # in answers of the store; rises when it is restored
 LEAVING_YES = "1"  # the header's value if the endpoint is leaving
 
 # Headers that only this system may set; those of a caller are dropped.
--- a/dogwoodchute/platform/relay.py
+++ b/dogwoodchute/platform/relay.py
@@ -7,7 +7,7 @@
 import sanic
 
 from dogwoodchute import connection
-from dogwoodchute.platform import store, transport
+from dogwoodchute.platform import names, store, transport
 
 PREFIX = "/api/rows-"
 
@@ -25,7 +25,8 @@
             request.method, target, request.body or b""
         )
         if isinstance(outcome, transport.Answer):
-            return sanic.raw(outcome.content, status=outcome.status)
+            headers = _era_header(outcome.era)
+            return sanic.raw(outcome.content, status=outcome.status, headers=headers)
         return _outcome_response(outcome)
 
     app.add_route(handle, "/<path:path>", methods=["GET", "POST"], name="relay")
@@ -36,9 +37,9 @@
 ) -> sanic.HTTPResponse | None:
     response = None
 
-    async def begin(status: int) -> None:
+    async def begin(status: int, era: int) -> None:
         nonlocal response
-        response = await request.respond(status=status)
+        response = await request.respond(status=status, headers=_era_header(era))
 
     async def write(chunk: bytes) -> None:
         await response.send(chunk)
@@ -62,6 +63,10 @@
     return _failure_response(transport.NO_ANSWER)
 
 
+def _era_header(era: int) -> dict[str, str]:
+    return {names.STORE_ERA: str(era)} if era else {}
+
+
 def _failure_response(relay_status: str) -> sanic.HTTPResponse:
     return sanic.empty(
         status=502, headers={transport.RELAY_STATUS_HEADER: relay_status}
--- a/dogwoodchute/platform/store.py
+++ b/dogwoodchute/platform/store.py
@@ -45,6 +45,7 @@
         self._read_latency = 0.0  # seconds that the last read by the direct path took
         self._relay: str | None = None  # chosen relay, kept while it reaches the store
         self._relay_retry_at = 0.0  # monotonic seconds: relays are tried again
+        self._era = 0  # of the store: the latest that an answer named
         self._latest = backpressure.LatestOutcomes()  # of the direct path
         self._lanes: dict[str, backpressure.Lane] = {}
 
@@ -53,6 +54,11 @@
         """Whether the store answers this host without a relay."""
         return not self._direct_failed
 
+    @property
+    def era(self) -> int:
+        """The era of the store, as far as is known here."""
+        return self._era
+
     def store_now(self) -> float:
         """Return an estimate of the store's monotonic clock, in seconds.
 
@@ -106,6 +112,30 @@
         has long to complete while its bytes keep arriving: over a narrow link, a large
         one that is restarted after a short timeout would never complete.
         """
+        outcome = await self._call(method, target, body, wait, part, table)
+        if not isinstance(outcome, transport.Answer):
+            return outcome
+        return self._check_era(outcome)
+
+    def _check_era(self, answer: transport.Answer) -> transport.CallOutcome:
+        """Return an answer with its era, unless the store has been restored since."""
+        if answer.era > self._era:
+            if self._era:
+                log.warning("store_restored", era=answer.era, before=self._era)
+            self._era = answer.era
+        if answer.era and answer.era < self._era:
+            return transport.NoAnswer("an answer of before a restore", self._address)
+        return answer._replace(era=self._era)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        wait: float,
+        part: str | None,
+        table: str,
+    ) -> transport.CallOutcome:
         read_timeout = CALL_TIMEOUT + wait
         if method != "GET":
             read_timeout = commit_timeout(self._read_latency)
--- a/dogwoodchute/platform/store_rows.py
+++ b/dogwoodchute/platform/store_rows.py
@@ -1,4 +1,8 @@
-"""The store's tables: reads, feeds and commits as calls of its protocol."""
+"""The store's tables: reads, feeds and commits as calls of its protocol.
+
+The store's versions go back when it is restored. Here they get the era in front
+(`rows.ERA_SPAN`), so that they only rise.
+"""
 
 import base64
 import json
@@ -7,6 +11,8 @@
 from dogwoodchute.gateway import rows
 from dogwoodchute.platform import names, store, transport
 
+# Stands for a version of an earlier era, which no row has.
+NO_VERSION = rows.ERA_SPAN
 MAX_PAGES = 40  # of one read, in case the store never sends a last page
 
 
@@ -32,7 +38,9 @@
                 return _unavailable(answer)
             plain, page_rows = page
             all_rows.extend(page_rows)
-            version = version or int(plain.get("ver", 0))
+            if version and rows.era_of(version) != answer.era:
+                return rows.Unavailable(reason="the store was restored", peer=None)
+            version = version or _version(plain, answer.era)
             if not plain.get("hasMore") or not page_rows:
                 return rows.Rows(rows=all_rows, version=version, now=_now(plain))
             query["from"] = page_rows[-1].key + "\0"
@@ -41,7 +49,7 @@
     async def feed(table: str, since: int, wait: float) -> rows.FeedOutcome:
         query = {
             "table": table,
-            "sinceRev": str(since),
+            "sinceRev": str(since % rows.ERA_SPAN),
             "waitMs": str(int(wait * 1000)),
         }
         answer = await client.call(
@@ -50,14 +58,16 @@
         page = _decode_page(answer, client)
         if isinstance(page, rows.Unavailable | rows.Compacted):
             return page
+        if answer.era != rows.era_of(since):
+            return rows.Compacted()
         plain, changed_rows = page
-        version = int(plain.get("ver", since))
+        version = _version(plain, answer.era) if "ver" in plain else since
         return rows.Rows(rows=changed_rows, version=version, now=_now(plain))
 
     async def commit(
         part: str, checks: list[rows.Check], puts: list[rows.Put]
     ) -> rows.CommitOutcome:
-        body = json.dumps(_transaction(part, checks, puts)).encode()
+        body = json.dumps(_transaction(part, checks, puts, client.era)).encode()
         answer = await client.call("POST", names.TX_PATH, body, part=part)
         if isinstance(answer, transport.NotSent):
             return rows.Unavailable(reason=answer.reason, peer=answer.peer)
@@ -75,8 +85,9 @@
             plain = json.loads(answer.content)
             client.update_clock(_now(plain))
             if answer.status == 200:
-                return rows.Committed(version=int(plain["ver"]))
-            return rows.Conflict(rows=[_row(each) for each in plain.get("rows", ())])
+                return rows.Committed(version=_version(plain, answer.era))
+            found = [_row(each, answer.era) for each in plain.get("rows", ())]
+            return rows.Conflict(rows=found)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return rows.Unknown(reason=f"bad answer: {error!r}")
 
@@ -85,6 +96,7 @@
         feed=feed,
         commit=commit,
         now=client.store_now,
+        era=lambda: client.era,
         receiving=client.receiving,
     )
 
@@ -94,6 +106,13 @@
     return float(plain.get("nowMs", 0)) / 1000
 
 
+def _checked_version(version: int, era: int) -> int:
+    """Return the store's own number of a version that a row must have."""
+    if version and rows.era_of(version) != era:
+        return NO_VERSION
+    return version % rows.ERA_SPAN
+
+
 def _target(path: str, query: dict[str, str]) -> str:
     return f"{path}?{urllib.parse.urlencode(query)}"
 
@@ -117,26 +136,33 @@
     try:
         plain = json.loads(answer.content)
         client.update_clock(_now(plain))
-        return plain, [_row(each) for each in plain["rows"]]
+        return plain, [_row(each, answer.era) for each in plain["rows"]]
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return rows.Unavailable(reason=f"bad answer: {error!r}")
 
 
-def _row(plain: dict) -> rows.Row:
+def _version(plain: dict, era: int) -> int:
+    """Return the version in an answer's body or row."""
+    return era * rows.ERA_SPAN + int(plain.get("ver", 0))
+
+
+def _row(plain: dict, era: int) -> rows.Row:
     value = None
     if not plain.get("removed"):
         value = base64.b64decode(plain.get("value") or "")
     return rows.Row(
         key=str(plain["key"]),
         value=value,
-        version=int(plain.get("ver", 0)),
+        version=_version(plain, era),
         table=str(plain.get("table", "")),
         part=str(plain.get("part", "")),
     )
 
 
-def _transaction(part: str, checks: list[rows.Check], puts: list[rows.Put]) -> dict:
-    """Return the body of a commit."""
+def _transaction(
+    part: str, checks: list[rows.Check], puts: list[rows.Put], era: int
+) -> dict:
+    """Return the body of a commit that is sent in an era of the store."""
     written = []
     removed = []
     for put in puts:
@@ -146,7 +172,12 @@
             continue
         written.append({**entry, "value": base64.b64encode(put.value).decode()})
     conditions = [
-        {"table": check.table, "part": part, "key": check.key, "ver": check.version}
+        {
+            "table": check.table,
+            "part": part,
+            "key": check.key,
+            "ver": _checked_version(check.version, era),
+        }
         for check in checks
     ]
     return {"expectedRev": conditions, "puts": written, "remove": removed}
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -25,6 +25,7 @@
 RELAY_STATUS_HEADER = "X-Relay-Status"
 NOT_SENT = "not-sent"
 NO_ANSWER = "no-answer"
+MAX_ERA_DIGITS = 6  # of a number of restores
 TOO_MANY_REQUESTS = 429  # status of an answer to a call beyond a bound
 SERVICE_UNAVAILABLE = 503  # status of an answer: the store did nothing
 
@@ -46,6 +47,7 @@
 
     status: int
     content: bytes
+    era: int = 0  # of the store, 0 if the answer doesn't name it
 
 
 class NotSent(typing.NamedTuple):
@@ -97,9 +99,9 @@
 
 
 class Sink(typing.NamedTuple):
-    """Receives an answer as it arrives: its status first, then its bytes."""
+    """Receives an answer as it arrives: its status and era first, then its bytes."""
 
-    begin: abc.Callable[[int], abc.Awaitable[None]]
+    begin: abc.Callable[[int, int], abc.Awaitable[None]]
     write: abc.Callable[[bytes], abc.Awaitable[None]]
 
 
@@ -187,7 +189,7 @@
             ) as response:
                 progress.head_seconds = progress.seconds
                 if sink is not None:
-                    await sink.begin(response.status)
+                    await sink.begin(response.status, _era(response.headers))
                 async for chunk in response.content.iter_any():
                     progress.content += chunk
                     if len(progress.content) > MAX_ANSWER_BYTES:
@@ -197,6 +199,7 @@
                     if sink is not None:
                         await sink.write(chunk)
                 relay_status = response.headers.get(RELAY_STATUS_HEADER)
+                era = _era(response.headers)
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error), address)
         except aiohttp.ConnectionTimeoutError:
@@ -212,7 +215,13 @@
             return NotSent("the relay did not reach the store", address)
         if relay_status == NO_ANSWER:
             return NoAnswer("the relay got no answer", address)
-        return Answer(response.status, bytes(progress.content))
+        return Answer(response.status, bytes(progress.content), era)
+
+
+def _era(headers: abc.Mapping[str, str]) -> int:
+    """Return the store's era that an answer names, 0 if it names none."""
+    text = headers.get(names.STORE_ERA, "")
+    return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else 0
 
 
 def _timeout(call: Call) -> aiohttp.ClientTimeout:
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -46,16 +46,29 @@
 Faults = abc.Callable[[str], Fault]  # by kind of call: "read", "feed" or "commit"
 
 
+class Copy(typing.NamedTuple):
+    """The rows of a store at one time, by table, part and key."""
+
+    version: int
+    rows: dict[tuple[str, str, str], rows.Row]
+
+
 class RowStore:
     """The rows, and the operations on them, each of which takes effect at once.
 
-    With `part_rate`, each part serves so many commits a second, one after another.
+    With `part_rate`, each part serves so many commits a second, one after another. Its
+    versions hold the era, as `gateway.rows` has them; over HTTP the era is a header.
     """
 
     def __init__(
-        self, *, now: abc.Callable[[], float], part_rate: float | None = None
+        self,
+        *,
+        now: abc.Callable[[], float],
+        part_rate: float | None = None,
+        era: int = 0,
     ) -> None:
-        self.version = 0
+        self.era = era
+        self.version = self._in_this_era(0)
         self.history_start = 0  # version from which on changes are kept
         self.arrivals: collections.Counter[tuple[str, int]] = collections.Counter()
         self._part_rate = part_rate
@@ -87,7 +100,7 @@
 
     def feed(self, table: str, since: int) -> rows.Rows | rows.Compacted:
         """Return the changes of a table after version `since`."""
-        if since < self.history_start:
+        if since < self.history_start or since > self.version:
             return rows.Compacted()
         changed = [
             row for row in self._changes if row.table == table and row.version > since
@@ -125,6 +138,23 @@
             self._put(part, put)
         return rows.Committed(version=self.version)
 
+    def copy(self) -> Copy:
+        """Return what `restore` needs to go back to now."""
+        return Copy(self.version, dict(self._rows))
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy, without what was written since."""
+        self.era += 1
+        self.version = self._in_this_era(copy.version)
+        self._rows = {
+            row_id: row._replace(version=self._in_this_era(row.version))
+            for row_id, row in copy.rows.items()
+        }
+        self.forget_history()
+
+    def _in_this_era(self, version: int) -> int:
+        return self.era * rows.ERA_SPAN + version % rows.ERA_SPAN
+
     def forget_history(self) -> None:
         """Drop the history, so that feeds since an older version return `Compacted`."""
         self._changes.clear()
@@ -194,7 +224,13 @@
         outcome = store.commit(part, checks, puts)
         return rows.Unknown(reason="no answer") if fault.lose_answer else outcome
 
-    return rows.Store(read=read, feed=feed, commit=commit, now=store.now)
+    return rows.Store(
+        read=read,
+        feed=feed,
+        commit=commit,
+        now=store.now,
+        era=lambda: store.era,
+    )
 
 
 def add_routes(
@@ -241,6 +277,7 @@
     async def feed(request: sanic.Request) -> sanic.HTTPResponse:
         query = request.args
         since, wait = int(query.get("sinceRev")), int(query.get("waitMs", "0"))
+        since += store.era * rows.ERA_SPAN
         end = store.now() + wait / 1000
         while store.now() < end:
             result = store.feed(query.get("table"), since)
@@ -251,7 +288,7 @@
         def work() -> sanic.HTTPResponse:
             result = store.feed(query.get("table"), since)
             if isinstance(result, rows.Compacted):
-                return sanic.empty(status=410)
+                return sanic.empty(status=410, headers=_headers(store))
             return _json_response(
                 store, {"rows": [_encode_row(row) for row in result.rows]}
             )
@@ -260,14 +297,15 @@
 
     async def transact(request: sanic.Request) -> sanic.HTTPResponse:
         def work() -> sanic.HTTPResponse:
-            part, checks, puts = _decode_transaction(request.json)
+            part, checks, puts = _decode_transaction(request.json, era=store.era)
             outcome = store.commit(part, checks, puts)
             if isinstance(outcome, rows.Conflict):
                 current = [_encode_row(row) for row in outcome.rows]
                 return _json_response(store, {"rows": current}, status=412)
             return _json_response(store, {})
 
-        queue_seconds = store.enqueue_commit(_decode_transaction(request.json)[0])
+        part = _decode_transaction(request.json, era=store.era)[0]
+        queue_seconds = store.enqueue_commit(part)
         if queue_seconds is None:
             return sanic.empty(status=OVERLOADED)
         if queue_seconds:
@@ -297,8 +335,14 @@
 def _json_response(
     store: RowStore, body: dict, *, status: int = 200
 ) -> sanic.HTTPResponse:
-    version = {"ver": store.version, "nowMs": int(store.now() * 1000)}
-    return sanic.json({**body, **version}, status=status)
+    version = store.version % rows.ERA_SPAN
+    common = {"ver": version, "nowMs": int(store.now() * 1000)}
+    return sanic.json({**body, **common}, status=status, headers=_headers(store))
+
+
+def _headers(store: RowStore) -> dict[str, str]:
+    """Return the headers of all answers; a store of era 0 names none."""
+    return {"Store-Era": str(store.era)} if store.era else {}
 
 
 def _encode_row(row: rows.Row) -> dict:
@@ -306,16 +350,19 @@
         "table": row.table,
         "part": row.part,
         "key": row.key,
-        "ver": row.version,
+        "ver": row.version % rows.ERA_SPAN,
     }
     if row.value is None:
         return {**encoded, "removed": True}
     return {**encoded, "value": base64.b64encode(row.value).decode()}
 
 
-def _decode_transaction(body: dict) -> tuple[str, list[rows.Check], list[rows.Put]]:
+def _decode_transaction(
+    body: dict, *, era: int
+) -> tuple[str, list[rows.Check], list[rows.Put]]:
+    begin = era * rows.ERA_SPAN
     checks = [
-        rows.Check(each["table"], each["key"], each["ver"])
+        rows.Check(each["table"], each["key"], each["ver"] and begin + each["ver"])
         for each in body["expectedRev"]
     ]
     puts = [
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -91,7 +91,10 @@
             return self._fleet.store.feed(table, since)
 
         end = self._fleet.loop.time() + wait
-        while self._fleet.loop.time() < end and not read_feed().rows:
+        while self._fleet.loop.time() < end:
+            found = read_feed()
+            if isinstance(found, rows.Compacted) or found.rows:
+                break
             if self.cut_from_store or self._fleet.store_down:
                 break
             await asyncio.sleep(0.02)
@@ -106,6 +109,8 @@
         if self.stopped:
             await asyncio.Event().wait()
         answer = operation()
+        if isinstance(answer, rows.Compacted):
+            return answer
         size = int(sum(len(row.value or b"") for row in answer.rows) * BASE64)
         await self._fleet.queue(self.peer.region)
         if size > CHUNK:
