After a restore of the store each host states again what it holds of each account

Cause: what hosts drew since the copy is gone from the account's row and from their holdings, and nobody but they knows it. The conflict of the next commit was taken for another host's reduction of the holding.

Now a host that learns of a restore reads the account's row and its own holding, and its next commit writes the holding as it is and adds what that lacks to the row. The rows of bills of the last 30 s are written again under the same keys. For 2 s nothing is drawn, while others state theirs, and for 30 s no more counts as undrawn than was before.

--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -10,7 +10,12 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, store_overload
-from dogwoodchute.gateway import account_rows, commit_counts, rows
+from dogwoodchute.gateway import (
+    account_rows,
+    commit_counts,
+    restored_accounts,
+    rows,
+)
 
 MAX_BILLS_PER_ROW = 300  # of about 40 bytes each
 MAX_ACCOUNTS = 20  # in one commit, with up to five checks and puts each
@@ -63,6 +68,34 @@
         """Whether the last call that ended got no answer or was not served."""
         return self._store_unavailable
 
+    @property
+    def era(self) -> int:
+        """The store's era, as far as is known."""
+        return self._store.era()
+
+    def is_before_restore(self, account: account_rows.Account) -> bool:
+        """Return whether the store was restored since an account's rows were read."""
+        return account.era < self._store.era()
+
+    async def restore(
+        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+    ) -> rows.Unavailable | None:
+        """Read an account's rows after a restore; return the error if that fails.
+
+        The account's lock is held. The next commit states again what the rows lack.
+        """
+        era = self._store.era()
+        found = await _await_call(
+            restored_accounts.read(self._store, account, holder=self._holder),
+            [account],
+            serve_waiters,
+        )
+        self._store_unavailable = isinstance(found, rows.Unavailable)
+        if isinstance(found, rows.Unavailable):
+            return found
+        restored_accounts.apply(account, found, era=era, now=self._now())
+        return None
+
     def slow_commit_seconds(self) -> float:
         """Return the seconds that a commit takes while the store is slow, else 0."""
         return self._overload.slow_commit_seconds(self._now())
@@ -181,8 +214,9 @@
                 account_rows.HOLDINGS, key, account_rows.encode_value(list(holding))
             )
         )
-        if draw:
-            row = account.row._replace(drawn=account.row.drawn + draw)
+        restatement = account.restatement
+        if draw or restatement is not None:
+            row = account.row._replace(drawn=account.row.drawn + _drawn(change))
             checks.append(
                 rows.Check(account_rows.ACCOUNTS, account.name, account.row_version)
             )
@@ -193,18 +227,19 @@
                     account_rows.encode_value(list(row)),
                 )
             )
+        if restatement is not None:
+            puts.extend(restatement.bills)
         bills = account.bills[:MAX_BILLS_PER_ROW]
         if bills:
-            name = f"{key}/{account.bill_rows}"
-            puts.append(
-                rows.Put(
-                    account_rows.BILLS,
-                    name,
-                    account_rows.encode_value([list(bill) for bill in bills]),
-                )
-            )
+            puts.append(self._bills_put(account, len(bills)))
         return len(bills)
 
+    def _bills_put(self, account: account_rows.Account, count: int) -> rows.Put:
+        """Return the row of an account's next `count` bills."""
+        name = f"{account.name}/{self._holder}/{account.bill_rows}"
+        value = account_rows.encode_value([list(b) for b in account.bills[:count]])
+        return rows.Put(account_rows.BILLS, name, value)
+
     async def _commit_until_definite(
         self,
         checks: list[rows.Check],
@@ -269,10 +304,11 @@
         if isinstance(outcome, rows.Committed):
             applied = True
             account.holding_version = outcome.version
-            if draw:
-                drawn = account.row.drawn + draw
+            if draw or account.restatement is not None:
+                drawn = account.row.drawn + _drawn(change)
                 account.row = account.row._replace(drawn=drawn)
                 account.row_version = outcome.version
+            account.restatement = None
             ledger.end_commit(applied=True)
         else:
             applied = self._end_conflicting(account, outcome.rows)
@@ -285,6 +321,8 @@
         if draw:
             account.conflicts = 0
         if bills:
+            put = self._bills_put(account, bills)
+            account.recent_bills.append(account_rows.WrittenBills(put, self._now()))
             del account.bills[:bills]
             account.bill_rows += 1
             account.unwritten_since = self._now()
@@ -308,6 +346,10 @@
         tokens of the row meanwhile, if they took this one for lost.
         """
         ledger, before = account.ledger, account.holding_version
+        if self.is_before_restore(account):
+            # What was applied before isn't in the store; `restore` finds what is.
+            ledger.end_commit(applied=False)
+            return False
         self._apply_newer(account, read_rows)
         if account.holding_version == before:
             ledger.end_commit(applied=False)
@@ -349,6 +391,12 @@
                 account.holding_version = max(account.holding_version, row.version)
 
 
+def _drawn(change: Change) -> int:
+    """Return by how much a change raises the tokens drawn in the account's row."""
+    restatement = change.account.restatement
+    return change.draw + (restatement.missing if restatement is not None else 0)
+
+
 async def _await_call(
     call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
     accounts: list[account_rows.Account],
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import json
 import math
 import typing
@@ -12,12 +13,13 @@
 
 from dogwoodchute import bounded_json
 from dogwoodchute.coordination import checkpoints, escrow, hashing, sizing, texts
-from dogwoodchute.gateway import row_reader
+from dogwoodchute.gateway import row_reader, rows
 
 ACCOUNTS = "accounts"
 HOLDINGS = "holdings"  # one row for each account and holder
 BILLS = "bills"  # several requests of one account in each row
 PART_PREFIX = "tokens"  # followed by a number in the partitions' names
+MAX_RECENT_BILLS = 60  # rows of one account that are kept to be written again
 DEMAND_WINDOW = 8.0  # seconds over which the use of tokens is averaged
 MEAN_WEIGHT = 0.1  # of the newest request in the mean size
 
@@ -30,6 +32,30 @@
     output_tokens: int
 
 
+class WrittenBills(typing.NamedTuple):
+    """A row of bills and the monotonic seconds at which it was written."""
+
+    put: rows.Put
+    written_at: float
+
+
+class Restatement(typing.NamedTuple):
+    """What a host writes again of an account after the store was restored."""
+
+    missing: int  # tokens of its holding that the account's row lacks
+    bills: tuple[rows.Put, ...]
+
+
+class DrawnFloor(typing.NamedTuple):
+    """The tokens of an account that were drawn before the store was restored.
+
+    It counts until `until`, monotonic seconds: a host may be late to state its own.
+    """
+
+    tokens: int
+    until: float
+
+
 class Waiter(typing.NamedTuple):
     """A request that waits for tokens; `done` gets its `ReserveOutcome`."""
 
@@ -44,9 +70,18 @@
         self,
         *,
         name: str,
+        era: int = 0,
         may_rise: abc.Callable[[escrow.Holding], bool] = lambda holding: True,
     ) -> None:
         self.name = name
+        self.era = era  # of the store, from which its rows are known
+        self.restatement: Restatement | None = None  # not yet written
+        self.drawn_floor = DrawnFloor(0, -math.inf)
+        self.no_draw_until = -math.inf  # monotonic seconds; after a restore
+        # The latest rows of bills, oldest first.
+        self.recent_bills: collections.deque[WrittenBills] = collections.deque(
+            maxlen=MAX_RECENT_BILLS
+        )
         self.part = part_of(name)
         self.ledger = escrow.Ledger(may_rise=may_rise)
         self.demand = sizing.Demand(window=DEMAND_WINDOW, bias_corrected=True)
@@ -73,6 +108,11 @@
         self.task: asyncio.Task | None = None  # commits until nothing is due
         self.lock = asyncio.Lock()  # held during the account's one commit
 
+    def drawn_at_least(self, now: float) -> int:
+        """Return the tokens drawn, or those before a restore if that may be more."""
+        floor = self.drawn_floor
+        return max(self.row.drawn, floor.tokens if now < floor.until else 0)
+
     def record_request(self, now: float, tokens: int) -> None:
         """Record that a caller's request on this host may use `tokens`."""
         self.demand.record_use(now, tokens)
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -221,7 +221,9 @@
         try:
             for number in itertools.count():
                 for account in list(self._accounts.values()):
-                    if number % QUIET_CHECKS == 0 or not self._is_quiet(account):
+                    is_restored = self._commits.is_before_restore(account)
+                    is_quiet = self._is_quiet(account) and not is_restored
+                    if number % QUIET_CHECKS == 0 or not is_quiet:
                         self._commit_if_due(account)
                         self._give_back_if_due(account)
                 self._checkpointer.start_due()
@@ -249,7 +251,9 @@
     def _account(self, name: str) -> account_rows.Account:
         account = self._accounts.get(name)
         if account is None:
-            account = account_rows.Account(name=name, may_rise=self._witnesses.may_rise)
+            account = account_rows.Account(
+                name=name, era=self._commits.era, may_rise=self._witnesses.may_rise
+            )
             self._accounts[name] = account
         return account
 
@@ -321,7 +325,8 @@
 
     def _commit_if_due(self, account: account_rows.Account) -> None:
         limit_is_low = self._plan.limit_is_low(account)
-        if account.waiters or limit_is_low or self._plan.draw(account):
+        is_due = account.waiters or limit_is_low or self._plan.draw(account)
+        if is_due or self._commits.is_before_restore(account):
             self._ensure_committing(account)
 
     async def _run_commits(self, account: account_rows.Account) -> None:
@@ -339,6 +344,13 @@
     async def _commit_next(self, account: account_rows.Account) -> bool:
         """Do what is due next for an account; return whether more may be due."""
         self._waiters.grant(account)
+        if self._commits.is_before_restore(account):
+            failed = await self._commits.restore(
+                account, serve_waiters=self._waiters.serve_from_hosts
+            )
+            if failed is not None:
+                await self._waiters.serve_from_hosts(account, failed.reason)
+            return failed is None
         if await self._transfers.get_from_home(account):
             return True
         if self.store_is_slow and self._transfers.is_left_to_home(account):
@@ -351,7 +363,8 @@
         covered_above_limit = waiting and account.ledger.idle >= waiting[0].tokens
         write_is_due = self._is_write_due(account)
         limit_is_low = not waiting and self._plan.limit_is_low(account)
-        if draw or covered_above_limit or write_is_due or limit_is_low:
+        must_restate = account.restatement is not None
+        if draw or covered_above_limit or write_is_due or limit_is_low or must_restate:
             change = self._plan.change(account, draw=draw)
             kind = commit_counts.DRAW if draw else commit_counts.LIMIT
             return await self._commits.commit(
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -116,7 +116,9 @@
         return 0
     if conditions.is_stopping or account.row.drawn > conditions.prepaid:
         return -max(0, idle)
-    balance = grants.Balance(conditions.prepaid, account.row.drawn)
+    if now < account.no_draw_until:
+        return 0
+    balance = grants.Balance(conditions.prepaid, account.drawn_at_least(now))
     rate = (
         account.demand.rate(now) if draws_in_advance(account, conditions, now) else 0.0
     )
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -85,6 +85,8 @@
             for account in self._accounts()
             if account.part == part
             and not account.lock.locked()
+            and account.restatement is None
+            and not self._commits.is_before_restore(account)
             and _needs_write(account)
         ]
         due.sort(key=lambda account: account.ledger.sent_at())
--- /dev/null
+++ b/dogwoodchute/gateway/restored_accounts.py
@@ -0,0 +1,72 @@
+"""What a host writes again of an account after the store came back from an older copy.
+
+The copy lacks what the host drew or returned since, and the bills that it wrote. Nobody
+else knows these, so each host states its own holding again, and adds to the account's
+row what that lacks.
+"""
+
+import typing
+
+from dogwoodchute import log
+from dogwoodchute.coordination import escrow
+from dogwoodchute.gateway import account_rows, rows
+
+# Seconds by which a copy may be older than the store was; a margin included.
+RECENT = 30.0
+# Seconds in which all hosts learn of a restore and state their holdings again. Nothing
+# is drawn meanwhile, as it may be drawn already.
+RESTATE_TIME = 2.0
+
+
+class Found(typing.NamedTuple):
+    """An account's rows in the restored store; None for those that it lacks."""
+
+    account: rows.Row | None
+    holding: rows.Row | None
+
+
+async def read(
+    store: rows.Store, account: account_rows.Account, *, holder: str
+) -> Found | rows.Unavailable:
+    """Read the row of an account and that of this host's holding."""
+    found = []
+    for table, key in (
+        (account_rows.ACCOUNTS, account.name),
+        (account_rows.HOLDINGS, f"{account.name}/{holder}"),
+    ):
+        result = await store.read(table, account.part, key, key + "\0")
+        if isinstance(result, rows.Unavailable):
+            return result
+        found.append(result.rows[0] if result.rows else None)
+    return Found(*found)
+
+
+def apply(account: account_rows.Account, found: Found, *, era: int, now: float) -> None:
+    """Take over an account's restored rows, and note what to write again."""
+    drawn = account.row.drawn
+    account.era = era
+    account.row, account.row_version = escrow.Account(), 0
+    if found.account is not None:
+        account.row = account_rows.decode_account(found.account.value)
+        account.row_version = found.account.version
+    stored, account.holding_version = escrow.Holding(), 0
+    if found.holding is not None:
+        stored = account_rows.decode_holding(found.holding.value)
+        account.holding_version = found.holding.version
+    account.restatement = account_rows.Restatement(
+        missing=account.ledger.confirmed.granted - stored.granted,
+        bills=tuple(
+            bill.put for bill in account.recent_bills if now - bill.written_at < RECENT
+        ),
+    )
+    account.drawn_floor = account_rows.DrawnFloor(drawn, until=now + RECENT)
+    account.no_draw_until = now + RESTATE_TIME
+    log.info(
+        "account_restored",
+        account=account.name,
+        era=era,
+        drawn=account.row.drawn,
+        before=drawn,
+        missing=account.restatement.missing,
+        bills=len(account.restatement.bills),
+    )
