A restored store's older rows don't bring endpoints back that have left

After a restore of the store callers' requests could reach an endpoint that had said that it leaves, or had left: the copy shows it as it was. And one that had registered since the copy was dropped at once if the store was away for less than 2 s, though it writes its row again within 2 s.

Now a host remembers each endpoint's last row for a minute. For 10 s after a restore it ignores a row of the same process with a lower sequence number than that, or one that was removed and hasn't been written again. A restore counts as a return of the store, however short it was away.

Of the new tests three failed before: used again after "draining", used again after its removal, dropped though it had only registered since the copy.

--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -9,6 +9,7 @@
 from dogwoodchute import log
 from dogwoodchute.coordination import hold_offs, leaving, turns
 from dogwoodchute.gateway import (
+    endpoint_history,
     endpoint_limits,
     endpoint_words,
     model,
@@ -68,6 +69,7 @@
         self._listeners = listeners
         self._now = now
         self._all: dict[str, model.Endpoint] = {}  # by id
+        self._history = endpoint_history.EndpointHistory(now=now)
         # Endpoints without a row that may renew it, and the monotonic seconds at which
         # the row was removed.
         self._missing: dict[str, float] = {}
@@ -92,8 +94,13 @@
             self._replaced.discard(row.key)
             endpoint = self._reader.read(row)
             if endpoint is None:
+                self._history.record_removal(row.key)
                 self._remove(row.key)
                 continue
+            if self._history.is_outdated(endpoint, row.version):
+                log.info("endpoint_outdated", endpoint=row.key, version=row.version)
+                continue
+            self._history.record(endpoint)
             self._register(endpoint, row.version)
         self._listeners.changed()
 
@@ -242,7 +249,7 @@
         before = self._all.get(endpoint.id)
         self._missing.pop(endpoint.id, None)
         self._all[endpoint.id] = endpoint
-        if before == endpoint:
+        if before == endpoint._replace(sequence=before.sequence if before else 0):
             return
         log.info(
             "endpoint_changed",
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -194,6 +194,9 @@
 
     def _record_answer(self, outcome: Fetched) -> None:
         gap = outcome.read_at - (self.read_at or -math.inf)
+        if self._is_restored(outcome.changes):
+            log.info("table_restored", table=self._table, peer=outcome.peer)
+            self.store_returned_at = self._now()
         if gap > sources.MAX_AGE:
             self.current_since = outcome.read_at
         # Else this host had the table while another one lost it.
@@ -212,6 +215,12 @@
             )
         self.read_at = max(outcome.read_at, self.read_at or 0.0)
 
+    def _is_restored(self, changes: table_copy.Changes) -> bool:
+        """Return whether changes are of a later era of the store than the copy."""
+        if self._copy.version is None:
+            return False
+        return rows.era_of(changes.version) > rows.era_of(self._copy.version)
+
     def _record_failure(self, outcome: rows.Unavailable) -> None:
         if not self._failing:
             log.warning(
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -120,6 +120,8 @@
     # Unix milliseconds of the start of its process, 0 if unknown. A process that starts
     # anew under the same id has another one.
     started_at_ms: int = 0
+    # Rises with each row that the process writes, 0 if unknown.
+    sequence: int = 0
 
 
 class Part(typing.NamedTuple):
--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -52,6 +52,7 @@
         state=STATES[plain["state"]],
         slots=_whole(plain.get("slots"), "slots", MAX_SLOTS),
         started_at_ms=_whole(plain.get("born", 0), "born", MAX_COUNT),
+        sequence=_whole(plain.get("sequence", 0), "sequence", MAX_COUNT),
     )
 
 
--- a/dogwoodchute/tests/test_lapsed_endpoints.py
+++ b/dogwoodchute/tests/test_lapsed_endpoints.py
@@ -16,17 +16,20 @@
 
 
 def decode(name, value):
+    """Return the endpoint of a row: its sequence number, and its state if it leaves."""
+    sequence, _, state = value.decode().partition(" ")
     return model.Endpoint(
         id=name,
         service="plain",
         address="127.0.0.1:1",
         data_centre="z1",
-        state=model.READY,
+        state=state or model.READY,
         slots=1,
+        sequence=int(sequence) if sequence.isdecimal() else 0,
     )
 
 
-class LapsedEndpointsTest(support.TestCase):
+class EndpointsTest(support.TestCase):
     def setUp(self):
         super().setUp()
         self.fleet = table_fleet.Fleet(
@@ -69,6 +72,8 @@
             if any(e.id == ENDPOINT for e in table.usable("plain"))
         ]
 
+
+class LapsedEndpointsTest(EndpointsTest):
     def returns(self, hosts):
         """Let each host lose the table in turn; yield it when others answer it."""
         for number in range(2 * len(hosts)):
@@ -122,3 +127,61 @@
             self.assertLess(oldest, BOUND)
             host.cut_from_store = False
             self.fleet.loop.run_for(CONTACT)
+
+
+class RestoredEndpointsTest(EndpointsTest):
+    """The same endpoint beside a store that comes back from a copy."""
+
+    def restore(self, before, after, *, seconds=2.0):
+        """Write a row, take a copy, write another row, and restore the copy."""
+        self.write(before)
+        copy = self.fleet.store.copy()
+        self.fleet.loop.run_for(3.0)
+        self.write(after)
+        self.fleet.loop.run_for(3.0)
+        self.fleet.store_down = True
+        self.fleet.loop.run_for(seconds)
+        self.fleet.store.restore(copy)
+        self.fleet.store_down = False
+
+    def most_users(self, seconds):
+        """Return the most hosts that would use the endpoint at one time."""
+        most = 0
+        for _ in range(int(seconds / 0.1)):
+            self.fleet.loop.run_for(0.1)
+            most = max(most, len(self.users()))
+        return most
+
+    def test_one_that_said_that_it_leaves_is_not_used_again(self):
+        for seconds in (0.3, 2.0, 5.0):
+            self.restore(b"5", b"6 draining", seconds=seconds)
+            self.assertEqual(0, self.most_users(3.0))
+            self.write(b"7 draining")
+            self.assertEqual(0, self.most_users(3.0))
+            self.write(None)
+            self.fleet.loop.run_for(70.0)
+
+    def test_one_that_has_left_is_not_used_again(self):
+        self.restore(b"5", None)
+        self.assertEqual(0, self.most_users(3.0))
+        self.write(None)
+        self.assertEqual(0, self.most_users(3.0))
+
+    def test_one_that_the_copy_lacks_is_used_until_it_writes_again(self):
+        for seconds in (0.3, 2.0, 5.0):
+            self.write(None)
+            self.fleet.loop.run_for(70.0)
+            self.restore(None, b"1", seconds=seconds)
+            for _ in range(15):
+                self.fleet.loop.run_for(0.1)
+                self.assertEqual(len(self.tables), len(self.users()), seconds)
+            self.write(b"2")
+            self.fleet.loop.run_for(CONTACT)
+            self.assertEqual(len(self.tables), len(self.users()), seconds)
+
+    def test_one_that_writes_again_is_used(self):
+        self.restore(b"5", None)
+        self.fleet.loop.run_for(0.5)
+        self.write(b"6")
+        self.fleet.loop.run_for(BOUND)
+        self.assertEqual(len(self.tables), len(self.users()))
