Holdings that were closed since the copy of a restored store are closed again

Closing what ended processes held was remembered by incarnation, so a holding that came back with a restored store stayed for good, and its tokens could never be used. The partitions are now looked at anew in each era of the store.

--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -23,6 +23,7 @@
     """What this host has closed and has yet to close in one partition."""
 
     def __init__(self) -> None:
+        self.era: int | None = None  # of the store at the last check
         # Incarnations whose predecessors' holdings are closed, and the last result of
         # `registered` for which that was found.
         self.closed_for: frozenset[str] = frozenset()
@@ -67,6 +68,10 @@
     async def _check_part(self, name: str, part: _PartState) -> None:
         newest = self._registered()
         now = self._now()
+        era = self._store.era()
+        if era != part.era:
+            # A restored store lacks what was closed since its copy.
+            part.era, part.closed_for, part.closed_newest = era, frozenset(), None
         is_recheck = bool(part.recheck_times) and now >= part.recheck_times[0]
         if newest is part.closed_newest and not is_recheck:
             return
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -158,6 +158,17 @@
         self.assertEqual([], site.held())
         self.assertEqual(2 * LIMIT, site.drawn("ann").drawn)
 
+    def test_what_was_closed_since_the_copy_of_a_restored_store_is_closed_again(self):
+        site = Site(names=HOSTS[:5], accounts=ACCOUNTS[:3])
+        copy = site.store.copy()
+        reclaimer = site.reclaimer()
+        site.run(reclaimer, 15.0)
+        self.assertEqual([], site.held())
+        site.store.restore(copy)
+        self.assertNotEqual([], site.held())
+        site.run(reclaimer, 5.0)
+        self.assertEqual([], site.held())
+
     def test_hosts_are_not_ranked_while_nothing_is_to_be_closed(self):
         checked_parts = []
         site = Site(accounts=["ann"], names=HOSTS[:2])
