Of a holding that a restored store shows as it was nothing is given back

One of two causes: what an ended process held is closed by its last commit, and the restored one is older than that; what the process was allowed to use by later commits went back to the budget.

A holding now says in which era it was committed. One of an earlier era than its row counts as used up when it is closed, and isn't returned while its host seems lost.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -76,6 +76,7 @@
     moved: int = 0  # sent to other holders less those received from them
     # Incarnations of other hosts; the bound rises only if some of them confirm it.
     witnesses: tuple[str, ...] = ()
+    era: int = 0  # of the store, as the holder knew it
 
 
 class _SentCommit(typing.NamedTuple):
@@ -94,6 +95,15 @@
     return holding.limit + int(above_limit * ramp_age / holding.ramp)
 
 
+def whole_as_lost(holding: Holding) -> Lost:
+    """Return all unbilled tokens of a holding whose last commits aren't known.
+
+    The store has come back from a copy that may lack them.
+    """
+    lost = lost_tokens(holding, successor_started_at=holding.at)
+    return lost._replace(risen=max(0, holding.granted - holding.limit))
+
+
 def reclaimable_tokens(holding: Holding, *, successor_started_at: float) -> int:
     """Return the tokens that a dead holder certainly did not use.
 
--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -206,7 +206,7 @@
         )
         if holding is None:
             return None
-        holding = holding._replace(registered=self._registered())
+        holding = holding._replace(registered=self._registered(), era=self._store.era())
         key = f"{account.name}/{self._holder}"
         checks.append(rows.Check(account_rows.HOLDINGS, key, account.holding_version))
         puts.append(
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -152,7 +152,7 @@
 
     Fields that rows of older hosts lack, always the last ones, get their defaults.
     """
-    *types, _ = escrow.Holding.__annotations__.values()
+    *types, _, _ = escrow.Holding.__annotations__.values()
     plain = bounded_json.loads(value)
     numbers = zip(types, plain, strict=False)
     holding = escrow.Holding(*(convert(field) for convert, field in numbers))
@@ -161,7 +161,16 @@
     names = plain[len(types)]
     if not isinstance(names, list) or not all(map(texts.is_name, names)):
         raise ValueError("the witnesses are no names")
-    return holding._replace(witnesses=tuple(names))
+    era = int(plain[len(types) + 1]) if len(plain) > len(types) + 1 else 0
+    return holding._replace(witnesses=tuple(names), era=era)
+
+
+def is_certain(row: rows.Row, holding: escrow.Holding) -> bool:
+    """Return whether a holding's row was written since the store was last restored.
+
+    Else later commits of the holder may be gone.
+    """
+    return holding.era >= rows.era_of(row.version)
 
 
 def holding_reader() -> row_reader.RowReader[escrow.Holding]:
--- a/dogwoodchute/gateway/lost_holdings.py
+++ b/dogwoodchute/gateway/lost_holdings.py
@@ -138,6 +138,8 @@
                 continue
             if not holding.witnesses or not holding.registered:
                 continue
+            if not account_rows.is_certain(row, holding):
+                continue
             newest = registered.get(holder.rpartition("-")[0])
             if newest is not None and newest.id != holder:
                 continue  # `reclaim` closes it
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/reclaim.py
@@ -143,12 +143,16 @@
     if row.version >= successor.registered and not registered_before:
         return None
     began = successor.began
+    unused = escrow.reclaimable_tokens(holding, successor_started_at=began)
+    lost = escrow.lost_tokens(holding, successor_started_at=began)
+    if not account_rows.is_certain(row, holding):
+        unused, lost = 0, escrow.whole_as_lost(holding)
     return settlements.Settlement(
         row=row,
         holding=holding,
-        unused=escrow.reclaimable_tokens(holding, successor_started_at=began),
+        unused=unused,
         spent=holding.spent,
-        lost=escrow.lost_tokens(holding, successor_started_at=began),
+        lost=lost,
         remaining=None,
         age=began - holding.at,
     )
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -169,6 +169,14 @@
         site.run(reclaimer, 5.0)
         self.assertEqual([], site.held())
 
+    def test_a_holding_that_a_restored_store_shows_as_it_was_gives_nothing_back(self):
+        """Its holder may have used more under commits that the copy lacks."""
+        site = Site(names=HOSTS[:2], accounts=["ann"])
+        site.store.restore(site.store.copy())
+        site.run(site.reclaimer(), 5.0)
+        self.assertEqual([], site.held())
+        self.assertEqual(2 * GRANTED, site.drawn("ann").drawn)
+
     def test_hosts_are_not_ranked_while_nothing_is_to_be_closed(self):
         checked_parts = []
         site = Site(accounts=["ann"], names=HOSTS[:2])
