What dead hosts had drawn since a restored store's copy stays drawn

A host that dies before it could state its holding again takes with it what it drew since the copy; the account's row lacks it. The hosts that had seen the row since knew of it, but only for themselves and for 30 s, and a process that started later didn't.

The first statements after a restore now write into the account's row what was drawn as they saw it last, if that was after the copy. Draws count from there, and 2 s later, when all living holders have stated theirs, the difference is taken over for good. If nobody alive had seen the row, it isn't known.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -32,6 +32,9 @@
 from collections import abc
 
 WRITE_AHEAD = 1.5  # seconds: age of a checkpoint, its time in transit, and a margin
+# Seconds in which all holders learn of a restore and state their holdings again. No
+# other tokens are drawn meanwhile, as they may be drawn already.
+RESTATE_TIME = 2.0
 RAMP = 9.0  # seconds, upper bound; a host long without the store may use all it drew
 
 
@@ -40,6 +43,10 @@
 
     A holding is closed after its holder died. Tokens that the holder may have used
     without a bill stay drawn; the `lost_` fields count them by cause, as `Lost` does.
+
+    After the store came back from an older copy, the holders state again what the row
+    lacks of theirs. What dead ones drew since the copy is known only from the row as
+    others saw it, whose `drawn` is kept as `known_drawn` until all had time for that.
     """
 
     drawn: int = 0  # net of returns
@@ -47,6 +54,34 @@
     lost_reserved: int = 0
     lost_headroom: int = 0
     lost_risen: int = 0
+    known_drawn: int = 0  # 0 once it is settled
+    known_at: int = 0  # store's clock, seconds, rounded up; when it was first told
+
+    @property
+    def drawn_at_least(self) -> int:
+        """The tokens drawn, with those of dead holders that the row lacks."""
+        return max(self.drawn, self.known_drawn)
+
+
+def draw(
+    account: Account, tokens: int, *, missing: int, known_drawn: int, store_now: float
+) -> Account:
+    """Return an account's row after a holder drew `tokens` more.
+
+    After a restore `missing` are those that it had drawn before, and `known_drawn` the
+    row's as it saw it last, 0 if it didn't since the copy.
+    """
+    if account.known_drawn and store_now >= account.known_at + RESTATE_TIME:
+        drawn = account.drawn_at_least
+        account = account._replace(drawn=drawn, known_drawn=0, known_at=0)
+    known = max(account.known_drawn, known_drawn)
+    if not known:
+        return account._replace(drawn=account.drawn + tokens + missing)
+    return account._replace(
+        drawn=account.drawn + tokens + missing,
+        known_drawn=known + tokens,
+        known_at=account.known_at or math.ceil(store_now),
+    )
 
 
 class Lost(typing.NamedTuple):
--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.coordination import checkpoints, store_overload
+from dogwoodchute.coordination import checkpoints, escrow, store_overload
 from dogwoodchute.gateway import (
     account_rows,
     commit_counts,
@@ -216,7 +216,13 @@
         )
         restatement = account.restatement
         if draw or restatement is not None:
-            row = account.row._replace(drawn=account.row.drawn + _drawn(change))
+            account.pending_row = escrow.draw(
+                account.row,
+                draw,
+                missing=restatement.missing if restatement is not None else 0,
+                known_drawn=restatement.known_drawn if restatement is not None else 0,
+                store_now=self._store.now(),
+            )
             checks.append(
                 rows.Check(account_rows.ACCOUNTS, account.name, account.row_version)
             )
@@ -224,7 +230,7 @@
                 rows.Put(
                     account_rows.ACCOUNTS,
                     account.name,
-                    account_rows.encode_value(list(row)),
+                    account_rows.encode_value(list(account.pending_row)),
                 )
             )
         if restatement is not None:
@@ -305,8 +311,7 @@
             applied = True
             account.holding_version = outcome.version
             if draw or account.restatement is not None:
-                drawn = account.row.drawn + _drawn(change)
-                account.row = account.row._replace(drawn=drawn)
+                account.row = account.pending_row
                 account.row_version = outcome.version
             account.restatement = None
             ledger.end_commit(applied=True)
@@ -391,12 +396,6 @@
                 account.holding_version = max(account.holding_version, row.version)
 
 
-def _drawn(change: Change) -> int:
-    """Return by how much a change raises the tokens drawn in the account's row."""
-    restatement = change.account.restatement
-    return change.draw + (restatement.missing if restatement is not None else 0)
-
-
 async def _await_call(
     call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
     accounts: list[account_rows.Account],
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -43,19 +43,10 @@
     """What a host writes again of an account after the store was restored."""
 
     missing: int  # tokens of its holding that the account's row lacks
+    known_drawn: int  # tokens drawn as it saw the row last, 0 if it did before the copy
     bills: tuple[rows.Put, ...]
 
 
-class DrawnFloor(typing.NamedTuple):
-    """The tokens of an account that were drawn before the store was restored.
-
-    It counts until `until`, monotonic seconds: a host may be late to state its own.
-    """
-
-    tokens: int
-    until: float
-
-
 class Waiter(typing.NamedTuple):
     """A request that waits for tokens; `done` gets its `ReserveOutcome`."""
 
@@ -76,7 +67,6 @@
         self.name = name
         self.era = era  # of the store, from which its rows are known
         self.restatement: Restatement | None = None  # not yet written
-        self.drawn_floor = DrawnFloor(0, -math.inf)
         self.no_draw_until = -math.inf  # monotonic seconds; after a restore
         # The latest rows of bills, oldest first.
         self.recent_bills: collections.deque[WrittenBills] = collections.deque(
@@ -87,6 +77,7 @@
         self.demand = sizing.Demand(window=DEMAND_WINDOW, bias_corrected=True)
         self.mean_request = 0.0  # tokens; an exponentially weighted mean
         self.row = escrow.Account()  # the account's row, common to all hosts
+        self.pending_row = escrow.Account()  # as the commit under way would leave it
         self.row_version = 0
         self.holding_version = 0  # of the row of this host's holding
         self.holdings: dict[str, escrow.Holding] = {}  # by holder, as last read
@@ -108,11 +99,6 @@
         self.task: asyncio.Task | None = None  # commits until nothing is due
         self.lock = asyncio.Lock()  # held during the account's one commit
 
-    def drawn_at_least(self, now: float) -> int:
-        """Return the tokens drawn, or those before a restore if that may be more."""
-        floor = self.drawn_floor
-        return max(self.row.drawn, floor.tokens if now < floor.until else 0)
-
     def record_request(self, now: float, tokens: int) -> None:
         """Record that a caller's request on this host may use `tokens`."""
         self.demand.record_use(now, tokens)
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/amounts.py
@@ -118,7 +118,7 @@
         return -max(0, idle)
     if now < account.no_draw_until:
         return 0
-    balance = grants.Balance(conditions.prepaid, account.drawn_at_least(now))
+    balance = grants.Balance(conditions.prepaid, account.row.drawn_at_least)
     rate = (
         account.demand.rate(now) if draws_in_advance(account, conditions, now) else 0.0
     )
--- a/dogwoodchute/gateway/restored_accounts.py
+++ b/dogwoodchute/gateway/restored_accounts.py
@@ -13,9 +13,6 @@
 
 # Seconds by which a copy may be older than the store was; a margin included.
 RECENT = 30.0
-# Seconds in which all hosts learn of a restore and state their holdings again. Nothing
-# is drawn meanwhile, as it may be drawn already.
-RESTATE_TIME = 2.0
 
 
 class Found(typing.NamedTuple):
@@ -43,7 +40,7 @@
 
 def apply(account: account_rows.Account, found: Found, *, era: int, now: float) -> None:
     """Take over an account's restored rows, and note what to write again."""
-    drawn = account.row.drawn
+    before, before_version = account.row, account.row_version
     account.era = era
     account.row, account.row_version = escrow.Account(), 0
     if found.account is not None:
@@ -53,20 +50,22 @@
     if found.holding is not None:
         stored = account_rows.decode_holding(found.holding.value)
         account.holding_version = found.holding.version
+    # Numbers of the store itself: up to the copy both eras have the same.
+    is_newer = before_version % rows.ERA_SPAN > account.row_version % rows.ERA_SPAN
     account.restatement = account_rows.Restatement(
         missing=account.ledger.confirmed.granted - stored.granted,
+        known_drawn=before.drawn_at_least if is_newer else 0,
         bills=tuple(
             bill.put for bill in account.recent_bills if now - bill.written_at < RECENT
         ),
     )
-    account.drawn_floor = account_rows.DrawnFloor(drawn, until=now + RECENT)
-    account.no_draw_until = now + RESTATE_TIME
+    account.no_draw_until = now + escrow.RESTATE_TIME
     log.info(
         "account_restored",
         account=account.name,
         era=era,
         drawn=account.row.drawn,
-        before=drawn,
+        before=before.drawn,
         missing=account.restatement.missing,
         bills=len(account.restatement.bills),
     )
--- a/dogwoodchute/gateway/settlements.py
+++ b/dogwoodchute/gateway/settlements.py
@@ -113,8 +113,10 @@
 ) -> tuple[list[rows.Check], list[rows.Put]]:
     """Return the checks and puts of a commit that settles `batch`."""
     before = account_rows.decode_account(account_row.value)
-    after = escrow.Account(
-        drawn=before.drawn - sum(each.unused for each in batch),
+    unused = sum(each.unused for each in batch)
+    after = before._replace(
+        drawn=before.drawn - unused,
+        known_drawn=max(0, before.known_drawn - unused),
         closed_spent=before.closed_spent + sum(each.spent for each in batch),
         lost_reserved=before.lost_reserved + sum(e.lost.reserved for e in batch),
         lost_headroom=before.lost_headroom + sum(e.lost.headroom for e in batch),
--- a/dogwoodchute/tests/test_restored_accounts.py
+++ b/dogwoodchute/tests/test_restored_accounts.py
@@ -52,6 +52,32 @@
         self.assertLessEqual(used, 60_000)
         self.assertGreater(used, 0.9 * 60_000)
 
+    def test_what_a_host_drew_that_died_before_it_could_say_so_is_not_drawn_again(self):
+        fleet = self.fleet(prepaid=60_000)
+        used = self.use(fleet, 500, requests=6)
+        copy = fleet.store.copy()
+        used += self.use(fleet, 500, requests=90, hosts="a")
+        used += self.use(fleet, 500, requests=3, hosts="b")
+        fleet.kill("a")
+        self.restore(fleet, copy)
+        used += self.use(fleet, 2_000, requests=30, hosts="bc", pause=0.0)
+        used += self.use(fleet, 500, requests=60, hosts="bc")
+        self.assertLessEqual(used, 60_000)
+
+    def test_a_host_that_starts_after_the_restore_knows_of_what_was_drawn(self):
+        fleet = self.fleet(prepaid=60_000)
+        used = self.use(fleet, 500, requests=6)
+        copy = fleet.store.copy()
+        used += self.use(fleet, 500, requests=90, hosts="a")
+        used += self.use(fleet, 500, requests=3, hosts="b")
+        fleet.kill("a")
+        self.restore(fleet, copy)
+        fleet.loop.run_for(5.0)
+        fleet.start("d")
+        used += self.use(fleet, 2_000, requests=30, hosts="d", pause=0.0)
+        used += self.use(fleet, 500, requests=60, hosts="bcd")
+        self.assertLessEqual(used, 60_000)
+
     def test_a_first_draw_that_the_copy_lacks_is_stated_again(self):
         fleet = self.fleet(prepaid=60_000)
         copy = fleet.store.copy()
