A host that never used an account draws nothing of it just after a restore

Now the host notes the restore itself. The test failed before (84,000 of 60,000 prepaid tokens used).

--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import typing
 from collections import abc
 
@@ -61,6 +62,8 @@
         self._counts = commit_counts.Counts(now=now)
         self._overload = store_overload.OverloadDetector()
         self._was_store_slow = False
+        self._seen_era = 0  # the store's, at the last call of `no_draw_until`
+        self._restored_at = -math.inf  # monotonic seconds
         self._store_unavailable = False
 
     @property
@@ -73,6 +76,17 @@
         """The store's era, as far as is known."""
         return self._store.era()
 
+    def no_draw_until(self) -> float:
+        """Return the monotonic seconds until which all hosts restate, once restored.
+
+        Call it often, so that a restore is noticed in time.
+        """
+        era = self._store.era()
+        if self._seen_era and era > self._seen_era:
+            self._restored_at = self._now()
+        self._seen_era = era
+        return self._restored_at + escrow.RESTATE_TIME
+
     def is_before_restore(self, account: account_rows.Account) -> bool:
         """Return whether the store was restored since an account's rows were read."""
         return account.era < self._store.era()
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -33,11 +33,11 @@
 class Fleet:
     """Several hosts on one store, which request tokens from one another."""
 
-    def __init__(self, names, *, prepaid, home=None):
+    def __init__(self, names, *, prepaid, home=None, era=0):
         self.max_sources = 1000  # other hosts that are asked for tokens at most
         self.home = home  # the host that draws in advance; None if every host does
         self.loop = virtual.Loop()
-        self.store = row_store.RowStore(now=self.loop.time)
+        self.store = row_store.RowStore(now=self.loop.time, era=era)
         self.fault = row_store.NO_FAULT
         self.config = config(prepaid)
         self.hosts = {}
--- a/dogwoodchute/tests/test_restored_accounts.py
+++ b/dogwoodchute/tests/test_restored_accounts.py
@@ -12,7 +12,7 @@
 
 class RestoredAccountsTest(support.TestCase):
     def fleet(self, *, prepaid):
-        fleet = test_accounts.Fleet(NAMES, prepaid=prepaid)
+        fleet = test_accounts.Fleet(NAMES, prepaid=prepaid, era=1)
         self.addCleanup(fleet.loop.finish)
         return fleet
 
@@ -78,6 +78,17 @@
         used += self.use(fleet, 500, requests=60, hosts="bcd")
         self.assertLessEqual(used, 60_000)
 
+    def test_a_host_without_the_account_draws_nothing_before_others_have_stated(self):
+        fleet = self.fleet(prepaid=60_000)
+        used = self.use(fleet, 500, requests=6, hosts="a")
+        copy = fleet.store.copy()
+        used += self.use(fleet, 500, requests=90, hosts="a")
+        self.restore(fleet, copy)
+        fleet.loop.run_for(0.01)
+        used += self.use(fleet, 2_000, requests=30, hosts="c", pause=0.0)
+        used += self.use(fleet, 500, requests=60, hosts="abc")
+        self.assertLessEqual(used, 60_000)
+
     def test_a_first_draw_that_the_copy_lacks_is_stated_again(self):
         fleet = self.fleet(prepaid=60_000)
         copy = fleet.store.copy()
