A host asks any others for tables only once its own are old, and once a second

In an outage of the store all hosts would have asked three others for each table, twice a second. The evidence for an outage moves into a module of its own, table_outage.

--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -9,7 +9,15 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import host_rows, mirror, model, rows, table_copy, tables
+from dogwoodchute.gateway import (
+    host_rows,
+    mirror,
+    model,
+    rows,
+    table_copy,
+    table_outage,
+    tables,
+)
 
 # Seconds that a held call of the store and the way of its answer may take. Until the
 # next answer a copy gets as old as two calls are long, and must still be fresh then.
@@ -18,7 +26,7 @@
 # parallel, and seconds between such rounds.
 SLOW_STORE = 0.8
 PARALLEL_INTERVAL = 0.5
-ANYONE_INTERVAL = 0.5  # seconds between calls of hosts that are no sources
+ANYONE_INTERVAL = 1.0  # seconds between calls of hosts that are no sources
 HOLD = 0.9  # seconds for which a source may hold a call until it has changes
 MIN_HOLD = 0.25  # seconds; bounds the calls of hosts whose tables are nearly old
 SLOW_SOURCE = 0.5  # seconds beyond that, after which the other sources are asked too
@@ -187,7 +195,7 @@
         )
         if not answered:
             self._has_store_failed = True
-            found = await self._from_anyone(since)
+            found = await self._from_anyone(since, current_at)
             if found is not None:
                 return self._accepted(found)
             return outcome if answer is None else answer
@@ -202,37 +210,18 @@
     ) -> mirror.Fetched:
         """Return an answer of the store with the time of its return, if it was away.
 
-        This host had no recent table since `current_at`. If another host had one all
-        along, only this host was out of contact.
+        This host had no recent table since `current_at`.
         """
         if outcome.read_at - (current_at or 0.0) < mirror.MIN_OUTAGE:
             return outcome
         nearest = self._chooser.nearest(self._peers())
-        version = outcome.changes.version
-        calls = [
-            asyncio.create_task(self._ask(each.address, self._table, version, 0.0))
-            for each in nearest
-        ]
-        if calls:
-            await asyncio.wait(calls, timeout=SLOW_SOURCE)
-        answers = [call.result() for call in calls if call.done()]
-        for call in calls:
-            call.cancel()
-        now = self._now()
-        current_since = [
-            now - answer.seconds_current
-            for answer in answers
-            if isinstance(answer, tables.Answer) and sources.is_fresh(answer.age)
-        ]
-        had_table = any(at <= (current_at or 0.0) for at in current_since)
-        returned_at = 0.0 if had_table else min([now, *current_since])
-        log.info(
-            "table_outage",
+        returned_at = await table_outage.store_returned_at(
+            self._ask,
+            [peer.address for peer in nearest],
             table=self._table,
-            asked=len(nearest),
-            current=len(current_since),
-            alone=had_table,
-            returned=None if had_table else round(now - returned_at, 3),
+            version=outcome.changes.version,
+            current_at=current_at or 0.0,
+            now=self._now,
         )
         return dataclasses.replace(outcome, store_returned_at=returned_at)
 
@@ -299,12 +288,17 @@
             if parallel is not None:
                 parallel.cancel()
 
-    async def _from_anyone(self, since: int | None) -> mirror.Fetched | None:
-        """Return a recent answer of some hosts, whatever is known of them.
+    async def _from_anyone(
+        self, since: int | None, current_at: float | None
+    ) -> mirror.Fetched | None:
+        """Return a recent answer of some hosts, once this one's copy is old.
 
-        All that were known to have the tables may have left since then, and others may
-        have started at their addresses.
+        All hosts that were known to have the tables may have left since then, and
+        others may have started at their addresses.
         """
+        age = self._age(current_at)
+        if age is not None and sources.is_fresh(age):
+            return None
         if self._now() - self._asked_anyone_at < ANYONE_INTERVAL:
             return None
         self._asked_anyone_at = self._now()
