A pause of a store lane grows though the timer that waits for it ends early

A refusal counts as one during a pause, which doesn't double it, if the wait ended a moment before the pause: timers are rounded to milliseconds. 5 ms before its end a pause now counts as over. A new test with waits that end 1 ms early failed before (0.15 s after six refusals).

--- a/dogwoodchute/platform/backpressure.py
+++ b/dogwoodchute/platform/backpressure.py
@@ -12,6 +12,7 @@
 
 FIRST_PAUSE = 0.1  # seconds
 MAX_PAUSE = 1.0  # seconds; the pause doubles up to it
+TIMER_SLACK = 0.005  # seconds by which a wait for the end of a pause may end early
 JITTER = 0.5  # share of a pause; spreads the calls of different hosts
 
 
@@ -69,7 +70,7 @@
 
         Refusals during a pause do not double its length.
         """
-        if now >= self._until:
+        if now >= self._until - TIMER_SLACK:
             self._pause = min(MAX_PAUSE, max(FIRST_PAUSE, 2 * self._pause))
         jitter = random.uniform(1 - JITTER, 1 + JITTER)
         self._until = max(self._until, now + self._pause * jitter)
--- a/dogwoodchute/tests/test_store_client.py
+++ b/dogwoodchute/tests/test_store_client.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import rows
-from dogwoodchute.platform import relay, store, store_rows, transport
+from dogwoodchute.platform import backpressure, relay, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support
 
@@ -189,6 +189,14 @@
 
         self.run_async(scenario())
 
+    def test_a_pause_of_a_part_grows_though_timers_end_early(self):
+        lane = backpressure.Lane()
+        now = 0.0
+        for _ in range(6):
+            now += max(0.0, lane.remaining_pause(now) - 0.001)
+            lane.extend_pause(now)
+        self.assertGreater(lane.remaining_pause(now), 0.4)
+
     def test_a_host_that_is_refused_everything_as_too_much_finds_a_relay(self):
         async def scenario():
             async with running() as setup:
