--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -147,7 +147,9 @@
     names = plain[len(types)]
     if not isinstance(names, list) or not all(map(texts.is_name, names)):
         raise ValueError("the witnesses are no names")
-    era = int(plain[len(types) + 1]) if len(plain) > len(types) + 1 else 0
+    era = plain[len(types) + 1] if len(plain) > len(types) + 1 else 0
+    if type(era) is not int or era < 0:
+        raise ValueError("the era is no number")
     return holding._replace(witnesses=tuple(names), era=era)
 
 
--- a/dogwoodchute/tests/test_witnesses.py
+++ b/dogwoodchute/tests/test_witnesses.py
@@ -126,7 +126,14 @@
 
     def test_odd_witnesses_make_a_row_unreadable(self):
         for odd in ("abc", [1], [""], {"a": 1}, [["a"]], None):
-            value = account_rows.encode_value([*escrow.Holding()[:-1], odd])
+            plain = escrow.Holding()._replace(witnesses=odd)
+            for fields in (list(plain), list(plain)[:-1]):
+                value = account_rows.encode_value(fields)
+                self.assertRaises(ValueError, account_rows.decode_holding, value)
+
+    def test_an_odd_era_makes_a_row_unreadable(self):
+        for odd in ("abc", [1], -1, 1.5, True, None):
+            value = account_rows.encode_value(list(escrow.Holding()._replace(era=odd)))
             self.assertRaises(ValueError, account_rows.decode_holding, value)
 
 
