--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -16,13 +16,13 @@
     commit_counts,
     restored_accounts,
     rows,
+    served_calls,
 )
 
 MAX_BILLS_PER_ROW = 300  # of about 40 bytes each
 MAX_ACCOUNTS = 20  # in one commit, with up to five checks and puts each
 RETRY_PAUSE = 0.15  # seconds after the first attempt without an answer
 MAX_RETRY_PAUSE = 0.5  # seconds; the pause doubles up to this
-WAITERS_PAUSE = 0.05  # seconds between attempts to serve waiters; most calls take less
 
 
 class Change(typing.NamedTuple):
@@ -35,12 +35,6 @@
     rate: float = 0.0  # tokens a second that may be needed without a next commit
 
 
-_Outcome = typing.TypeVar("_Outcome")
-
-# Serves an account's waiters while the store does not answer; takes the reason.
-ServeWaiters = abc.Callable[[account_rows.Account, str], abc.Awaitable[None]]
-
-
 class Commits:
     """Reads and changes account rows for one holder, that is one process of a host."""
 
@@ -62,7 +56,7 @@
         self._counts = commit_counts.Counts(now=now)
         self._overload = store_overload.OverloadDetector()
         self._was_store_slow = False
-        self._seen_era = 0  # the store's, at the last call of `no_draw_until`
+        self._seen_era = 0  # the store's, at the last `notice_restore`; 0 if unknown
         self._restored_at = -math.inf  # monotonic seconds
         self._store_unavailable = False
 
@@ -76,30 +70,31 @@
         """The store's era, as far as is known."""
         return self._store.era()
 
+    @property
     def no_draw_until(self) -> float:
-        """Return the monotonic seconds until which all hosts restate, once restored.
+        """Monotonic seconds until which hosts state their holdings after a restore."""
+        return self._restored_at + escrow.RESTATE_TIME
 
-        Call it often, so that a restore is noticed in time.
-        """
+    def notice_restore(self) -> None:
+        """Note the time if the store was restored since the last call."""
         era = self._store.era()
         if self._seen_era and era > self._seen_era:
             self._restored_at = self._now()
         self._seen_era = era
-        return self._restored_at + escrow.RESTATE_TIME
 
     def is_before_restore(self, account: account_rows.Account) -> bool:
         """Return whether the store was restored since an account's rows were read."""
         return account.era < self._store.era()
 
     async def restore(
-        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+        self, account: account_rows.Account, *, serve_waiters: served_calls.ServeWaiters
     ) -> rows.Unavailable | None:
         """Read an account's rows after a restore; return the error if that fails.
 
         The account's lock is held. The next commit states again what the rows lack.
         """
         era = self._store.era()
-        found = await _await_call(
+        found = await served_calls.await_call(
             restored_accounts.read(self._store, account, holder=self._holder),
             [account],
             serve_waiters,
@@ -115,7 +110,7 @@
         return self._overload.slow_commit_seconds(self._now())
 
     async def read(
-        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+        self, account: account_rows.Account, *, serve_waiters: served_calls.ServeWaiters
     ) -> rows.Unavailable | None:
         """Read the account's row and all its holdings; return the error if it fails.
 
@@ -125,7 +120,7 @@
         failed = await self.refresh(account, serve_waiters=serve_waiters)
         if failed is not None:
             return failed
-        result = await _await_call(
+        result = await served_calls.await_call(
             self._store.read(
                 account_rows.HOLDINGS, account.part, f"{name}/", f"{name}0"
             ),
@@ -144,11 +139,11 @@
         return None
 
     async def refresh(
-        self, account: account_rows.Account, *, serve_waiters: ServeWaiters
+        self, account: account_rows.Account, *, serve_waiters: served_calls.ServeWaiters
     ) -> rows.Unavailable | None:
         """Read only the account's row; `serve_waiters` is as in `commit`."""
         name = account.name
-        result = await _await_call(
+        result = await served_calls.await_call(
             self._store.read(account_rows.ACCOUNTS, account.part, name, name + "\0"),
             [account],
             serve_waiters,
@@ -164,7 +159,7 @@
         changes: list[Change],
         *,
         kind: str,
-        serve_waiters: ServeWaiters,
+        serve_waiters: served_calls.ServeWaiters,
     ) -> bool:
         """Commit changes of several accounts of one partition, whose locks are held.
 
@@ -265,7 +260,7 @@
         checks: list[rows.Check],
         puts: list[rows.Put],
         accounts: list[account_rows.Account],
-        serve_waiters: ServeWaiters,
+        serve_waiters: served_calls.ServeWaiters,
     ) -> rows.Committed | rows.Conflict | rows.Unavailable:
         """Retry a commit until its outcome is certain.
 
@@ -276,7 +271,7 @@
         pause = RETRY_PAUSE
         while True:
             sent = self._now()
-            outcome = await _await_call(
+            outcome = await served_calls.await_call(
                 self._store.commit(accounts[0].part, checks, puts),
                 accounts,
                 serve_waiters,
@@ -299,13 +294,13 @@
                 peer=outcome.peer,
                 uncertain=uncertain,
             )
-            await _serve_waiters(accounts, outcome.reason, serve_waiters)
+            await served_calls.serve_all(accounts, outcome.reason, serve_waiters)
             if not uncertain:
                 return outcome
             retry_at = self._now() + pause
             while self._now() < retry_at:
-                await asyncio.sleep(WAITERS_PAUSE)
-                await _serve_waiters(accounts, outcome.reason, serve_waiters)
+                await asyncio.sleep(served_calls.WAITERS_PAUSE)
+                await served_calls.serve_all(accounts, outcome.reason, serve_waiters)
             pause = min(MAX_RETRY_PAUSE, 2 * pause)
 
     def _log_slowness(self, part: str) -> None:
@@ -408,30 +403,3 @@
                     account.row_version = row.version
             elif row.table == account_rows.HOLDINGS and row.key == own:
                 account.holding_version = max(account.holding_version, row.version)
-
-
-async def _await_call(
-    call: abc.Coroutine[typing.Any, typing.Any, _Outcome],
-    accounts: list[account_rows.Account],
-    serve_waiters: ServeWaiters,
-) -> _Outcome:
-    """Await a call to the store; serve waiters while it has no answer."""
-    running = asyncio.create_task(call)
-    try:
-        while True:
-            done, _ = await asyncio.wait([running], timeout=WAITERS_PAUSE)
-            if done:
-                return running.result()
-            await _serve_waiters(
-                accounts, "the store has not answered yet", serve_waiters
-            )
-    finally:
-        running.cancel()
-
-
-async def _serve_waiters(
-    accounts: list[account_rows.Account], reason: str, serve_waiters: ServeWaiters
-) -> None:
-    for account in accounts:
-        if account.open_waiters():
-            await serve_waiters(account, reason)
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -220,7 +220,7 @@
         """Draw and return tokens and write bills until cancelled."""
         try:
             for number in itertools.count():
-                self._commits.no_draw_until()
+                self._commits.notice_restore()
                 for account in list(self._accounts.values()):
                     is_restored = self._commits.is_before_restore(account)
                     is_quiet = self._is_quiet(account) and not is_restored
@@ -255,7 +255,8 @@
             account = account_rows.Account(
                 name=name, era=self._commits.era, may_rise=self._witnesses.may_rise
             )
-            account.no_draw_until = self._commits.no_draw_until()
+            self._commits.notice_restore()
+            account.no_draw_until = self._commits.no_draw_until
             self._accounts[name] = account
         return account
 
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -10,6 +10,7 @@
     account_rows,
     commit_counts,
     reservations,
+    served_calls,
 )
 
 Draw = abc.Callable[[account_rows.Account], int]
@@ -23,7 +24,7 @@
         *,
         accounts: abc.Callable[[], list[account_rows.Account]],
         commits: account_commits.Commits,
-        serve_waiters: account_commits.ServeWaiters,
+        serve_waiters: served_calls.ServeWaiters,
         change: abc.Callable[..., account_commits.Change],
         host_count: abc.Callable[[], int],
         account_count: abc.Callable[[], int],
