Bills are encoded once for each commit, and what it writes is passed on

Each commit encoded its row of bills twice, to send it and to remember it once applied, and left the account's next row as state on the account. Both now go from the entries to the end of the commit in one record. Behaviour is as before.

--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -35,6 +35,15 @@
     rate: float = 0.0  # tokens a second that may be needed without a next commit
 
 
+class _Sent(typing.NamedTuple):
+    """What a commit under way writes of one account, besides its holding."""
+
+    change: Change
+    row: escrow.Account | None  # the account's row, None if it stays
+    bill_count: int
+    bills: rows.Put | None  # the row of these bills, None without any
+
+
 class Commits:
     """Reads and changes account rows for one holder, that is one process of a host."""
 
@@ -170,35 +179,35 @@
         comes, `serve_waiters` is awaited repeatedly, with the reason, for each account
         that has waiters.
         """
-        included: list[tuple[Change, int]] = []
+        included: list[_Sent] = []
         checks: list[rows.Check] = []
         puts: list[rows.Put] = []
         for change in changes:
-            bills = self._add_entries(change, checks, puts)
-            if bills is not None:
-                included.append((change, bills))
+            sent = self._add_entries(change, checks, puts)
+            if sent is not None:
+                included.append(sent)
         if not included:
             # Earlier commits are unresolved after a fault; a retry at once can't help.
             return False
         accounts = [change.account for change in changes]
-        sent = self._now()
+        sent_at = self._now()
         outcome = await self._commit_until_definite(
             checks, puts, accounts, serve_waiters
         )
         outcome_name = type(outcome).__name__.lower()
-        self._counts.record(kind, accounts[0].part, outcome_name, self._now() - sent)
+        self._counts.record(kind, accounts[0].part, outcome_name, self._now() - sent_at)
         if isinstance(outcome, rows.Unavailable):
-            for change, _ in included:
-                change.account.ledger.end_commit(applied=False)
+            for sent in included:
+                sent.change.account.ledger.end_commit(applied=False)
             return False
-        for change, bills in included:
-            self._finish(change, bills, outcome)
+        for sent in included:
+            self._finish(sent, outcome)
         return True
 
     def _add_entries(
         self, change: Change, checks: list[rows.Check], puts: list[rows.Put]
-    ) -> int | None:
-        """Add an account's checks and puts; return how many bills they write.
+    ) -> _Sent | None:
+        """Add an account's checks and puts; return what they write.
 
         Returns None, and adds nothing, while an earlier commit of the account is
         unresolved or if the change would return more tokens than are idle.
@@ -224,8 +233,9 @@
             )
         )
         restatement = account.restatement
+        account_row: escrow.Account | None = None
         if draw or restatement is not None:
-            account.pending_row = escrow.draw(
+            account_row = escrow.draw(
                 account.row,
                 draw,
                 missing=restatement.missing if restatement is not None else 0,
@@ -239,21 +249,21 @@
                 rows.Put(
                     account_rows.ACCOUNTS,
                     account.name,
-                    account_rows.encode_value(list(account.pending_row)),
+                    account_rows.encode_value(list(account_row)),
                 )
             )
         if restatement is not None:
             puts.extend(restatement.bills)
         bills = account.bills[:MAX_BILLS_PER_ROW]
+        bills_put: rows.Put | None = None
         if bills:
-            puts.append(self._bills_put(account, len(bills)))
-        return len(bills)
-
-    def _bills_put(self, account: account_rows.Account, count: int) -> rows.Put:
-        """Return the row of an account's next `count` bills."""
-        name = f"{account.name}/{self._holder}/{account.bill_rows}"
-        value = account_rows.encode_value([list(b) for b in account.bills[:count]])
-        return rows.Put(account_rows.BILLS, name, value)
+            bills_put = rows.Put(
+                account_rows.BILLS,
+                f"{key}/{account.bill_rows}",
+                account_rows.encode_value([list(bill) for bill in bills]),
+            )
+            puts.append(bills_put)
+        return _Sent(change, account_row, len(bills), bills_put)
 
     async def _commit_until_definite(
         self,
@@ -311,16 +321,14 @@
         event = "store_slow" if self._was_store_slow else "store_quick"
         log.info(event, part=part, commit_seconds=f"{seconds:.3f}")
 
-    def _finish(
-        self, change: Change, bills: int, outcome: rows.Committed | rows.Conflict
-    ) -> None:
-        account, draw = change.account, change.draw
+    def _finish(self, sent: _Sent, outcome: rows.Committed | rows.Conflict) -> None:
+        account, draw = sent.change.account, sent.change.draw
         ledger = account.ledger
         if isinstance(outcome, rows.Committed):
             applied = True
             account.holding_version = outcome.version
-            if draw or account.restatement is not None:
-                account.row = account.pending_row
+            if sent.row is not None:
+                account.row = sent.row
                 account.row_version = outcome.version
             account.restatement = None
             ledger.end_commit(applied=True)
@@ -334,10 +342,10 @@
             return
         if draw:
             account.conflicts = 0
-        if bills:
-            put = self._bills_put(account, bills)
-            account.recent_bills.append(account_rows.WrittenBills(put, self._now()))
-            del account.bills[:bills]
+        if sent.bills is not None:
+            written = account_rows.WrittenBills(sent.bills, self._now())
+            account.recent_bills.append(written)
+            del account.bills[: sent.bill_count]
             account.bill_rows += 1
             account.unwritten_since = self._now()
         if draw:
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -77,7 +77,6 @@
         self.demand = sizing.Demand(window=DEMAND_WINDOW, bias_corrected=True)
         self.mean_request = 0.0  # tokens; an exponentially weighted mean
         self.row = escrow.Account()  # the account's row, common to all hosts
-        self.pending_row = escrow.Account()  # as the commit under way would leave it
         self.row_version = 0
         self.holding_version = 0  # of the row of this host's holding
         self.holdings: dict[str, escrow.Holding] = {}  # by holder, as last read
