Removing an endpoint's row doesn't look through all endpoints

Each removal went over all endpoints that are remembered, so the removal of 2,600 rows at once would have taken millions of steps. Removed ones are now kept in the order of their removal. Behaviour is as before.

--- a/dogwoodchute/gateway/endpoint_history.py
+++ b/dogwoodchute/gateway/endpoint_history.py
@@ -5,7 +5,6 @@
 row again, under a higher sequence number; until then the copy's row is outdated.
 """
 
-import typing
 from collections import abc
 
 from dogwoodchute.gateway import model, rows
@@ -16,19 +15,14 @@
 REWRITE_TIME = 10.0
 
 
-class _Last(typing.NamedTuple):
-    """The last row of an endpoint, and the monotonic seconds of its removal if any."""
-
-    endpoint: model.Endpoint
-    removed_at: float | None = None
-
-
 class EndpointHistory:
     """The last rows of endpoints, and when the store was restored."""
 
     def __init__(self, *, now: abc.Callable[[], float]) -> None:
         self._now = now
-        self._last: dict[str, _Last] = {}  # by id
+        self._last: dict[str, model.Endpoint] = {}  # by id
+        # Monotonic seconds by id of those without a row, in the order of removal.
+        self._removed_at: dict[str, float] = {}
         self._era: int | None = None
         self._restored_at: float | None = None  # monotonic seconds
 
@@ -40,24 +34,28 @@
         last = self._last.get(endpoint.id)
         if last is None or self._now() - self._restored_at >= REWRITE_TIME:
             return False
-        if last.endpoint.started_at_ms != endpoint.started_at_ms:
+        if last.started_at_ms != endpoint.started_at_ms:
             return False
-        if last.removed_at is not None:
-            return endpoint.sequence <= last.endpoint.sequence
-        return endpoint.sequence < last.endpoint.sequence
+        if endpoint.id in self._removed_at:
+            return endpoint.sequence <= last.sequence
+        return endpoint.sequence < last.sequence
 
     def record(self, endpoint: model.Endpoint) -> None:
         """Record an endpoint's row."""
-        self._last[endpoint.id] = _Last(endpoint)
+        self._last[endpoint.id] = endpoint
+        self._removed_at.pop(endpoint.id, None)
 
     def record_removal(self, name: str) -> None:
         """Record that an endpoint's row was removed; forget old removals."""
         now = self._now()
         if name in self._last:
-            self._last[name] = self._last[name]._replace(removed_at=now)
-        for other, last in list(self._last.items()):
-            if last.removed_at is not None and now - last.removed_at >= KEPT:
-                del self._last[other]
+            self._removed_at.pop(name, None)
+            self._removed_at[name] = now
+        while self._removed_at:
+            oldest, removed_at = next(iter(self._removed_at.items()))
+            if now - removed_at < KEPT:
+                return
+            del self._last[oldest], self._removed_at[oldest]
 
     def _update_era(self, era: int) -> None:
         if self._era is not None and era > self._era:
