A version's number and era are taken apart and put together in one place

rows.number_of and rows.version_of stand for the arithmetic with ERA_SPAN that stood in the adapter, the accounts and the stand-in. The era of an answer is read once.

--- a/dogwoodchute/gateway/restored_accounts.py
+++ b/dogwoodchute/gateway/restored_accounts.py
@@ -50,8 +50,8 @@
     if found.holding is not None:
         stored = account_rows.decode_holding(found.holding.value)
         account.holding_version = found.holding.version
-    # Numbers of the store itself: up to the copy both eras have the same.
-    is_newer = before_version % rows.ERA_SPAN > account.row_version % rows.ERA_SPAN
+    # Up to the copy both eras have the same numbers.
+    is_newer = rows.number_of(before_version) > rows.number_of(account.row_version)
     account.restatement = account_rows.Restatement(
         missing=account.ledger.confirmed.granted - stored.granted,
         known_drawn=before.drawn_at_least if is_newer else 0,
--- a/dogwoodchute/gateway/rows.py
+++ b/dogwoodchute/gateway/rows.py
@@ -20,6 +20,16 @@
     return version // ERA_SPAN
 
 
+def number_of(version: int) -> int:
+    """Return a version's number in its era; a copy and what it restores share them."""
+    return version % ERA_SPAN
+
+
+def version_of(era: int, number: int) -> int:
+    """Return the version with a number in an era."""
+    return era * ERA_SPAN + number
+
+
 class Row(typing.NamedTuple):
     """One row; `value` is None where a change removed it."""
 
--- a/dogwoodchute/platform/store_rows.py
+++ b/dogwoodchute/platform/store_rows.py
@@ -49,7 +49,7 @@
     async def feed(table: str, since: int, wait: float) -> rows.FeedOutcome:
         query = {
             "table": table,
-            "sinceRev": str(since % rows.ERA_SPAN),
+            "sinceRev": str(rows.number_of(since)),
             "waitMs": str(int(wait * 1000)),
         }
         answer = await client.call(
@@ -110,7 +110,7 @@
     """Return the store's own number of a version that a row must have."""
     if version and rows.era_of(version) != era:
         return NO_VERSION
-    return version % rows.ERA_SPAN
+    return rows.number_of(version)
 
 
 def _target(path: str, query: dict[str, str]) -> str:
@@ -143,7 +143,7 @@
 
 def _version(plain: dict, era: int) -> int:
     """Return the version in an answer's body or row."""
-    return era * rows.ERA_SPAN + int(plain.get("ver", 0))
+    return rows.version_of(era, int(plain.get("ver", 0)))
 
 
 def _row(plain: dict, era: int) -> rows.Row:
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -188,8 +188,9 @@
                 timeout=_timeout(call),
             ) as response:
                 progress.head_seconds = progress.seconds
+                era = _era(response.headers)
                 if sink is not None:
-                    await sink.begin(response.status, _era(response.headers))
+                    await sink.begin(response.status, era)
                 async for chunk in response.content.iter_any():
                     progress.content += chunk
                     if len(progress.content) > MAX_ANSWER_BYTES:
@@ -199,7 +200,6 @@
                     if sink is not None:
                         await sink.write(chunk)
                 relay_status = response.headers.get(RELAY_STATUS_HEADER)
-                era = _era(response.headers)
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error), address)
         except aiohttp.ConnectionTimeoutError:
--- a/dogwoodchute/standins/row_store.py
+++ b/dogwoodchute/standins/row_store.py
@@ -68,7 +68,7 @@
         era: int = 0,
     ) -> None:
         self.era = era
-        self.version = self._in_this_era(0)
+        self.version = rows.version_of(era, 0)
         self.history_start = 0  # version from which on changes are kept
         self.arrivals: collections.Counter[tuple[str, int]] = collections.Counter()
         self._part_rate = part_rate
@@ -153,7 +153,7 @@
         self.forget_history()
 
     def _in_this_era(self, version: int) -> int:
-        return self.era * rows.ERA_SPAN + version % rows.ERA_SPAN
+        return rows.version_of(self.era, rows.number_of(version))
 
     def forget_history(self) -> None:
         """Drop the history, so that feeds since an older version return `Compacted`."""
@@ -276,8 +276,8 @@
 
     async def feed(request: sanic.Request) -> sanic.HTTPResponse:
         query = request.args
-        since, wait = int(query.get("sinceRev")), int(query.get("waitMs", "0"))
-        since += store.era * rows.ERA_SPAN
+        since = rows.version_of(store.era, int(query.get("sinceRev")))
+        wait = int(query.get("waitMs", "0"))
         end = store.now() + wait / 1000
         while store.now() < end:
             result = store.feed(query.get("table"), since)
@@ -335,7 +335,7 @@
 def _json_response(
     store: RowStore, body: dict, *, status: int = 200
 ) -> sanic.HTTPResponse:
-    version = store.version % rows.ERA_SPAN
+    version = rows.number_of(store.version)
     common = {"ver": version, "nowMs": int(store.now() * 1000)}
     return sanic.json({**body, **common}, status=status, headers=_headers(store))
 
@@ -350,7 +350,7 @@
         "table": row.table,
         "part": row.part,
         "key": row.key,
-        "ver": row.version % rows.ERA_SPAN,
+        "ver": rows.number_of(row.version),
     }
     if row.value is None:
         return {**encoded, "removed": True}
@@ -360,9 +360,12 @@
 def _decode_transaction(
     body: dict, *, era: int
 ) -> tuple[str, list[rows.Check], list[rows.Put]]:
-    begin = era * rows.ERA_SPAN
     checks = [
-        rows.Check(each["table"], each["key"], each["ver"] and begin + each["ver"])
+        rows.Check(
+            each["table"],
+            each["key"],
+            each["ver"] and rows.version_of(era, each["ver"]),
+        )
         for each in body["expectedRev"]
     ]
     puts = [
--- a/dogwoodchute/tests/test_restored_store.py
+++ b/dogwoodchute/tests/test_restored_store.py
@@ -16,7 +16,7 @@
         async def run():
             async with test_store_client.running() as setup:
                 setup.rows.era = era
-                setup.rows.version = era * rows.ERA_SPAN
+                setup.rows.version = rows.version_of(era, 0)
                 setup.rows.forget_history()
                 await scenario(setup)
 
