--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -14,6 +14,7 @@
     mirror,
     model,
     rows,
+    source_calls,
     table_copy,
     table_outage,
     tables,
@@ -30,8 +31,6 @@
 HOLD = 0.9  # seconds for which a source may hold a call until it has changes
 MIN_HOLD = 0.25  # seconds; bounds the calls of hosts whose tables are nearly old
 SLOW_SOURCE = 0.5  # seconds beyond that, after which the other sources are asked too
-ANSWER_TIMEOUT = 1.0  # seconds beyond the hold to wait for any source
-FRESH = (True, True, 0)  # the lowest rank of a recent answer
 
 
 def from_store(
@@ -149,8 +148,10 @@
         self._table = table
         self._store = store
         self._now = now
+        self._calls = source_calls.SourceCalls(
+            chooser=chooser, ask=ask, table=table, now=now
+        )
         self._source: str | None = None  # the host that answered last, None: the store
-        self._stale: set[str] = set()  # hosts whose last answer was too old
         self._is_source_receiving = False  # whether the last answer told so
         self._kept: _StoreCall | None = None  # goes on beyond the fetch that sent it
         self._asked_anyone_at = -math.inf  # monotonic seconds
@@ -238,7 +239,7 @@
         """
         if not ancestors or since is None:
             return None
-        call = asyncio.create_task(self._ask_all(ancestors, since, 0.0))
+        call = asyncio.create_task(self._calls.ask_all(ancestors, since, 0.0))
         try:
             await asyncio.wait([call], timeout=SLOW_SOURCE)
             answer = call.result() if call.done() else None
@@ -304,15 +305,7 @@
         self._asked_anyone_at = self._now()
         addresses = self._anyone()
         some = random.sample(addresses, min(len(addresses), sources.SOURCES_PER_REGION))
-        calls = [self._ask(address, self._table, since, 0.0) for address in some]
-        answers = await asyncio.gather(*calls)
-        fetched = [
-            self._fetched(answer, address)
-            for address, answer in zip(some, answers, strict=True)
-            if isinstance(answer, tables.Answer)
-        ]
-        best = max(fetched, key=_rank, default=None)
-        return best if _rank(best) >= FRESH else None
+        return await self._calls.ask_unranked(some, since)
 
     def _drop_kept(self) -> None:
         """Cancel a call of the store that was to go on."""
@@ -329,7 +322,7 @@
         others = self._chooser.plan(
             self._peers(), store_reachable=False, now=self._now()
         )
-        return await self._ask_all(others.peers, since, 0.0)
+        return await self._calls.ask_all(others.peers, since, 0.0)
 
     def _plan(self) -> sources.Plan:
         return self._chooser.plan(
@@ -345,73 +338,19 @@
         it fails or is slow, all others are asked at the same time, since much time is
         lost already.
         """
-        first = asyncio.create_task(self._ask_all(peers[:1], since, hold))
+        first = asyncio.create_task(self._calls.ask_all(peers[:1], since, hold))
         try:
             await asyncio.wait([first], timeout=hold + SLOW_SOURCE)
-            if first.done() and _rank(first.result()) >= FRESH:
+            if first.done() and source_calls.is_recent(first.result()):
                 return first.result()
-            second = await self._ask_all(peers[1:], since, 0.0)
-            return max((first.result() if first.done() else None, second), key=_rank)
+            second = await self._calls.ask_all(peers[1:], since, 0.0)
+            return max(
+                (first.result() if first.done() else None, second),
+                key=source_calls.rank,
+            )
         finally:
             first.cancel()
 
-    async def _ask_all(
-        self, peers: abc.Sequence[sources.Peer], since: int | None, hold: float
-    ) -> mirror.Fetched | None:
-        """Return the first recent answer of these hosts, else the best one.
-
-        Returns None if no answer is recent or has rows. Hosts that take longer than
-        `hold` and `ANSWER_TIMEOUT` together are not waited for.
-        """
-        calls = [
-            asyncio.create_task(self._ask_one(peer, since, hold)) for peer in peers
-        ]
-        best = None
-        try:
-            async with asyncio.timeout(hold + ANSWER_TIMEOUT):
-                for call in asyncio.as_completed(calls):
-                    best = max((best, await call), key=_rank)
-                    if _rank(best) >= FRESH:
-                        return best
-        except TimeoutError:
-            log.warning("sources_slow", table=self._table, asked=len(calls))
-        finally:
-            for call in calls:
-                call.cancel()
-        return best
-
-    async def _ask_one(
-        self, peer: sources.Peer, since: int | None, hold: float
-    ) -> mirror.Fetched | None:
-        answer = await self._ask(peer.address, self._table, since, hold)
-        if isinstance(answer, tables.NoAnswer):
-            self._chooser.record_peer_result(peer.name, answered=False, now=self._now())
-            log.warning(
-                "source_failed", table=self._table, peer=peer.name, reason=answer.reason
-            )
-            return None
-        fetched = self._fetched(answer, peer.name)
-        if fetched.is_fresh:
-            self._stale.discard(peer.name)
-            return fetched
-        self._chooser.record_peer_result(peer.name, answered=True, now=self._now())
-        if peer.name not in self._stale:
-            self._stale.add(peer.name)
-            age = round(answer.age, 3)
-            log.info("source_stale", table=self._table, peer=peer.name, age=age)
-        return fetched
-
-    def _fetched(self, answer: tables.Answer, name: str) -> mirror.Fetched:
-        """Return another host's answer in this host's time."""
-        return mirror.Fetched(
-            changes=answer.changes,
-            read_at=self._now() - answer.age,
-            store_returned_at=self._now() - answer.seconds_since_return,
-            is_fresh=sources.is_fresh(answer.age, receiving=answer.receiving),
-            receiving=answer.receiving,
-            peer=name,
-        )
-
     def _accepted(self, answer: mirror.Fetched) -> mirror.Fetched:
         """Record that another host's answer is used, and return it."""
         self._is_source_receiving = answer.receiving
@@ -434,10 +373,3 @@
     """
     fresh = sources.seconds_fresh(age or 0.0)
     return min(HOLD, max(MIN_HOLD, fresh)) if fresh > 0 else 0.0
-
-
-def _rank(answer: mirror.Fetched | None) -> tuple[bool, bool, int]:
-    """Return the sort key of an answer: is it usable, is it recent, its version."""
-    if answer is None or not (answer.is_fresh or answer.changes.rows):
-        return False, False, 0
-    return True, answer.is_fresh, answer.changes.version
