--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import typing
 from collections import abc
 
@@ -56,6 +55,7 @@
         registered: abc.Callable[[], int],
         witnesses: abc.Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
+        self.restores = restored_accounts.Restores(store=store, now=now)
         self._holder = holder
         self._witnesses = witnesses  # of a commit that is sent now
         self._registered = registered  # store version of its registration, else 0
@@ -65,8 +65,6 @@
         self._counts = commit_counts.Counts(now=now)
         self._overload = store_overload.OverloadDetector()
         self._was_store_slow = False
-        self._seen_era = 0  # the store's, at the last `notice_restore`; 0 if unknown
-        self._restored_at = -math.inf  # monotonic seconds
         self._store_unavailable = False
 
     @property
@@ -74,27 +72,6 @@
         """Whether the last call that ended got no answer or was not served."""
         return self._store_unavailable
 
-    @property
-    def era(self) -> int:
-        """The store's era, as far as is known."""
-        return self._store.era()
-
-    @property
-    def no_draw_until(self) -> float:
-        """Monotonic seconds until which hosts state their holdings after a restore."""
-        return self._restored_at + escrow.RESTATE_TIME
-
-    def notice_restore(self) -> None:
-        """Note the time if the store was restored since the last call."""
-        era = self._store.era()
-        if self._seen_era and era > self._seen_era:
-            self._restored_at = self._now()
-        self._seen_era = era
-
-    def is_before_restore(self, account: account_rows.Account) -> bool:
-        """Return whether the store was restored since an account's rows were read."""
-        return account.era < self._store.era()
-
     async def restore(
         self, account: account_rows.Account, *, serve_waiters: served_calls.ServeWaiters
     ) -> rows.Unavailable | None:
@@ -102,7 +79,7 @@
 
         The account's lock is held. The next commit states again what the rows lack.
         """
-        era = self._store.era()
+        era = self.restores.era
         found = await served_calls.await_call(
             restored_accounts.read(self._store, account, holder=self._holder),
             [account],
@@ -224,7 +201,7 @@
         )
         if holding is None:
             return None
-        holding = holding._replace(registered=self._registered(), era=self._store.era())
+        holding = holding._replace(registered=self._registered(), era=self.restores.era)
         key = f"{account.name}/{self._holder}"
         checks.append(rows.Check(account_rows.HOLDINGS, key, account.holding_version))
         puts.append(
@@ -368,7 +345,7 @@
         tokens of the row meanwhile, if they took this one for lost.
         """
         ledger, before = account.ledger, account.holding_version
-        if self.is_before_restore(account):
+        if self.restores.is_before(account):
             # What was applied before isn't in the store; `restore` finds what is.
             ledger.end_commit(applied=False)
             return False
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -220,9 +220,9 @@
         """Draw and return tokens and write bills until cancelled."""
         try:
             for number in itertools.count():
-                self._commits.notice_restore()
+                self._commits.restores.notice()
                 for account in list(self._accounts.values()):
-                    is_restored = self._commits.is_before_restore(account)
+                    is_restored = self._commits.restores.is_before(account)
                     is_quiet = self._is_quiet(account) and not is_restored
                     if number % QUIET_CHECKS == 0 or not is_quiet:
                         self._commit_if_due(account)
@@ -253,10 +253,12 @@
         account = self._accounts.get(name)
         if account is None:
             account = account_rows.Account(
-                name=name, era=self._commits.era, may_rise=self._witnesses.may_rise
+                name=name,
+                era=self._commits.restores.era,
+                may_rise=self._witnesses.may_rise,
             )
-            self._commits.notice_restore()
-            account.no_draw_until = self._commits.no_draw_until
+            self._commits.restores.notice()
+            account.no_draw_until = self._commits.restores.no_draw_until
             self._accounts[name] = account
         return account
 
@@ -329,7 +331,7 @@
     def _commit_if_due(self, account: account_rows.Account) -> None:
         limit_is_low = self._plan.limit_is_low(account)
         is_due = account.waiters or limit_is_low or self._plan.draw(account)
-        if is_due or self._commits.is_before_restore(account):
+        if is_due or self._commits.restores.is_before(account):
             self._ensure_committing(account)
 
     async def _run_commits(self, account: account_rows.Account) -> None:
@@ -347,7 +349,7 @@
     async def _commit_next(self, account: account_rows.Account) -> bool:
         """Do what is due next for an account; return whether more may be due."""
         self._waiters.grant(account)
-        if self._commits.is_before_restore(account):
+        if self._commits.restores.is_before(account):
             failed = await self._commits.restore(
                 account, serve_waiters=self._waiters.serve_from_hosts
             )
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/checkpointer.py
@@ -87,7 +87,7 @@
             if account.part == part
             and not account.lock.locked()
             and account.restatement is None
-            and not self._commits.is_before_restore(account)
+            and not self._commits.restores.is_before(account)
             and _needs_write(account)
         ]
         due.sort(key=lambda account: account.ledger.sent_at())
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/mirror.py
@@ -199,7 +199,7 @@
             self.store_returned_at = self._now()
         if gap > sources.MAX_AGE:
             self.current_since = outcome.read_at
-        # Else this host had the table while another one lost it.
+        # Without a gap here, an outage that the other host tells of was its own.
         if gap >= MIN_OUTAGE:
             self.store_returned_at = max(
                 outcome.store_returned_at, self.store_returned_at
--- a/dogwoodchute/gateway/restored_accounts.py
+++ b/dogwoodchute/gateway/restored_accounts.py
@@ -5,7 +5,9 @@
 row what that lacks.
 """
 
+import math
 import typing
+from collections import abc
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow
@@ -15,6 +17,36 @@
 RECENT = 30.0
 
 
+class Restores:
+    """When the store was restored, as far as this host knows."""
+
+    def __init__(self, *, store: rows.Store, now: abc.Callable[[], float]) -> None:
+        self._store = store
+        self._now = now
+        self._seen_era = 0  # the store's, at the last `notice`; 0 if unknown
+        self._restored_at = -math.inf  # monotonic seconds
+
+    @property
+    def era(self) -> int:
+        """The store's era, as far as is known."""
+        return self._store.era()
+
+    @property
+    def no_draw_until(self) -> float:
+        """Monotonic seconds until which hosts state their holdings after a restore."""
+        return self._restored_at + escrow.RESTATE_TIME
+
+    def notice(self) -> None:
+        """Note the time if the store was restored since the last call."""
+        if self._seen_era and self.era > self._seen_era:
+            self._restored_at = self._now()
+        self._seen_era = self.era
+
+    def is_before(self, account: account_rows.Account) -> bool:
+        """Return whether the store was restored since an account's rows were read."""
+        return account.era < self.era
+
+
 class Found(typing.NamedTuple):
     """An account's rows in the restored store; None for those that it lacks."""
 
