The line of a request tells how its endpoint's answer ended

No line told whether an answer ended with its closing chunk, its length or its connection, nor who ended that connection.

`request` and `try_failed` get `framing` (chunks, length, none) and `end` (closed, reset, dropped). No change of what callers get.

--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -19,6 +19,15 @@
 # Value of SO_LINGER with which a close discards what the kernel has not sent.
 DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
+# How an answer tells where its body ends.
+LENGTH = "length"
+CHUNKS = "chunks"
+NO_FRAMING = "none"  # the end of the connection ends it
+# How a connection ended.
+CLOSED = "closed"  # by the endpoint
+RESET = "reset"  # by an error, or aborted for what the endpoint sent
+DROPPED = "dropped"  # closed by this host
+
 # Returns whether a connection is not used again after an answer, by the answer's
 # status, headers and raw headers.
 ClosesAfter = abc.Callable[[int, abc.Mapping[str, str], list], bool]
@@ -42,6 +51,8 @@
         self._closes_after = closes_after
         self.was_reset = False  # ended in another way than by the endpoint's close
         self.idle_until: float | None = None  # loop time
+        self.end: str | None = None  # how the connection ended, None while it is open
+        self._is_closed_by_peer = False
         self._interim_count = 0  # interim answers since the request was sent
         self._has_head = False  # the head of the final answer was received
         self._body_left: int | None = None  # bytes of the body to come, None if unknown
@@ -168,9 +179,18 @@
         self.set_exception(error)
         self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Record that the endpoint has closed the connection."""
+        self._is_closed_by_peer = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended, which a body without a length depends on."""
         self.was_reset = self.was_reset or exc is not None
+        if self.was_reset:
+            self.end = RESET
+        else:
+            self.end = CLOSED if self._is_closed_by_peer else DROPPED
         super().connection_lost(exc)
 
 
@@ -189,13 +209,18 @@
     )
 
 
-def has_framing(response: aiohttp.ClientResponse) -> bool:
-    """Return whether an answer tells the end of its body by itself.
+def framing(response: aiohttp.ClientResponse) -> str:
+    """Return how an answer tells where its body ends: one of the words above."""
+    if response.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return CHUNKS
+    if response.content_length is not None or response.status in (
+        http.HTTPStatus.NO_CONTENT,
+        http.HTTPStatus.NOT_MODIFIED,
+    ):
+        return LENGTH
+    return NO_FRAMING
 
-    The end of the connection ends any other body.
-    """
-    return (
-        response.content_length is not None
-        or response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-        or response.status in (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
-    )
+
+def has_framing(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer tells the end of its body by itself."""
+    return framing(response) != NO_FRAMING
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -64,6 +64,9 @@
         self.is_waiting = True  # `waiting_tokens` still count at the endpoint
         self.answer_began = False  # a byte of an answer arrived
         self.events = 0  # whole ones that arrived
+        # How the answer tells its end, and how its connection ended; None if unknown.
+        self.framing: str | None = None
+        self.connection_end: str | None = None
 
     @property
     def progress(self) -> str:
--- a/dogwoodchute/gateway/observe.py
+++ b/dogwoodchute/gateway/observe.py
@@ -92,6 +92,8 @@
         waited=f"{call.send.at - call.received:.3f}" if call.send else None,
         unread=(call.send.waiting_tokens or None) if call.send else None,
         events=call.delivered_events or None,
+        framing=call.send.framing if call.send else None,
+        end=call.send.connection_end if call.send else None,
         first=f"{to_first_byte:.3f}" if to_first_byte is not None else None,
         seconds=f"{elapsed:.3f}",
         left=f"{call.deadline - now:.3f}",
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -119,6 +119,8 @@
         self._endpoints.remove_waiting_tokens(send)
         self._endpoints.finish_request(send.endpoint.id)
         if isinstance(answer, upstream.Answer):
+            send.framing = answer.framing
+            send.connection_end = answer.connection_end
             answer.close()
         self._record_result(send.endpoint, result)
 
--- a/dogwoodchute/gateway/try_reports.py
+++ b/dogwoodchute/gateway/try_reports.py
@@ -29,6 +29,8 @@
         ran=call.may_have_run,
         progress=send.progress,
         events=send.events or None,
+        framing=send.framing,
+        end=send.connection_end,
         parts=_part_names(call.request.prompt),
     )
 
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -95,8 +95,17 @@
         self.held = memory.open(peer, self._give_up)
         self._response = response
         self._connection = connection
-        # Whether the answer tells its end by itself; else its connection ends it.
-        self.has_framing = endpoint_connection.has_framing(response)
+        self.framing = endpoint_connection.framing(response)
+
+    @property
+    def has_framing(self) -> bool:
+        """Whether the answer tells its end by itself; else its connection ends it."""
+        return self.framing != endpoint_connection.NO_FRAMING
+
+    @property
+    def connection_end(self) -> str | None:
+        """How the answer's connection ended, None while it is open."""
+        return self._connection.end if self._connection is not None else None
 
     async def read_body(self, peer: str) -> bytes | Lost:
         """Return the whole body, or why it was lost."""
--- a/dogwoodchute/tests/test_try_reports.py
+++ b/dogwoodchute/tests/test_try_reports.py
@@ -54,3 +54,37 @@
 
     def test_the_parts_are_named_but_for_the_request_s_own(self):
         self.assertEqual("a1,b2", self.failed_try(head_of_stream)["parts"])
+
+
+class EndTest(support.TestCase):
+    """What the line of a request tells of how its endpoint's answer ended."""
+
+    def ending(self, answer, *, closes):
+        lines = self.collect_lines("request")
+
+        async def scenario():
+            def script(head, number):
+                return answer(head), closes
+
+            running = test_faulty_answers.running(script, service="engines")
+            async with running as (site, _):
+                await test_faulty_answers.read(site)
+                await support.until(lambda: lines)
+
+        self.run_async(scenario())
+        return lines[0]["framing"], lines[0]["end"]
+
+    def test_chunks_on_a_connection_that_stays_open(self):
+        def answer(head):
+            chunks = test_faulty_answers.chunked(test_faulty_answers.event(1))
+            return head_of_stream(head) + chunks + test_faulty_answers.LAST_CHUNK
+
+        self.assertEqual(("chunks", None), self.ending(answer, closes=False))
+
+    def test_no_framing_and_the_endpoint_s_close(self):
+        def answer(head):
+            headers = test_faulty_answers.UNFRAMED_STREAM
+            start = raw_endpoint.answer(head, headers=headers, framed=False)
+            return start + test_faulty_answers.event(1)
+
+        self.assertEqual(("none", "closed"), self.ending(answer, closes=True))
