A host that closes an endpoint's connection does not take the answer for ended

Callers saw: as their host stopped, a stream from an endpoint that answers without length and chunks ended as complete in its middle, and an order's partial answer came as the whole.

Cause: `Gateway.stop` closes the connections to endpoints before those to callers. Such an answer ends with its connection, and any end but a reset counted, also this host's own close.

Change: only the endpoint's own close, seen as such on the connection, may end an answer without framing.

--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -131,8 +131,9 @@
             return Lost(reason=_reason(error), peer=peer, disconnected=True)
         if data or self.has_framing:
             return data
-        if self._connection is None or self._connection.was_reset:
-            reason = "reset before the end of the answer"
+        end = self.connection_end
+        if end != endpoint_connection.CLOSED:
+            reason = f"{end or 'reset'} before the end of the answer"
             return Lost(reason=reason, peer=peer, disconnected=True)
         return data
 
