An answer that its connection ends is whole only if its endpoint outlives it

Callers saw: streams that end as complete before their last piece, of several hosts at once (users' record, real processes, 55 cases).

Cause: an answer without length and chunks ends with its connection. The kernel closes the connections of a process that is killed with FIN, just as a sound endpoint ends such an answer, and the end of the connection was the only thing that was looked at. HTTP can't tell the two apart, so the class of the fault is: silence or an end is taken for a statement.

Change: after such an end the endpoint is asked about itself (0.5 s at most, on a kept connection if there is one, naming the instance). It was whole if the endpoint answers and, where both its row and its report tell, is still the process that began it. Else it counts as broken off: a stream that may be resumed goes on at another endpoint after its last event, what may be repeated is repeated, all else is told as it is: the connection is aborted, or 502.

Ruled out as sole evidence: whether something accepts connections (a process that starts again at once does); other connections that end at the same moment (there may be none).

The raw stand-in of tests answers questions about itself with 404, as any HTTP server that lives.

--- /dev/null
+++ b/dogwoodchute/gateway/end_check.py
@@ -0,0 +1,90 @@
+"""Whether an endpoint has outlived an answer that only the end of its connection ends.
+
+The kernel closes the connections of a killed process as a sound endpoint closes one at
+the end of such an answer. Only what the process says afterwards tells the two apart.
+"""
+
+import asyncio
+import typing
+from collections import abc
+
+import aiohttp
+import prometheus_client
+import yarl
+
+from dogwoodchute import bounded_read, log, pooled_connection
+from dogwoodchute.gateway import model
+
+TIMEOUT = 0.5  # seconds for the endpoint to say that it still runs
+
+checks = prometheus_client.Counter(
+    "dogwoodchute_unframed_ends",
+    "Answers without framing that their endpoints ended, by whether these still ran.",
+    ["outlived"],
+)
+
+
+class Question(typing.NamedTuple):
+    """Asks an endpoint about itself."""
+
+    path: str
+    headers: abc.Callable[[model.Endpoint], list[tuple[str, str]]]
+    # Returns the Unix milliseconds at which the endpoint that answers was started, None
+    # if it does not say. Raises `ValueError` if another endpoint answers.
+    parse_start: abc.Callable[[int, bytes], int | None]
+
+
+async def has_outlived(
+    session: aiohttp.ClientSession,
+    question: Question,
+    endpoint: model.Endpoint,
+    *,
+    request: str,
+) -> bool:
+    """Return whether the process of an endpoint runs after the end of an answer.
+
+    `request` is the id of the request that was answered. Without a clear answer in
+    `TIMEOUT` seconds the process counts as ended.
+    """
+    reason = None
+    try:
+        async with asyncio.timeout(TIMEOUT):
+            started = await _ask(session, question, endpoint)
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+    else:
+        known = endpoint.started_at_ms
+        if started is not None and known and started != known:
+            reason = "it has started again"
+    checks.labels(str(reason is None).lower()).inc()
+    log.info(
+        "answer_end_checked",
+        request=request,
+        endpoint=endpoint.id,
+        outlived=reason is None,
+        reason=reason,
+    )
+    return reason is None
+
+
+async def _ask(
+    session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
+) -> int | None:
+    use = pooled_connection.track_use()
+    try:
+        return await _ask_once(session, question, endpoint)
+    except (aiohttp.ClientError, OSError):
+        # A kept connection may have ended without its endpoint.
+        if not use.is_reused:
+            raise
+    return await _ask_once(session, question, endpoint)
+
+
+async def _ask_once(
+    session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
+) -> int | None:
+    url = yarl.URL(f"http://{endpoint.address}{question.path}", encoded=True)
+    headers = question.headers(endpoint)
+    async with session.get(url, headers=headers, allow_redirects=False) as response:
+        content = await bounded_read.read(response, limit=bounded_read.MAX_REPORT)
+        return question.parse_start(response.status, content)
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import http
 import typing
 from collections import abc
@@ -11,7 +12,7 @@
 import yarl
 
 from dogwoodchute import endpoint_connection, pooled_connection, send_once
-from dogwoodchute.gateway import answer_memory, calls, dropped_runs, model
+from dogwoodchute.gateway import answer_memory, calls, dropped_runs, end_check, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
 IDLE_TIMEOUT = 4.0  # seconds for which an unused connection is kept
@@ -52,6 +53,7 @@
         [calls.Call, model.Endpoint, float, str | None], list[tuple[str, str]]
     ]  # arguments: call, endpoint, seconds left, id of the last event delivered
     parse_head: abc.Callable[[int, abc.Mapping[str, str], list], Head]
+    question: end_check.Question
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,12 +91,15 @@
         connection: endpoint_connection.EndpointConnection | None,
         memory: answer_memory.AnswerMemory,
         peer: str,
+        has_outlived: abc.Callable[[], abc.Awaitable[bool]],
     ) -> None:
         self.head = head
         # What is held of the answer until it can be forwarded.
         self.held = memory.open(peer, self._give_up)
         self._response = response
         self._connection = connection
+        # Whether the endpoint runs after the end of an answer without framing.
+        self._has_outlived = has_outlived
         self.framing = endpoint_connection.framing(response)
 
     @property
@@ -135,6 +140,9 @@
         if end != endpoint_connection.CLOSED:
             reason = f"{end or 'reset'} before the end of the answer"
             return Lost(reason=reason, peer=peer, disconnected=True)
+        if not await self._has_outlived():
+            reason = "the endpoint ended with its answer"
+            return Lost(reason=reason, peer=peer, disconnected=True)
         return data
 
     def release(self) -> None:
@@ -245,6 +253,13 @@
             connection=connection,
             memory=self._memory,
             peer=endpoint.id,
+            has_outlived=functools.partial(
+                end_check.has_outlived,
+                self._session,
+                self._wire.question,
+                endpoint,
+                request=request.attempt_id,
+            ),
         )
 
     def _doubt_if_silent(
--- a/dogwoodchute/platform/egress.py
+++ b/dogwoodchute/platform/egress.py
@@ -3,16 +3,27 @@
 import math
 from collections import abc
 
-from dogwoodchute.gateway import calls, model, upstream
+from dogwoodchute import bounded_json
+from dogwoodchute.gateway import calls, end_check, model, upstream
 from dogwoodchute.platform import names
 
 DEFAULT_URGENCY = 5  # of 0 to 9, where 0 is the most urgent
 LEAST_URGENT = 9
+# From an endpoint other than the one named in the request, which it did not run.
+ANOTHER_INSTANCE = 421
 
 
 def wire_format() -> upstream.WireFormat:
     """Return the functions that encode requests and parse answers."""
-    return upstream.WireFormat(request_headers=request_headers, parse_head=parse_head)
+    return upstream.WireFormat(
+        request_headers=request_headers,
+        parse_head=parse_head,
+        question=end_check.Question(
+            path=names.REPORT_PATH,
+            headers=lambda endpoint: [(names.TARGET, endpoint.id)],
+            parse_start=parse_start,
+        ),
+    )
 
 
 def request_headers(
@@ -58,9 +69,7 @@
         status=status,
         attempt_id=headers.get(names.ATTEMPT_ID),
         signed=names.SIGNATURE in headers,
-        # Status 421 is from an endpoint other than the one named in the request.
-        # It did not run the request.
-        not_run=names.NOT_EXECUTED in headers or status == 421,
+        not_run=names.NOT_EXECUTED in headers or status == ANOTHER_INSTANCE,
         retry_after=seconds,
         bad_retry_after=retry_after if seconds is None else None,
         limit=limit,
@@ -71,6 +80,21 @@
     )
 
 
+def parse_start(status: int, content: bytes) -> int | None:
+    """Return the Unix milliseconds of an endpoint's start, as its report says.
+
+    Returns None if it does not say. Raises `ValueError` if another endpoint answers.
+    """
+    if status == ANOTHER_INSTANCE:
+        raise ValueError("another endpoint answers")
+    try:
+        started = bounded_json.load_object(content).get("born")
+    except bounded_json.FormatError:
+        return None  # not every endpoint reports about itself
+    is_whole = isinstance(started, int) and not isinstance(started, bool)
+    return started if is_whole else None
+
+
 def _limit(
     headers: abc.Mapping[str, str], raw: list
 ) -> tuple[float | None, str | None]:
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -54,6 +54,7 @@
     }
 )
 
+REPORT_PATH = "/api/report"  # of an endpoint
 READINESS_PATH = "/api/readyz"
 DIRECTORY_PATH = "/api/resolve"
 TX_PATH = "/api/rows-tx"
--- a/dogwoodchute/tests/raw_endpoint.py
+++ b/dogwoodchute/tests/raw_endpoint.py
@@ -6,13 +6,16 @@
 
 ATTEMPT = re.compile(rb"X-Dogwoodchute-Attempt-Id: (\S+)", re.IGNORECASE)
 HEAD_END = b"\r\n\r\n"
+REPORT = b"GET /api/report "
+NOTHING_TO_REPORT = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0" + HEAD_END
 
 
 class RawEndpoint:
     """Answers each request with the bytes that `script` returns.
 
     `script` takes the request's head and its number on the connection. It returns the
-    bytes to write, and whether to close the connection after them.
+    bytes to write, and whether to close the connection after them. A question about the
+    endpoint itself is answered without it.
     """
 
     def __init__(self, *, script):
@@ -36,6 +39,9 @@
         ):
             while True:
                 head = await reader.readuntil(HEAD_END)
+                if head.startswith(REPORT):
+                    writer.write(NOTHING_TO_REPORT)
+                    continue
                 number += 1
                 self.attempts.append(ATTEMPT.search(head).group(1).decode())
                 data, closes = self.script(head, number)
