The test of a host's pause passes time in, so its timer can't end the wait early

Cause: the test slept FIRST_PAUSE and took the pause as over.

The new test is stricter: 1 ms before the end a request still gets None.

--- a/dogwoodchute/tests/test_transfer_protocol.py
+++ b/dogwoodchute/tests/test_transfer_protocol.py
@@ -11,7 +11,7 @@
 
 
 @contextlib.asynccontextmanager
-async def client_and_host(taken=None):
+async def client_and_host(taken=None, now=clock.monotonic):
     """Yield a client, a host's address, and an event that makes the host hang."""
     hanging = asyncio.Event()
     taken = [] if taken is None else taken
@@ -30,7 +30,7 @@
         listener.app, transfer_out=transfer_out, take_back=take_back
     )
     await listener.start("127.0.0.1", 0)
-    client = transfer_protocol.TransferClient(now=clock.monotonic)
+    client = transfer_protocol.TransferClient(now=now)
     try:
         yield client, f"127.0.0.1:{listener.port}", hanging
     finally:
@@ -43,7 +43,9 @@
         """Each request waited for that host again and had no time to try another."""
 
         async def scenario():
-            async with client_and_host() as (client, address, hanging):
+            seconds = 0.0
+            running = client_and_host(now=lambda: seconds)
+            async with running as (client, address, hanging):
                 self.assertEqual(5, await client.request(address, "ann", 5))
                 hanging.set()
                 self.assertIsNone(await client.request(address, "ann", 5))
@@ -54,7 +56,9 @@
                     clock.monotonic() - began, transfer_protocol.REQUEST_TIMEOUT
                 )
                 hanging.clear()
-                await asyncio.sleep(transfer_protocol.FIRST_PAUSE)
+                seconds = transfer_protocol.FIRST_PAUSE - 0.001
+                self.assertIsNone(await client.request(address, "ann", 5))
+                seconds = transfer_protocol.FIRST_PAUSE
                 self.assertEqual(5, await client.request(address, "ann", 5))
                 self.assertEqual(5, await client.request(address, "bob", 5))
 
