A plain answer that only its connection ends is whole only if its content shows it

Callers saw a part of a plain answer, told as answered, billed and kept for repeats, when the endpoint's process was killed within it: its kernel closes the connection with FIN, as a sound endpoint does behind an answer without a length and without chunks. This host's own close in a stop did the same.

HTTP can't tell the two ends apart, so the content must: JSON that is closed (an object, a list or a string) has no shorter part that is JSON too. Any other such answer is unknown; an idempotent call runs again elsewhere. A number isn't closed, nor is content that is encoded. A reset counts as broken off as before. 'Transfer-Encoding: gzip, chunked' tells its end as 'chunked' does.

--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -9,6 +9,7 @@
 import yarl
 
 from dogwoodchute import (
+    answer_end,
     bounded_read,
     clock,
     endpoint_connection,
@@ -244,15 +245,8 @@
 
     async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
         limit = self._host.config.limits.answer_bytes
-        # The response drops its connection once the body has been received; the body's
-        # reader keeps a reference to it.
-        connection = getattr(response.content, "_protocol", None)
         body = await bounded_read.read(response, limit=limit)
-        is_whole = endpoint_connection.has_framing(response) or (
-            connection is not None and not connection.was_reset
-        )
-        if not is_whole:
-            raise aiohttp.ClientPayloadError("reset before the end of the answer")
+        answer_end.check_whole(response, body)
         return body
 
 
