--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -92,6 +92,14 @@
         nothing = raw_answers.answer(b"", status=b"204 No Content")
         self.assertEqual(204, self.call(nothing)[0].status)
 
+    def test_an_answer_to_head_without_a_length_is_whole(self):
+        for headers in ((), (TEXT,), (b"Transfer-Encoding: chunked",)):
+            nothing = raw_answers.answer(b"", *headers)
+            outcome, body, seconds = self.call(nothing, method="HEAD")
+            self.assertEqual((200, 10), (outcome.status, outcome.tokens))
+            self.assertEqual(b"", body)
+            self.assertLess(seconds, PROMPT)
+
     def test_a_host_that_stops_takes_no_part_for_the_whole(self):
         """Its own close of the connection ended the answer."""
 
