An answer to HEAD is whole without a length

Callers got unknown for a sound answer to HEAD whose head has no length: it has no body whose end could be missing, and no reader that tells whether the connection was reset. Seen while the ends of answers were tested. The test fails without the change and passes with it; test_early_ends and test_raw_services pass, once.

--- a/dogwoodchute/answer_end.py
+++ b/dogwoodchute/answer_end.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+HEAD_METHOD = "HEAD"  # its answers have no body
 NO_BODY_STATUSES = frozenset({http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED})
 
 
@@ -30,7 +31,7 @@
 
 def tells_its_end(response: aiohttp.ClientResponse) -> bool:
     """Return whether the head of an answer tells where its body ends."""
-    if response.status in NO_BODY_STATUSES:
+    if response.method == HEAD_METHOD or response.status in NO_BODY_STATUSES:
         return True
     codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
     last_coding = codings.rpartition(",")[2].strip().lower()
