--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -2,16 +2,29 @@
 
 import asyncio
 
-from dogwoodchute import clock, outcomes
+from dogwoodchute import clock, outcomes, peers, relays, sse
 from dogwoodchute.filters import dispatch
 from dogwoodchute.standins import service
 from dogwoodchute.tests import endpoints, raw_answers, support
 
 JSON = b"Content-Type: application/json"
 TEXT = b"Content-Type: text/plain"
+STREAM = b"Content-Type: text/event-stream"
+CHUNKED = b"Transfer-Encoding: chunked"
 PROMPT = 0.5  # seconds in which a sound short answer is passed on, on a busy machine
 
 
+def event(number):
+    """Return an event of a chat, with the tokens used so far."""
+    usage = b'{"usage":{"total_tokens":%d}}' % (number + 1)
+    return b"id: %d\ndata: %s\n\n" % (number, usage)
+
+
+def chunked(body):
+    """Return a body as one chunk and the last (empty) one."""
+    return (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+
+
 class PlainTest(support.TestCase):
     def call(self, *answers, **fields):
         """Send a plain call to an endpoint with raw answers.
@@ -66,11 +79,10 @@
         self.assert_broken_off(outcome, body)
 
     def test_a_part_with_a_length_or_in_chunks_is_not_taken_for_the_whole(self):
-        chunked = b"Transfer-Encoding: chunked"
         for part in (
             raw_answers.answer(b"{}", b"Content-Length: 3", JSON),
-            raw_answers.answer(b"2\r\n{}\r\n", chunked, JSON),
-            raw_answers.answer(b"2\r\n{}\r\n0\r\n", chunked, JSON),
+            raw_answers.answer(b"2\r\n{}\r\n", CHUNKED, JSON),
+            raw_answers.answer(b"2\r\n{}\r\n0\r\n", CHUNKED, JSON),
         ):
             outcome, body, _ = self.call(part)
             self.assert_broken_off(outcome, body)
@@ -78,12 +90,8 @@
     def test_an_answer_that_tells_its_end_is_whole(self):
         for whole in (
             raw_answers.answer(b"done", b"Content-Length: 4"),
-            raw_answers.answer(
-                b"4\r\ndone\r\n0\r\n\r\n", b"Transfer-Encoding: chunked"
-            ),
-            raw_answers.answer(
-                b"4\r\ndone\r\n0\r\n\r\n", b"Transfer-Encoding: gzip, chunked"
-            ),
+            raw_answers.answer(chunked(b"done"), CHUNKED),
+            raw_answers.answer(chunked(b"done"), b"Transfer-Encoding: gzip, chunked"),
         ):
             outcome, body, seconds = self.call(whole)
             self.assertIsInstance(outcome, outcomes.Answered)
@@ -93,7 +101,7 @@
         self.assertEqual(204, self.call(nothing)[0].status)
 
     def test_an_answer_to_head_without_a_length_is_whole(self):
-        for headers in ((), (TEXT,), (b"Transfer-Encoding: chunked",)):
+        for headers in ((), (TEXT,), (CHUNKED,)):
             nothing = raw_answers.answer(b"", *headers)
             outcome, body, seconds = self.call(nothing, method="HEAD")
             self.assertEqual((200, 10), (outcome.status, outcome.tokens))
@@ -123,3 +131,78 @@
                 return outcome, b"".join(exchange.deferred_body)
 
         self.assert_broken_off(*self.run_async(scenario()))
+
+
+class OtherHostTest(support.TestCase):
+    """Answers that another host of the fleet passes on, and is killed within."""
+
+    def relay(self, *answers, make=endpoints.order, **fields):
+        """Relay a request to a host with raw answers.
+
+        Returns its outcome, its caller and the exchange.
+        """
+        caller = endpoints.Caller()
+
+        async def scenario():
+            async with (
+                raw_answers.serving(*answers) as (address, _),
+                endpoints.running(service.Service()) as (forwarder, endpoint),
+            ):
+                peer = peers.Peer("h2", "i", "r", "dc", "", address, True, False, {})
+                exchange = make(endpoint, caller, **fields)
+                outcome = await relays.forward_to_peer(
+                    exchange,
+                    peer,
+                    host=forwarder._host,
+                    session=forwarder.session(fresh=True),
+                )
+                return outcome, caller, exchange
+
+        return self.run_async(scenario())
+
+    def test_a_part_without_a_length_is_not_taken_for_the_whole(self):
+        """Hosts tell the length of each answer, so what has none was broken off."""
+        refusal = b'{"error": {"code": "budget_spent", "message": "m"}}'
+        for body, headers in (
+            (b"half", (TEXT,)),
+            (b"", ()),
+            (refusal[:20], (b"X-Outcome: not_run", JSON)),
+        ):
+            outcome, _, exchange = self.relay(raw_answers.answer(body, *headers))
+            self.assertIsInstance(outcome, outcomes.Unknown, body)
+            self.assertEqual("peer_failed", outcome.code)
+            self.assertEqual([], exchange.deferred_body)
+
+    def test_a_part_with_a_length_or_in_chunks_is_not_taken_for_the_whole(self):
+        for part in (
+            raw_answers.answer(b"half", b"Content-Length: 5"),
+            raw_answers.answer(b"4\r\nhalf\r\n", CHUNKED),
+        ):
+            outcome, _, exchange = self.relay(part)
+            self.assertIsInstance(outcome, outcomes.Unknown)
+            self.assertEqual([], exchange.deferred_body)
+
+    def test_an_answer_that_tells_its_end_is_whole(self):
+        for method, length, body in (("POST", 4, b"done"), ("HEAD", 4, b"")):
+            whole = raw_answers.answer(body, b"Content-Length: %d" % length)
+            outcome, _, exchange = self.relay(whole, method=method)
+            self.assertIsInstance(outcome, outcomes.Answered)
+            self.assertEqual([body], exchange.deferred_body)
+
+    def test_a_stream_is_whole_only_with_its_closing_event(self):
+        """Wherever it is cut, and however its end is framed."""
+        events = b"".join(map(event, range(3)))
+        for at in range(len(events + sse.DONE) + 1):
+            part = (events + sse.DONE)[:at]
+            for sent in (
+                raw_answers.answer(part, STREAM),
+                raw_answers.answer(chunked(part), STREAM, CHUNKED),
+            ):
+                outcome, caller, exchange = self.relay(sent, make=endpoints.chat)
+                whole = caller.data + b"".join(exchange.deferred_body)
+                if at == len(events + sse.DONE):
+                    self.assertIsInstance(outcome, outcomes.Answered)
+                    self.assertEqual(events + sse.DONE, whole)
+                    continue
+                self.assertIsInstance(outcome, outcomes.Unknown, at)
+                self.assertNotIn(b"[DONE]", whole)
