Another host's answer that only its connection ends is whole only if its content shows it

Callers of a request that another host ran saw a part of its answer, told as answered, if that had no length and ended with its connection. Hosts tell the length of each answer, so only what stands between two hosts could take it away; the check is the one for endpoints' answers. The label 'not_run' on a part is no longer believed either: the request is unknown, as with a cut answer of a known length.

--- a/dogwoodchute/relays.py
+++ b/dogwoodchute/relays.py
@@ -10,7 +10,15 @@
 import aiohttp
 import yarl
 
-from dogwoodchute import exchange as exchanges, forward, outcomes, peers, sse, state
+from dogwoodchute import (
+    answer_end,
+    exchange as exchanges,
+    forward,
+    outcomes,
+    peers,
+    sse,
+    state,
+)
 from dogwoodchute.coordination import signed_tokens
 
 RELAYED_BY_HEADER = "X-Relayed-By"
@@ -107,6 +115,7 @@
     if exchange.stream and response.content_type == "text/event-stream":
         return await _receive_stream(exchange, peer, response)
     content = await response.read()
+    answer_end.check_whole(response, content)
     outcome_label = response.headers.get(exchanges.OUTCOME_HEADER)
     if outcome_label is not None:
         return _peer_outcome(peer, response, outcome_label, content)
