Tests: a chat stream is whole only with its closing event, wherever its connection ends

Streams without a length cut at any byte, and their connection closed (FIN): resumed after the last whole event where the engine can, else unknown. Closed by this host in a stop: not answered.

--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -4,7 +4,7 @@
 
 from dogwoodchute import clock, outcomes, peers, relays, sse
 from dogwoodchute.filters import dispatch
-from dogwoodchute.standins import service
+from dogwoodchute.standins import engine, service
 from dogwoodchute.tests import endpoints, raw_answers, support
 
 JSON = b"Content-Type: application/json"
@@ -133,6 +133,94 @@
         self.assert_broken_off(*self.run_async(scenario()))
 
 
+class ChatTest(support.TestCase):
+    """Streams of engines that are killed within them."""
+
+    EVENTS = b"".join(map(event, range(3)))
+
+    def chat(self, *answers, **fields):
+        """Send a chat to an engine with raw answers.
+
+        Returns its outcome, all that its caller gets and the heads that the engine got.
+        """
+        caller = endpoints.Caller()
+
+        async def scenario():
+            async with (
+                raw_answers.serving(*answers) as (address, heads),
+                endpoints.running(engine.Engine()) as (forwarder, endpoint),
+            ):
+                endpoint = endpoint._replace(address=address)
+                exchange = endpoints.chat(endpoint, caller, **fields)
+                outcome = await forwarder.chat(exchange)
+                await asyncio.gather(*forwarder._background)
+                return outcome, caller.data + b"".join(exchange.deferred_body), heads
+
+        return self.run_async(scenario())
+
+    def test_a_part_without_a_length_is_resumed_after_its_last_whole_event(self):
+        """Wherever the stream is cut, and in chunks too."""
+        whole = self.EVENTS + sse.DONE
+        for at in range(len(event(0)), len(whole)):
+            part = whole[:at]
+            received = min(part.count(b"\n\n"), 3)
+            rest = whole[len(b"".join(map(event, range(received)))) :]
+            after = b"%d" % (received - 1)
+            resumed = raw_answers.answer(rest, STREAM, b"X-Resumed-After: " + after)
+            for first in (
+                raw_answers.answer(part, STREAM),
+                raw_answers.answer(chunked(part), STREAM, CHUNKED),
+            ):
+                outcome, data, heads = self.chat(first, resumed)
+                self.assertIsInstance(outcome, outcomes.Answered, at)
+                self.assertEqual((3, whole), (outcome.tokens, data))
+                self.assertIn(b"\r\nLast-Event-ID: " + after + b"\r\n", heads[1])
+
+    def test_a_part_that_cannot_be_resumed_is_unknown(self):
+        lost = raw_answers.answer(b"{}", b"Content-Length: 2", status=b"410 Gone")
+        for at in range(len(self.EVENTS + sse.DONE)):
+            part = raw_answers.answer((self.EVENTS + sse.DONE)[:at], STREAM)
+            for stream in (True, False):
+                outcome, data, _ = self.chat(part, lost, stream=stream)
+                self.assertIsInstance(outcome, outcomes.Unknown, at)
+                self.assertNotIn(b"[DONE]", data)
+                if not stream:
+                    self.assertEqual(b"", data)
+
+    def test_a_short_stream_without_a_length_is_whole_at_once(self):
+        for body in (sse.DONE, event(0) + sse.DONE):
+            began = clock.monotonic()
+            outcome, data, heads = self.chat(raw_answers.answer(body, STREAM))
+            self.assertIsInstance(outcome, outcomes.Answered)
+            self.assertEqual(body, data)
+            self.assertEqual(1, len(heads))
+            self.assertLess(clock.monotonic() - began, PROMPT)
+
+    def test_a_host_that_stops_takes_no_part_for_the_whole(self):
+        """Its own close of the connection ended the stream."""
+        caller = endpoints.Caller()
+
+        async def scenario():
+            hold = asyncio.Event()
+            part = raw_answers.answer(self.EVENTS, STREAM)
+            async with (
+                raw_answers.serving(part, hold=hold) as (address, _),
+                endpoints.running(engine.Engine()) as (forwarder, endpoint),
+            ):
+                endpoint = endpoint._replace(address=address)
+                exchange = endpoints.chat(endpoint, caller)
+                running = asyncio.create_task(forwarder.chat(exchange))
+                await support.until(lambda: caller.data)
+                await forwarder.stop()
+                (ended,) = await asyncio.gather(running, return_exceptions=True)
+                hold.set()
+                return ended, b"".join(exchange.deferred_body)
+
+        ended, deferred = self.run_async(scenario())
+        self.assertNotIsInstance(ended, outcomes.Answered)
+        self.assertEqual((self.EVENTS, b""), (caller.data, deferred))
+
+
 class OtherHostTest(support.TestCase):
     """Answers that another host of the fleet passes on, and is killed within."""
 
