Test: an answer whose handler failed gets its last chunk all the same

Sanic logs an exception that is raised once an answer has begun, and then ends the answer as if its handler had returned. A failure before an answer is answered with 500, one behind its end changes nothing.

--- a/dogwoodchute/tests/test_server.py
+++ b/dogwoodchute/tests/test_server.py
@@ -144,3 +144,58 @@
             name="unparsed", body_bytes=1, header_bytes=1, idle_timeout=1
         )
         listener.app.add_route(handle, "/", name="handle")
+
+
+class FailedAnswerTest(support.TestCase):
+    """An answer whose handler fails once it has begun."""
+
+    async def ask(self, handler):
+        """Return the status, the body, and whether the answer was complete."""
+        listener = server.Server(
+            name="failing", body_bytes=1000, header_bytes=4096, idle_timeout=5.0
+        )
+        listener.app.add_route(handler, "/", methods=["GET"], name="failing")
+        await listener.start("127.0.0.1", 0)
+        body = b""
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://127.0.0.1:{listener.port}/") as response,
+            ):
+                try:
+                    async for data in response.content.iter_any():
+                        body += data
+                except (aiohttp.ClientError, ConnectionError):
+                    return response.status, body, False
+                return response.status, body, True
+        finally:
+            await listener.stop()
+
+    def test_an_answer_whose_handler_fails_never_looks_complete(self):
+        """Sanic wrote the last chunk behind what had been sent."""
+        errors = (ValueError("bad"), sanic.exceptions.ServerError("bad"), OSError(5))
+        for error in errors:
+
+            async def handler(request, error=error):
+                response = await request.respond(content_type="text/plain")
+                await response.send(b"half")
+                await asyncio.sleep(0.05)
+                raise error
+
+            received = self.run_async(self.ask(handler))
+            self.assertEqual((200, b"half", False), received, error)
+
+    def test_a_failure_before_an_answer_is_answered(self):
+        async def handler(request):
+            raise ValueError("bad")
+
+        status, _, is_complete = self.run_async(self.ask(handler))
+        self.assertEqual((500, True), (status, is_complete))
+
+    def test_a_failure_behind_a_whole_answer_changes_nothing(self):
+        async def handler(request):
+            response = await request.respond(content_type="text/plain")
+            await response.send(b"whole", True)
+            raise ValueError("bad")
+
+        self.assertEqual((200, b"whole", True), self.run_async(self.ask(handler)))
