An answer whose handler failed is broken off

Callers of any listener saw a part of an answer in chunks end as complete when its handler raised after the answer had begun: Sanic catches the exception, logs it and, as the stage is RESPONSE, writes the last chunk. The connection is aborted now before Sanic handles the exception; its line connection_cut names the reason, and Sanic's own log the exception. This holds for the listeners of both daemons, as both use server.Server; a chat's caller could tell before by the missing closing event, others could not.

--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -5,7 +5,7 @@
 import ssl
 
 import sanic
-from sanic.http import http1
+from sanic.http import constants, http1
 from sanic.server import async_server
 
 from dogwoodchute import connection, log
@@ -18,7 +18,23 @@
 
 
 class _App(sanic.Sanic):
-    """An application that does not parse the source code of its handlers."""
+    """An application without two faults of Sanic.
+
+    It does not parse the source code of its handlers, and does not complete an answer
+    whose handler has failed.
+    """
+
+    async def handle_exception(
+        self,
+        request: sanic.Request,
+        exception: BaseException,
+        run_middleware: bool = True,
+    ) -> None:
+        """Answer a request whose handler failed, or break off its answer."""
+        stream = request.stream
+        if stream is not None and stream.stage is constants.Stage.RESPONSE:
+            stream.protocol.force_close(connection.ABORT)
+        await super().handle_exception(request, exception, run_middleware)
 
     def _determine_error_format(self, handler: object) -> str:
         # Sanic parses the source code to guess the format, which raises SystemError
