A part of the store's answer is no answer

A host that relays calls to the store ended the relayed answer as complete although the store's answer, without a length and without chunks, had ended with its connection; only the JSON that didn't parse kept the other host from using it. Such an answer counts now only if its JSON is closed, whatever its type. Otherwise the call has no answer: the relay breaks its own answer off, a read may go through another host, and the commit's outcome is unknown, as with an answer whose length isn't reached. Statuses that need no body (429, 503, 410) count without one.

--- a/dogwoodchute/answer_end.py
+++ b/dogwoodchute/answer_end.py
@@ -25,7 +25,7 @@
     connection = getattr(response.content, "_protocol", None)
     if connection is None or connection.was_reset:
         raise aiohttp.ClientPayloadError("reset before the end of the answer")
-    if not _is_closed_json(response, body):
+    if not _has_closed_json(response, body):
         raise aiohttp.ClientPayloadError("nothing but its connection's end ended it")
 
 
@@ -38,13 +38,17 @@
     return response.content_length is not None or last_coding == "chunked"
 
 
-def _is_closed_json(response: aiohttp.ClientResponse, body: bytes) -> bool:
+def is_closed_json(body: bytes) -> bool:
     """Return whether a body is JSON of which no shorter part would be JSON too."""
-    is_json = response.content_type.endswith(("/json", "+json"))
-    if not is_json or "Content-Encoding" in response.headers:
-        return False
     try:
         content = json.loads(body)
     except (ValueError, RecursionError):
         return False
     return isinstance(content, dict | list | str)
+
+
+def _has_closed_json(response: aiohttp.ClientResponse, body: bytes) -> bool:
+    """Return whether the head tells of JSON and the body is closed."""
+    is_json = response.content_type.endswith(("/json", "+json"))
+    is_encoded = "Content-Encoding" in response.headers
+    return is_json and not is_encoded and is_closed_json(body)
--- a/dogwoodchute/platform/transport.py
+++ b/dogwoodchute/platform/transport.py
@@ -7,7 +7,7 @@
 import aiohttp
 import prometheus_client
 
-from dogwoodchute import clock, log, pooled_connection
+from dogwoodchute import answer_end, clock, log, pooled_connection
 from dogwoodchute.platform import names
 
 CONNECT_TIMEOUT = 0.6  # seconds
@@ -28,6 +28,7 @@
 MAX_ERA_DIGITS = 6  # of a number of restores
 TOO_MANY_REQUESTS = 429  # status of an answer to a call beyond a bound
 SERVICE_UNAVAILABLE = 503  # status of an answer: the store did nothing
+STATUSES_WITH_BODY = frozenset({200, 412})  # whose body is needed; all bodies are JSON
 
 call_seconds = prometheus_client.Histogram(
     "dogwoodchute_store_call_seconds",
@@ -199,6 +200,8 @@
                     progress.received_at = clock.monotonic()
                     if sink is not None:
                         await sink.write(chunk)
+                if not _is_whole(response, progress.content):
+                    return NoAnswer("the answer ended early", address)
                 relay_status = response.headers.get(RELAY_STATUS_HEADER)
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error), address)
@@ -218,6 +221,13 @@
         return Answer(response.status, bytes(progress.content), era)
 
 
+def _is_whole(response: aiohttp.ClientResponse, content: bytearray) -> bool:
+    """Return whether an answer that was read to its end is the whole one."""
+    if response.status not in STATUSES_WITH_BODY:
+        return True
+    return answer_end.tells_its_end(response) or answer_end.is_closed_json(content)
+
+
 def _era(headers: abc.Mapping[str, str]) -> int:
     """Return the store's era that an answer names, 0 if it names none."""
     text = headers.get(names.STORE_ERA, "")
