Tests: a part of an answer is neither told nor kept as the answer of its call

Through a whole host: a non-idempotent call whose endpoint is killed is unknown, and so is its repeat, which isn't run again.

--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -1,10 +1,14 @@
 """Answers that end early though their connection is closed as at a proper end (FIN)."""
 
 import asyncio
+import contextlib
+
+import aiohttp
 
 from dogwoodchute import clock, outcomes, peers, relays, sse
+from dogwoodchute.coordination import claims
 from dogwoodchute.filters import dispatch
-from dogwoodchute.standins import engine, service
+from dogwoodchute.standins import engine, service, table as standin_table
 from dogwoodchute.tests import endpoints, raw_answers, support
 
 JSON = b"Content-Type: application/json"
@@ -294,3 +298,63 @@
                     continue
                 self.assertIsInstance(outcome, outcomes.Unknown, at)
                 self.assertNotIn(b"[DONE]", whole)
+
+
+class WholeHostTest(support.TestCase):
+    """A part of an answer is neither told nor kept as the answer of its call."""
+
+    @contextlib.asynccontextmanager
+    async def running(self, answer, *, hold=None):
+        """Run a host whose plain service answers so; yields a call, and the host."""
+        memory = standin_table.MemoryTable()
+        async with (
+            raw_answers.serving(answer, hold=hold) as (address, heads),
+            aiohttp.ClientSession() as session,
+        ):
+            addresses = {endpoints.ORDERS.name: address}
+            host = await endpoints.start_host(memory, addresses)
+            url = f"http://127.0.0.1:{host.callers.port}/services/order-api/orders"
+            headers = {
+                "Authorization": f"Bearer {endpoints.CLIENT_KEY}",
+                "Idempotency-Key": "order",
+            }
+
+            async def call():
+                async with session.post(url, data=b"{}", headers=headers) as response:
+                    label = response.headers.get("X-Outcome")
+                    return label, await response.read()
+
+            try:
+                yield call, host, memory, heads
+            finally:
+                await host.stop()
+
+    def test_a_call_whose_endpoint_is_killed_is_unknown_and_stays_so(self):
+        async def scenario():
+            part = raw_answers.answer(b"half", TEXT)
+            async with self.running(part) as (call, _, _, heads):
+                for _ in range(2):
+                    label, body = await call()
+                    self.assertEqual("unknown", label)
+                    self.assertNotIn(b"half", body)
+                self.assertEqual(1, len(heads))
+
+        self.run_async(scenario())
+
+    def test_a_host_that_stops_keeps_no_part_as_the_answer(self):
+        async def scenario():
+            hold = asyncio.Event()
+            part = raw_answers.answer(b"half", TEXT)
+            async with self.running(part, hold=hold) as (call, host, memory, heads):
+                calling = asyncio.create_task(call())
+                await support.until(lambda: heads)
+                await asyncio.sleep(0.1)
+                await host.stop()
+                hold.set()
+                await asyncio.gather(calling, return_exceptions=True)
+                (row,) = [v for k, v in memory.rows.items() if k.startswith("claim/")]
+                claim = claims.claim_of(row.value)
+                self.assertNotEqual(claims.SETTLED, claim.state)
+                self.assertIsNone(claim.answer)
+
+        self.run_async(scenario())
