Test: a stream is joined with the kept answer of another engine's run

A caller whose host died sends the request without the token, another host runs it at another engine and keeps the answer; then the caller takes the first stream up with its token. The kept answer's rest follows the first engine's part.

--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from dogwoodchute import clock, outcomes, runtime, sse
+from dogwoodchute import clock, exchange as exchanges, outcomes, runtime, sse
 from dogwoodchute.coordination import resume
-from dogwoodchute.filters import resume as filters
+from dogwoodchute.filters import deduplicate, resume as filters
 from dogwoodchute.standins import engine, site, table as standin_table
 from dogwoodchute.tests import endpoints, support
 
@@ -93,6 +93,55 @@
             self.assertEqual("resume_mismatch", outcome.code)
 
 
+class KeptAnswerTest(support.TestCase):
+    """A host that keeps the answer of another run of the request."""
+
+    async def take_up(self, began_at):
+        """Run a request at e-1, then take it up as one that began at `began_at`.
+
+        Returns the outcome and what the caller gets.
+        """
+        caller = endpoints.Caller()
+        async with endpoints.running(engine.Engine()) as (forwarder, endpoint):
+            host = forwarder._host
+            chain = exchanges.chain(
+                [
+                    filters.make_check(host=host),
+                    deduplicate.make(runs=deduplicate.Runs(), bill_lookups=None),
+                    lambda exchange, proceed: forwarder.chat(exchange),
+                ]
+            )
+            first = endpoints.chat(endpoint, endpoints.Caller())
+            first.request.headers["x-attempt"] = "1"
+            await chain(first)
+            self.assertEqual("e-1", endpoint.name)
+            ticket = TICKET._replace(
+                endpoint=began_at,
+                fingerprint=first.fingerprint,
+                expires=clock.wall() + 60,
+            )
+            again = endpoints.chat(endpoint, caller)
+            token = resume.sign(ticket, fleet_key=FLEET_KEY)
+            again.request.headers.update(
+                {"x-resume-token": token, "last-event-id": "2"}
+            )
+            outcome = await chain(again)
+            return outcome, caller.data + b"".join(again.deferred_body)
+
+    def test_an_answer_of_another_engine_is_not_joined_to_a_stream(self):
+        """Its first part came from e-2, perhaps of other software."""
+        outcome, data = self.run_async(self.take_up("e-2"))
+        self.assertEqual("stream_lost", getattr(outcome, "code", outcome))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertNotIn(b"id: 3", data)
+
+    def test_an_answer_of_the_same_engine_goes_on(self):
+        outcome, data = self.run_async(self.take_up("e-1"))
+        self.assertIsInstance(outcome, outcomes.Answered)
+        ids = [sse.event_id(event) for event in sse.events(data)]
+        self.assertEqual(["3", "4", "5", "6", "7", None], ids)
+
+
 class TwoHostsTest(support.TestCase):
     """Two daemons in one event loop that share a table and an engine."""
 
