A stream goes on with a kept answer only of the engine that began it

Callers that took a stream up with its token could get the rest from the kept answer of another run, made by another engine after the first host was lost: two texts joined, answered, with nothing to show it. The check compared key, account and body, not the engine. It now compares the engine of the kept run, which that run's own token names also where a peer ran it, with the one of the caller's token; otherwise the outcome is stream_lost, as for an engine that no longer has the stream.

Not covered: the same engine asked to run the request anew under its key, which replaces the stream there.

--- a/dogwoodchute/filters/resume.py
+++ b/dogwoodchute/filters/resume.py
@@ -48,7 +48,7 @@
         exchange.resume = exchanges.Resume(ticket.endpoint, last_event_id)
         outcome = await proceed()
         if isinstance(outcome, outcomes.Answered) and not exchange.reply_started:
-            return _trim(exchange, outcome)
+            return _trim(exchange, outcome, fleet_key=fleet_key)
         return outcome
 
     return check_resume
@@ -98,14 +98,35 @@
 
 
 def _trim(
-    exchange: exchanges.Exchange, outcome: outcomes.Answered
+    exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
 ) -> outcomes.Answered | outcomes.Unknown:
-    """Remove from a kept answer the events that the caller has received."""
-    kept_answer = b"".join(exchange.deferred_body)
-    if kept_answer == sse.DONE:
-        return outcome
-    rest = sse.events_after(kept_answer, exchange.resume.last_event_id)
+    """Remove from a kept answer the events that the caller has received.
+
+    That of a run at another engine may differ from what the caller has.
+    """
+    kept_answer, exchange.deferred_body = b"".join(exchange.deferred_body), []
+    if _engine_of(exchange, outcome, fleet_key=fleet_key) != exchange.resume.endpoint:
+        return failures.stream_lost(exchange)
+    rest = kept_answer
+    if kept_answer != sse.DONE:
+        rest = sse.events_after(kept_answer, exchange.resume.last_event_id)
     if rest is None:
         return failures.stream_lost(exchange)
     exchange.deferred_body = [rest]
     return outcome
+
+
+def _engine_of(
+    exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
+) -> str:
+    """Return the name of the engine that gave a kept answer.
+
+    Its own token names the engine of a run that was relayed, too.
+    """
+    for name, value in exchange.reply_headers.items():
+        if name.lower() != TOKEN_HEADER:
+            continue
+        ticket = resume.verify(value, fleet_key=fleet_key, now=0.0)
+        if isinstance(ticket, resume.Ticket):
+            return ticket.endpoint
+    return outcome.endpoint
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -43,8 +43,19 @@
 
 
 class CheckTest(support.TestCase):
-    def check(self, change=lambda exchange: None, *, kept=None, last="2"):
-        """Run a resumed request through the check; `kept` is the stored answer."""
+    def check(
+        self,
+        change=lambda exchange: None,
+        *,
+        kept=None,
+        last="2",
+        endpoint=TICKET.endpoint,
+        headers=None,
+    ):
+        """Run a resumed request through the check.
+
+        `kept` is the stored answer, with the `endpoint` and `headers` of its run.
+        """
         host = runtime.embedded_state(endpoints.config())
         exchange = endpoints.chat(None, endpoints.Caller())
         ticket = TICKET._replace(
@@ -59,7 +70,10 @@
 
         async def proceed():
             exchange.deferred_body = [kept]
-            return outcomes.Answered(status=200, tokens=0, endpoint="", replayed=True)
+            exchange.reply_headers = headers or {}
+            return outcomes.Answered(
+                status=200, tokens=0, endpoint=endpoint, replayed=True
+            )
 
         run = filters.make_check(host=host)
         return self.run_async(run(exchange, proceed)), exchange
@@ -74,6 +88,21 @@
         outcome, _ = self.check(kept=b"id: 9\ndata: {}\n\n" + sse.DONE)
         self.assertEqual("stream_lost", outcome.code)
 
+    def test_a_kept_answer_that_a_peer_ran_is_told_by_its_own_token(self):
+        kept = b"id: 2\ndata: {}\n\n" + sse.DONE
+        for name, expected in (("e-1", True), ("e-2", False)):
+            own = resume.sign(TICKET._replace(endpoint=name), fleet_key=FLEET_KEY)
+            outcome, _ = self.check(
+                kept=kept, endpoint="host-2", headers={"x-resume-token": own}
+            )
+            self.assertEqual(expected, isinstance(outcome, outcomes.Answered), name)
+
+    def test_a_kept_end_of_another_engine_closes_no_stream(self):
+        outcome, _ = self.check(kept=sse.DONE)
+        self.assertIsInstance(outcome, outcomes.Answered)
+        outcome, _ = self.check(kept=sse.DONE, endpoint="e-2")
+        self.assertEqual("stream_lost", outcome.code)
+
     def test_a_token_of_another_request_is_refused(self):
         def other_account(exchange):
             exchange.account = exchange.account._replace(name="other")
