Test: a stream goes on at another engine under the same endpoint name

The token names the endpoint, and a release note may have moved that name to another address since. An engine that goes on with any stream, as the stand-in now can, then joins its text to that of the first. The stand-in tells the version of its software in each event (system_fingerprint, as chat-completions engines do).

--- a/dogwoodchute/standins/batch.py
+++ b/dogwoodchute/standins/batch.py
@@ -24,6 +24,7 @@
         max_tokens: int,
         priority: int,
         overreport: int,
+        software: str = "",
     ) -> None:
         self.request_id = request_id
         self.model = model
@@ -32,6 +33,7 @@
         self.max_tokens = max_tokens
         self.priority = priority  # lower runs first
         self.overreport = overreport  # tokens added to the usage
+        self.software = software  # told as `system_fingerprint`, unless empty
         self.prefill_left = prompt_tokens - cached_tokens  # tokens
         self.events: list[bytes] = []
         self.ended = False
@@ -60,6 +62,8 @@
         self.events.append(b"")
         event = chunk(self.request_id, self.model, position, last)
         event["usage"] = self.usage
+        if self.software:
+            event["system_fingerprint"] = self.software
         data = json.dumps(event, separators=(",", ":")).encode()
         self.events[position] = b"id: %d\ndata: %s\n\n" % (position, data)
         if last:
--- a/dogwoodchute/standins/engine.py
+++ b/dogwoodchute/standins/engine.py
@@ -25,6 +25,7 @@
     `Last-Event-ID`, unless `resumable` is False. `POST /v1/cancel` ends it at once.
     `GET /load` returns the load of `load_lag` seconds ago, `GET /cache-events?after=N`
     what the prefix cache stored and removed. `/orders` is described in `orders`.
+    `software` is the version of its software, which its events tell.
 
     Faults:
         connections.down, connections.silence(): See `connections`.
@@ -37,6 +38,7 @@
         reset_after_tokens: Resets the connection of each stream after that many tokens.
         reset_next_after_tokens: The same, for the next stream only.
         stall_after_tokens: Sends nothing more on each stream after that many tokens.
+        resumes_any: Resumes streams of other engines too, by running them anew.
         overreport: Added to the completion tokens that are reported.
         refuse_status: The status with which chats are refused.
     """
@@ -50,6 +52,7 @@
         resumable: bool = True,
         checks_fence: bool = True,
         cache_blocks: int = 4096,
+        software: str = "",
         now: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.connections = connections.Connections()
@@ -60,6 +63,7 @@
         )
         self.linger = linger
         self.resumable = resumable
+        self.software = software
         self.leaving = False
         self.load_lag = 0.0
         self.runs: list[str] = []  # request ids in order of arrival
@@ -72,6 +76,7 @@
         self.reset_after_tokens: int | None = None
         self.reset_next_after_tokens: int | None = None
         self.stall_after_tokens: int | None = None
+        self.resumes_any = False
         self.overreport = 0
         self.refuse_status: int | None = None
         self._now = now
@@ -100,6 +105,8 @@
             self.runs.append(request_id)
             return await self._answer(request, self._start(body, request_id), 0, {})
         sequence = self.batch.recent.get(request_id) if self.resumable else None
+        if sequence is None and self.resumes_any:
+            sequence = self._start(body, request_id)
         if sequence is None or sequence.cancelled:
             return web.json_response({"error": "nothing to resume"}, status=410)
         self.resumed.append(request_id)
@@ -119,6 +126,7 @@
             max_tokens=int(body.get("max_tokens", 16)),
             priority=int(body.get("priority", 0)),
             overreport=self.overreport,
+            software=self.software,
         )
         self.batch.add(sequence)
         self._record_report()
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -192,18 +192,35 @@
         self.assertEqual([sequence.usage["total_tokens"]], bills)
         self.assertTrue(bills[0] < TOKENS)
 
-    async def kill_and_continue(self, standin):
+    def test_a_stream_does_not_go_on_at_another_engine_under_the_same_name(self):
+        """A release note moved the name, and the engine there goes on with any."""
+        other = engine.Engine(software="v2")
+        other.resumes_any = True
+        text, _, standin = self.run_async(
+            self.kill_and_continue(engine.Engine(software="v1"), moved_to=other)
+        )
+        self.assertNotIn(b"v2", text)
+        self.assertIn(b'"code":"stream_lost"', text.replace(b": ", b":"))
+        self.assertIn(b'"outcome":"unknown"', text.replace(b": ", b":"))
+        self.assertEqual(([], []), (other.runs, other.resumed))
+
+    async def kill_and_continue(self, standin, *, moved_to=None):
         """Kill the host of a stream and resume it at another.
 
+        With `moved_to` the second host has that engine under the same name.
         Returns all events that the caller received, the tokens of the bills and the
         engine.
         """
         standin.batch.token_seconds = 0.01
         memory = standin_table.MemoryTable()
         engine_site = site.Site(app=standin.app())
+        other_site = site.Site(app=(moved_to or engine.Engine()).app())
         await engine_site.start()
+        await other_site.start()
         addresses = {endpoints.CHAT.name: engine_site.address}
-        second = await endpoints.start_host(memory, addresses)
+        second_address = (other_site if moved_to else engine_site).address
+        second_addresses = {endpoints.CHAT.name: second_address}
+        second = await endpoints.start_host(memory, second_addresses)
         others = asyncio.all_tasks()
         first = await endpoints.start_host(memory, addresses)
         async with aiohttp.ClientSession() as session:
@@ -218,6 +235,7 @@
         bills = [r.value["tokens"] for k, r in memory.rows.items() if "bill/" in k]
         await second.stop()
         await engine_site.stop()
+        await other_site.stop()
         return received, bills, standin
 
     async def begin(self, session, host):
