A stream goes on only at the address where it began

Callers that took a stream up got the rest from whatever engine had the endpoint's name by then: a release note may have moved the name to another address. An engine that goes on with any stream then joined its text to that of the first. The token has the address now, as the last of its fields; another address is stream_lost before anything is sent, and so is a kept answer whose own token has another address. Within a request nothing changes: it stays at the address that it was sent to.

Tokens of hosts of before have no address and are checked by name, as before. Hosts of before can't read the new tokens and answer take-ups with internal_error, not_run, until they are updated; from now on unknown last fields are left out.

--- a/dogwoodchute/coordination/resume.py
+++ b/dogwoodchute/coordination/resume.py
@@ -17,6 +17,8 @@
     reserved: int  # tokens
     fingerprint: str  # of the request, which must be sent again unchanged
     expires: int  # wall-clock seconds
+    # Of the endpoint when the stream began; empty in tokens of hosts of before.
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,7 +39,8 @@
     payload = signed_tokens.verify(token, purpose=PURPOSE, fleet_key=fleet_key)
     if payload is None:
         return Invalid(code="bad_resume_token")
-    ticket = Ticket(*payload)
+    # A host of a later version may have added fields.
+    ticket = Ticket(*payload[: len(Ticket._fields)])
     if now >= ticket.expires:
         return Invalid(code="resume_token_expired")
     return ticket
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -60,6 +60,7 @@
 
     endpoint: str  # name of the endpoint that serves the stream
     last_event_id: str
+    address: str = ""  # of the endpoint when the stream began; empty if unknown
 
 
 class Exchange:
--- a/dogwoodchute/filters/resume.py
+++ b/dogwoodchute/filters/resume.py
@@ -45,7 +45,9 @@
         fault = _mismatch(exchange, ticket, last_event_id)
         if fault is not None:
             return _refuse("resume_mismatch", fault)
-        exchange.resume = exchanges.Resume(ticket.endpoint, last_event_id)
+        exchange.resume = exchanges.Resume(
+            ticket.endpoint, last_event_id, ticket.address
+        )
         outcome = await proceed()
         if isinstance(outcome, outcomes.Answered) and not exchange.reply_started:
             return _trim(exchange, outcome, fleet_key=fleet_key)
@@ -68,7 +70,8 @@
         if exchange.resume is None:
             return await proceed()
         endpoint = host.current.endpoints.get(exchange.resume.endpoint)
-        if endpoint is None:
+        address = exchange.resume.address
+        if endpoint is None or _differ(address, endpoint.address):
             return failures.stream_lost(exchange)
         exchange.endpoint = endpoint
         return await forwarder.chat(exchange)
@@ -105,7 +108,9 @@
     That of a run at another engine may differ from what the caller has.
     """
     kept_answer, exchange.deferred_body = b"".join(exchange.deferred_body), []
-    if _engine_of(exchange, outcome, fleet_key=fleet_key) != exchange.resume.endpoint:
+    engine, address = _engine_of(exchange, outcome, fleet_key=fleet_key)
+    resumed = exchange.resume
+    if engine != resumed.endpoint or _differ(address, resumed.address):
         return failures.stream_lost(exchange)
     rest = kept_answer
     if kept_answer != sse.DONE:
@@ -118,15 +123,21 @@
 
 def _engine_of(
     exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
-) -> str:
-    """Return the name of the engine that gave a kept answer.
+) -> tuple[str, str]:
+    """Return the name and address of the engine that gave a kept answer.
 
-    Its own token names the engine of a run that was relayed, too.
+    Its own token names the engine of a run that was relayed, too. Without a token the
+    address is empty.
     """
     for name, value in exchange.reply_headers.items():
         if name.lower() != TOKEN_HEADER:
             continue
         ticket = resume.verify(value, fleet_key=fleet_key, now=0.0)
         if isinstance(ticket, resume.Ticket):
-            return ticket.endpoint
-    return outcome.endpoint
+            return ticket.endpoint, ticket.address
+    return outcome.endpoint, ""
+
+
+def _differ(address: str, other: str) -> bool:
+    """Return whether two addresses are known and differ."""
+    return bool(address and other) and address != other
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -182,6 +182,7 @@
             reserved=exchange.reserved,
             fingerprint=exchange.fingerprint,
             expires=int(clock.wall() + config.limits.resume_lifetime),
+            address=exchange.endpoint.address,
         )
         return resume.sign(ticket, fleet_key=config.keys.fleet_key)
 
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from dogwoodchute import clock, exchange as exchanges, outcomes, runtime, sse
-from dogwoodchute.coordination import resume
+from dogwoodchute.coordination import resume, signed_tokens
 from dogwoodchute.filters import deduplicate, resume as filters
 from dogwoodchute.standins import engine, site, table as standin_table
 from dogwoodchute.tests import endpoints, support
@@ -26,6 +26,13 @@
         other = resume.verify(token, fleet_key="another-fleet-secret", now=0)
         self.assertEqual("bad_resume_token", other.code)
 
+    def test_a_token_of_a_host_of_before_or_after_is_understood(self):
+        fields = list(TICKET)
+        for payload in (fields[:6], [*fields, "new"]):
+            token = signed_tokens.sign(payload, purpose="resume", fleet_key=FLEET_KEY)
+            read = resume.verify(token, fleet_key=FLEET_KEY, now=999)
+            self.assertEqual(TICKET, read)
+
     @support.fuzz_settings(300)
     @hypothesis.given(position=st.integers(0, 400), letter=st.characters(codec="utf-8"))
     def test_no_changed_token_passes(self, position, letter):
@@ -51,6 +58,7 @@
         last="2",
         endpoint=TICKET.endpoint,
         headers=None,
+        address="",
     ):
         """Run a resumed request through the check.
 
@@ -59,6 +67,7 @@
         host = runtime.embedded_state(endpoints.config())
         exchange = endpoints.chat(None, endpoints.Caller())
         ticket = TICKET._replace(
+            address=address,
             expires=clock.wall() + 60,
             fingerprint=endpoints.chat(None, endpoints.Caller()).fingerprint,
         )
@@ -97,6 +106,15 @@
             )
             self.assertEqual(expected, isinstance(outcome, outcomes.Answered), name)
 
+    def test_a_kept_answer_of_the_same_name_at_another_address_is_not_sent(self):
+        kept = b"id: 2\ndata: {}\n\n" + sse.DONE
+        for address, expected in (("", True), ("a:1", True), ("b:1", False)):
+            own = resume.sign(TICKET._replace(address=address), fleet_key=FLEET_KEY)
+            outcome, _ = self.check(
+                kept=kept, headers={"x-resume-token": own}, address="a:1"
+            )
+            self.assertEqual(expected, isinstance(outcome, outcomes.Answered), address)
+
     def test_a_kept_end_of_another_engine_closes_no_stream(self):
         outcome, _ = self.check(kept=sse.DONE)
         self.assertIsInstance(outcome, outcomes.Answered)
