Tests: a stream goes on at other software that was started at its engine's address

Engines keep a stream in memory, so one that was started again has nothing to resume and answers so; a test shows that this holds. But the host takes an engine's word for it. One that goes on with any stream it is asked for, though its events tell of another version of its software, is believed: within a request and when a caller takes the stream up. The same software started again goes on.

--- a/dogwoodchute/standins/engine.py
+++ b/dogwoodchute/standins/engine.py
@@ -82,6 +82,13 @@
         self._now = now
         self._reports: collections.deque[dict] = collections.deque(maxlen=MAX_REPORTS)
 
+    def restart(self, *, software: str = "") -> None:
+        """Forget all sequences, as a new process at the same address would."""
+        for sequence in self.batch.recent.values():
+            self.batch.cancel(sequence)
+        self.batch.recent.clear()
+        self.software = software
+
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
--- a/dogwoodchute/tests/test_forward.py
+++ b/dogwoodchute/tests/test_forward.py
@@ -68,6 +68,21 @@
         self.assert_whole(caller, exchange)
         self.assertEqual((1, 1), (len(standin.runs), len(standin.resumed)))
 
+    def test_a_cut_stream_does_not_go_on_at_other_software(self):
+        """The engine was started again at its address, and goes on with any stream."""
+        standin = engine.Engine(token_seconds=0.005, software="v1")
+        standin.reset_next_after_tokens = 3
+        standin.resumes_any = True
+
+        def prepare(exchange, caller):
+            caller.on_chunk = lambda: standin.restart(software="v2")
+
+        outcome, caller, exchange = self.chat(standin, prepare=prepare)
+        self.assertNotIn(b"v2", caller.data)
+        self.assertEqual([], exchange.deferred_body)
+        self.assertEqual("stream_lost", getattr(outcome, "code", outcome))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
     def test_a_silent_stream_is_resumed_on_a_new_connection(self):
         standin = engine.Engine(token_seconds=0.005)
 
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -222,10 +222,44 @@
         self.assertIn(b'"outcome":"unknown"', text.replace(b": ", b":"))
         self.assertEqual(([], []), (other.runs, other.resumed))
 
-    async def kill_and_continue(self, standin, *, moved_to=None):
+    def test_a_stream_does_not_go_on_at_other_software_at_the_same_address(self):
+        """The engine was started again, and goes on with any stream."""
+        standin = engine.Engine(software="v1")
+
+        def restart():
+            standin.restart(software="v2")
+            standin.resumes_any = True
+
+        text, _, _ = self.run_async(self.kill_and_continue(standin, between=restart))
+        self.assertNotIn(b"v2", text)
+        self.assertIn(b'"code":"stream_lost"', text.replace(b": ", b":"))
+        self.assertIn(b'"outcome":"unknown"', text.replace(b": ", b":"))
+
+    def test_a_stream_goes_on_at_the_same_software_that_was_started_again(self):
+        standin = engine.Engine(software="v1")
+
+        def restart():
+            standin.restart(software="v1")
+            standin.resumes_any = True
+
+        text, _, _ = self.run_async(self.kill_and_continue(standin, between=restart))
+        ids = [sse.event_id(event) for event in sse.events(text)]
+        self.assertEqual([str(n) for n in range(TOKENS)] + [None], ids)
+
+    def test_an_engine_that_was_started_again_has_lost_the_stream(self):
+        """This is what engines promise, whatever their software tells of itself."""
+        standin = engine.Engine()
+        text, _, _ = self.run_async(
+            self.kill_and_continue(standin, between=standin.restart)
+        )
+        self.assertIn(b'"code":"stream_lost"', text.replace(b": ", b":"))
+        self.assertIn(b'"outcome":"unknown"', text.replace(b": ", b":"))
+
+    async def kill_and_continue(self, standin, *, moved_to=None, between=lambda: None):
         """Kill the host of a stream and resume it at another.
 
-        With `moved_to` the second host has that engine under the same name.
+        With `moved_to` the second host has that engine under the same name. `between`
+        is called before the stream is resumed.
         Returns all events that the caller received, the tokens of the bills and the
         engine.
         """
@@ -245,6 +279,7 @@
             first_response, received, headers = await self.begin(session, first)
             await self.kill(first, others)
             first_response.close()
+            between()
             headers["Last-Event-ID"] = sse.event_id(sse.events(received)[-1])
             async with endpoints.post_chat(
                 session, second, tokens=TOKENS, headers=headers
