A stream goes on only at the software that began it, as far as its events tell it

Callers got a stream joined of the texts of two software versions when its engine was started again with another version at its address and went on with any stream it was asked for, within a request and over a take-up. Engines keep their streams in memory, so one that was started again should refuse, and the host took its word. Neither load reports nor reports on orders have the version of an engine's software (an endpoint's 'version' in a release note is that of its weights); the one place is the field system_fingerprint of chat events. The first batch of each connection is compared with that of the first one, of which the token carries a digest; a kept answer is compared by its own token. If they differ the outcome is stream_lost. What an engine doesn't tell isn't compared.

The first event of each connection is decoded; what that costs was not measured.

--- a/dogwoodchute/coordination/resume.py
+++ b/dogwoodchute/coordination/resume.py
@@ -17,8 +17,10 @@
     reserved: int  # tokens
     fingerprint: str  # of the request, which must be sent again unchanged
     expires: int  # wall-clock seconds
-    # Of the endpoint when the stream began; empty in tokens of hosts of before.
+    # Of the engine when the stream began, empty if unknown: its address, and a digest
+    # of its software.
     address: str = ""
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dogwoodchute/exchange.py
+++ b/dogwoodchute/exchange.py
@@ -60,7 +60,10 @@
 
     endpoint: str  # name of the endpoint that serves the stream
     last_event_id: str
-    address: str = ""  # of the endpoint when the stream began; empty if unknown
+    # Of the engine when the stream began, empty if unknown: its address, and a digest
+    # of its software.
+    address: str = ""
+    software: str = ""
 
 
 class Exchange:
@@ -86,6 +89,7 @@
         self.answer_tokens = 0  # events in the stream, about one for each token
         self.endpoint: catalog.Endpoint | None = None
         self.ticket: admission.AdmissionRequest | None = None  # set once admitted
+        self.software = ""  # digest of that of the engine, once its events told it
         self.answer_began = False  # the head of an answer arrived in the last try
         self.dispatched = False  # a byte may have reached an endpoint
         self.settle: Settle | None = None  # set for a claimed call
--- a/dogwoodchute/filters/resume.py
+++ b/dogwoodchute/filters/resume.py
@@ -45,9 +45,7 @@
         fault = _mismatch(exchange, ticket, last_event_id)
         if fault is not None:
             return _refuse("resume_mismatch", fault)
-        exchange.resume = exchanges.Resume(
-            ticket.endpoint, last_event_id, ticket.address
-        )
+        exchange.resume = _stream_of(ticket, last_event_id)
         outcome = await proceed()
         if isinstance(outcome, outcomes.Answered) and not exchange.reply_started:
             return _trim(exchange, outcome, fleet_key=fleet_key)
@@ -108,9 +106,12 @@
     That of a run at another engine may differ from what the caller has.
     """
     kept_answer, exchange.deferred_body = b"".join(exchange.deferred_body), []
-    engine, address = _engine_of(exchange, outcome, fleet_key=fleet_key)
-    resumed = exchange.resume
-    if engine != resumed.endpoint or _differ(address, resumed.address):
+    kept, resumed = _run_of(exchange, outcome, fleet_key=fleet_key), exchange.resume
+    if (
+        kept.endpoint != resumed.endpoint
+        or _differ(kept.address, resumed.address)
+        or _differ(kept.software, resumed.software)
+    ):
         return failures.stream_lost(exchange)
     rest = kept_answer
     if kept_answer != sse.DONE:
@@ -121,23 +122,30 @@
     return outcome
 
 
-def _engine_of(
+def _run_of(
     exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
-) -> tuple[str, str]:
-    """Return the name and address of the engine that gave a kept answer.
+) -> exchanges.Resume:
+    """Return the engine that gave a kept answer.
 
-    Its own token names the engine of a run that was relayed, too. Without a token the
-    address is empty.
+    Its own token names the engine of a run that was relayed, too. Without a token only
+    the engine's name is known.
     """
+    last_event_id = exchange.resume.last_event_id
     for name, value in exchange.reply_headers.items():
         if name.lower() != TOKEN_HEADER:
             continue
         ticket = resume.verify(value, fleet_key=fleet_key, now=0.0)
         if isinstance(ticket, resume.Ticket):
-            return ticket.endpoint, ticket.address
-    return outcome.endpoint, ""
+            return _stream_of(ticket, last_event_id)
+    return exchanges.Resume(outcome.endpoint, last_event_id)
 
 
-def _differ(address: str, other: str) -> bool:
-    """Return whether two addresses are known and differ."""
-    return bool(address and other) and address != other
+def _stream_of(ticket: resume.Ticket, last_event_id: str) -> exchanges.Resume:
+    return exchanges.Resume(
+        ticket.endpoint, last_event_id, ticket.address, ticket.software
+    )
+
+
+def _differ(told: str, other: str) -> bool:
+    """Return whether two texts are known and differ."""
+    return bool(told and other) and told != other
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -183,6 +183,7 @@
             fingerprint=exchange.fingerprint,
             expires=int(clock.wall() + config.limits.resume_lifetime),
             address=exchange.endpoint.address,
+            software=exchange.software,
         )
         return resume.sign(ticket, fleet_key=config.keys.fleet_key)
 
--- a/dogwoodchute/sse.py
+++ b/dogwoodchute/sse.py
@@ -4,6 +4,7 @@
 standard, section "Server-sent events".
 """
 
+import hashlib
 import json
 from collections import abc
 
@@ -13,6 +14,8 @@
 FIELDS = (b"data:", b"id:", b"event:", b"retry:", b":")
 ERROR_KEY = b'"error"'
 USAGE_KEY = b'"total_tokens"'
+SOFTWARE_KEY = "system_fingerprint"  # of a chat event: what the model runs with
+SOFTWARE_DIGITS = 16  # hex digits of its digest, which resume tokens carry
 MAX_EVENT = 1 << 20  # bytes
 
 
@@ -179,6 +182,21 @@
     return tokens
 
 
+def software(batch: bytes) -> str:
+    """Return a digest of the engine's software, as a batch's first event tells it.
+
+    Returns an empty string if the event tells none.
+    """
+    try:
+        told = next(payloads(batch), {}).get(SOFTWARE_KEY)
+    except FormatError:
+        # Whoever needs the event's content reports it.
+        return ""
+    if not isinstance(told, str) or not told:
+        return ""
+    return hashlib.sha256(told.encode()).hexdigest()[:SOFTWARE_DIGITS]
+
+
 def events_after(data: bytes, last_id: str) -> bytes | None:
     """Return the events after the one with `last_id`, None if there is no such one."""
     position = 0
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -113,6 +113,7 @@
         self._client = client
         self._timing = timing
         self._limits = limits
+        exchange.software = exchange.resume.software if exchange.resume else ""
         self._resume_headers = resume_headers
         self._loop = asyncio.get_running_loop()
         self._deadline = self._loop.time() + limits.total
@@ -245,6 +246,7 @@
         splitter = self._splitter
         awaits_first = self._batches == 0
         resumed_after = last_id
+        is_first_batch = True  # of this connection
         while not splitter.done:
             data = await content.readany()
             if not data:
@@ -262,6 +264,9 @@
             if resumed_after is not None:
                 sse.check_next_id(batch, resumed_after)
                 resumed_after = None
+            if is_first_batch and not self._is_same_software(batch):
+                return _Broken(reason=failures.STREAM_LOST, resumable=False)
+            is_first_batch = False
             await self._deliver(batch)
         try:
             async with asyncio.timeout(END_WAIT):
@@ -270,6 +275,17 @@
             response.close()
         return _Ended()
 
+    def _is_same_software(self, batch: bytes) -> bool:
+        """Return whether a connection's first batch is of the stream's software.
+
+        An engine that was started again at its address may be of another version, whose
+        text does not continue that of the first.
+        """
+        exchange = self._exchange
+        told = sse.software(batch)
+        exchange.software = exchange.software or told
+        return not told or told == exchange.software
+
     async def _deliver(self, batch: bytes) -> None:
         """Write a batch to the caller, or keep it for a whole answer."""
         exchange = self._exchange
--- a/dogwoodchute/tests/test_resume.py
+++ b/dogwoodchute/tests/test_resume.py
@@ -58,16 +58,17 @@
         last="2",
         endpoint=TICKET.endpoint,
         headers=None,
-        address="",
+        ticket=None,
     ):
         """Run a resumed request through the check.
 
-        `kept` is the stored answer, with the `endpoint` and `headers` of its run.
+        `kept` is the stored answer, with the `endpoint` and `headers` of its run, and
+        `ticket` has fields of the caller's token.
         """
         host = runtime.embedded_state(endpoints.config())
         exchange = endpoints.chat(None, endpoints.Caller())
         ticket = TICKET._replace(
-            address=address,
+            **(ticket or {}),
             expires=clock.wall() + 60,
             fingerprint=endpoints.chat(None, endpoints.Caller()).fingerprint,
         )
@@ -106,14 +107,19 @@
             )
             self.assertEqual(expected, isinstance(outcome, outcomes.Answered), name)
 
-    def test_a_kept_answer_of_the_same_name_at_another_address_is_not_sent(self):
+    def test_a_kept_answer_of_the_same_name_but_another_engine_is_not_sent(self):
+        """At another address, or of other software."""
         kept = b"id: 2\ndata: {}\n\n" + sse.DONE
-        for address, expected in (("", True), ("a:1", True), ("b:1", False)):
-            own = resume.sign(TICKET._replace(address=address), fleet_key=FLEET_KEY)
-            outcome, _ = self.check(
-                kept=kept, headers={"x-resume-token": own}, address="a:1"
-            )
-            self.assertEqual(expected, isinstance(outcome, outcomes.Answered), address)
+        began = {"address": "a:1", "software": "v1"}
+        for name, told in began.items():
+            for value, expected in (("", True), (told, True), ("other", False)):
+                own = TICKET._replace(**{**began, name: value})
+                token = resume.sign(own, fleet_key=FLEET_KEY)
+                outcome, _ = self.check(
+                    kept=kept, headers={"x-resume-token": token}, ticket=began
+                )
+                is_sent = isinstance(outcome, outcomes.Answered)
+                self.assertEqual(expected, is_sent, (name, value))
 
     def test_a_kept_end_of_another_engine_closes_no_stream(self):
         outcome, _ = self.check(kept=sse.DONE)
