What a chat's run knows of its engine is a module of its own

Run: test_forward, test_resume, test_early_ends, test_early_store_ends, test_relay, test_server, test_demo, test_fleet, test_dogwoodchuted, test_load_targets and test_raw_services pass, once.

--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -13,6 +13,7 @@
     bounded_read,
     clock,
     endpoint_connection,
+    engine_client,
     exchange as exchanges,
     failures,
     outcomes,
@@ -63,7 +64,7 @@
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
         self._background: set[asyncio.Task] = set()
-        self._timings: dict[str, streams.EngineTiming] = {}
+        self._timings: dict[str, engine_client.EngineTiming] = {}
 
     async def start(self) -> None:
         """Open the sessions; call it inside the running event loop."""
@@ -97,7 +98,7 @@
         async def cancel() -> int | None:
             return await self._cancel(base, request_id)
 
-        client = streams.EngineClient(
+        client = engine_client.EngineClient(
             pooled=self._pooled,
             fresh=self._fresh,
             url=base + exchanges.CHAT_PATH,
@@ -113,7 +114,7 @@
             exchange=exchange,
             client=client,
             timing=self._timing(exchange.endpoint.name),
-            limits=streams.StreamLimits(
+            limits=engine_client.StreamLimits(
                 total=exchange.deadline - self._host.now(),
                 caller_idle=self._host.config.limits.idle_timeout,
             ),
@@ -200,11 +201,11 @@
             middlewares=(send_once.middleware,),
         )
 
-    def _timing(self, endpoint: str) -> streams.EngineTiming:
+    def _timing(self, endpoint: str) -> engine_client.EngineTiming:
         timing = self._timings.get(endpoint)
         if timing is None:
             limits = self._host.config.limits
-            timing = self._timings[endpoint] = streams.EngineTiming(
+            timing = self._timings[endpoint] = engine_client.EngineTiming(
                 first_event=cadence.GapEstimator(
                     floor=limits.first_event_floor, ceiling=limits.idle_timeout
                 ),
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import http
-import typing
 from collections import abc
 
 import aiohttp
@@ -17,13 +16,13 @@
 from dogwoodchute import (
     answers,
     clock,
+    engine_client,
     exchange as exchanges,
     failures,
     log,
     outcomes,
     sse,
 )
-from dogwoodchute.coordination import cadence
 
 EVENT_STREAM = "text/event-stream"
 LAST_EVENT_ID = "Last-Event-ID"
@@ -41,35 +40,6 @@
 )
 
 
-class EngineTiming(typing.NamedTuple):
-    """How long an engine has taken between events, and the bounds that follow."""
-
-    first_event: cadence.GapEstimator  # from sending the request to the first event
-    event_gap: cadence.GapEstimator  # between events
-
-
-class EngineClient(typing.NamedTuple):
-    """The HTTP sessions and the request with which the engine is called."""
-
-    pooled: aiohttp.ClientSession
-    fresh: aiohttp.ClientSession  # opens a connection for each request
-    url: str
-    body: dict
-    headers: dict[str, str]
-    # Raises `aiohttp.ClientError` if an answer is for another request.
-    check_answer: abc.Callable[[aiohttp.ClientResponse], None]
-    # Cancels the run; returns the tokens used, None if the engine reports none.
-    cancel: abc.Callable[[], abc.Awaitable[int | None]]
-    cancel_in_background: abc.Callable[[], None]  # doesn't wait for the reply
-
-
-class StreamLimits(typing.NamedTuple):
-    """Limits on a stream, in seconds."""
-
-    total: float  # from now
-    caller_idle: float  # for one write to the caller
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Ended:
     """The closing event has arrived."""
@@ -104,9 +74,9 @@
         self,
         *,
         exchange: exchanges.Exchange,
-        client: EngineClient,
-        timing: EngineTiming,
-        limits: StreamLimits,
+        client: engine_client.EngineClient,
+        timing: engine_client.EngineTiming,
+        limits: engine_client.StreamLimits,
         resume_headers: abc.Callable[[], dict[str, str]],
     ) -> None:
         self._exchange = exchange
