--- a/dogwoodchute/filters/resume.py
+++ b/dogwoodchute/filters/resume.py
@@ -45,10 +45,10 @@
         fault = _mismatch(exchange, ticket, last_event_id)
         if fault is not None:
             return _refuse("resume_mismatch", fault)
-        exchange.resume = exchanges.Resume(ticket.endpoint, last_event_id)
+        exchange.resume = _stream_of(ticket, last_event_id)
         outcome = await proceed()
         if isinstance(outcome, outcomes.Answered) and not exchange.reply_started:
-            return _trim(exchange, outcome)
+            return _trim(exchange, outcome, fleet_key=fleet_key)
         return outcome
 
     return check_resume
@@ -68,7 +68,8 @@
         if exchange.resume is None:
             return await proceed()
         endpoint = host.current.endpoints.get(exchange.resume.endpoint)
-        if endpoint is None:
+        address = exchange.resume.address
+        if endpoint is None or _differ(address, endpoint.address):
             return failures.stream_lost(exchange)
         exchange.endpoint = endpoint
         return await forwarder.chat(exchange)
@@ -98,14 +99,53 @@
 
 
 def _trim(
-    exchange: exchanges.Exchange, outcome: outcomes.Answered
+    exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
 ) -> outcomes.Answered | outcomes.Unknown:
-    """Remove from a kept answer the events that the caller has received."""
-    kept_answer = b"".join(exchange.deferred_body)
-    if kept_answer == sse.DONE:
-        return outcome
-    rest = sse.events_after(kept_answer, exchange.resume.last_event_id)
+    """Remove from a kept answer the events that the caller has received.
+
+    That of a run at another engine may differ from what the caller has.
+    """
+    kept_answer, exchange.deferred_body = b"".join(exchange.deferred_body), []
+    kept, resumed = _run_of(exchange, outcome, fleet_key=fleet_key), exchange.resume
+    if (
+        kept.endpoint != resumed.endpoint
+        or _differ(kept.address, resumed.address)
+        or _differ(kept.software, resumed.software)
+    ):
+        return failures.stream_lost(exchange)
+    rest = kept_answer
+    if kept_answer != sse.DONE:
+        rest = sse.events_after(kept_answer, exchange.resume.last_event_id)
     if rest is None:
         return failures.stream_lost(exchange)
     exchange.deferred_body = [rest]
     return outcome
+
+
+def _run_of(
+    exchange: exchanges.Exchange, outcome: outcomes.Answered, *, fleet_key: str
+) -> exchanges.Resume:
+    """Return the engine that gave a kept answer.
+
+    Its own token names the engine of a run that was relayed, too. Without a token only
+    the engine's name is known.
+    """
+    last_event_id = exchange.resume.last_event_id
+    for name, value in exchange.reply_headers.items():
+        if name.lower() != TOKEN_HEADER:
+            continue
+        ticket = resume.verify(value, fleet_key=fleet_key, now=0.0)
+        if isinstance(ticket, resume.Ticket):
+            return _stream_of(ticket, last_event_id)
+    return exchanges.Resume(outcome.endpoint, last_event_id)
+
+
+def _stream_of(ticket: resume.Ticket, last_event_id: str) -> exchanges.Resume:
+    return exchanges.Resume(
+        ticket.endpoint, last_event_id, ticket.address, ticket.software
+    )
+
+
+def _differ(told: str, other: str) -> bool:
+    """Return whether two texts are known and differ."""
+    return bool(told and other) and told != other
--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -9,9 +9,11 @@
 import yarl
 
 from dogwoodchute import (
+    answer_end,
     bounded_read,
     clock,
     endpoint_connection,
+    engine_client,
     exchange as exchanges,
     failures,
     outcomes,
@@ -62,7 +64,7 @@
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
         self._background: set[asyncio.Task] = set()
-        self._timings: dict[str, streams.EngineTiming] = {}
+        self._timings: dict[str, engine_client.EngineTiming] = {}
 
     async def start(self) -> None:
         """Open the sessions; call it inside the running event loop."""
@@ -96,7 +98,7 @@
         async def cancel() -> int | None:
             return await self._cancel(base, request_id)
 
-        client = streams.EngineClient(
+        client = engine_client.EngineClient(
             pooled=self._pooled,
             fresh=self._fresh,
             url=base + exchanges.CHAT_PATH,
@@ -112,7 +114,7 @@
             exchange=exchange,
             client=client,
             timing=self._timing(exchange.endpoint.name),
-            limits=streams.StreamLimits(
+            limits=engine_client.StreamLimits(
                 total=exchange.deadline - self._host.now(),
                 caller_idle=self._host.config.limits.idle_timeout,
             ),
@@ -181,6 +183,8 @@
             reserved=exchange.reserved,
             fingerprint=exchange.fingerprint,
             expires=int(clock.wall() + config.limits.resume_lifetime),
+            address=exchange.endpoint.address,
+            software=exchange.software,
         )
         return resume.sign(ticket, fleet_key=config.keys.fleet_key)
 
@@ -197,11 +201,11 @@
             middlewares=(send_once.middleware,),
         )
 
-    def _timing(self, endpoint: str) -> streams.EngineTiming:
+    def _timing(self, endpoint: str) -> engine_client.EngineTiming:
         timing = self._timings.get(endpoint)
         if timing is None:
             limits = self._host.config.limits
-            timing = self._timings[endpoint] = streams.EngineTiming(
+            timing = self._timings[endpoint] = engine_client.EngineTiming(
                 first_event=cadence.GapEstimator(
                     floor=limits.first_event_floor, ceiling=limits.idle_timeout
                 ),
@@ -244,15 +248,8 @@
 
     async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
         limit = self._host.config.limits.answer_bytes
-        # The response drops its connection once the body has been received; the body's
-        # reader keeps a reference to it.
-        connection = getattr(response.content, "_protocol", None)
         body = await bounded_read.read(response, limit=limit)
-        is_whole = endpoint_connection.has_framing(response) or (
-            connection is not None and not connection.was_reset
-        )
-        if not is_whole:
-            raise aiohttp.ClientPayloadError("reset before the end of the answer")
+        answer_end.check_whole(response, body)
         return body
 
 
--- a/dogwoodchute/streams.py
+++ b/dogwoodchute/streams.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import http
-import typing
 from collections import abc
 
 import aiohttp
@@ -17,13 +16,13 @@
 from dogwoodchute import (
     answers,
     clock,
+    engine_client,
     exchange as exchanges,
     failures,
     log,
     outcomes,
     sse,
 )
-from dogwoodchute.coordination import cadence
 
 EVENT_STREAM = "text/event-stream"
 LAST_EVENT_ID = "Last-Event-ID"
@@ -41,35 +40,6 @@
 )
 
 
-class EngineTiming(typing.NamedTuple):
-    """How long an engine has taken between events, and the bounds that follow."""
-
-    first_event: cadence.GapEstimator  # from sending the request to the first event
-    event_gap: cadence.GapEstimator  # between events
-
-
-class EngineClient(typing.NamedTuple):
-    """The HTTP sessions and the request with which the engine is called."""
-
-    pooled: aiohttp.ClientSession
-    fresh: aiohttp.ClientSession  # opens a connection for each request
-    url: str
-    body: dict
-    headers: dict[str, str]
-    # Raises `aiohttp.ClientError` if an answer is for another request.
-    check_answer: abc.Callable[[aiohttp.ClientResponse], None]
-    # Cancels the run; returns the tokens used, None if the engine reports none.
-    cancel: abc.Callable[[], abc.Awaitable[int | None]]
-    cancel_in_background: abc.Callable[[], None]  # doesn't wait for the reply
-
-
-class StreamLimits(typing.NamedTuple):
-    """Limits on a stream, in seconds."""
-
-    total: float  # from now
-    caller_idle: float  # for one write to the caller
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Ended:
     """The closing event has arrived."""
@@ -104,15 +74,16 @@
         self,
         *,
         exchange: exchanges.Exchange,
-        client: EngineClient,
-        timing: EngineTiming,
-        limits: StreamLimits,
+        client: engine_client.EngineClient,
+        timing: engine_client.EngineTiming,
+        limits: engine_client.StreamLimits,
         resume_headers: abc.Callable[[], dict[str, str]],
     ) -> None:
         self._exchange = exchange
         self._client = client
         self._timing = timing
         self._limits = limits
+        exchange.software = exchange.resume.software if exchange.resume else ""
         self._resume_headers = resume_headers
         self._loop = asyncio.get_running_loop()
         self._deadline = self._loop.time() + limits.total
@@ -245,6 +216,7 @@
         splitter = self._splitter
         awaits_first = self._batches == 0
         resumed_after = last_id
+        is_first_batch = True  # of this connection
         while not splitter.done:
             data = await content.readany()
             if not data:
@@ -262,6 +234,9 @@
             if resumed_after is not None:
                 sse.check_next_id(batch, resumed_after)
                 resumed_after = None
+            if is_first_batch and not self._is_same_software(batch):
+                return _Broken(reason=failures.STREAM_LOST, resumable=False)
+            is_first_batch = False
             await self._deliver(batch)
         try:
             async with asyncio.timeout(END_WAIT):
@@ -270,6 +245,17 @@
             response.close()
         return _Ended()
 
+    def _is_same_software(self, batch: bytes) -> bool:
+        """Return whether a connection's first batch is of the stream's software.
+
+        An engine that was started again at its address may be of another version, whose
+        text does not continue that of the first.
+        """
+        exchange = self._exchange
+        told = sse.software(batch)
+        exchange.software = exchange.software or told
+        return not told or told == exchange.software
+
     async def _deliver(self, batch: bytes) -> None:
         """Write a batch to the caller, or keep it for a whole answer."""
         exchange = self._exchange
