The test of bodies without a length has an endpoint that lives

It failed since: its endpoint closed the connection at the end of the body and answered nothing more, which now counts as having ended with its answer. The endpoint answers the question now; one that does not is checked too, to be lost.

--- a/dogwoodchute/tests/test_upstream.py
+++ b/dogwoodchute/tests/test_upstream.py
@@ -138,11 +138,17 @@
         self.run_async(scenario())
 
     def test_a_body_without_length_is_whole_only_if_closed_in_order(self):
+        """And only if its endpoint answers a question afterwards."""
+
         async def scenario():
             unframed = HEAD + b"\r\nrest"
-            async with endpoint([(unframed, True)]) as (connections, target, _):
+            answers = [(unframed, True), (SIZED, True)]
+            async with endpoint(answers) as (connections, target, _):
                 self.assertEqual(b"rest", await self.ask(connections, target))
-            answers = [(unframed, True)]
+            async with endpoint([(unframed, True)]) as (connections, target, _):
+                body = await self.ask(connections, target)
+                self.assertIsInstance(body, upstream.Lost)
+            answers = [(unframed, True), (SIZED, True)]
             async with endpoint(answers, reset=True) as (connections, target, _):
                 body = await self.ask(connections, target)
                 self.assertIsInstance(body, upstream.Lost)
