An unframed answer that ends before its request was taken waits for the rest of the request

Cause: the close sends FIN as long as nothing lies unread in the endpoint's kernel, and the reset comes only with the next bytes of the request. This host closed its side at the FIN and never saw the reset.

Change: while bytes of the request are not acknowledged the connection is kept half open after the FIN. The answer's end counts once they are (an endpoint that ends its answer and reads on); a reset, or 2 s without them, breaks it off.

The test's endpoint answers questions about itself.

--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import os
 import socket
 import struct
 from collections import abc
@@ -16,6 +17,9 @@
 MAX_INTERIM = 20  # interim (1xx) answers to one request; each costs a parser call
 # Bytes of framing for each byte of a body. Chunks of one byte need 5.
 MAX_FRAMING = 8
+# Seconds for an endpoint to take the rest of a request whose answer it has ended.
+TAKE_TIMEOUT = 2.0
+TAKE_POLL = 0.005  # seconds between checks whether it has
 # Value of SO_LINGER with which a close discards what the kernel has not sent.
 DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
@@ -179,10 +183,34 @@
         self.set_exception(error)
         self.transport.abort()
 
-    def eof_received(self) -> None:
-        """Record that the endpoint has closed the connection."""
+    def eof_received(self) -> bool:
+        """Record that the endpoint has closed the connection.
+
+        Returns whether the connection is kept open. The kernel of an endpoint that has
+        closed it altogether resets it once more of the request arrives, so the end
+        counts only when the request was taken.
+        """
         self._is_closed_by_peer = True
         super().eof_received()
+        if not self._is_under_way or not self._record_unsent():
+            return False
+        self._close_when_taken(self._loop.time() + TAKE_TIMEOUT)
+        return True
+
+    def _close_when_taken(self, deadline: float) -> None:
+        """Close once the request was taken; abort on a reset or at `deadline`."""
+        if not self.is_open:
+            return
+        connected = self.transport.get_extra_info("socket")
+        error = connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self.abort(os.strerror(error))
+        elif not self._record_unsent():
+            self.transport.close()
+        elif self._loop.time() >= deadline:
+            self.abort("the request was not taken")
+        else:
+            self._loop.call_later(TAKE_POLL, self._close_when_taken, deadline)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended, which a body without a length depends on."""
--- a/dogwoodchute/tests/early_endpoint.py
+++ b/dogwoodchute/tests/early_endpoint.py
@@ -15,6 +15,9 @@
 # Value of SO_LINGER with which a close sends a reset.
 RESET = struct.pack("ii", 1, 0)
 READ_SIZE = 65536  # bytes
+NOTHING_TO_REPORT = (
+    b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 PAUSE = 0.01  # seconds; a host has seen what came before
 
 
@@ -68,6 +71,9 @@
                     return
                 data += received
             head, _, body = data.partition(raw_endpoint.HEAD_END)
+            if head.startswith(raw_endpoint.REPORT):
+                connected.sendall(NOTHING_TO_REPORT)
+                return
             plan = self.plan
             left = int(plan.share * int(LENGTH.search(head).group(1))) - len(body)
             while left > 0:
