--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -247,8 +247,3 @@
     ):
         return LENGTH
     return NO_FRAMING
-
-
-def has_framing(response: aiohttp.ClientResponse) -> bool:
-    """Return whether an answer tells the end of its body by itself."""
-    return framing(response) != NO_FRAMING
--- a/dogwoodchute/platform/ingress.py
+++ b/dogwoodchute/platform/ingress.py
@@ -40,13 +40,7 @@
             return
         reply = _reply(request)
         call = calls.Call(request=decoded, reply=reply, received=clock.monotonic())
-        try:
-            outcome = await serve(call)
-        except Exception:
-            # The HTTP server would end an answer under way as if it were complete.
-            if call.reply_started:
-                reply.abort()
-            raise
+        outcome = await serve(call)
         if isinstance(outcome, outcomes.Answered):
             return
         if call.reply_started:
