A sound answer to HEAD without a length does not count as broken off

It did since: such an answer ends with its head, and its connection stays open, so its end was not the endpoint's close. The test (HEAD, and a 204) failed before: 502.

How an answer tells its end is decided in one place now, also for `gzip, chunked`.

--- a/dogwoodchute/answer_end.py
+++ b/dogwoodchute/answer_end.py
@@ -5,13 +5,11 @@
 answer that has no other end is whole only if its content shows it.
 """
 
-import http
 import json
 
 import aiohttp
 
-HEAD_METHOD = "HEAD"  # its answers have no body
-NO_BODY_STATUSES = frozenset({http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED})
+from dogwoodchute import endpoint_connection
 
 
 def check_whole(response: aiohttp.ClientResponse, body: bytes) -> None:
@@ -31,11 +29,7 @@
 
 def tells_its_end(response: aiohttp.ClientResponse) -> bool:
     """Return whether the head of an answer tells where its body ends."""
-    if response.method == HEAD_METHOD or response.status in NO_BODY_STATUSES:
-        return True
-    codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
-    last_coding = codings.rpartition(",")[2].strip().lower()
-    return response.content_length is not None or last_coding == "chunked"
+    return endpoint_connection.framing(response) != endpoint_connection.NO_FRAMING
 
 
 def is_closed_json(body: bytes) -> bool:
--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -27,6 +27,8 @@
 LENGTH = "length"
 CHUNKS = "chunks"
 NO_FRAMING = "none"  # the end of the connection ends it
+HEAD_METHOD = "HEAD"  # its answers have no body
+NO_BODY = frozenset({http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED})
 # How a connection ended.
 CLOSED = "closed"  # by the endpoint
 RESET = "reset"  # by an error, or aborted for what the endpoint sent
@@ -239,11 +241,10 @@
 
 def framing(response: aiohttp.ClientResponse) -> str:
     """Return how an answer tells where its body ends: one of the words above."""
-    if response.headers.get("Transfer-Encoding", "").lower() == "chunked":
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
+    if codings.rpartition(",")[2].strip().lower() == "chunked":
         return CHUNKS
-    if response.content_length is not None or response.status in (
-        http.HTTPStatus.NO_CONTENT,
-        http.HTTPStatus.NOT_MODIFIED,
-    ):
+    has_body = response.method != HEAD_METHOD and response.status not in NO_BODY
+    if response.content_length is not None or not has_body:
         return LENGTH
     return NO_FRAMING
--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -268,6 +268,25 @@
         self.run_async(scenario())
 
 
+class NoBodyTest(support.TestCase):
+    def test_an_answer_without_a_body_needs_no_length(self):
+        """Guards against sound answers to HEAD and 204s that count as broken off."""
+
+        def script(head, number):
+            status = b"204 No Content" if b"a2" in head else b"200 OK"
+            return raw_endpoint.answer(head, status=status, framed=False), False
+
+        async def scenario():
+            running = test_faulty_answers.running(script, service="plain")
+            async with running as (site, _):
+                status, _, _ = await site.ask("/look/x", method="HEAD")
+                self.assertEqual(200, status)
+                status, _, _ = await site.ask("/look/x", attempt="a2")
+                self.assertEqual(204, status)
+
+        self.run_async(scenario())
+
+
 class FailedHandlerTest(support.TestCase):
     def test_an_error_in_the_middle_of_a_stream_does_not_complete_it(self):
         """Guards against the HTTP server ending answers whose handlers failed."""
