--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -122,6 +122,9 @@
     started_at_ms: int = 0
     # Rises with each row that the process writes, 0 if unknown.
     sequence: int = 0
+    # Version of the software that the process runs, "" if unknown. Versions have no
+    # order, and a process that starts anew under the same id may have another one.
+    software: str = ""
 
 
 class Part(typing.NamedTuple):
--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -53,9 +53,25 @@
         slots=_whole(plain.get("slots"), "slots", MAX_SLOTS),
         started_at_ms=_whole(plain.get("born", 0), "born", MAX_COUNT),
         sequence=_whole(plain.get("sequence", 0), "sequence", MAX_COUNT),
+        software=_software(plain),
     )
 
 
+def _software(plain: dict) -> str:
+    """Return the software version in an endpoint's row, "" if it names none.
+
+    A whole number counts as the text of its digits.
+    """
+    if "version" not in plain:
+        return ""
+    value = plain["version"]
+    if not isinstance(value, str):
+        return str(_whole(value, "version", MAX_COUNT))
+    if not texts.is_name(value):
+        raise FormatError("version is no name")
+    return value
+
+
 def _object(value: bytes) -> dict:
     """Return the JSON object in a row's value."""
     try:
--- a/dogwoodchute/tests/test_decode.py
+++ b/dogwoodchute/tests/test_decode.py
@@ -62,6 +62,22 @@
             model.Endpoint("i1", "s", "10.0.0.1:80", "z1", model.READY, 4), endpoint
         )
 
+    def test_the_software_version_is_a_text_or_the_digits_of_a_number(self):
+        cases = [({}, ""), ({"version": 0}, "0"), ({"version": 12}, "12")]
+        cases += [({"version": text}, text) for text in ("v1", "1.0 β", "v" * 200)]
+        for change, expected in cases:
+            value = json.dumps({**self.GOOD, **change}).encode()
+            self.assertEqual(expected, decode.endpoint("i1", value).software)
+
+    def test_a_process_that_starts_again_has_the_software_version_of_its_row(self):
+        for born, version in [(7, "v2"), (8, "v1")]:
+            change = {"born": born, "version": version}
+            value = json.dumps({**self.GOOD, **change}).encode()
+            endpoint = decode.endpoint("i1", value)
+            self.assertEqual(
+                (born, version), (endpoint.started_at_ms, endpoint.software)
+            )
+
     def test_entries_of_other_writers_are_refused(self):
         changes = [
             {"service": None},
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from dogwoodchute import bounded_json
+from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import (
     account_rows,
     endpoint_limits,
@@ -53,6 +54,18 @@
     "a line break in the service": {"service": "s\nlevel=error"},
     "an endless zone": {"zone": "z" * 100_000},
     "too large a start": {"born": 10**17},
+    "an empty software version": {"version": ""},
+    "an endless software version": {"version": "v" * 201},
+    "a line break in the software version": {"version": "v1\nlevel=error"},
+    "a lone surrogate in the software version": {"version": "\ud800"},
+    "a software version of null": {"version": None},
+    "a software version of true": {"version": True},
+    "a fraction as software version": {"version": 1.5},
+    "a whole fraction as software version": {"version": 1.0},
+    "a negative software version": {"version": -1},
+    "too large a software version": {"version": 10**17},
+    "a list as software version": {"version": ["v1"]},
+    "an object as software version": {"version": {"name": "v1"}},
     "not UTF-8": b"\xff\xfe{}",
     "a number of 5,000 digits": b'{"slots": ' + b"9" * 5000 + b"}",
     "nothing": b"",
@@ -251,3 +264,5 @@
         self.assertTrue(0 < int(port) < 65536)
         self.assertTrue(0 <= endpoint.slots <= decode.MAX_SLOTS)
         self.assertTrue(endpoint.service.isprintable())
+        self.assertTrue(endpoint.software.isprintable())
+        self.assertLessEqual(len(endpoint.software), texts.MAX_NAME)
