--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -25,6 +25,9 @@
     wait: float | None  # seconds that the caller waits, None if it sent no deadline
     prompt: model.Prompt | None
     last_event_id: str | None
+    # Attempt id that brought the first event of the stream that the caller takes up,
+    # None if it names none. The caller made the id, so it may be any text.
+    resumes: str | None = None
 
 
 class Reply(typing.NamedTuple):
--- a/dogwoodchute/platform/ingress.py
+++ b/dogwoodchute/platform/ingress.py
@@ -117,6 +117,7 @@
         wait=_parse_deadline(_header(request, names.DEADLINE_MS)),
         prompt=_prompt(request),
         last_event_id=_header(request, names.LAST_EVENT_ID),
+        resumes=_header(request, names.RESUMES) or None,
     )
 
 
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -5,6 +5,7 @@
 PROMPT_PREFIX = "X-Dogwoodchute-Prompt-Prefix"
 TOKEN_COUNT = "X-Dogwoodchute-Token-Count"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"  # attempt id that brought the first event of a stream taken up
 SIGNATURE = "X-Dogwoodchute-Response-Signature"
 ACCOUNT = "X-Dogwoodchute-Tenant"
 TARGET = "X-Dogwoodchute-Target-Instance"
