--- a/dogwoodchute/standins/attempt_endpoint.py
+++ b/dogwoodchute/standins/attempt_endpoint.py
@@ -1,6 +1,7 @@
 """A stand-in for an endpoint on the platform, with faults on demand."""
 
 import asyncio
+import time
 import typing
 
 import sanic
@@ -9,6 +10,10 @@
 SHED = "shed"  # refuses, with a header that it did not run the request
 ERROR = "error"
 BREAK = "break"  # aborts a stream in the middle of an event
+# These end a stream after `break_after` whole events, without its closing chunk.
+CLOSE = "close"  # closes the connection, which sends a FIN
+ABORT = "abort"  # aborts the connection
+HANG = "hang"  # goes silent and keeps the connection
 SILENT = "silent"  # runs the request and never answers
 OTHER_ID = "other_id"  # answers with the attempt id of another request
 UNSIGNED = "unsigned"  # answers without the signature header
@@ -16,6 +21,9 @@
 ATTEMPT_ID = "X-Dogwoodchute-Attempt-Id"
 TARGET = "X-Dogwoodchute-Target-Instance"
 SIGNATURE = "X-Dogwoodchute-Response-Signature"
+REPORT_PATH = "api/report"
+MEMORY_TOKENS = 100_000  # named in reports
+HANG_TIME = 3600.0  # seconds; no test waits for its end
 
 
 class ReceivedRequest(typing.NamedTuple):
@@ -29,18 +37,29 @@
 
 
 class Endpoint:
-    """One endpoint. `next_modes` says how to treat the next requests, then `OK`."""
+    """One endpoint. `next_modes` says how to treat the next requests, then `OK`.
 
-    def __init__(self, *, id: str, events: int = 5, pause: float = 0.0) -> None:
+    `software` is the version of its software. Each event names it, unless it is "".
+    """
+
+    def __init__(
+        self, *, id: str, events: int = 5, pause: float = 0.0, software: str = ""
+    ) -> None:
         self.id = id
+        self.software = software
+        # Unix milliseconds of its start, as its row and its reports say.
+        self.born = time.time_ns() // 1_000_000
         self.events = events  # number of events of each stream
         self.pause = pause  # seconds between events
         self.extra_bytes = 0  # added to each plain answer
         self.delay = 0.0  # seconds before each plain answer
+        self.break_after = 2  # events of a stream that `CLOSE` and the like break off
         self.next_modes: list[str] = []
         self.received: list[ReceivedRequest] = []
         self.cancelled = 0
         self.misdirected = 0  # requests for another endpoint, which did not run
+        self.reports = 0  # how often it was asked for a report
+        self._running = 0  # requests
 
     @property
     def runs(self) -> list[str]:
@@ -56,7 +75,40 @@
             name=f"endpoint-{self.id}",
         )
 
-    async def _handle(self, request: sanic.Request, path: str) -> None:
+    def report(self) -> dict:
+        """Return what the endpoint says of itself when it is asked for a report."""
+        return {
+            "born": self.born,
+            "stage": "both",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "state": "ready",
+            "busy": False,
+            "sequence": 0,
+            "queued": 0,
+            "running": self._running,
+            "kvUsed": 0,
+            "kvTotal": MEMORY_TOKENS,
+            "handles": 0,
+            "pinned": 0,
+            "held": 0,
+            "next": 0,
+            "runs": [],
+        }
+
+    async def _handle(
+        self, request: sanic.Request, path: str
+    ) -> sanic.HTTPResponse | None:
+        if path == REPORT_PATH and request.method == "GET":
+            self.reports += 1
+            return sanic.json(self.report())
+        self._running += 1
+        try:
+            await self._run(request, path)
+        finally:
+            self._running -= 1
+        return None
+
+    async def _run(self, request: sanic.Request, path: str) -> None:
         headers = {name.lower(): value for name, value in request.headers.items()}
         if headers.get(TARGET.lower(), self.id) != self.id:
             self.misdirected += 1
@@ -71,7 +123,7 @@
         )
         reply = {ATTEMPT_ID: attempt_id, SIGNATURE: f"sig-{self.id}"}
         if mode == SILENT:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(HANG_TIME)
         if mode == OTHER_ID:
             reply[ATTEMPT_ID] = "of-another-request"
         if mode == UNSIGNED:
@@ -99,15 +151,30 @@
         response = await request.respond(
             headers=headers, content_type="text/event-stream"
         )
+        last_whole = first + self.break_after - 1
         try:
             for number in range(first, self.events + 1):
                 if mode == BREAK and number == first + 2:
                     await response.send(b"id: 9")
                     request.transport.abort()
                     return
-                await response.send(f"id: {number}\ndata: t{number}\n\n".encode())
+                await response.send(self._event(number))
                 await asyncio.sleep(self.pause)
+                if number != last_whole:
+                    continue
+                if mode == HANG:
+                    await asyncio.sleep(HANG_TIME)
+                if mode == CLOSE:
+                    request.transport.close()
+                    return
+                if mode == ABORT:
+                    request.transport.abort()
+                    return
             await response.send(b"", True)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+
+    def _event(self, number: int) -> bytes:
+        text = f"t{number} {self.software}".rstrip()
+        return f"id: {number}\ndata: {text}\n\n".encode()
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -55,6 +55,7 @@
         self.host_processes = []
         self._is_host_stopped = False
         self._servers = []
+        self._endpoint_listeners = {}
         self.session = None
         self.address = ""
 
@@ -85,14 +86,29 @@
         endpoint.add_routes(listener.app)
         await listener.start("127.0.0.1", 0)
         self.endpoints[name] = endpoint
+        self._endpoint_listeners[name] = listener
         self.addresses[name] = f"127.0.0.1:{listener.port}"
         self.register(name, service, listener.port)
         return endpoint
 
-    def register(self, name, service, port, state="ready"):
+    def register(self, name, service, port, state="ready", *, process=None):
+        """Write an endpoint's row.
+
+        `process` is what runs there, with its start as `born` and the version of its
+        `software`, as a rule the endpoint of this name; without one the row names none.
+        """
         fields = {"service": service, "address": f"127.0.0.1:{port}", "zone": "z1"}
+        process = process or self.endpoints.get(name)
+        if process is not None:
+            fields["born"] = process.born
+            if process.software:
+                fields["version"] = process.software
         self.put("servers", name, {**fields, "slots": 8, "state": state, "sequence": 1})
 
+    async def end_endpoint(self, name):
+        """End an endpoint's process, which closes its connections; leave its row."""
+        await self._endpoint_listeners.pop(name).stop()
+
     async def start_store(self):
         """Start the store; return its address."""
         listener = await self.listen("store")
--- a/dogwoodchute/tests/raw_endpoint.py
+++ b/dogwoodchute/tests/raw_endpoint.py
@@ -2,21 +2,27 @@
 
 import asyncio
 import contextlib
+import json
 import re
+import time
 
 ATTEMPT = re.compile(rb"X-Dogwoodchute-Attempt-Id: (\S+)", re.IGNORECASE)
 HEAD_END = b"\r\n\r\n"
+REPORT = b"GET /api/report "
 
 
 class RawEndpoint:
     """Answers each request with the bytes that `script` returns.
 
     `script` takes the request's head and its number on the connection. It returns the
-    bytes to write, and whether to close the connection after them.
+    bytes to write, and whether to close the connection after them. Requests for a
+    report don't reach it.
     """
 
-    def __init__(self, *, script):
+    def __init__(self, *, script, software=""):
         self.script = script
+        self.software = software  # the version of it, for the endpoint's row
+        self.born = time.time_ns() // 1_000_000  # Unix milliseconds, as the row says
         self.attempts = []  # attempt ids, in order
         self.port = 0
         self._listening = None
@@ -36,6 +42,10 @@
         ):
             while True:
                 head = await reader.readuntil(HEAD_END)
+                if head.startswith(REPORT):
+                    writer.write(self._report())
+                    await writer.drain()
+                    continue
                 number += 1
                 self.attempts.append(ATTEMPT.search(head).group(1).decode())
                 data, closes = self.script(head, number)
@@ -44,6 +54,15 @@
                 if closes:
                     break
 
+    def _report(self):
+        body = json.dumps({"born": self.born, "state": "ready"}).encode()
+        kind = b"Content-Type: application/json"
+        return b"HTTP/1.1 200 OK\r\n%b\r\nContent-Length: %d\r\n\r\n%b" % (
+            kind,
+            len(body),
+            body,
+        )
+
 
 def answer(head, *, status=b"200 OK", body=b"", headers=b"", framed=True):
     """Return an endpoint's answer to the request with `head`."""
