--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -257,6 +257,7 @@
             service=endpoint.service,
             address=endpoint.address,
             state=endpoint.state,
+            software=endpoint.software or None,
             version=version,
         )
         if before is not None and before.started_at_ms != endpoint.started_at_ms:
--- a/dogwoodchute/gateway/observe.py
+++ b/dogwoodchute/gateway/observe.py
@@ -76,6 +76,8 @@
     log.info(
         "request",
         request=call.request.attempt_id,
+        resumes=call.request.resumes,
+        after=call.request.last_event_id,
         route=call.route.name if call.route is not None else None,
         account=call.account.name if call.account is not None else None,
         config=call.config.version if call.config is not None else None,
@@ -86,6 +88,7 @@
         step=getattr(outcome, "step", None),
         peer=getattr(outcome, "peer", None),
         endpoints=",".join(call.tried_endpoints) or None,
+        software=(call.send.endpoint.software or None) if call.send else None,
         sends=call.sends,
         reserved=call.reserved or None,
         billed=call.tokens_used or None,
--- a/dogwoodchute/tests/test_resumes.py
+++ b/dogwoodchute/tests/test_resumes.py
@@ -59,3 +59,48 @@
                 self.assertEqual(("a1", "3"), sent)
 
         self.run_async(scenario())
+
+
+class LogTest(support.TestCase):
+    """A stream that went on at another software version left no trace in the log."""
+
+    def test_the_line_of_a_request_names_its_stream_and_the_software_version(self):
+        lines = self.collect_lines("request")
+
+        async def scenario():
+            async with gateway_site.running() as site:
+                gate = site.host_process.gateway
+                await site.add_endpoint("e2", "engines", software="v2")
+                await support.until(lambda: gate.ready_endpoints("engines") == 2)
+                site.put("servers", "e1", None)
+                await support.until(lambda: gate.ready_endpoints("engines") == 1)
+                take_up = {"Resumes": "a1", "Last_Event_Id": "3"}
+                await site.ask("/s/stream", attempt="a2", **take_up)
+                await site.ask("/s/stream", attempt="b1", Resumes="")
+                site.put("servers", "e2", None)
+                await support.until(lambda: gate.ready_endpoints("engines") == 0)
+                await site.ask("/s/stream", attempt="c1", Resumes="a1")
+
+        self.run_async(scenario())
+        found = [(x["resumes"], x["after"], x["software"]) for x in lines]
+        self.assertEqual(
+            [("a1", "3", "v2"), (None, None, "v2"), ("a1", None, None)], found
+        )
+
+    def test_the_line_of_an_endpoint_s_row_names_its_software_version(self):
+        lines = self.collect_lines("endpoint_changed")
+
+        def versions(name):
+            return [each["software"] for each in lines if each["endpoint"] == name]
+
+        async def scenario():
+            async with gateway_site.running() as site:
+                endpoint = await site.add_endpoint("e2", "engines", software="v2")
+                await support.until(lambda: versions("e2") == ["v2"])
+                endpoint.software = "v1"
+                port = int(site.addresses["e2"].rpartition(":")[2])
+                site.register("e2", "engines", port)
+                await support.until(lambda: versions("e2") == ["v2", "v1"])
+
+        self.run_async(scenario())
+        self.assertEqual([None], versions("e1"))
