--- a/dogwoodchute/tests/gateway_process.py
+++ b/dogwoodchute/tests/gateway_process.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import pathlib
-import random
 import signal
 import subprocess
 import sys
@@ -45,24 +44,24 @@
         self.process = None
         self._folder = tempfile.TemporaryDirectory()
         self._log = None
+        self._store = None  # address
 
     async def start(self, *, store=None):
         """Start the process, on a store of its own or that at the address `store`."""
-        self._launch(store or await self.start_store())
+        self._store = store or await self.start_store()
+        self._launch(self._store)
         self.session = aiohttp.ClientSession()
         await support.until_async(self.serves)
 
     def _launch(self, store):
         # The ports are fixed, so tests in parallel need different addresses.
-        ip = (
-            f"127.{random.randint(1, 250)}.{random.randint(0, 250)}.{os.getpid() % 250}"
-        )
+        ip = gateway_site.own_loopback_ip()
         folder = pathlib.Path(self._folder.name)
         settings = folder / "settings.toml"
         text = SETTINGS.format(node=self._node, ip=ip, grace=GRACE, store=store)
         settings.write_text(text, encoding="utf-8")
         self._log = folder / "log"
-        with self._log.open("wb") as output:
+        with self._log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "dogwoodchute.tools.dogwoodgate"],
                 env={**os.environ, "DOGWOODCHUTE_SETTINGS": str(settings)},
@@ -78,6 +77,16 @@
         except aiohttp.ClientError:
             return False
 
+    def kill(self):
+        """End the process without a chance to do anything."""
+        self.process.kill()
+        self.process.wait()
+
+    async def start_again(self):
+        """Start a new process of the same host, at another address."""
+        self._launch(self._store)
+        await support.until_async(self.serves)
+
     def terminate(self):
         """Send SIGTERM; return the monotonic time in seconds."""
         self.process.send_signal(signal.SIGTERM)
@@ -90,13 +99,12 @@
 
     @property
     def log(self):
-        """The output of the process."""
+        """The output of the processes."""
         return self._log.read_text(encoding="utf-8")
 
     async def stop(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+        if self.process is not None:
+            self.kill()
         if self.session is not None:
             await self.session.close()
         await self.stop_listeners()
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import json
+import os
 import pathlib
+import random
 
 import aiohttp
 
@@ -14,6 +16,10 @@
 
 KEY = "key-of-ann"
 BROKEN = (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
+# What a host listens for.
+LISTENERS = ("callers", "readiness", "control", "gossip", "heartbeats", "directory")
+ANY_PORTS = dict.fromkeys(LISTENERS, "127.0.0.1:0")  # unknown to other hosts
+FIRST_PORT = 8221
 LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
 ENGINE = {"slots": 8, "kvCapacity": 100_000, "stride": 4}
 ROUTES = [
@@ -43,6 +49,17 @@
     }
 
 
+def own_loopback_ip():
+    """Return a loopback address that tests in parallel don't use."""
+    return f"127.{random.randint(1, 250)}.{random.randint(0, 250)}.{os.getpid() % 250}"
+
+
+def own_addresses():
+    """Return the addresses of a host on a loopback address of its own."""
+    ip = own_loopback_ip()
+    return {name: f"{ip}:{port}" for port, name in enumerate(LISTENERS, FIRST_PORT)}
+
+
 class Site:
     """The parts of a site, and a caller's requests to it."""
 
@@ -53,6 +70,7 @@
         self.addresses = {}
         self.host_process = None  # the first one
         self.host_processes = []
+        self._host_addresses = {}  # for callers, by process
         self._is_host_stopped = False
         self._servers = []
         self._endpoint_listeners = {}
@@ -118,10 +136,12 @@
         await listener.start("127.0.0.1", 0)
         return f"127.0.0.1:{listener.port}"
 
-    async def start(self, *, hosts=1):
+    async def start(self, *, hosts=1, in_touch=False):
+        """Start the store and so many hosts, which reach each other if `in_touch`."""
         store = await self.start_store()
         for number in range(1, hosts + 1):
-            await self._start_host(f"h{number}", store)
+            at = own_addresses() if in_touch else ANY_PORTS
+            await self._start_host(f"h{number}", store, at)
         self.host_process = self.host_processes[0]
         self.address = self.address_of(self.host_process)
         self.session = aiohttp.ClientSession()
@@ -130,20 +150,15 @@
 
     def address_of(self, process):
         """Return where a host takes callers' requests."""
-        return f"127.0.0.1:{process.ports['callers']}"
+        return self._host_addresses[process]
 
-    async def _start_host(self, name, store):
+    async def _start_host(self, name, store, at):
         deployment = model.Deployment(
             host=name,
             data_centre="z1",
             region="r1",
             regions={"z1": "r1"},
-            callers="127.0.0.1:0",
-            readiness="127.0.0.1:0",
-            control="127.0.0.1:0",
-            gossip="127.0.0.1:0",
-            heartbeats="127.0.0.1:0",
-            directory="127.0.0.1:0",
+            **at,
             seeds=(),
             store=store,
             bounds=model.Bounds(grace=3.0),
@@ -153,6 +168,8 @@
         )
         self.host_processes.append(process)
         await process.start()
+        ip = at["callers"].rpartition(":")[0]
+        self._host_addresses[process] = f"{ip}:{process.ports['callers']}"
 
     async def stop(self):
         await self.session.close()
