A stream goes on only at the software version that began it

Cause: the version of an endpoint was not looked at when a host sent a stream on, and a host could not know which one had begun a stream that a caller takes up, least of all after the death of all hosts.

Change: after its first event a stream is sent on only to endpoints of its version (choice of an endpoint, also for offers). A take-up looks up the version of the attempt that it names: its record in the store, else the service's base version; what isn't known, or whose version has no endpoint, is refused at once as not run. A stream that begins at another version than the base is written down beside the prompt's processing, and its first event waits for that. The service of a split route is that of the attempt that began the stream.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -101,6 +101,10 @@
         self.on_chunk: abc.Callable[[], None] = lambda: None
         self.reply_started = False  # the head of the answer has been sent to the caller
         self.last_event_id = request.last_event_id  # of the last event delivered
+        # The software version at which the stream goes on, None before it began.
+        self.software: str | None = None
+        # Those that were to be written down as the one that began it.
+        self.recorded_versions: set[str] = set()
         # Ids of endpoints, including those that could not be reached.
         self.tried_endpoints: list[str] = []
         # Ids of endpoints to which connecting took too long; each is tried once more if
@@ -117,9 +121,12 @@
     @property
     def is_retryable(self) -> bool:
         """Whether the call may be sent again after it may have run."""
-        if self.route.kind == model.STREAM:
-            return self.route.resumable
-        return self.route.kind == model.IDEMPOTENT
+        return self.is_resumable or self.route.kind == model.IDEMPOTENT
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the call is a stream that may go on at another endpoint."""
+        return self.route.kind == model.STREAM and self.route.resumable
 
     @property
     def tokens_used(self) -> int:
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -17,6 +17,7 @@
     endpoints,
     failed_calls,
     model,
+    stream_origins,
     tries,
     try_reports,
     try_results,
@@ -35,6 +36,7 @@
         endpoint_table: endpoints.Endpoints,
         connections: upstream.Upstream,
         crashes: crash_reports.CrashReports,
+        origins: stream_origins.Origins,
         now: abc.Callable[[], float],
     ) -> None:
         self._endpoints = endpoint_table
@@ -50,6 +52,7 @@
             endpoint_table=endpoint_table,
             connections=connections,
             waits=self._waits,
+            origins=origins,
             now=now,
         )
         self._now = now
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -69,6 +69,8 @@
         self._listeners = listeners
         self._now = now
         self._all: dict[str, model.Endpoint] = {}  # by id
+        # Software versions by service, found anew after a change of rows.
+        self._versions: dict[str, frozenset[str]] = {}
         self._history = endpoint_history.EndpointHistory(now=now)
         # Endpoints without a row that may renew it, and the monotonic seconds at which
         # the row was removed.
@@ -116,6 +118,16 @@
         """Return the ids of a service's endpoints, also of those that are leaving."""
         return [e.id for e in self._all.values() if e.service == service]
 
+    def versions(self, service: str) -> frozenset[str]:
+        """Return the software versions of a service's registered endpoints."""
+        known = self._versions.get(service)
+        if known is None:
+            known = frozenset(
+                e.software for e in self._all.values() if e.service == service
+            )
+            self._versions[service] = known
+        return known
+
     def usable(self, service: str) -> list[model.Endpoint]:
         """Return the endpoints of a service that take new requests now."""
         return [
@@ -249,6 +261,7 @@
         before = self._all.get(endpoint.id)
         self._missing.pop(endpoint.id, None)
         self._all[endpoint.id] = endpoint
+        self._versions.clear()
         if before == endpoint._replace(sequence=before.sequence if before else 0):
             return
         log.info(
@@ -285,6 +298,7 @@
 
     def _delete(self, name: str) -> None:
         endpoint = self._all.pop(name, None)
+        self._versions.clear()
         self._forget(name)
         self._reported_hold_offs.discard(name)
         if endpoint is not None:
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -60,11 +60,15 @@
         host_count: abc.Callable[[], int],
         other_hosts: abc.Callable[[], tuple[host_rows.Host, ...]],
         loads: abc.Callable[[], gossip.Loads],
+        may_run: abc.Callable[
+            [calls.Call, dict[str, model.Endpoint]], dict[str, model.Endpoint]
+        ],
         now: abc.Callable[[], float],
     ) -> None:
         self._deployment = deployment
         self._host_count = host_count
         self._loads = loads
+        self._may_run = may_run  # leaves out endpoints at which a call may not run
         self._now = now
         self._prompt_rate = sizing.Demand(
             window=PROMPT_RATE_WINDOW, bias_corrected=True
@@ -138,6 +142,7 @@
         be silent for seconds.
         """
         usable = {e.id: e for e in self.table.usable(call.service.name)}
+        usable = self._may_run(call, usable)
         answering = {i: e for i, e in usable.items() if not self._silence(call, i)}
         if answering or call.service.engine is None:
             usable = answering
--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from dogwoodchute import exchange, outcomes
-from dogwoodchute.coordination import quarantine
+from dogwoodchute.coordination import quarantine, retry_after
 from dogwoodchute.gateway import (
     account_rows,
     accounts,
@@ -16,6 +16,7 @@
     failed_calls,
     model,
     reservations,
+    stream_origins,
 )
 
 ANSWER_MARGIN = 0.2  # seconds to write an answer that comes at its deadline
@@ -73,7 +74,10 @@
             )
         call.route = matched
         call.priority = matched.priority
-        name = choose_service(matched, request.attempt_id)
+        # The stream that is taken up was begun by the service of its first attempt.
+        takes_up = request.last_event_id is not None and request.resumes is not None
+        began_as = request.resumes if takes_up else request.attempt_id
+        name = choose_service(matched, began_as)
         call.service = call.config.services.get(name) or model.Service(name, None)
         wait = DEFAULT_WAIT if request.wait is None else request.wait
         call.deadline = call.received + min(wait, matched.timeout)
@@ -145,6 +149,27 @@
     return run
 
 
+def take_up(*, origins: stream_origins.Origins) -> Filter:
+    """Set the software version at which a stream that a caller takes up goes on."""
+
+    async def run(call: calls.Call, proceed: exchange.Proceed) -> outcomes.Outcome:
+        if not call.is_resumable or call.request.last_event_id is None:
+            return await proceed()
+        found = await origins.find(call)
+        if isinstance(found, stream_origins.Unclear):
+            return outcomes.refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                found.code,
+                f"The request was not run: {found.reason}.",
+                step="take_up",
+                retry_after=retry_after.spread(found.retry_after),
+            )
+        call.software = found
+        return await proceed()
+
+    return run
+
+
 def reserve(*, budgets: accounts.Accounts) -> Filter:
     """Reserve the maximum of tokens that a request may use, and bill what it used."""
 
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Assembles one host's gateway from its parts, and starts and stops it."""
 
 import asyncio
+import random
 import secrets
 from collections import abc
 
@@ -29,6 +30,7 @@
     readiness,
     registration,
     stopping,
+    stream_origins,
     table_source,
     tables,
     upstream,
@@ -129,8 +131,19 @@
             host_count=lambda: self._hosts.count,
             other_hosts=lambda: self._hosts.live,
             loads=self._gossip.loads,
+            may_run=lambda call, usable: self._origins.usable(call, usable),
             now=now,
         )
+        self._origins = stream_origins.Origins(
+            config=lambda: self._configuration.current,
+            versions=self._endpoints.table.versions,
+            store=store,
+            ranks_first=self._hosts.ranks_first,
+            host_count=lambda: self._hosts.count,
+            commits=deployment.commits,
+            now=now,
+            rng=random.Random(incarnation),
+        )
         self._budgets = budgets.assemble(
             deployment=deployment,
             store=store,
@@ -151,6 +164,7 @@
             endpoint_table=self._endpoints,
             connections=self._upstream,
             crashes=self._crashes,
+            origins=self._origins,
             now=now,
         )
         self._readiness = readiness.Readiness(
@@ -273,7 +287,7 @@
         await self._gossip.start(self._deployment.gossip)
         await self._liveness.start(self._deployment.heartbeats)
         parts = [*self._mirrors.values(), self._own_row, self._liveness]
-        parts.extend((self._gossip, *self._budgets))
+        parts.extend((self._gossip, self._origins, *self._budgets))
         loops = [each.run() for each in parts]
         loops.append(loop_watch.watch(now=self._now))
         self._tasks = [asyncio.create_task(each) for each in loops]
@@ -379,6 +393,7 @@
                 filters.check_closing(closing=self._stopping.closing),
                 filters.authenticate(),
                 filters.check_quarantine(find=self._crashes.find),
+                filters.take_up(origins=self._origins),
                 filters.reserve(budgets=self._budgets.accounts),
                 filters.send(dispatcher=self._dispatcher),
             ]
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -152,6 +152,17 @@
         return self.parts[:-1]
 
 
+def resumable_services(config: Config) -> set[str]:
+    """Return the names of services with streams that may be resumed."""
+    return {
+        service
+        for prefixes in config.routes.values()
+        for route in prefixes.values()
+        if route.kind == STREAM and route.resumable
+        for service, _ in route.splits
+    }
+
+
 def route_of(config: Config, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix of `path`, None if there is none.
 
--- a/dogwoodchute/gateway/stream_records.py
+++ b/dogwoodchute/gateway/stream_records.py
@@ -228,6 +228,11 @@
         """
         return key_of(attempt) in self._kept
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last commit of records to some partition failed."""
+        return any(part.failures for part in self._parts.values())
+
     def prepare(self, attempt: str, service: str, software: str) -> None:
         """Ask for a record that the attempt's stream begins at a software version.
 
--- a/dogwoodchute/gateway/stream_relay.py
+++ b/dogwoodchute/gateway/stream_relay.py
@@ -44,9 +44,13 @@
     *,
     waits: endpoint_waits.EndpointWaits,
     endpoint_table: endpoints.Endpoints,
+    settle: abc.Callable[[calls.Call], abc.Awaitable[bool]],
     now: abc.Callable[[], float],
 ) -> try_results.TryResult:
-    """Forward the stream of `call.send` to the caller, each event complete."""
+    """Forward the stream of `call.send` to the caller, each event complete.
+
+    `settle` returns whether the stream may begin at that endpoint.
+    """
     framer = sse.EventFramer()
     send, peer = call.send, call.send.endpoint.id
     if not call.reply_started:
@@ -77,6 +81,8 @@
         if framer.partial_size != answer.held.size:
             answer.held.hold(framer.partial_size)
         if events:
+            if not await settle(call):
+                return try_results.Unrecorded(peer=peer)
             await _forward_events(call, events, now=now())
             last_event_at = now()
     broken_off = _why_broken_off(call, answer, framer)
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -9,6 +9,7 @@
     endpoint_waits,
     endpoints,
     model,
+    stream_origins,
     stream_relay,
     try_reports,
     try_results,
@@ -30,9 +31,11 @@
         endpoint_table: endpoints.Endpoints,
         connections: upstream.Upstream,
         waits: endpoint_waits.EndpointWaits,
+        origins: stream_origins.Origins,
         now: abc.Callable[[], float],
     ) -> None:
         self._endpoints = endpoint_table
+        self._origins = origins
         self._upstream = connections
         self._waits = waits
         self._now = now
@@ -45,6 +48,7 @@
         call.slow_to_connect.discard(endpoint.id)
         call.tried_endpoints.append(endpoint.id)
         call.sends += 1
+        self._origins.prepare(call, endpoint)
         return send
 
     async def run(
@@ -203,6 +207,7 @@
                 answer,
                 waits=self._waits,
                 endpoint_table=self._endpoints,
+                settle=self._origins.settle,
                 now=self._now,
             )
         seconds = BODY_TIMEOUT_SHARE * (call.deadline - self._now())
--- a/dogwoodchute/gateway/try_results.py
+++ b/dogwoodchute/gateway/try_results.py
@@ -49,5 +49,14 @@
     step: str = "answer"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unrecorded:
+    """The stream must not begin, as its software version couldn't be written down."""
+
+    peer: str
+    reason: str = "the software version of the stream couldn't be written down"
+    step: str = "answer"
+
+
 Failure = upstream.NotSent | upstream.Lost | Abandoned
-TryResult = outcomes.Answered | Failure | Refused | Erred
+TryResult = outcomes.Answered | Failure | Refused | Erred | Unrecorded
