First events don't wait for records that the store refuses while only their version serves

While the store is away, streams of the only registered version may begin without a record, but each waited 1 s for it first.

--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/stream_origins.py
@@ -115,16 +115,10 @@
         if not call.is_resumable or call.software is not None:
             return True
         software = call.send.endpoint.software
-        if self._needs_record(call, software):
-            call.recorded_versions.add(software)
-            is_written = await self._records.ensure(
-                call.request.attempt_id,
-                call.service.name,
-                software,
-                max(0.0, min(RECORD_TIMEOUT, call.deadline - self._now())),
-            )
-            if not is_written and not self._is_only(call, software):
-                return False
+        if self._needs_record(call, software) and not await self._record(
+            call, software
+        ):
+            return False
         call.software = software
         return True
 
@@ -166,6 +160,17 @@
             return None
         return note.base
 
+    async def _record(self, call: calls.Call, software: str) -> bool:
+        """Write down the version of a call; return whether its stream may begin."""
+        call.recorded_versions.add(software)
+        seconds = max(0.0, min(RECORD_TIMEOUT, call.deadline - self._now()))
+        if self._records.is_failing and self._is_only(call, software):
+            seconds = 0.0
+        is_written = await self._records.ensure(
+            call.request.attempt_id, call.service.name, software, seconds
+        )
+        return is_written or self._is_only(call, software)
+
     def _needs_record(self, call: calls.Call, software: str) -> bool:
         # An earlier try may have left a record of another version.
         return bool(call.recorded_versions) or self._notes.needs_record(
