--- a/dogwoodchute/tests/conftest.py
+++ b/dogwoodchute/tests/conftest.py
@@ -24,6 +24,10 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
-def pytest_report_header() -> list[str]:
-    """List the known failures in the header of each run."""
-    return [f"known red: {name}" for name in sorted(known_red())]
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """List the known failures at the end of each run.
+
+    A header would not be printed in quiet runs, as CI's are.
+    """
+    for name in sorted(known_red()):
+        terminalreporter.write_line(f"known red: {name}")
