Tests, known red: statuses outside 200 to 599 are taken for an endpoint's answer

At 000, 001, 099 and 101 no such status reached them in 2880 of 2880, but where the answer told its end by itself (1920) their connection was closed without an answer, and the host logged an exception, "Invalid response status 0".

Cause: `Tries` takes every status that is no success for the endpoint's own error, and below 500 for its decision, which isn't tried elsewhere. The HTTP library passes on any three digits; statuses below 100 and 101 are final to it, but not to `EndpointConnection`, which therefore goes on to look for a head. That nothing reached callers below 200 is the caller-side HTTP server's check, not ours.

RFC 9110, section 15, calls statuses outside 100 to 599 invalid, and 101 answers only who asked for another protocol, which a host never does.

--- a/dogwoodchute/tests/test_odd_statuses.py
+++ b/dogwoodchute/tests/test_odd_statuses.py
@@ -1,4 +1,4 @@
-"""Answers of endpoints whose status can't be read or is an interim one."""
+"""Answers of endpoints whose status is none of HTTP's final ones (200 to 599)."""
 
 import contextlib
 
@@ -11,6 +11,7 @@
     test_faulty_answers,
 )
 
+OUTSIDE = (b"000 X", b"001 X", b"099 X", b"600 X", b"999 X", b"101 X")
 UNREADABLE = (b"1000 X", b"-1 X", b"0 X", b"20 X", b"0x1 X", b" X", b"")
 INTERIM = (b"100 X", b"150 X", b"199 X")
 SIGNATURE = "X-Dogwoodchute-Response-Signature"
@@ -98,6 +99,12 @@
                         case = (path, status, self.form)
                         self.assertEqual((200, EVENT), received[::2], case)
 
+    def test_a_status_that_is_no_final_one_does_not_reach_the_caller(self):
+        self.run_async(self.check_failures(OUTSIDE, expected={502}))
+
+    def test_a_request_whose_answer_has_no_final_status_is_tried_elsewhere(self):
+        self.run_async(self.check_retries(OUTSIDE))
+
     def test_a_status_that_can_t_be_read_does_not_reach_the_caller(self):
         self.run_async(self.check_failures(UNREADABLE, expected={502}))
 
