Test, known red: on the own interface a status such as 000 counts as an answer

An endpoint of a plain service that answers 000, 099, 101, 600 or 999 has its answer forwarded and billed, like the same statuses on the platform's interface.

--- a/dogwoodchute/tests/test_raw_services.py
+++ b/dogwoodchute/tests/test_raw_services.py
@@ -86,3 +86,18 @@
 
         for outcome, _ in self.run_async(self.ask_twice(serve)):
             self.assertIsInstance(outcome, outcomes.Unknown)
+
+    def test_an_answer_whose_status_is_no_final_one_is_not_forwarded(self):
+        for status in (b"000", b"099", b"101", b"600", b"999"):
+
+            async def serve(reader, writer, status=status):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(
+                    b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n\r\nok"
+                )
+                await writer.drain()
+                writer.close()
+
+            for outcome, exchange in self.run_async(self.ask_twice(serve)):
+                self.assertIsInstance(outcome, outcomes.Unknown, status)
+                self.assertEqual([], exchange.deferred_body, status)
