Own interface: an answer counts only with a final status, 200 to 599

What callers saw: statuses such as 000, 099, 101, 600 and 999 of a plain service came as its answer and were billed.

Cause: `Forwarder.plain` took whatever three digits the HTTP library passes on. Such an answer is now lost like one that breaks off: the call may have run, 502, and one that is idempotent may be repeated. `outcomes.FINAL_STATUSES` is where the gateway can take the range from, too.

The tests of raw services, of forwarding, relaying and coordination pass (31).

--- a/dogwoodchute/forward.py
+++ b/dogwoodchute/forward.py
@@ -146,6 +146,7 @@
                 timeout=self._plain_timeout(exchange),
                 skip_auto_headers=("User-Agent", "Content-Type", "Accept-Encoding"),
             ) as response:
+                _check_status(response)
                 _check_id(response, CALL_ID_HEADER, request_id)
                 content = await self._read_bounded(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -270,6 +271,13 @@
     return status in BUSY_STATUSES or not repeats_id
 
 
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    """Raise `aiohttp.ClientPayloadError` unless the status is one of an answer."""
+    if response.status not in outcomes.FINAL_STATUSES:
+        reason = f"{response.status} is no status of a final answer"
+        raise aiohttp.ClientPayloadError(reason)
+
+
 def _check_id(response: aiohttp.ClientResponse, header: str, request_id: str) -> None:
     """Raise `aiohttp.ClientPayloadError` if an answer names another request."""
     repeated = response.headers.get(header)
--- a/dogwoodchute/outcomes.py
+++ b/dogwoodchute/outcomes.py
@@ -7,6 +7,8 @@
 import dataclasses
 import http
 
+FINAL_STATUSES = range(200, 600)  # that an endpoint's answer may have: RFC 9110, 15
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
