--- a/dogwoodchute/tests/test_odd_statuses.py
+++ b/dogwoodchute/tests/test_odd_statuses.py
@@ -115,3 +115,27 @@
         self.run_async(
             self.check_failures(INTERIM, expected={502, 504}, paths=["/order/x"])
         )
+
+    def test_an_odd_status_of_a_second_endpoint_is_not_joined_to_a_stream(self):
+        second = {}
+
+        def script(head, number):
+            if second["status"] is None:
+                second["status"] = second["next"]
+                start = raw_endpoint.answer(
+                    head, headers=EVENTS + b"\r\n" + CHUNKED, framed=False
+                )
+                return start + test_faulty_answers.chunked(EVENT), True
+            second["is_asked"] = True
+            return answers(head, second["status"])[0], False
+
+        async def scenario():
+            self.script = script
+            async with self.running(count=2) as site:
+                for status in OUTSIDE + UNREADABLE:
+                    second.update(status=None, next=status, is_asked=False)
+                    received = await test_faulty_answers.read(site)
+                    self.assertTrue(second["is_asked"], status)
+                    self.assertEqual((200, EVENT, False), received, status)
+
+        self.run_async(scenario())
