An answer counts only with a status of 200 to 599

Cause: a status that is no success counts as the endpoint's own error, and one below 500 as its decision, which isn't tried elsewhere.

What counts as interim follows the HTTP library.

--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -80,7 +80,7 @@
     def feed_data(self, data: tuple, size: int = 0) -> None:
         """Handle the head of an answer, which the parser passes on."""
         message, payload = data
-        self._has_head = message.code >= http.HTTPStatus.OK
+        self._has_head = not _is_interim(message.code)
         if not self._has_head:
             self._interim_count += 1
             super().feed_data(data, size)
@@ -224,6 +224,14 @@
         super().connection_lost(exc)
 
 
+def _is_interim(status: int) -> bool:
+    """Return whether another answer follows one with this status, as for aiohttp."""
+    return (
+        http.HTTPStatus.CONTINUE <= status < http.HTTPStatus.OK
+        and status != http.HTTPStatus.SWITCHING_PROTOCOLS
+    )
+
+
 def connector(
     *,
     closes_after: ClosesAfter,
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -229,6 +229,9 @@
     ) -> upstream.Lost | try_results.Refused | None:
         """Return why an answer is of no use by its head, None if it may be."""
         head, peer = answer.head, send.endpoint.id
+        if head.status not in outcomes.FINAL_STATUSES:
+            reason = f"{head.status} is no status of a final answer"
+            return upstream.Lost(reason=reason, peer=peer)
         if head.attempt_id is not None and head.attempt_id != call.request.attempt_id:
             return upstream.Lost(reason="the answer is for another request", peer=peer)
         self._heed(send, head)
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -11,7 +11,12 @@
 import aiohttp
 import yarl
 
-from dogwoodchute import endpoint_connection, pooled_connection, send_once
+from dogwoodchute import (
+    endpoint_connection,
+    outcomes,
+    pooled_connection,
+    send_once,
+)
 from dogwoodchute.gateway import answer_memory, calls, dropped_runs, end_check, model
 
 CONNECT_TIMEOUT = 0.7  # seconds; connecting takes about 20 ms at most
@@ -176,7 +181,7 @@
     async def start(self) -> None:
         """Open the HTTP session; needs a running event loop."""
         connector = endpoint_connection.connector(
-            closes_after=self._is_refusal,
+            closes_after=self._closes_after,
             doubts=self._doubts,
             keepalive_timeout=IDLE_TIMEOUT,
         )
@@ -278,10 +283,15 @@
         if asyncio.get_running_loop().time() - sent_at >= PLAIN_SILENCE:
             self._doubts.doubt(endpoint.address, "no byte of a plain answer")
 
-    def _is_refusal(
+    def _closes_after(
         self, status: int, headers: abc.Mapping[str, str], raw: list
     ) -> bool:
-        """Return whether an answer says that the endpoint did not run the request."""
+        """Return whether a connection is not used again after an answer.
+
+        So it is after a refusal, of which a copy may follow, and what is no answer.
+        """
+        if status not in outcomes.FINAL_STATUSES:
+            return True
         if status < http.HTTPStatus.BAD_REQUEST:
             return False
         return self._wire.parse_head(status, headers, raw).not_run
