Take-ups at a host that has just started wait for its first read of the notes

A take-up in a fresh deployment was refused until the first note was written or read (the suite's test_resumes: 200 != 503).

--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -27,6 +27,11 @@
 # restart, whose budgets begin anew.
 BUDGET_SHARE = 0.5
 
+# Returns those of some endpoints, by id, at which a call may run.
+MayRun = abc.Callable[
+    [calls.Call, dict[str, model.Endpoint]], dict[str, model.Endpoint]
+]
+
 
 class _Usage:
     """This host's requests at one endpoint, and what it observed of them."""
@@ -60,15 +65,13 @@
         host_count: abc.Callable[[], int],
         other_hosts: abc.Callable[[], tuple[host_rows.Host, ...]],
         loads: abc.Callable[[], gossip.Loads],
-        may_run: abc.Callable[
-            [calls.Call, dict[str, model.Endpoint]], dict[str, model.Endpoint]
-        ],
         now: abc.Callable[[], float],
+        may_run: MayRun = lambda call, endpoints: endpoints,
     ) -> None:
         self._deployment = deployment
         self._host_count = host_count
         self._loads = loads
-        self._may_run = may_run  # leaves out endpoints at which a call may not run
+        self._may_run = may_run
         self._now = now
         self._prompt_rate = sizing.Demand(
             window=PROMPT_RATE_WINDOW, bias_corrected=True
--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/stream_origins.py
@@ -60,6 +60,7 @@
         self._now = now
         self._rng = rng
         self._read_at = -math.inf  # monotonic seconds of the last read of the notes
+        self._has_read = asyncio.Event()
         self._records = stream_records.StreamRecords(
             store=store, host_count=host_count, commits=commits, now=now, rng=rng
         )
@@ -143,6 +144,7 @@
 
     async def _find(self, call: calls.Call, versions: frozenset[str]) -> str | None:
         service, resumes = call.service.name, call.request.resumes
+        await self._wait_for_notes()
         calm = self._calm_version(service, versions)
         if resumes is None:
             return calm
@@ -150,15 +152,26 @@
         if isinstance(found, stream_records.Found):
             return found.software
         if isinstance(found, stream_records.Absent):
-            return self._notes.unrecorded(service, found.asked_at)
+            return self._notes.unrecorded(service, found.asked_at) or calm
         return calm
 
+    async def _wait_for_notes(self) -> None:
+        """Wait for the first read of the notes, as this host has just started."""
+        try:
+            async with asyncio.timeout(FIND_TIMEOUT):
+                await self._has_read.wait()
+        except TimeoutError:
+            return  # what is found without them says so
+
     def _calm_version(self, service: str, versions: frozenset[str]) -> str | None:
         """Return the only version of a service's streams, None if there may be more."""
         note = self._notes.note(service)
-        if note is None or note.mixed or not versions <= {note.base}:
-            return None
-        return note.base
+        if note is not None:
+            is_calm = not note.mixed and versions <= {note.base}
+            return note.base if is_calm else None
+        # Nobody has written a note: no stream has begun beside another version.
+        is_new = self._has_read.is_set() and not self._notes.is_known(service)
+        return next(iter(versions)) if is_new and len(versions) == 1 else None
 
     async def _record(self, call: calls.Call, software: str) -> bool:
         """Write down the version of a call; return whether its stream may begin."""
@@ -202,5 +215,6 @@
             if isinstance(answer, rows.Rows):
                 self._notes.apply_changes({}, answer.rows)
                 self._read_at = asked_at
+                self._has_read.set()
                 pause = NOTES_PAUSE
             await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
--- a/dogwoodchute/gateway/version_notes.py
+++ b/dogwoodchute/gateway/version_notes.py
@@ -123,6 +123,10 @@
             return None
         return known.note
 
+    def is_known(self, service: str) -> bool:
+        """Return whether a service's note was ever read, however long ago."""
+        return service in self._known
+
     def needs_record(self, service: str, software: str) -> bool:
         """Return whether a stream whose first event goes out now needs a record."""
         return stream_versions.needs_record(self.note(service), software)
