Failing tests: resets that last longer than the question, and an error in a relayed answer

A sound stream is aborted where its endpoint resets new connections for all of the 0.5 s. A host that relays the store's answer to another one ends it as complete after an error of its handler; no path to such an error is known, the test raises one in the client's place.

--- a/dogwoodchute/tests/test_end_checks.py
+++ b/dogwoodchute/tests/test_end_checks.py
@@ -5,12 +5,18 @@
 import json
 import socket
 import struct
+import types
 
-from dogwoodchute import outcomes
+import aiohttp
+import testtools
+
+from dogwoodchute import outcomes, server
 from dogwoodchute.filters import dispatch
+from dogwoodchute.platform import names, relay
 from dogwoodchute.standins import service
 from dogwoodchute.tests import (
     endpoints,
+    gateway_site,
     raw_endpoint,
     support,
     test_early_ends,
@@ -176,6 +182,17 @@
 
         self.run_async(scenario())
 
+    def test_nor_is_it_cut_though_new_connections_are_reset_for_long(self):
+        async def scenario():
+            async with self.running() as (site, (endpoint,)):
+                reading = asyncio.create_task(test_faulty_answers.read(site))
+                await support.until(lambda: endpoint.begun == 3)
+                endpoint.resets = 1000
+                endpoint.go_on.set()
+                self.assertEqual(WHOLE_STREAM, await reading)
+
+        self.run_async(scenario())
+
     def test_a_process_that_is_not_ready_to_tell_its_start_did_not_outlive(self):
         async def scenario():
             async with self.running() as (site, (endpoint,)):
@@ -325,3 +342,33 @@
 
         outcome = self.run_async(self.ask(end))
         self.assertIsInstance(outcome, outcomes.Answered)
+
+
+class FailedRelayTest(support.TestCase):
+    def test_an_error_in_a_relayed_answer_does_not_complete_it(self):
+        """Guards against the HTTP server ending answers whose handlers failed."""
+
+        async def call_for_host(method, target, body, *, sink):
+            await sink.begin(200, 0)
+            await sink.write(b"half")
+            raise RuntimeError("a fault")
+
+        store = types.SimpleNamespace(
+            is_store_reachable=True, call_for_host=call_for_host
+        )
+
+        async def scenario():
+            listener = server.Server(name=f"relay-{id(self)}", **gateway_site.LIMITS)
+            relay.add_routes(listener.app, client=store)
+            await listener.start("127.0.0.1", 0)
+            try:
+                async with aiohttp.ClientSession() as session:
+                    url = f"http://127.0.0.1:{listener.port}{names.GET_PATH}"
+                    async with session.get(url) as response:
+                        self.assertEqual(200, response.status)
+                        with testtools.ExpectedException(aiohttp.ClientPayloadError):
+                            await response.read()
+            finally:
+                await listener.stop()
+
+        self.run_async(scenario())
