The question after an unframed answer goes over a connection of its own

Callers saw: an order answered with the 404 of another matter. The question's answer names no attempt, and its connection went back to the pool of requests, so a late copy of that answer was taken for the next request's. The endpoint's Keep-Alive was not heeded on it either. And on a kept connection that had gone silent the question waited all its time, so a sound stream was aborted; during a stop it raised RuntimeError.

Change: questions have a session that keeps no connection and shares none with requests; one that begins after the stop is told as such. Each question costs a new connection to the endpoint, where before it could take a kept one.

--- a/dogwoodchute/gateway/end_check.py
+++ b/dogwoodchute/gateway/end_check.py
@@ -12,7 +12,7 @@
 import prometheus_client
 import yarl
 
-from dogwoodchute import bounded_read, log, pooled_connection
+from dogwoodchute import bounded_read, log
 from dogwoodchute.gateway import model
 
 TIMEOUT = 0.5  # seconds for the endpoint to say that it still runs
@@ -43,8 +43,9 @@
 ) -> bool:
     """Return whether the process of an endpoint runs after the end of an answer.
 
-    `request` is the id of the request that was answered. Without a clear answer in
-    `TIMEOUT` seconds the process counts as ended.
+    `session` keeps no connections and shares none with requests. `request` is the id
+    of the request that was answered. Without a clear answer in `TIMEOUT` seconds the
+    process counts as ended.
     """
     reason = None
     try:
@@ -70,19 +71,8 @@
 async def _ask(
     session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
 ) -> int | None:
-    use = pooled_connection.track_use()
-    try:
-        return await _ask_once(session, question, endpoint)
-    except (aiohttp.ClientError, OSError):
-        # A kept connection may have ended without its endpoint.
-        if not use.is_reused:
-            raise
-    return await _ask_once(session, question, endpoint)
-
-
-async def _ask_once(
-    session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
-) -> int | None:
+    if session.closed:
+        raise aiohttp.ClientConnectionError("this host stops")
     url = yarl.URL(f"http://{endpoint.address}{question.path}", encoded=True)
     headers = question.headers(endpoint)
     async with session.get(url, headers=headers, allow_redirects=False) as response:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -177,6 +177,9 @@
         self._doubts = pooled_connection.Doubts()
         self._memory = answer_memory.AnswerMemory()
         self._session: aiohttp.ClientSession | None = None
+        # For questions after unframed answers. Their answers name no request, so a late
+        # copy of one must not meet a request on the same connection.
+        self._questions: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the HTTP session; needs a running event loop."""
@@ -192,6 +195,14 @@
             read_bufsize=READ_BUFFER,
             middlewares=(send_once.middleware,),
         )
+        self._questions = aiohttp.ClientSession(
+            connector=endpoint_connection.connector(
+                closes_after=lambda *head: True, force_close=True
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            middlewares=(send_once.middleware,),
+        )
 
     async def stop(self) -> None:
         """Close all connections without waiting for endpoints that do not read."""
@@ -200,6 +211,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT):
                 await self._session.close()
+                await self._questions.close()
 
     async def send(
         self,
@@ -260,7 +272,7 @@
             peer=endpoint.id,
             has_outlived=functools.partial(
                 end_check.has_outlived,
-                self._session,
+                self._questions,
                 self._wire.question,
                 endpoint,
                 request=request.attempt_id,
