The question after an unframed answer accepts no compression

The HTTP client asks for gzip by itself and, as set here, doesn't unpack it. So the start that a compressing endpoint names could not be read, nothing was compared, and the part of a dead process came as complete once its successor answered. The question is now sent as requests are, without that header.

--- a/dogwoodchute/gateway/end_check.py
+++ b/dogwoodchute/gateway/end_check.py
@@ -75,6 +75,11 @@
         raise aiohttp.ClientConnectionError("this host stops")
     url = yarl.URL(f"http://{endpoint.address}{question.path}", encoded=True)
     headers = question.headers(endpoint)
-    async with session.get(url, headers=headers, allow_redirects=False) as response:
+    async with session.get(
+        url,
+        headers=headers,
+        allow_redirects=False,
+        skip_auto_headers=("User-Agent", "Accept-Encoding"),
+    ) as response:
         content = await bounded_read.read(response, limit=bounded_read.MAX_REPORT)
         return question.parse_start(response.status, content)
