An endpoint that resets a new connection is asked again about itself

Callers saw: sound streams without framing that were aborted after their last event. An endpoint with many connections or a long queue resets new ones, and a reset question counted as the end of the process.

Change: a reset after connecting is no answer; the question is sent again after 0.05 s, until the 0.5 s are over. A refused connection still decides at once. Resets for all of that time still count as an end.

--- a/dogwoodchute/gateway/end_check.py
+++ b/dogwoodchute/gateway/end_check.py
@@ -16,6 +16,7 @@
 from dogwoodchute.gateway import model
 
 TIMEOUT = 0.5  # seconds for the endpoint to say that it still runs
+RESET_PAUSE = 0.05  # seconds before the question after a connection that was reset
 
 checks = prometheus_client.Counter(
     "dogwoodchute_unframed_ends",
@@ -50,7 +51,7 @@
     reason = None
     try:
         async with asyncio.timeout(TIMEOUT):
-            started = await _ask(session, question, endpoint)
+            started = await _ask_until_answered(session, question, endpoint)
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
         reason = str(error) or type(error).__name__
     else:
@@ -68,6 +69,21 @@
     return reason is None
 
 
+async def _ask_until_answered(
+    session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
+) -> int | None:
+    while True:
+        try:
+            return await _ask(session, question, endpoint)
+        except aiohttp.ClientConnectorError:
+            raise
+        except (aiohttp.ClientError, OSError):
+            # An endpoint with many connections or a long queue resets new ones.
+            if session.closed:
+                raise
+        await asyncio.sleep(RESET_PAUSE)
+
+
 async def _ask(
     session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
 ) -> int | None:
