Streams are whole at an endpoint whose row is older than its process

Callers saw: sound streams without framing that were aborted, each one, for as long as the row of an endpoint that had started again under its id lagged behind, as while the store is away. The start that the endpoint tells was compared with the row only.

Change: a host remembers the start that an endpoint told last and when it heard it first. A request sent after that went to the same process.

--- a/dogwoodchute/gateway/end_check.py
+++ b/dogwoodchute/gateway/end_check.py
@@ -16,6 +16,7 @@
 from dogwoodchute.gateway import model
 
 TIMEOUT = 0.5  # seconds for the endpoint to say that it still runs
+MAX_STARTS = 4096  # endpoints whose starts are remembered
 RESET_PAUSE = 0.05  # seconds before the question after a connection that was reset
 
 checks = prometheus_client.Counter(
@@ -25,6 +26,10 @@
 )
 
 
+# By endpoint: the start that it told last, and the loop time when it told that first.
+Starts = dict[str, tuple[int, float]]
+
+
 class Question(typing.NamedTuple):
     """Asks an endpoint about itself."""
 
@@ -41,12 +46,15 @@
     endpoint: model.Endpoint,
     *,
     request: str,
+    sent_at: float,
+    starts: Starts,
 ) -> bool:
     """Return whether the process of an endpoint runs after the end of an answer.
 
     `session` keeps no connections and shares none with requests. `request` is the id
-    of the request that was answered. Without a clear answer in `TIMEOUT` seconds the
-    process counts as ended.
+    of the request that was answered, sent at the loop time `sent_at`; `starts` keeps
+    what endpoints tell. Without a clear answer in `TIMEOUT` seconds the process counts
+    as ended.
     """
     reason = None
     try:
@@ -55,8 +63,7 @@
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
         reason = str(error) or type(error).__name__
     else:
-        known = endpoint.started_at_ms
-        if started is not None and known and started != known:
+        if started and not _has_begun_it(endpoint, started, sent_at, starts):
             reason = "it has started again"
     checks.labels(str(reason is None).lower()).inc()
     log.info(
@@ -69,6 +76,20 @@
     return reason is None
 
 
+def _has_begun_it(
+    endpoint: model.Endpoint, started: int, sent_at: float, starts: Starts
+) -> bool:
+    """Return whether the process that has `started` then got a request at `sent_at`."""
+    told, told_at = starts.pop(endpoint.id, (None, 0.0))
+    if told != started:
+        told_at = asyncio.get_running_loop().time()
+    starts[endpoint.id] = started, told_at
+    if len(starts) > MAX_STARTS:
+        del starts[next(iter(starts))]
+    # The row may be older than a process that told its start before the request.
+    return endpoint.started_at_ms in (0, started) or told_at <= sent_at
+
+
 async def _ask_until_answered(
     session: aiohttp.ClientSession, question: Question, endpoint: model.Endpoint
 ) -> int | None:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -180,6 +180,7 @@
         # For questions after unframed answers. Their answers name no request, so a late
         # copy of one must not meet a request on the same connection.
         self._questions: aiohttp.ClientSession | None = None
+        self._starts: end_check.Starts = {}
 
     async def start(self) -> None:
         """Open the HTTP session; needs a running event loop."""
@@ -276,6 +277,8 @@
                 self._wire.question,
                 endpoint,
                 request=request.attempt_id,
+                sent_at=sent_at,
+                starts=self._starts,
             ),
         )
 
