An endpoint that does not tell its start any more has not outlived its answer

Callers saw: the part that a dead process had sent, as a complete stream, when the process that followed it answered 503 to the question, as it was not ready yet. Change: from an endpoint that told its start before, an answer without it is unclear. One that has not been asked before is still taken to run by any answer.

--- a/dogwoodchute/gateway/end_check.py
+++ b/dogwoodchute/gateway/end_check.py
@@ -65,6 +65,8 @@
     else:
         if started and not _has_begun_it(endpoint, started, sent_at, starts):
             reason = "it has started again"
+        elif not started and endpoint.id in starts:
+            reason = "it does not tell its start any more"
     checks.labels(str(reason is None).lower()).inc()
     log.info(
         "answer_end_checked",
