An answer that ends in doubt is not held against its endpoint

Found in the review: three late replies to the question ejected a sound endpoint, and one that exits right after its last answer counted as crashed by the request. The test failed before: three failures were recorded.

--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -142,7 +142,7 @@
             result = result.lost
         if not isinstance(result, upstream.Lost) or not result.disconnected:
             return False
-        if send.progress != calls.BEGUN:
+        if send.progress != calls.BEGUN or result.in_doubt:
             return False
         return await endpoint_check.has_ended(send.endpoint.address)
 
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -160,6 +160,8 @@
             self._endpoints.table.mark_ended(endpoint)
         elif isinstance(result, outcomes.Answered):
             self._endpoints.record_success(endpoint)
+        elif isinstance(result, upstream.Lost) and result.in_doubt:
+            return
         elif isinstance(result, try_results.Failure):
             self._endpoints.record_failure(endpoint, result.reason)
 
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -80,6 +80,8 @@
     step: str = "answer"
     silent: bool = False  # no byte of an answer was received
     disconnected: bool = False  # the connection ended
+    # The endpoint ended the answer, but didn't show that it still runs. It may do.
+    in_doubt: bool = False
 
 
 class Answer:
@@ -147,7 +149,7 @@
             return Lost(reason=reason, peer=peer, disconnected=True)
         if not await self._has_outlived():
             reason = "the endpoint ended with its answer"
-            return Lost(reason=reason, peer=peer, disconnected=True)
+            return Lost(reason=reason, peer=peer, disconnected=True, in_doubt=True)
         return data
 
     def release(self) -> None:
--- a/dogwoodchute/tests/test_early_ends.py
+++ b/dogwoodchute/tests/test_early_ends.py
@@ -8,6 +8,7 @@
 import testtools
 
 from dogwoodchute import clock, server
+from dogwoodchute.coordination import ejection
 from dogwoodchute.platform import ingress
 from dogwoodchute.tests import (
     gateway_site,
@@ -104,7 +105,7 @@
                 await self.go_on.wait()
 
 
-class EarlyEndTest(support.TestCase):
+class EarlyEndCase(support.TestCase):
     @contextlib.asynccontextmanager
     async def running(self, count=1, *, service="engines", **options):
         """Run a site whose endpoints of a service are mortal ones."""
@@ -139,6 +140,8 @@
         endpoint.drop()
         return await reading
 
+
+class EarlyEndTest(EarlyEndCase):
     def test_the_part_that_a_dead_endpoint_sent_does_not_look_complete(self):
         async def scenario():
             async with self.running() as (site, (endpoint,)):
@@ -274,6 +277,30 @@
         self.run_async(scenario())
 
 
+class BlameTest(EarlyEndCase):
+    def test_an_end_in_doubt_is_not_held_against_its_endpoint(self):
+        """Guards against sound endpoints that are ejected or counted as crashed."""
+        failures = []
+
+        def record(self, name, now):
+            failures.append(name)
+            return False
+
+        self.patch(ejection.Ejector, "record_failure", record)
+        crashed = self.collect_lines("endpoint_crashed")
+
+        async def scenario():
+            async with self.running(service="plain", answers=False) as (site, (sound,)):
+                sound.go_on.set()
+                for number in range(3):
+                    status, _, _ = await site.ask("/order/x", attempt=f"a{number}")
+                    self.assertEqual(502, status)
+                sound.stop()
+
+        self.run_async(scenario())
+        self.assertEqual(([], []), (failures, crashed))
+
+
 class NoBodyTest(support.TestCase):
     def test_an_answer_without_a_body_needs_no_length(self):
         """Guards against sound answers to HEAD and 204s that count as broken off."""
