An endpoint that was offered a call but not connected to may get it later

Callers saw: 502 for a call that may be repeated, though a sound endpoint stood beside the one that broke off.

Cause: after 0.3 s without a head a call is offered to a second endpoint. If the first one's head comes while that offer still connects, it is withdrawn, and counted as a send that may have run: the endpoint counted as tried, and maxAttempts of 2 was used up.

Change: a send that is withdrawn before its connection is open counts as not sent, like one to which connecting took too long.

--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -3,6 +3,7 @@
 import typing
 from collections import abc
 
+from dogwoodchute import pooled_connection
 from dogwoodchute.gateway import model
 
 # How far an answer has come.
@@ -67,10 +68,17 @@
         self.is_waiting = True  # `waiting_tokens` still count at the endpoint
         self.answer_began = False  # a byte of an answer arrived
         self.events = 0  # whole ones that arrived
+        # Of the connection that carries it, None before one is asked for.
+        self.use: pooled_connection.Use | None = None
         # How the answer tells its end, and how its connection ended; None if unknown.
         self.framing: str | None = None
         self.connection_end: str | None = None
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether no byte of the call was written to the endpoint."""
+        return self.use is None or not self.use.is_connected
+
     @property
     def progress(self) -> str:
         """How far the answer has come."""
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -3,7 +3,7 @@
 import http
 from collections import abc
 
-from dogwoodchute import outcomes
+from dogwoodchute import outcomes, pooled_connection
 from dogwoodchute.gateway import (
     calls,
     endpoint_waits,
@@ -107,6 +107,10 @@
         result: try_results.TryResult | None,
     ) -> None:
         """End a send; `answer` and `result` are None if they did not arrive."""
+        if answer is None and send.is_unsent:
+            answer = upstream.NotSent(
+                reason="withdrawn", peer=send.endpoint.id, timed_out=True
+            )
         if isinstance(answer, upstream.NotSent):
             call.may_have_run = send.may_have_run_before
             call.sends -= 1
@@ -169,11 +173,13 @@
         self, call: calls.Call, send: calls.Send
     ) -> upstream.Answer | upstream.NotSent | upstream.Lost:
         """Send a call and wait for the head of its answer."""
+        send.use = pooled_connection.track_use()
         answer = await self._upstream.send(
             call,
             send.endpoint,
             time_left=call.deadline - self._now(),
             last_event_id=call.last_event_id,
+            use=send.use,
         )
         send.answer_began = isinstance(answer, upstream.Answer) or (
             isinstance(answer, upstream.Lost) and not answer.silent
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -223,15 +223,17 @@
         *,
         time_left: float,
         last_event_id: str | None,
+        use: pooled_connection.Use | None = None,
     ) -> Answer | NotSent | Lost:
         """Send a call to an endpoint and wait for the head of its answer.
 
-        `time_left` is the seconds that the endpoint is given for the call.
+        `time_left` is the seconds that the endpoint is given for the call. `use`, which
+        `pooled_connection.track_use` has just returned, tells of the connection.
         """
         if self._session.closed:
             return NotSent(reason="this host stops", peer=endpoint.id)
         request = call.request
-        use = pooled_connection.track_use()
+        use = use or pooled_connection.track_use()
         sent_at = asyncio.get_running_loop().time()
         target = request.path + (f"?{request.query}" if request.query else "")
         try:
