Streams may begin at any version, whatever the note says; only records decide

Nothing in the request path asked whether a note admits a version, as a stream at any other version than the base is written down before its first event anyhow. The question goes, and the path asks the records themselves whether an attempt was written down before.

--- a/dogwoodchute/coordination/stream_versions.py
+++ b/dogwoodchute/coordination/stream_versions.py
@@ -89,13 +89,6 @@
     return note.sole not in (None, version)
 
 
-def admits(note: Note | None, version: str) -> bool:
-    """Return whether new streams may begin at `version`."""
-    if note is None:
-        return False
-    return note.mixed or note.base == version
-
-
 def begun_at(note: Note | None, record: str | None, now: float) -> str | None:
     """Return the version that began a stream, None if that is unknown.
 
--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/stream_origins.py
@@ -186,9 +186,9 @@
 
     def _needs_record(self, call: calls.Call, software: str) -> bool:
         # An earlier try may have left a record of another version.
-        return bool(call.recorded_versions) or self._notes.needs_record(
-            call.service.name, software
-        )
+        return self._records.is_asked(
+            call.request.attempt_id
+        ) or self._notes.needs_record(call.service.name, software)
 
     def _is_only(self, call: calls.Call, software: str) -> bool:
         """Return whether a stream can only go on at a version, as there is no other.
--- a/dogwoodchute/gateway/version_notes.py
+++ b/dogwoodchute/gateway/version_notes.py
@@ -131,10 +131,6 @@
         """Return whether a stream whose first event goes out now needs a record."""
         return stream_versions.needs_record(self.note(service), software)
 
-    def admits(self, service: str, software: str) -> bool:
-        """Return whether new streams may begin at a software version."""
-        return stream_versions.admits(self.note(service), software)
-
     def unrecorded(self, service: str, asked_at: float) -> str | None:
         """Return the version that began a stream without a record, None if unknown.
 
