--- a/dogwoodchute/tests/test_stream_records.py
+++ b/dogwoodchute/tests/test_stream_records.py
@@ -7,7 +7,13 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import stream_versions
-from dogwoodchute.gateway import rows, stream_records
+from dogwoodchute.gateway import (
+    rows,
+    stream_record_cleanup,
+    stream_record_entries,
+    stream_record_rows,
+    stream_records,
+)
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -79,18 +85,18 @@
 
     def rows(self):
         found = []
-        for part in stream_records.parts():
-            found += self.store.read(stream_records.TABLE, part, None, None).rows
-        return {row.key: stream_records.decode(row.key, row.value) for row in found}
+        for part in stream_record_rows.parts():
+            found += self.store.read(stream_record_rows.TABLE, part, None, None).rows
+        return {row.key: stream_record_rows.decode(row.key, row.value) for row in found}
 
     def written(self, attempt):
-        record = self.rows().get(stream_records.key_of(attempt))
+        record = self.rows().get(stream_record_rows.key_of(attempt))
         return record.software if record is not None else None
 
     def put(self, attempt, value):
-        key = stream_records.key_of(attempt)
-        part = stream_records.part_of(key)
-        self.store.commit(part, [], [rows.Put(stream_records.TABLE, key, value)])
+        key = stream_record_rows.key_of(attempt)
+        part = stream_record_rows.part_of(key)
+        self.store.commit(part, [], [rows.Put(stream_record_rows.TABLE, key, value)])
 
     def warnings(self):
         lines = []
@@ -119,7 +125,7 @@
         unknown = stream_records.Unknown
         self.assertIsInstance(self.host.find("a1", "other"), unknown)
         self.assertIsInstance(self.other.find("a1", "other"), unknown)
-        record = stream_records.Record(SERVICE, "v2", 1.0)._asdict()
+        record = stream_record_rows.Record(SERVICE, "v2", 1.0)._asdict()
         for value in (
             b"\xff",
             b"[]",
@@ -213,8 +219,8 @@
         others = [
             f"b{number}"
             for number in range(20)
-            if stream_records.part_of(stream_records.key_of(f"b{number}"))
-            == stream_records.part_of(stream_records.key_of("a1"))
+            if stream_record_rows.part_of(stream_record_rows.key_of(f"b{number}"))
+            == stream_record_rows.part_of(stream_record_rows.key_of("a1"))
         ]
         self.assertTrue(self.other.ensure(others[0], "v1"))
         self.host.faults = [row_store.Fault(apply_after=2.0)]
@@ -297,7 +303,7 @@
         dead.task.cancel()
         self.loop.run_until_complete(self.host.records.remove_left_over(SERVICE))
         self.assertEqual(201, len(self.rows()))
-        self.run_for(stream_records.LEFT_OVER)
+        self.run_for(stream_record_cleanup.LEFT_OVER)
         self.assertTrue(self.host.ensure("c1", "v2"))
         self.loop.run_until_complete(self.host.records.remove_left_over(SERVICE))
         self.assertEqual(2, len(self.rows()))
@@ -376,10 +382,10 @@
 
         def check():
             for attempt, software in confirmed.items():
-                key = stream_records.key_of(attempt)
-                part = stream_records.part_of(key)
-                read = store.read(stream_records.TABLE, part, key, key + "\0")
-                held = [stream_records.decode(r.key, r.value) for r in read.rows]
+                key = stream_record_rows.key_of(attempt)
+                part = stream_record_rows.part_of(key)
+                read = store.read(stream_record_rows.TABLE, part, key, key + "\0")
+                held = [stream_record_rows.decode(r.key, r.value) for r in read.rows]
                 self.assertEqual([software], [each.software for each in held], attempt)
 
         async def change():
@@ -409,8 +415,8 @@
             future = host.records.ensure(attempt, SERVICE, software, 1.0)
             self.assertTrue(loop.run_until_complete(future))
         loop.run_for(stream_records.KEEP + 30.0)
-        for part in stream_records.parts():
-            read = store.read(stream_records.TABLE, part, None, None)
+        for part in stream_record_rows.parts():
+            read = store.read(stream_record_rows.TABLE, part, None, None)
             self.assertEqual([], read.rows)
         return durable
 
@@ -434,8 +440,8 @@
         def is_settled(entry):
             return entry.holds == entry.wanted
 
-        self.patch(stream_records._Entry, "learn", learn)
-        self.patch(stream_records._Entry, "is_settled", property(is_settled))
+        self.patch(stream_record_entries.Entry, "learn", learn)
+        self.patch(stream_record_entries.Entry, "is_settled", property(is_settled))
         self.assert_caught()
 
     def test_these_faults_show_writes_that_check_no_version(self):
--- a/dogwoodchute/tests/test_version_fleet.py
+++ b/dogwoodchute/tests/test_version_fleet.py
@@ -9,7 +9,7 @@
 import random
 
 from dogwoodchute.coordination import hashing, stream_versions
-from dogwoodchute.gateway import stream_records, version_notes
+from dogwoodchute.gateway import stream_record_rows, stream_records, version_notes
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
@@ -327,7 +327,7 @@
         note = version_notes.decode(SERVICE, read.rows[0].value)
         self.assertEqual(("v2", False), note[:2])
         self.assertEqual(1, calls("commit") - commits)
-        clean_up = 16 * stream_records.PARTS
+        clean_up = 16 * stream_record_rows.PARTS
         self.assertLessEqual(calls("read") - reads, 2 * 62 + clean_up)
 
     def test_records_of_62_hosts_stay_within_the_rate_of_each_part(self):
