--- a/dogwoodchute/gateway/stream_record_entries.py
+++ b/dogwoodchute/gateway/stream_record_entries.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+from dogwoodchute import log
+
 
 class Entry:
     """One record that this host writes or has written.
@@ -35,6 +37,14 @@
         """Whether the row is certainly as wanted, and stays so."""
         return self.holds == self.wanted and self.unanswered <= {self.wanted}
 
+    def is_awaited(self, software: str) -> bool:
+        """Whether the row is still to have this version, and may get it."""
+        return self.wanted == software and not self.is_lost
+
+    def has_sent(self, service: str, software: str) -> bool:
+        """Whether a row with this content may be of this host."""
+        return service == self.service and software in self.sent
+
     def next_put(self) -> str | None:
         """Return what to put next: what is wanted, or what resolves earlier puts.
 
@@ -74,3 +84,27 @@
         self.pending: dict[str, Entry] = {}  # by key
         self.woken = asyncio.Event()
         self.failures = 0  # since the last answer
+
+    def record_answer(self) -> None:
+        """Record that the store has answered."""
+        if self.failures:
+            log.info("stream_records_regained", part=self.name, tries=self.failures)
+        self.failures = 0
+
+    def record_failure(self, reason: str, *, records: int) -> None:
+        """Record that a commit of so many records failed; log the first of a row."""
+        self.failures += 1
+        if self.failures == 1:
+            log.warning(
+                "stream_records_unwritten",
+                part=self.name,
+                records=records,
+                reason=reason,
+            )
+
+
+def take_back(batch: list[Sent]) -> None:
+    """Note that a commit had no effect; an earlier one with the same put still may."""
+    for sent in batch:
+        if sent.is_first:
+            sent.entry.unanswered.discard(sent.put)
--- a/dogwoodchute/gateway/stream_records.py
+++ b/dogwoodchute/gateway/stream_records.py
@@ -140,13 +140,13 @@
         entry.waiters += 1
         try:
             async with asyncio.timeout(timeout):
-                while _is_awaited(entry, software) and not entry.is_settled:
+                while entry.is_awaited(software) and not entry.is_settled:
                     await entry.changed.wait()
         except TimeoutError:
             pass  # the result says so
         finally:
             entry.waiters -= 1
-        is_durable = _is_awaited(entry, software) and entry.is_settled
+        is_durable = entry.is_awaited(software) and entry.is_settled
         record_wait_seconds.labels(str(is_durable).lower()).observe(
             self._now() - started_at
         )
@@ -347,15 +347,15 @@
                     entry.learn(version if put is not None else 0, put)
                     change = "written" if put is not None else "removed"
                     records_changed.labels(change).inc()
-                self._record_answer(part)
+                part.record_answer()
             case rows.Conflict(rows=found):
-                _take_back(batch)
+                stream_record_entries.take_back(batch)
                 self._resolve(part, batch, found)
             case rows.Unavailable(reason=reason):
-                _take_back(batch)
-                self._record_failure(part, batch, reason)
+                stream_record_entries.take_back(batch)
+                part.record_failure(reason, records=len(batch))
             case rows.Unknown(reason=reason):
-                self._record_failure(part, batch, reason)
+                part.record_failure(reason, records=len(batch))
         for sent in batch:
             if sent.entry.is_lost or sent.entry.is_settled:
                 part.pending.pop(sent.entry.key, None)
@@ -379,52 +379,15 @@
                 entry.learn(0, None)
                 continue
             record = self._reader.read(row)
-            if record is not None and _is_own(entry, record):
+            if record is not None and entry.has_sent(record.service, record.software):
                 entry.learn(row.version, record.software)
                 continue
             entry.is_lost = True
             log.warning("stream_record_foreign", service=entry.service, row=row.key)
         if is_other:
-            self._record_answer(part)
+            part.record_answer()
             return
-        self._record_failure(part, batch, "a conflict without another version")
-
-    def _record_answer(self, part: stream_record_entries.Part) -> None:
-        if part.failures:
-            log.info("stream_records_regained", part=part.name, tries=part.failures)
-        part.failures = 0
-
-    def _record_failure(
-        self,
-        part: stream_record_entries.Part,
-        batch: list[stream_record_entries.Sent],
-        reason: str,
-    ) -> None:
-        part.failures += 1
-        if part.failures == 1:
-            log.warning(
-                "stream_records_unwritten",
-                part=part.name,
-                records=len(batch),
-                reason=reason,
-            )
-
-
-def _take_back(batch: list[stream_record_entries.Sent]) -> None:
-    """Note that a commit had no effect; an earlier one with the same put still may."""
-    for sent in batch:
-        if sent.is_first:
-            sent.entry.unanswered.discard(sent.put)
-
-
-def _is_awaited(entry: stream_record_entries.Entry, software: str) -> bool:
-    return entry.wanted == software and not entry.is_lost
-
-
-def _is_own(
-    entry: stream_record_entries.Entry, record: stream_record_rows.Record
-) -> bool:
-    return record.service == entry.service and record.software in entry.sent
+        part.record_failure("a conflict without another version", records=len(batch))
 
 
 def _found(of: str, software: str, service: str) -> FindOutcome:
