Endpoints without a software version have one in take-ups

Found in the read-over: a base that is the empty version (rows without one) counted as unknown once another version served, so take-ups of its streams were refused. The test failed before.

--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/stream_origins.py
@@ -152,7 +152,8 @@
         if isinstance(found, stream_records.Found):
             return found.software
         if isinstance(found, stream_records.Absent):
-            return self._notes.unrecorded(service, found.asked_at) or calm
+            unrecorded = self._notes.unrecorded(service, found.asked_at)
+            return calm if unrecorded is None else unrecorded
         return calm
 
     async def _wait_for_notes(self) -> None:
--- a/dogwoodchute/tests/test_stream_origins.py
+++ b/dogwoodchute/tests/test_stream_origins.py
@@ -95,6 +95,17 @@
         self.assertTrue(self.host.begin(self.host.call(), "v2"))
         self.assertEqual("v2", self.other.find("a1"))
 
+    def test_a_stream_of_endpoints_without_a_version_goes_on_beside_another(self):
+        """Guards against the unknown version being taken for no version."""
+        store = row_store.RowStore(now=self.loop.time)
+        host = Host(self.loop, store, seed=4)
+        host.versions = {""}
+        self.loop.run_for(1.0)
+        self.assertTrue(host.begin(host.call(), ""))
+        host.versions = {"", "v2"}
+        self.loop.run_for(1.0)
+        self.assertEqual("", host.find("a1"))
+
     def test_an_earlier_try_at_another_version_leaves_no_wrong_record(self):
         self.set_versions("v1", "v2")
         call = self.host.call()
