An error in reading the notes of software versions stops no later reads

Found in the read-over: an error while notes were applied would have ended the loop that reads them, and with it the host's copy after a minute. The test failed before.

--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/stream_origins.py
@@ -11,6 +11,7 @@
 import typing
 from collections import abc
 
+from dogwoodchute import log
 from dogwoodchute.gateway import (
     calls,
     model,
@@ -208,14 +209,23 @@
     async def _follow(self) -> None:
         """Read all notes now and then; see `stream_versions.MAX_LAG`."""
         while True:
-            asked_at = self._now()
-            answer = await self._store.read(
-                version_notes.TABLE, version_notes.PART, None, None
-            )
-            pause = NOTES_RETRY_PAUSE
-            if isinstance(answer, rows.Rows):
-                self._notes.apply_changes({}, answer.rows)
-                self._read_at = asked_at
-                self._has_read.set()
-                pause = NOTES_PAUSE
+            is_read = False
+            try:
+                is_read = await self._read_notes()
+            except Exception:
+                log.exception("version_notes_failed")
+            pause = NOTES_PAUSE if is_read else NOTES_RETRY_PAUSE
             await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def _read_notes(self) -> bool:
+        """Read all notes once; return whether the store answered."""
+        asked_at = self._now()
+        answer = await self._store.read(
+            version_notes.TABLE, version_notes.PART, None, None
+        )
+        if isinstance(answer, rows.Unavailable):
+            return False
+        self._notes.apply_changes({}, answer.rows)
+        self._read_at = asked_at
+        self._has_read.set()
+        return True
--- a/dogwoodchute/tests/test_stream_origins.py
+++ b/dogwoodchute/tests/test_stream_origins.py
@@ -106,6 +106,22 @@
         self.loop.run_for(1.0)
         self.assertEqual("", host.find("a1"))
 
+    def test_a_note_that_no_host_can_apply_stops_no_later_one(self):
+        broken = []
+
+        def fail_once(notes, all_rows, changed):
+            if not broken:
+                broken.append(changed)
+                raise ValueError("a fault")
+            real(notes, all_rows, changed)
+
+        real = version_notes.VersionNotes.apply_changes
+        self.patch(version_notes.VersionNotes, "apply_changes", fail_once)
+        late = Host(self.loop, self.store, seed=5)
+        self.loop.run_for(2.0)
+        self.assertTrue(broken)
+        self.assertEqual("v1", late.find("a1"))
+
     def test_an_earlier_try_at_another_version_leaves_no_wrong_record(self):
         self.set_versions("v1", "v2")
         call = self.host.call()
