--- a/dogwoodchute/endpoint_connection.py
+++ b/dogwoodchute/endpoint_connection.py
@@ -55,7 +55,7 @@
     ) -> None:
         super().__init__(loop, doubts=doubts or pooled_connection.Doubts())
         self._closes_after = closes_after
-        self.was_reset = False  # ended in another way than by the endpoint's close
+        self.was_reset = False  # ended by an error, or aborted
         self.idle_until: float | None = None  # loop time
         self.end: str | None = None  # how the connection ended, None while it is open
         self._is_closed_by_peer = False
--- a/dogwoodchute/gateway/stream_record_cleanup.py
+++ b/dogwoodchute/gateway/stream_record_cleanup.py
@@ -5,7 +5,6 @@
 from dogwoodchute import log
 from dogwoodchute.gateway import row_reader, rows, stream_record_rows
 
-MAX_BATCH = 50  # removals of a commit; each is a check and a put, of 100 entries
 KEY_DIGITS = "0123456789abcdef"  # with which keys begin
 # Seconds after which a record of another host is left over. It was written when its
 # request was sent, which may be long before its stream began.
@@ -38,9 +37,11 @@
                 if _is_left_over(row, service, reader=reader, now=answer.now)
                 and not is_kept(row.key)
             ]
-            for begin in range(0, len(old), MAX_BATCH):
+            for begin in range(0, len(old), stream_record_rows.MAX_BATCH):
                 await pace()
-                removed += await _remove(store, part, old[begin : begin + MAX_BATCH])
+                removed += await _remove(
+                    store, part, old[begin : begin + stream_record_rows.MAX_BATCH]
+                )
     log.info("stream_records_cleaned", service=service, records=removed)
 
 
--- a/dogwoodchute/gateway/stream_record_rows.py
+++ b/dogwoodchute/gateway/stream_record_rows.py
@@ -13,6 +13,7 @@
 
 TABLE = "streams"
 PARTS = 2  # so that half of the store's commits are below the rate of each
+MAX_BATCH = 50  # records of a commit; each is a check and a put, of 100 entries
 KEY_BYTES = 16  # of an attempt's digest
 
 
--- a/dogwoodchute/gateway/stream_records.py
+++ b/dogwoodchute/gateway/stream_records.py
@@ -27,7 +27,6 @@
     stream_record_rows,
 )
 
-MAX_BATCH = 50  # records of a commit; each is a check and a put, of 100 entries
 MIN_PAUSE = 0.02  # seconds between commits of a host, which later records share
 STORE_SHARE = 0.5  # of the commits per second of the store, for all hosts together
 MAX_RECORDS = 20_000  # that one host remembers
@@ -274,7 +273,7 @@
 
     def _is_due(self, part: stream_record_entries.Part) -> bool:
         """Return whether the part needs a commit, also one of removals only."""
-        if len(part.pending) >= MAX_BATCH:
+        if len(part.pending) >= stream_record_rows.MAX_BATCH:
             return True
         latest = self._now() - KEEP - REMOVAL_SLACK
         return any(
@@ -299,7 +298,7 @@
     ) -> list[stream_record_entries.Sent]:
         """Return what to send: what first events wait for first, removals last."""
         chosen = heapq.nsmallest(
-            MAX_BATCH,
+            stream_record_rows.MAX_BATCH,
             part.pending.values(),
             key=lambda entry: (entry.wanted is None, not entry.waiters, entry.used_at),
         )
