A host without sources asks six hosts for its tables, not three

Cause: a host that the store turns away and whose sources have left asks some hosts at random once its tables are 1.5 s old. Three of them may all follow hosts that are as old as itself: their tables are recent, lack the newest change, and are taken, so that the change comes a round later (2.59 to 2.66 s after it was written, bound 2.5).

--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/table_source.py
@@ -28,6 +28,9 @@
 SLOW_STORE = 0.8
 PARALLEL_INTERVAL = 0.5
 ANYONE_INTERVAL = 1.0  # seconds between calls of hosts that are no sources
+# Hosts asked at a time. Some of them follow hosts as old as this one and answer with
+# tables that are recent but lack the newest change.
+ANYONE_COUNT = 2 * sources.SOURCES_PER_REGION
 HOLD = 0.9  # seconds for which a source may hold a call until it has changes
 MIN_HOLD = 0.25  # seconds; bounds the calls of hosts whose tables are nearly old
 SLOW_SOURCE = 0.5  # seconds beyond that, after which the other sources are asked too
@@ -304,7 +307,7 @@
             return None
         self._asked_anyone_at = self._now()
         addresses = self._anyone()
-        some = random.sample(addresses, min(len(addresses), sources.SOURCES_PER_REGION))
+        some = random.sample(addresses, min(len(addresses), ANYONE_COUNT))
         return await self._calls.ask_unranked(some, since)
 
     def _drop_kept(self) -> None:
