Allowed regions, evacuated data centres and cold endpoints

What is taken back after an evacuation counts as cold.

Ruled out: 0068's own shares, which begin 2 s after an endpoint names its limit; a cold phase lasts 3 s.

Tests without a network: 1 to 195 hosts with endless demand at one cold endpoint, late, new, cut off and with lists that differ; on real hosts tries, broken and taken-up streams in allowed regions only, evacuations at hosts that start or that the store turns away.

--- a/dogwoodchute/coordination/named_limits.py
+++ b/dogwoodchute/coordination/named_limits.py
@@ -10,6 +10,7 @@
 """
 
 import math
+import typing
 from collections import abc
 
 from dogwoodchute.coordination import ranking
@@ -25,19 +26,45 @@
 ROUNDING = 1e-6  # requests
 
 
+class Division(typing.NamedTuple):
+    """How a rate is divided between hosts."""
+
+    holders: int  # hosts that hold a share
+    share: float  # requests a second of each
+
+
+# Divides a rate, in requests a second, between a number of hosts.
+Divide = abc.Callable[[float, int], Division]
+
+
 def holder_count(rate: float, hosts: int) -> int:
     """Return how many of `hosts` hold a share of `rate` requests a second."""
     wanted = min(rate / MIN_SHARE, rate + SPARE_HOLDERS, hosts)
     return max(1, int(wanted))
 
 
+def divide(rate: float, hosts: int) -> Division:
+    """Divide a rate that an endpoint names; one that takes nothing is still probed."""
+    rate = max(rate, PROBE_RATE)
+    holders = holder_count(rate, hosts)
+    return Division(holders, rate / holders)
+
+
 class Share:
     """What one host may send of one endpoint's rate, as permits for single requests.
 
     Times are monotonic seconds.
     """
 
-    def __init__(self, *, endpoint: str, host: str, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        host: str,
+        now: float,
+        divide: Divide = divide,
+    ) -> None:
+        self._divide = divide
         self._endpoint = endpoint
         self._host = host
         self._rate = 0.0  # in use now, requests a second
@@ -52,22 +79,31 @@
         """Requests a second that this host holds, or will hold in a moment."""
         return self._granted
 
-    def update(self, rate: float, others: abc.Collection[str], now: float) -> None:
-        """Divide `rate` between this host and `others`."""
+    def update(
+        self,
+        rate: float,
+        others: abc.Collection[str],
+        now: float,
+        *,
+        growth_delay: float = GROWTH_DELAY,
+    ) -> None:
+        """Divide `rate` between this host and `others`.
+
+        A share that has grown is used after `growth_delay` seconds.
+        """
         self._count(now)
-        rate = max(rate, PROBE_RATE)
-        holders = holder_count(rate, 1 + len(others))
+        holders, share = self._divide(rate, 1 + len(others))
         own = ranking.score(self._endpoint, self._host, 1.0)
         place = sum(ranking.score(self._endpoint, each, 1.0) > own for each in others)
-        self._granted = rate / holders if place < holders else 0.0
-        self._first_permit = (place + 1) / rate
+        self._granted = share if place < holders else 0.0
+        self._first_permit = (place + 1) / (holders * share)
         if not self._granted:
             self._permits = 0.0
         if self._granted <= self._rate:
             self._rate = self._granted
             self._grows_at = math.inf
         elif math.isinf(self._grows_at):
-            self._grows_at = now + GROWTH_DELAY
+            self._grows_at = now + growth_delay
 
     def wait(self, now: float) -> float:
         """Return the seconds until a request may be sent, infinity if others may."""
--- a/dogwoodchute/gateway/calls.py
+++ b/dogwoodchute/gateway/calls.py
@@ -99,6 +99,8 @@
         self.route: model.Route | None = None
         self.service: model.Service | None = None
         self.account: model.Account | None = None
+        # The regions in which it may be served and kept, None for anywhere.
+        self.allowed_regions: frozenset[str] | None = None
         self.priority = 0
         self.reserved = 0  # tokens
         self.delivered_events = 0
--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -44,6 +44,10 @@
         """The configuration in force, None before the first one was read."""
         return self._current
 
+    def service(self, name: str) -> model.Service | None:
+        """Return a service of the configuration in force, None if it names none."""
+        return self._current.services.get(name) if self._current is not None else None
+
     @property
     def read_at(self) -> float | None:
         """Monotonic seconds of the last successful read, None before the first one."""
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -163,6 +163,5 @@
         if last is None:
             usable_in = self._endpoints.seconds_until_turn(call)
         else:
-            table = self._endpoints.table
-            usable_in = table.seconds_until_usable(call.service.name) or 0.0
+            usable_in = self._endpoints.seconds_until_usable(call) or 0.0
         return failed_calls.outcome(call, last, usable_in=usable_in)
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/endpoint_table.py
@@ -16,6 +16,8 @@
     row_reader,
     rows,
 )
+from dogwoodchute.gateway.places import evacuations
+from dogwoodchute.gateway.warmup import cold_endpoints
 
 # Seconds after an outage of the store in which endpoints renew entries that expired.
 RENEWAL_TIME = 2.5
@@ -43,6 +45,15 @@
 Decode = abc.Callable[[str, bytes], model.Endpoint]
 
 
+# Returns whether a call may use an endpoint, whatever that one's state.
+Accepts = abc.Callable[[model.Endpoint], bool]
+
+
+def accept_all(endpoint: model.Endpoint) -> bool:
+    """Accept any endpoint."""
+    return True
+
+
 class Listeners(typing.NamedTuple):
     """What is called after changes of the table."""
 
@@ -61,9 +72,13 @@
         decode: Decode,
         listeners: Listeners,
         limits: endpoint_limits.EndpointLimits,
+        evacuated: evacuations.Evacuations,
+        cold: cold_endpoints.ColdEndpoints,
         now: abc.Callable[[], float],
     ) -> None:
         self.limits = limits  # that endpoints name in answers
+        self.cold = cold
+        self._evacuated = evacuated
         self.is_loaded = False  # whether the table was read at least once
         self._reader = row_reader.RowReader(table=table, decode=decode)
         self._listeners = listeners
@@ -128,42 +143,58 @@
             self._versions[service] = known
         return known
 
-    def usable(self, service: str) -> list[model.Endpoint]:
-        """Return the endpoints of a service that take new requests now."""
+    def has_accepted(self, service: str, accepts: Accepts) -> bool:
+        """Return whether a service has an endpoint that is accepted, usable or not."""
+        return any(e.service == service and accepts(e) for e in self._all.values())
+
+    def in_data_centre(self, data_centre: str) -> list[str]:
+        """Return the ids of the endpoints in a data centre."""
+        return [e.id for e in self._all.values() if e.data_centre == data_centre]
+
+    def usable(
+        self, service: str, accepts: Accepts = accept_all
+    ) -> list[model.Endpoint]:
+        """Return the accepted endpoints of a service that take new requests now."""
         return [
             endpoint
             for endpoint in self._staying(service)
-            if not self._seconds_held_off(endpoint)
+            if accepts(endpoint) and not self._seconds_held_off(endpoint)
         ]
 
-    def seconds_until_usable(self, service: str) -> float | None:
-        """Return when the first endpoint takes requests, None if none is known to.
+    def seconds_until_usable(
+        self, service: str, accepts: Accepts = accept_all
+    ) -> float | None:
+        """Return when the first accepted endpoint takes requests.
 
-        This is 0 if one does now.
+        This is 0 if one does now, and None if none is known to.
         """
-        waits = [self._seconds_held_off(each) for each in self._staying(service)]
+        accepted = filter(accepts, self._staying(service))
+        waits = [self._seconds_held_off(each) for each in accepted]
         if not waits:
             return None
         first = min(waits)
         return first if math.isfinite(first) else OTHER_HOSTS_WAIT
 
-    def next_turn(self, service: str) -> float | None:
+    def next_turn(self, service: str, accepts: Accepts = accept_all) -> float | None:
         """Return when a refused caller should return, None if that isn't known.
 
         Unlike `seconds_until_usable` this leaves each caller a turn of its own at
         endpoints that are at their limits.
         """
-        first = self.seconds_until_usable(service)
+        first = self.seconds_until_usable(service, accepts)
         if not first:
             return first
-        rate = self.limits.granted([each.id for each in self._staying(service)])
+        accepted = [each for each in self._staying(service) if accepts(each)]
+        rate = self.limits.granted([each.id for each in accepted])
+        if self.cold.may_have_any:
+            rate += self.cold.granted(accepted)
         return self._turns.next(service, first, rate, self._now()) if rate else first
 
     def count_held_back(self, service: str) -> None:
         """Count a choice that leaves out endpoints of a service at their limits."""
-        if self.limits.has_any and any(
-            self.limits.wait(each.id) for each in self._staying(service)
-        ):
+        if not self.limits.has_any and not self.cold.may_have_any:
+            return
+        if any(self._seconds_limited(each) for each in self._staying(service)):
             held_back.labels(service).inc()
 
     def mark_ended(self, endpoint: model.Endpoint) -> None:
@@ -235,17 +266,29 @@
         This is infinite if its limit leaves nothing to this host.
         """
         pause = self._hold_offs.remaining(endpoint.id, self._now())
-        return max(pause, self.limits.wait(endpoint.id))
+        return max(pause, self._seconds_limited(endpoint))
+
+    def _seconds_limited(self, endpoint: model.Endpoint) -> float:
+        """Return the seconds until this host's share of a rate lets a request pass."""
+        seconds = self.limits.wait(endpoint.id)
+        if self.cold.may_have_any:
+            return max(seconds, self.cold.wait(endpoint))
+        return seconds
 
     def _staying(self, service: str) -> list[model.Endpoint]:
-        """Return the endpoints of a service that aren't leaving, replaced or gone."""
+        """Return the endpoints of a service that may get requests, now or later.
+
+        These aren't leaving, evacuated, replaced or gone.
+        """
         self._delete_expired()
         self._leaving.expire(self._now())
+        evacuated = self._evacuated.in_force
         return [
             e
             for e in self._all.values()
             if e.service == service
             and e.state == model.READY
+            and e.data_centre not in evacuated
             and e.id not in self._replaced
             and not self._leaving.is_leaving(e.id)
         ]
@@ -262,7 +305,14 @@
         self._missing.pop(endpoint.id, None)
         self._all[endpoint.id] = endpoint
         self._versions.clear()
-        if before == endpoint._replace(sequence=before.sequence if before else 0):
+        if before is not None and before.started_at_ms != endpoint.started_at_ms:
+            log.info("endpoint_restarted", endpoint=endpoint.id)
+            self._forget(endpoint.id)
+            self._listeners.restarted(endpoint.id)
+        self.cold.hear(endpoint.id, endpoint.cold_for)
+        if before is not None and before == endpoint._replace(
+            sequence=before.sequence, cold_for=before.cold_for
+        ):
             return
         log.info(
             "endpoint_changed",
@@ -273,10 +323,6 @@
             software=endpoint.software or None,
             version=version,
         )
-        if before is not None and before.started_at_ms != endpoint.started_at_ms:
-            log.info("endpoint_restarted", endpoint=endpoint.id)
-            self._forget(endpoint.id)
-            self._listeners.restarted(endpoint.id)
 
     def _remove(self, name: str) -> None:
         if name not in self._all:
@@ -310,4 +356,5 @@
         self._replaced.discard(name)
         self._hold_offs.forget(name)
         self.limits.forget(name)
+        self.cold.forget(name)
         self._leaving.clear_signal(name, leaving.ENDPOINT)
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/endpoints.py
@@ -19,6 +19,8 @@
     host_rows,
     model,
 )
+from dogwoodchute.gateway.places import evacuations
+from dogwoodchute.gateway.warmup import cold_endpoints
 
 PROMPT_RATE_WINDOW = 4.0  # seconds over which the sent prompt tokens are averaged
 # Target latencies for which an endpoint may be silent with several requests.
@@ -26,6 +28,8 @@
 # Of the retry slack of the whole fleet that its hosts share. The rest covers hosts that
 # restart, whose budgets begin anew.
 BUDGET_SHARE = 0.5
+# Of a cold endpoint against a warm one, so that it gets what others have no room for.
+COLD_WEIGHT = 0.5
 
 # Returns those of some endpoints, by id, at which a call may run.
 MayRun = abc.Callable[
@@ -66,12 +70,15 @@
         other_hosts: abc.Callable[[], tuple[host_rows.Host, ...]],
         loads: abc.Callable[[], gossip.Loads],
         now: abc.Callable[[], float],
+        evacuated: evacuations.Evacuations,
+        cold: cold_endpoints.ColdEndpoints,
         may_run: MayRun = lambda call, endpoints: endpoints,
     ) -> None:
         self._deployment = deployment
         self._host_count = host_count
         self._loads = loads
         self._may_run = may_run
+        self._evacuated = evacuated
         self._now = now
         self._prompt_rate = sizing.Demand(
             window=PROMPT_RATE_WINDOW, bias_corrected=True
@@ -87,6 +94,8 @@
             limits=endpoint_limits.EndpointLimits(
                 host=deployment.host, others=other_hosts, now=now
             ),
+            evacuated=evacuated,
+            cold=cold,
             now=now,
         )
         self._usage: dict[str, _Usage] = {}
@@ -144,7 +153,8 @@
         endpoints are left out; engines only while others answer, as they may rightly
         be silent for seconds.
         """
-        usable = {e.id: e for e in self.table.usable(call.service.name)}
+        found = self.table.usable(call.service.name, self._accepts(call))
+        usable = {e.id: e for e in found}
         usable = self._may_run(call, usable)
         answering = {i: e for i, e in usable.items() if not self._silence(call, i)}
         if answering or call.service.engine is None:
@@ -156,13 +166,38 @@
 
     def seconds_until_turn(self, call: calls.Call) -> float:
         """Return when the caller of a call without an endpoint should return."""
-        service = call.service.name
-        seconds = self.table.next_turn(service)
+        service, accepts = call.service.name, self._accepts(call)
+        seconds = self.table.next_turn(service, accepts)
         if seconds:
             return seconds
-        usable = self.table.usable(service)
+        usable = self.table.usable(service, accepts)
         return min((self._silence(call, each.id) for each in usable), default=0.0)
 
+    def seconds_until_usable(self, call: calls.Call) -> float | None:
+        """Return when an endpoint takes a call, 0 for now, None if none is known to."""
+        return self.table.seconds_until_usable(call.service.name, self._accepts(call))
+
+    def has_endpoint(self, service: str, regions: frozenset[str]) -> bool:
+        """Return whether a service has an endpoint in some regions, usable or not."""
+        return self.table.has_accepted(service, self._in_regions(regions))
+
+    def progress(self, data_centre: str) -> evacuations.Progress:
+        """Return what this host has at the endpoints of a data centre."""
+        names = self.table.in_data_centre(data_centre)
+        usages = (self._usage.get(name) for name in names)
+        running = sum(usage.running for usage in usages if usage is not None)
+        return evacuations.Progress(len(names), running)
+
+    def _accepts(self, call: calls.Call) -> endpoint_table.Accepts:
+        """Return whether a call may use an endpoint, by the regions it is allowed."""
+        if call.allowed_regions is None:
+            return endpoint_table.accept_all
+        return self._in_regions(call.allowed_regions)
+
+    def _in_regions(self, regions: frozenset[str]) -> endpoint_table.Accepts:
+        region_of = self._deployment.regions
+        return lambda endpoint: region_of.get(endpoint.data_centre) in regions
+
     def _silence(self, call: calls.Call, name: str) -> float:
         """Return the seconds for which an endpoint is left out, as it is silent."""
         usage = self._usage.get(name)
@@ -174,6 +209,8 @@
     def start_request(self, call: calls.Call, endpoint: model.Endpoint) -> calls.Send:
         """Count a call as sent to an endpoint that was just chosen for it."""
         self.table.limits.take(endpoint.id)
+        if self.table.cold.may_have_any:
+            self.table.cold.take(endpoint)
         usage = self._usage_of(endpoint.id, call.service)
         usage.running += 1
         usage.unanswered.record_send(self._now())
@@ -231,11 +268,12 @@
         """
         return self._usage[send.endpoint.id].latest_started_send > send.at
 
-    def finish_request(self, endpoint: str) -> None:
+    def finish_request(self, endpoint: model.Endpoint) -> None:
         """Count a call as no longer running at an endpoint."""
-        self._usage[endpoint].running -= 1
-        if endpoint not in self.table:
-            self._drop_unused(endpoint)
+        self._usage[endpoint.id].running -= 1
+        self._evacuated.record_finished(endpoint.data_centre)
+        if endpoint.id not in self.table:
+            self._drop_unused(endpoint.id)
 
     def record_success(self, endpoint: model.Endpoint) -> None:
         """Record a complete answer for the ejection of endpoints."""
@@ -274,8 +312,12 @@
         weights = {e.id: ejector.weight(e.id, now) for e in endpoints}
         if not any(weights.values()):
             weights = dict.fromkeys(weights, 1.0)
+        has_cold = self.table.cold.may_have_any
         candidates = []
         for endpoint in endpoints:
+            weight = weights[endpoint.id]
+            if has_cold and self.table.cold.is_cold(endpoint):
+                weight *= COLD_WEIGHT
             usage = self._usage_of(endpoint.id, service)
             running, waiting_tokens = usage.running, usage.waiting_tokens
             for load in loads:
@@ -290,7 +332,7 @@
                     distance=self._distance(endpoint),
                     running=running,
                     waiting_tokens=waiting_tokens,
-                    weight=weights[endpoint.id],
+                    weight=weight,
                     slots=endpoint.slots,
                     slowness=usage.slowness_estimator.slowness(now),
                 )
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -36,6 +36,8 @@
     upstream,
     witnessing,
 )
+from dogwoodchute.gateway.places import allowed_regions, evacuations
+from dogwoodchute.gateway.warmup import cold_endpoints, recent_hosts
 
 POLL_INTERVAL = 0.02  # seconds between checks of the number of requests in flight
 FLUSH_TIMEOUT = 0.5  # seconds to write bills and return tokens
@@ -124,6 +126,17 @@
             crashes=self._crashes,
             now=now,
         )
+        self._recent_hosts = recent_hosts.RecentHosts(
+            fleet=self._hosts, read_at=lambda: self._hosts.read_at, now=now
+        )
+        self._evacuations = evacuations.Evacuations(
+            data_centre_of=platform.evacuated_data_centre,
+            progress=lambda data_centre: self._endpoints.progress(data_centre),
+            now=now,
+        )
+        self._regions_by_name = allowed_regions.RegionsByName(
+            config=lambda: self._configuration.current
+        )
         self._endpoints = endpoints.Endpoints(
             deployment=deployment,
             table_name=platform.endpoints_table,
@@ -131,6 +144,15 @@
             host_count=lambda: self._hosts.count,
             other_hosts=lambda: self._hosts.live,
             loads=self._gossip.loads,
+            evacuated=self._evacuations,
+            cold=cold_endpoints.ColdEndpoints(
+                host=deployment.host,
+                others=self._recent_hosts,
+                service_of=self._configuration.service,
+                evacuated=self._evacuations,
+                bounds=deployment.bounds,
+                now=now,
+            ),
             may_run=lambda call, usable: self._origins.usable(call, usable),
             now=now,
         )
@@ -226,10 +248,11 @@
         """Return the control addresses of hosts that may reach the store."""
         return self._hosts.relays()
 
-    def addresses(self, data_centre: str, region: str) -> list[str]:
+    def addresses(self, data_centre: str, region: str, name: str) -> list[str]:
         """Return the addresses of hosts that a caller should use.
 
-        `data_centre` and `region` are the caller's.
+        `data_centre` and `region` are the caller's, `name` the host name that it will
+        ask for.
         """
         own = self._deployment
         candidates = [
@@ -240,7 +263,12 @@
         if self.ready():
             this = directory.Candidate(own.callers, own.data_centre, own.region)
             candidates.append(this)
-        return directory.addresses(candidates, data_centre=data_centre, region=region)
+        return directory.addresses(
+            candidates,
+            data_centre=data_centre,
+            region=region,
+            allowed=self._regions_by_name.find(name.partition(":")[0].lower()),
+        )
 
     async def transfer_out(self, account: str, tokens: int) -> int:
         """Transfer up to `tokens` of a client account to another host.
@@ -377,6 +405,8 @@
         )
         self._hosts.set_read_at(lambda: hosts_mirror.read_at)
         hosts_mirror.add_listener(self._own_row.apply_changes)
+        hosts_mirror.add_listener(self._recent_hosts.apply_changes)
+        config_mirror.add_listener(self._evacuations.apply_changes)
         return mirrors
 
     def _make_chain(self) -> abc.Callable[..., abc.Awaitable[outcomes.Outcome]]:
@@ -392,6 +422,7 @@
                 filters.route(),
                 filters.check_closing(closing=self._stopping.closing),
                 filters.authenticate(),
+                allowed_regions.restrict(has_endpoint=self._endpoints.has_endpoint),
                 filters.check_quarantine(find=self._crashes.find),
                 filters.take_up(origins=self._origins),
                 filters.reserve(budgets=self._budgets.accounts),
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -28,6 +28,8 @@
         now: abc.Callable[[], float],
     ) -> None:
         self.id = id  # of this incarnation
+        # Monotonic seconds at which the own row was first read, None before that.
+        self.registered_at: float | None = None
         self._on_crashes = on_crashes  # called with those that other rows hold
         self._deployment = deployment
         self._store = store
@@ -67,6 +69,8 @@
             self._row_versions[host.id] = row.version
             self._hosts[host.id] = host
             if host.id == self.id:
+                if self.registered_at is None:
+                    self.registered_at = self._now()
                 continue
             if host.crashes:
                 self._on_crashes(host.crashes)
@@ -74,10 +78,15 @@
                 log.info("host_seen", peer=host.id, state=host.state)
         self._update_ended()
 
+    @property
+    def read_at(self) -> float | None:
+        """Monotonic seconds of the last read of the table, None before the first."""
+        return self._read_at()
+
     @property
     def is_known(self) -> bool:
         """Whether the table of hosts was read at least once."""
-        return self._read_at() is not None
+        return self.read_at is not None
 
     @property
     def live(self) -> tuple[host_rows.Host, ...]:
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -16,6 +16,10 @@
     retry_ratio: float = 0.2  # retries per request to a service in a window
     retry_slack: float = 50.0  # further retries in a window, of all hosts together
     max_directory_ttl: float = 5.0
+    # Requests that a cold endpoint may get in one second, as a multiple of the rate
+    # that its service names, and further ones.
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
 
 
 class Deployment(typing.NamedTuple):
@@ -57,6 +61,8 @@
     max_attempts: int  # endpoints that one request may be sent to
     public: bool  # callers need no key
     resumable: bool  # a stream may resume at another endpoint
+    # Where requests may be served and kept, None for anywhere.
+    allowed_regions: frozenset[str] | None = None
 
 
 class Engine(typing.NamedTuple):
@@ -72,6 +78,9 @@
 
     name: str
     engine: Engine | None
+    cold_start: float = 0.0  # seconds for which an endpoint is cold after its start
+    # Requests a second that a cold endpoint takes from all hosts, 0 if none is named.
+    cold_rate: float = 0.0
 
 
 class Account(typing.NamedTuple):
@@ -81,6 +90,8 @@
     keys: frozenset[str]
     priority: int | None
     prepaid: int | None
+    # Where its requests may be served and kept, None for anywhere.
+    allowed_regions: frozenset[str] | None = None
 
 
 class Limits(typing.NamedTuple):
@@ -125,6 +136,9 @@
     # Version of the software that the process runs, "" if unknown. Versions have no
     # order, and a process that starts anew under the same id may have another one.
     software: str = ""
+    # Seconds for which it stays cold after it wrote this. A cold endpoint is slow, and
+    # crashes if it gets far more requests than its service names.
+    cold_for: float = 0.0
 
 
 class Part(typing.NamedTuple):
--- /dev/null
+++ b/dogwoodchute/gateway/places/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests may be served: allowed regions and evacuated data centres."""
--- a/dogwoodchute/gateway/platform_access.py
+++ b/dogwoodchute/gateway/platform_access.py
@@ -16,5 +16,7 @@
     config_table: str
     config_key: str
     endpoints_table: str
+    # Returns the data centre that a row beside the configuration evacuates, by its key.
+    evacuated_data_centre: abc.Callable[[str], str | None]
     # Returns whether the store answers this host directly.
     is_store_reachable: abc.Callable[[], bool]
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -125,7 +125,7 @@
         if self._has_run_started(call, send, answer, result):
             call.run_started = True
         self._endpoints.remove_waiting_tokens(send)
-        self._endpoints.finish_request(send.endpoint.id)
+        self._endpoints.finish_request(send.endpoint)
         if isinstance(answer, upstream.Answer):
             send.framing = answer.framing
             send.connection_end = answer.connection_end
@@ -264,6 +264,8 @@
             table.limits.ignore(endpoint, head.bad_limit)
         else:
             table.limits.hear(endpoint, head.limit, sent_at=send.at)
+        if head.cold_for is not None:
+            table.cold.hear(endpoint.id, head.cold_for)
         if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
             return
         if head.retry_after:
--- a/dogwoodchute/gateway/upstream.py
+++ b/dogwoodchute/gateway/upstream.py
@@ -49,6 +49,8 @@
     # limit, and the header's value where it is none.
     limit: float | None = None
     bad_limit: str | None = None
+    # Seconds for which the endpoint says that it stays cold, None if it doesn't say.
+    cold_for: float | None = None
 
 
 class WireFormat(typing.NamedTuple):
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -63,6 +63,8 @@
         max_directory_ttl=float(
             plain_bounds.get("ttl_max_s", default.max_directory_ttl)
         ),
+        cold_overrun=_amount(plain_bounds.get("coldOverrun", default.cold_overrun)),
+        cold_slack=_amount(plain_bounds.get("coldSlack", default.cold_slack)),
     )
     zone = str(plain["zone"])
     regions = {str(k): str(v) for k, v in plain.get("zones", {}).items()}
@@ -91,6 +93,14 @@
     )
 
 
+def _amount(value: object) -> float:
+    """Return a number of at least 0; raise `ValueError` unless it is one."""
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{value} is no number of at least 0")
+    return number
+
+
 def _rate(value: object) -> float:
     """Return a rate a second; raise `ValueError` unless it is positive and finite."""
     rate = float(value)
--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -9,6 +9,7 @@
 from dogwoodchute import bounded_json
 from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import model
+from dogwoodchute.platform import names
 
 KINDS = {
     "idempotent": model.IDEMPOTENT,
@@ -54,6 +55,7 @@
         started_at_ms=_whole(plain.get("born", 0), "born", MAX_COUNT),
         sequence=_whole(plain.get("sequence", 0), "sequence", MAX_COUNT),
         software=_software(plain),
+        cold_for=_cold_for(plain),
     )
 
 
@@ -72,6 +74,28 @@
     return value
 
 
+def _cold_for(plain: dict) -> float:
+    """Return the seconds for which an endpoint's row says that it stays cold."""
+    value = plain.get("coldLeftMs", 0)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise FormatError("coldLeftMs is no number")
+    try:
+        return _to_seconds(value)
+    except (ValueError, OverflowError) as error:
+        raise FormatError(f"coldLeftMs: {error}") from error
+
+
+def evacuated_data_centre(key: str) -> str | None:
+    """Return the data centre that a row of the operator's evacuates, None if none.
+
+    The operator writes such a row beside the configuration, and removes it when the
+    data centre is taken back. Its value holds nothing.
+    """
+    if not key.startswith(names.EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(names.EVACUATION_PREFIX)
+
+
 def _object(value: bytes) -> dict:
     """Return the JSON object in a row's value."""
     try:
@@ -145,20 +169,26 @@
         max_attempts=max(1, _count(plain.get("maxAttempts", 1))),
         public=bool(plain.get("public", False)),
         resumable=bool(plain.get("resumable", False)),
+        allowed_regions=_regions(plain),
     )
 
 
 def _service(plain: dict) -> model.Service:
-    engine = plain.get("engine")
-    if not engine:
-        return model.Service(str(plain["name"]), None)
     return model.Service(
         str(plain["name"]),
-        model.Engine(
-            slots=_count(engine.get("slots", 1)),
-            memory_tokens=_count(engine.get("kvCapacity", 0)),
-            tokens_per_event=max(1, _count(engine.get("stride", 1))),
-        ),
+        _engine(plain.get("engine")),
+        cold_start=_to_seconds((plain.get("coldStartS") or 0) * 1000),
+        cold_rate=_rate(plain.get("coldPerS") or 0),
+    )
+
+
+def _engine(plain: dict | None) -> model.Engine | None:
+    if not plain:
+        return None
+    return model.Engine(
+        slots=_count(plain.get("slots", 1)),
+        memory_tokens=_count(plain.get("kvCapacity", 0)),
+        tokens_per_event=max(1, _count(plain.get("stride", 1))),
     )
 
 
@@ -169,9 +199,20 @@
         keys=frozenset(str(key) for key in plain.get("apiKeys") or ()),
         priority=None if priority is None else _count(priority),
         prepaid=None if prepaid is None else _count(prepaid),
+        allowed_regions=_regions(plain),
     )
 
 
+def _regions(plain: dict) -> frozenset[str] | None:
+    """Return the regions that a route or client account names, None without any."""
+    regions = plain.get("allowedRegions")
+    if not regions:
+        return None
+    if not isinstance(regions, list) or not all(isinstance(r, str) for r in regions):
+        raise ValueError("allowedRegions is no list of names")
+    return frozenset(regions)
+
+
 def _limits(plain: dict) -> model.Limits:
     default = model.Limits()
     return model.Limits(
@@ -195,6 +236,13 @@
     return number / 1000
 
 
+def _rate(value: object) -> float:
+    number = float(value)
+    if not 0 <= number <= MAX_COUNT:  # NaN too fails both comparisons
+        raise ValueError(f"a rate of {number} a second")
+    return number
+
+
 def _count(value: object) -> int:
     number = float(value)
     if not math.isfinite(number) or abs(number) > MAX_COUNT:
--- a/dogwoodchute/platform/egress.py
+++ b/dogwoodchute/platform/egress.py
@@ -63,6 +63,7 @@
             continue
         forwarded.append((text, value.decode("latin-1")))
     limit, bad_limit = _limit(headers, raw)
+    cold_ms = _number(headers.get(names.COLD_MS))
     retry_after = headers.get(names.RETRY_AFTER)
     seconds = _number(retry_after)
     return upstream.Head(
@@ -74,6 +75,7 @@
         bad_retry_after=retry_after if seconds is None else None,
         limit=limit,
         bad_limit=bad_limit,
+        cold_for=None if cold_ms is None else cold_ms / 1000,
         leaving=headers.get(names.LEAVING) == names.LEAVING_YES,
         idle_timeout=_idle_timeout(headers.get("Keep-Alive", "")),
         headers=forwarded,
--- a/dogwoodchute/platform/ingress.py
+++ b/dogwoodchute/platform/ingress.py
@@ -70,17 +70,20 @@
 def add_directory(
     app: sanic.Sanic,
     *,
-    addresses: abc.Callable[[str, str], list[str]],
+    addresses: abc.Callable[[str, str, str], list[str]],
     ttl: float,
 ) -> None:
     """Serve the directory, which answers which hosts a caller should use.
 
-    `addresses` returns them by the caller's data centre and region. Callers may keep an
-    answer for `ttl` seconds.
+    `addresses` returns them by the caller's data centre and region, and the host name
+    of its requests. Callers may keep an answer for `ttl` seconds.
     """
 
     async def handle(request: sanic.Request) -> sanic.HTTPResponse:
-        hosts = addresses(request.args.get("zone", ""), request.args.get("region", ""))
+        asked = request.args
+        hosts = addresses(
+            asked.get("zone", ""), asked.get("region", ""), asked.get("name", "")
+        )
         if not hosts:
             return sanic.json({"error": "no host is ready"}, status=503)
         return sanic.json({"addresses": hosts, "ttlS": ttl})
--- a/dogwoodchute/platform/names.py
+++ b/dogwoodchute/platform/names.py
@@ -14,6 +14,7 @@
 API_KEY = "X-Dogwoodchute-Credential"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"  # in answers of an endpoint
+COLD_MS = "X-Dogwoodchute-Cold-Ms"  # in answers: milliseconds left
 LIMIT = "Server-Limit"  # in answers: requests a second from all hosts
 STORE_ERA = "Store-Era"  # in answers of the store; rises when it is restored
 LEAVING_YES = "1"  # the header's value if the endpoint is leaving
@@ -64,6 +65,7 @@
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"  # of keys in the configuration's table
 ENDPOINTS_TABLE = "servers"
 
 SETTINGS_VARIABLE = "DOGWOODCHUTE_SETTINGS"
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -11,7 +11,7 @@
 
 from dogwoodchute.coordination import load_groups, placement
 from dogwoodchute.gateway import endpoints, gossip, model
-from dogwoodchute.tests import gateway_calls
+from dogwoodchute.tests import gateway_calls, warm_endpoints
 
 SERVICE = "engines"
 PREFILL_RATE = 49_600.0  # prompt tokens that an engine processes per second
@@ -167,6 +167,7 @@
             host_count=lambda: hosts,
             other_hosts=lambda: (),
             loads=lambda: self._loads(number),
+            **warm_endpoints.parts(lambda: self._now),
             now=lambda: self._now,
         )
 
@@ -219,7 +220,7 @@
 
     def _finish(self, events, sent):
         host, send = sent
-        host.finish_request(send.endpoint.id)
+        host.finish_request(send.endpoint)
 
     def _call(self, parts):
         tokens = sum(part.tokens for part in parts)
--- a/dogwoodchute/tests/gateway_site.py
+++ b/dogwoodchute/tests/gateway_site.py
@@ -15,6 +15,7 @@
 from dogwoodchute.tools import dogwoodgate
 
 KEY = "key-of-ann"
+REGIONS = {"z1": "r1"}  # by data centre; the hosts' own is the first one
 BROKEN = (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
 # What a host listens for.
 LISTENERS = ("callers", "readiness", "control", "gossip", "heartbeats", "directory")
@@ -31,14 +32,21 @@
 ]
 
 
-def config(version=1, prepaid=100_000, keys=(KEY,)):
-    """Return a configuration as an operator writes it."""
+def config(version=1, prepaid=100_000, keys=(KEY,), regions=(), **of_services):
+    """Return a configuration as an operator writes it.
+
+    `regions` are those that all routes allow; `of_services` is set on each service.
+    """
     routes = []
     for name, prefix, kind, service, options in ROUTES:
+        options = {"allowedRegions": list(regions), **options}
         match = {"name": name, "hostname": "site.example", "prefix": prefix}
         times = {"timeoutMs": 3000, "targetLatencyMs": 500}
         routes.append({**match, **times, "kind": kind, "service": service, **options})
-    services = [{"name": "engines", "engine": ENGINE}, {"name": "plain"}]
+    services = [
+        {"name": "engines", "engine": ENGINE, **of_services},
+        {"name": "plain", **of_services},
+    ]
     accounts = [{"name": "ann", "apiKeys": list(keys), "prepaid": prepaid}]
     return {
         "version": version,
@@ -63,9 +71,10 @@
 class Site:
     """The parts of a site, and a caller's requests to it."""
 
-    def __init__(self, *, faults=lambda kind: row_store.NO_FAULT):
+    def __init__(self, *, faults=lambda kind: row_store.NO_FAULT, regions=REGIONS):
         self.store = row_store.RowStore(now=clock.monotonic)
         self.faults = faults
+        self.regions = regions
         self.endpoints = {}
         self.addresses = {}
         self.host_process = None  # the first one
@@ -98,7 +107,7 @@
         self._servers.append(listener)
         return listener
 
-    async def add_endpoint(self, name, service, **options):
+    async def add_endpoint(self, name, service, *, zone="z1", **options):
         endpoint = attempt_endpoint.Endpoint(id=name, **options)
         listener = await self.listen(name)
         endpoint.add_routes(listener.app)
@@ -106,22 +115,25 @@
         self.endpoints[name] = endpoint
         self._endpoint_listeners[name] = listener
         self.addresses[name] = f"127.0.0.1:{listener.port}"
-        self.register(name, service, listener.port)
+        self.register(name, service, listener.port, zone=zone)
         return endpoint
 
-    def register(self, name, service, port, state="ready", *, process=None):
+    def register(
+        self, name, service, port, state="ready", *, process=None, zone="z1", **others
+    ):
         """Write an endpoint's row.
 
         `process` is what runs there, with its start as `born` and the version of its
         `software`, as a rule the endpoint of this name; without one the row names none.
         """
-        fields = {"service": service, "address": f"127.0.0.1:{port}", "zone": "z1"}
+        fields = {"service": service, "address": f"127.0.0.1:{port}", "zone": zone}
         process = process or self.endpoints.get(name)
         if process is not None:
             fields["born"] = process.born
             if process.software:
                 fields["version"] = process.software
-        self.put("servers", name, {**fields, "slots": 8, "state": state, "sequence": 1})
+        fields |= {"slots": 8, "state": state, "sequence": 1, **others}
+        self.put("servers", name, fields)
 
     async def end_endpoint(self, name):
         """End an endpoint's process, which closes its connections; leave its row."""
@@ -157,7 +169,7 @@
             host=name,
             data_centre="z1",
             region="r1",
-            regions={"z1": "r1"},
+            regions=self.regions,
             **at,
             seeds=(),
             store=store,
--- a/dogwoodchute/tests/test_endpoint_signals.py
+++ b/dogwoodchute/tests/test_endpoint_signals.py
@@ -7,7 +7,13 @@
 from dogwoodchute.coordination import hold_offs, leaving
 from dogwoodchute.gateway import endpoint_limits, endpoint_table, endpoint_words, rows
 from dogwoodchute.platform import egress
-from dogwoodchute.tests import gateway_site, raw_endpoint, support, test_odd_rows
+from dogwoodchute.tests import (
+    gateway_site,
+    raw_endpoint,
+    support,
+    test_odd_rows,
+    warm_endpoints,
+)
 
 LEAVING = b"Server-Leaving: 1"
 BUSY = b"503 Service Unavailable"
@@ -32,6 +38,7 @@
             limits=endpoint_limits.EndpointLimits(
                 host="h1", others=lambda: self.others, now=lambda: self.now
             ),
+            **warm_endpoints.parts(lambda: self.now),
             now=lambda: self.now,
         )
         self.register("e1")
--- a/dogwoodchute/tests/test_lapsed_endpoints.py
+++ b/dogwoodchute/tests/test_lapsed_endpoints.py
@@ -7,7 +7,7 @@
     model,
     rows,
 )
-from dogwoodchute.tests import support, table_fleet
+from dogwoodchute.tests import support, table_fleet, warm_endpoints
 
 BOUND = 2.5  # seconds after its removal in which an endpoint must be left out
 CONTACT = 3.0  # seconds of contact after which the bound holds for a host
@@ -54,6 +54,7 @@
             limits=endpoint_limits.EndpointLimits(
                 host=host.peer.name, others=lambda: (), now=now
             ),
+            **warm_endpoints.parts(now),
             now=now,
         )
         table.set_store_returned_at(lambda: host.mirror.store_returned_at)
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -20,7 +20,7 @@
     table_copy,
 )
 from dogwoodchute.platform import decode
-from dogwoodchute.tests import gateway_site, support, test_hosts
+from dogwoodchute.tests import gateway_site, support, test_hosts, warm_endpoints
 
 SOUND = {
     "service": "s",
@@ -108,6 +108,7 @@
         limits=endpoint_limits.EndpointLimits(
             host="h1", others=lambda: (), now=lambda: 100.0
         ),
+        **warm_endpoints.parts(lambda: 100.0),
         now=lambda: 100.0,
     )
 
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -14,7 +14,7 @@
     table_source,
     tables,
 )
-from dogwoodchute.tests import support, virtual
+from dogwoodchute.tests import support, virtual, warm_endpoints
 
 BOUND = 2.5  # seconds until all hosts must have a change
 SIZE = 2000  # bytes of a slow answer
@@ -194,6 +194,7 @@
             host_count=lambda: 62,
             other_hosts=lambda: (),
             loads=lambda: gossip.Loads([], 0.0),
+            **warm_endpoints.parts(now),
             now=now,
         )
 
@@ -315,6 +316,7 @@
             host_count=lambda: host_count[0],
             other_hosts=lambda: (),
             loads=lambda: gossip.Loads([], 0.0),
+            **warm_endpoints.parts(time.monotonic),
             now=time.monotonic,
         )
         service_endpoints.count_request("plain")
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -93,6 +93,7 @@
                 config_table=names.CONFIG_TABLE,
                 config_key=names.CONFIG_KEY,
                 endpoints_table=names.ENDPOINTS_TABLE,
+                evacuated_data_centre=decode.evacuated_data_centre,
                 is_store_reachable=lambda: self._store_client.is_store_reachable,
             ),
             host_calls=budgets.Calls(
