Tokens that lie idle at a host wait neither for its home nor for silent hosts

Change: if idle tokens cover all that wait, the host's own row is committed at once, without a draw where others draw from the account's row. Waiters are served beside a call to the store, and its answer is taken as it comes.

Tests: a burst at one host beside a slow read, a silent home and silent other hosts: 24 of 30 requests were served before, 30 now (each test failed without its part of the change). 187 tests of accounts, money, losses and witnesses pass.

--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/account_commits.py
@@ -281,13 +281,13 @@
                 peer=outcome.peer,
                 uncertain=uncertain,
             )
-            await served_calls.serve_all(accounts, outcome.reason, serve_waiters)
             if not uncertain:
+                await served_calls.serve_all(accounts, outcome.reason, serve_waiters)
                 return outcome
             retry_at = self._now() + pause
             while self._now() < retry_at:
+                served_calls.start_serving(accounts, outcome.reason, serve_waiters)
                 await asyncio.sleep(served_calls.WAITERS_PAUSE)
-                await served_calls.serve_all(accounts, outcome.reason, serve_waiters)
             pause = min(MAX_RETRY_PAUSE, 2 * pause)
 
     def _log_slowness(self, part: str) -> None:
--- a/dogwoodchute/gateway/account_rows.py
+++ b/dogwoodchute/gateway/account_rows.py
@@ -96,6 +96,8 @@
         self.requested_by_hosts = 0  # tokens that other hosts are requesting now
         self.bill_rows = 0  # written; numbers the next one
         self.task: asyncio.Task | None = None  # commits until nothing is due
+        # Serves waiters with other hosts' tokens while the store does not answer.
+        self.serving: asyncio.Task | None = None
         self.lock = asyncio.Lock()  # held during the account's one commit
 
     def record_request(self, now: float, tokens: int) -> None:
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts.py
@@ -356,13 +356,17 @@
             if failed is not None:
                 await self._waiters.serve_from_hosts(account, failed.reason)
             return failed is None
-        if await self._transfers.get_from_home(account):
-            return True
-        if self.store_is_slow and self._transfers.is_left_to_home(account):
-            await asyncio.sleep(transfers.HOME_PAUSE)
-            return True
-        await self._prepare_draw(account)
+        if not self._covers_waiters(account):
+            if await self._transfers.get_from_home(account):
+                return True
+            if self.store_is_slow and self._transfers.is_left_to_home(account):
+                await asyncio.sleep(transfers.HOME_PAUSE)
+                return True
+            await self._prepare_draw(account)
         draw = self._plan.draw(account)
+        if self._covers_waiters(account) and self._is_contended(account):
+            # A commit of this host's own row meets no other host's.
+            draw = 0
         waiting = account.open_waiters()
         # The first waiter's tokens are idle here, but may be used only after a commit.
         covered_above_limit = waiting and account.ledger.idle >= waiting[0].tokens
@@ -379,6 +383,19 @@
             return False
         return await self._waiters.request_or_refuse(account)
 
+    def _covers_waiters(self, account: account_rows.Account) -> bool:
+        """Return whether idle tokens cover all that wait, so that only a limit lacks.
+
+        Then nothing is asked of the home and no row is read first: either may be out of
+        reach for seconds.
+        """
+        waiting = account.open_waiters()
+        return bool(waiting) and account.ledger.idle >= sum(w.tokens for w in waiting)
+
+    def _is_contended(self, account: account_rows.Account) -> bool:
+        """Return whether other hosts draw from the account's row too."""
+        return self._now() - account.conflict_at < CONTENDED_SECONDS
+
     async def _prepare_draw(self, account: account_rows.Account) -> None:
         """Wait after conflicts, and reread the row if other hosts draw from it too."""
         if not self._plan.draw(account):
@@ -388,7 +405,7 @@
             pause = min(pause, MAX_PAUSE_WITH_WAITERS)
         if pause > 0:
             await asyncio.sleep(pause)
-        if self._now() - account.conflict_at < CONTENDED_SECONDS:
+        if self._is_contended(account):
             await self._commits.refresh(
                 account, serve_waiters=self._waiters.serve_from_hosts
             )
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -39,6 +39,7 @@
         self.loop = virtual.Loop()
         self.store = row_store.RowStore(now=self.loop.time, era=era)
         self.fault = row_store.NO_FAULT
+        self.faults = {}  # by kind of call, in place of `fault`
         self.config = config(prepaid)
         self.hosts = {}
         self.tasks = {}
@@ -51,7 +52,7 @@
             holder=f"{name}-{len(self.tasks)}{self.loop.time():.0f}",
             store=row_store.in_process_client(
                 self.store,
-                faults=lambda kind: self.fault,
+                faults=lambda kind: self.faults.get(kind, self.fault),
                 timeout=store.commit_timeout,
             ),
             config=lambda: self.config,
