--- /dev/null
+++ b/dogwoodchute/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid budgets of client accounts: tokens drawn, spent, transferred and billed."""
--- a/dogwoodchute/gateway/account_commits.py
+++ b/dogwoodchute/gateway/accounts/account_commits.py
@@ -10,11 +10,11 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, escrow, store_overload
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.accounts import (
     account_rows,
     commit_counts,
     restored_accounts,
-    rows,
     served_calls,
 )
 
--- a/dogwoodchute/gateway/account_report.py
+++ b/dogwoodchute/gateway/accounts/account_report.py
@@ -6,7 +6,7 @@
 import prometheus_client
 
 from dogwoodchute import log
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway.accounts import account_rows
 
 INTERVAL = 5.0  # seconds between two reports of an account
 
--- a/dogwoodchute/gateway/accounts.py
+++ b/dogwoodchute/gateway/accounts/accounts.py
@@ -16,7 +16,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.accounts import (
     account_commits,
     account_report,
     account_rows,
@@ -24,10 +25,8 @@
     checkpointer,
     commit_counts,
     draw_plan,
-    model,
     refusals,
     reservations,
-    rows,
     transfers,
     waiters,
 )
--- a/dogwoodchute/gateway/amounts.py
+++ b/dogwoodchute/gateway/accounts/amounts.py
@@ -6,7 +6,7 @@
 import typing
 
 from dogwoodchute.coordination import grants, sizing
-from dogwoodchute.gateway import account_commits, account_rows
+from dogwoodchute.gateway.accounts import account_commits, account_rows
 
 HORIZON = 14.0  # seconds of use that a host draws in advance, for outages of the store
 MIN_HORIZON = 4.0  # the same just after the host's previous process was killed
--- a/dogwoodchute/gateway/budgets.py
+++ b/dogwoodchute/gateway/accounts/budgets.py
@@ -4,17 +4,13 @@
 from collections import abc
 
 from dogwoodchute.coordination import checkpoints
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import contact, hosts, model, registration, rows
+from dogwoodchute.gateway.accounts import (
     accounts,
-    contact,
     homes,
-    hosts,
     lost_holdings,
-    model,
     reclaim,
-    registration,
     reservations,
-    rows,
     transfer_protocol,
     transfer_sources,
     witnessing,
--- a/dogwoodchute/gateway/checkpointer.py
+++ b/dogwoodchute/gateway/accounts/checkpointer.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway.accounts import (
     account_commits,
     account_rows,
     commit_counts,
--- a/dogwoodchute/gateway/draw_plan.py
+++ b/dogwoodchute/gateway/accounts/draw_plan.py
@@ -2,11 +2,11 @@
 
 from collections import abc
 
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import model
+from dogwoodchute.gateway.accounts import (
     account_commits,
     account_rows,
     amounts,
-    model,
     reservations,
 )
 
--- a/dogwoodchute/gateway/lost_holdings.py
+++ b/dogwoodchute/gateway/accounts/lost_holdings.py
@@ -15,13 +15,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow, witnesses
-from dogwoodchute.gateway import (
-    account_rows,
-    host_rows,
-    rows,
-    settlements,
-    witnessing,
-)
+from dogwoodchute.gateway import host_rows, rows
+from dogwoodchute.gateway.accounts import account_rows, settlements, witnessing
 
 CHECK_INTERVAL = 1.0  # seconds between checks whether a look at the holdings is due
 # Seconds after a host was marked as down at which the holdings are looked at. Witnesses
--- a/dogwoodchute/gateway/reclaim.py
+++ b/dogwoodchute/gateway/accounts/reclaim.py
@@ -11,7 +11,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows, host_rows, rows, settlements
+from dogwoodchute.gateway import host_rows, rows
+from dogwoodchute.gateway.accounts import account_rows, settlements
 
 CHECK_INTERVAL = 0.2  # seconds between checks for new incarnations
 SETTLE_TIME = 0.3  # seconds without a further new incarnation before rows are read
--- a/dogwoodchute/gateway/refusals.py
+++ b/dogwoodchute/gateway/accounts/refusals.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.gateway.accounts import account_rows, reservations
 
 SHORTAGE_SECONDS = 0.3  # in which requests as large as a refused one are refused too
 
--- a/dogwoodchute/gateway/restored_accounts.py
+++ b/dogwoodchute/gateway/accounts/restored_accounts.py
@@ -11,7 +11,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.accounts import account_rows
 
 # Seconds by which a copy may be older than the store was; a margin included.
 RECENT = 30.0
--- a/dogwoodchute/gateway/served_calls.py
+++ b/dogwoodchute/gateway/accounts/served_calls.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway.accounts import account_rows
 
 # Seconds between attempts to serve waiters; most calls take less.
 WAITERS_PAUSE = 0.05
--- a/dogwoodchute/gateway/settlements.py
+++ b/dogwoodchute/gateway/accounts/settlements.py
@@ -10,7 +10,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import checkpoints, escrow
-from dogwoodchute.gateway import account_rows, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.accounts import account_rows
 
 MAX_HOLDINGS = 40  # in one commit, with a check and a put each
 MAX_TRIES = 12  # of one commit, which may conflict with draws
--- a/dogwoodchute/gateway/transfer_sources.py
+++ b/dogwoodchute/gateway/accounts/transfer_sources.py
@@ -2,7 +2,8 @@
 
 from collections import abc
 
-from dogwoodchute.gateway import homes, host_rows, reservations, transfer_protocol
+from dogwoodchute.gateway import host_rows
+from dogwoodchute.gateway.accounts import homes, reservations, transfer_protocol
 
 MAX_SOURCES = 8  # other hosts that one request for tokens may try
 
--- a/dogwoodchute/gateway/transfers.py
+++ b/dogwoodchute/gateway/accounts/transfers.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.gateway.accounts import account_rows, reservations
 
 HOME_PAUSE = 0.3  # seconds without requests to a home that gave nothing
 GIVE_BACK_PAUSE = 5.0  # seconds after a home did not take tokens back
--- a/dogwoodchute/gateway/waiters.py
+++ b/dogwoodchute/gateway/accounts/waiters.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway.accounts import (
     account_commits,
     account_rows,
     draw_plan,
--- a/dogwoodchute/gateway/witness_protocol.py
+++ b/dogwoodchute/gateway/accounts/witness_protocol.py
@@ -12,7 +12,7 @@
 
 from dogwoodchute import log, pooled_connection
 from dogwoodchute.coordination import witnesses
-from dogwoodchute.gateway import witnessing
+from dogwoodchute.gateway.accounts import witnessing
 
 CONFIRM_PATH = "/witness/confirm"
 DENY_PATH = "/witness/deny"
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -7,8 +7,6 @@
 
 from dogwoodchute import clock, exchange, log, loop_watch, outcomes
 from dogwoodchute.gateway import (
-    amounts,
-    budgets,
     calls,
     configuration,
     contact,
@@ -19,7 +17,6 @@
     filters,
     followed_tables,
     gossip,
-    homes,
     host_rows,
     hosts,
     liveness,
@@ -34,8 +31,8 @@
     table_source,
     tables,
     upstream,
-    witnessing,
 )
+from dogwoodchute.gateway.accounts import amounts, budgets, homes, witnessing
 from dogwoodchute.gateway.places import allowed_regions, evacuations
 from dogwoodchute.gateway.warmup import cold_endpoints, recent_hosts
 
--- a/dogwoodchute/tests/lost_fleet.py
+++ b/dogwoodchute/tests/lost_fleet.py
@@ -1,14 +1,12 @@
 """A simulated fleet whose hosts are lost, frozen or cut off while they hold tokens."""
 
 from dogwoodchute.coordination import witnesses
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import contact, host_rows, rows
+from dogwoodchute.gateway.accounts import (
     account_rows,
     accounts,
-    contact,
-    host_rows,
     lost_holdings,
     reservations,
-    rows,
     witnessing,
 )
 from dogwoodchute.standins import row_store
--- a/dogwoodchute/tests/outage_simulation.py
+++ b/dogwoodchute/tests/outage_simulation.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.gateway.accounts import account_rows, reservations
 from dogwoodchute.tests import test_accounts
 
 HOSTS = [f"edge-{number}" for number in range(7)]
--- a/dogwoodchute/tests/test_account_report.py
+++ b/dogwoodchute/tests/test_account_report.py
@@ -1,7 +1,7 @@
 """Reports of the state of each account's tokens."""
 
 from dogwoodchute import log
-from dogwoodchute.gateway import account_report, account_rows
+from dogwoodchute.gateway.accounts import account_report, account_rows
 from dogwoodchute.tests import support, test_accounts
 
 
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -1,16 +1,14 @@
 """Reserving tokens, with and without an available store, on virtual time."""
 
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import host_rows, model, rows
+from dogwoodchute.gateway.accounts import (
     account_rows,
     accounts,
     amounts,
     draw_plan,
-    host_rows,
-    model,
     reclaim,
     reservations,
-    rows,
     transfer_sources,
 )
 from dogwoodchute.platform import store
--- a/dogwoodchute/tests/test_call_waits.py
+++ b/dogwoodchute/tests/test_call_waits.py
@@ -5,7 +5,8 @@
 import time
 
 from dogwoodchute import clock, server
-from dogwoodchute.gateway import account_rows, reclaim, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.accounts import account_rows, reclaim
 from dogwoodchute.platform import relay, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support, test_reclaim
--- a/dogwoodchute/tests/test_checkpoints.py
+++ b/dogwoodchute/tests/test_checkpoints.py
@@ -4,10 +4,10 @@
 import random
 
 from dogwoodchute.coordination import checkpoints, ranking
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import model
+from dogwoodchute.gateway.accounts import (
     account_rows,
     accounts,
-    model,
     reservations,
     transfer_sources,
 )
--- a/dogwoodchute/tests/test_gateway.py
+++ b/dogwoodchute/tests/test_gateway.py
@@ -5,7 +5,8 @@
 import aiohttp
 
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows, upstream
+from dogwoodchute.gateway import upstream
+from dogwoodchute.gateway.accounts import account_rows
 from dogwoodchute.standins import attempt_endpoint, row_store
 from dogwoodchute.tests import gateway_site, support
 
--- a/dogwoodchute/tests/test_homes.py
+++ b/dogwoodchute/tests/test_homes.py
@@ -3,7 +3,8 @@
 from unittest import mock
 
 from dogwoodchute.coordination import ranking
-from dogwoodchute.gateway import homes, host_rows
+from dogwoodchute.gateway import host_rows
+from dogwoodchute.gateway.accounts import homes
 from dogwoodchute.tests import support
 
 FLEET = 62  # other hosts
--- a/dogwoodchute/tests/test_hot_accounts.py
+++ b/dogwoodchute/tests/test_hot_accounts.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from dogwoodchute.gateway import reservations
+from dogwoodchute.gateway.accounts import reservations
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, test_accounts
 
--- a/dogwoodchute/tests/test_ledger.py
+++ b/dogwoodchute/tests/test_ledger.py
@@ -3,7 +3,7 @@
 import math
 
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway.accounts import account_rows
 from dogwoodchute.tests import support
 
 
--- a/dogwoodchute/tests/test_lost_hosts.py
+++ b/dogwoodchute/tests/test_lost_hosts.py
@@ -1,7 +1,7 @@
 """Tokens of hosts that are lost for good, and of hosts that only look lost."""
 
 from dogwoodchute.coordination import escrow, witnesses
-from dogwoodchute.gateway import reservations
+from dogwoodchute.gateway.accounts import reservations
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import lost_fleet, support
 
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -9,7 +9,6 @@
 from dogwoodchute import bounded_json
 from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import (
-    account_rows,
     endpoint_limits,
     endpoint_table,
     host_rows,
@@ -19,6 +18,7 @@
     rows,
     table_copy,
 )
+from dogwoodchute.gateway.accounts import account_rows
 from dogwoodchute.platform import decode
 from dogwoodchute.tests import gateway_site, support, test_hosts, warm_endpoints
 
--- a/dogwoodchute/tests/test_reclaim.py
+++ b/dogwoodchute/tests/test_reclaim.py
@@ -4,7 +4,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import escrow
-from dogwoodchute.gateway import account_rows, host_rows, reclaim, rows
+from dogwoodchute.gateway import host_rows, rows
+from dogwoodchute.gateway.accounts import account_rows, reclaim
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
--- a/dogwoodchute/tests/test_restored_accounts.py
+++ b/dogwoodchute/tests/test_restored_accounts.py
@@ -2,7 +2,7 @@
 
 import json
 
-from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.gateway.accounts import account_rows, reservations
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, test_accounts
 
--- a/dogwoodchute/tests/test_silent_connections.py
+++ b/dogwoodchute/tests/test_silent_connections.py
@@ -16,9 +16,9 @@
     table_copy,
     table_source,
     tables,
-    transfer_protocol,
     upstream,
 )
+from dogwoodchute.gateway.accounts import transfer_protocol
 from dogwoodchute.platform import egress, store, store_rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import silent_proxy, support, test_upstream
--- a/dogwoodchute/tests/test_transfer_protocol.py
+++ b/dogwoodchute/tests/test_transfer_protocol.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from dogwoodchute import clock, server
-from dogwoodchute.gateway import transfer_protocol
+from dogwoodchute.gateway.accounts import transfer_protocol
 from dogwoodchute.tests import support
 
 LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
--- a/dogwoodchute/tests/test_unanswered.py
+++ b/dogwoodchute/tests/test_unanswered.py
@@ -1,6 +1,6 @@
 """What is billed for streams that an endpoint closed early."""
 
-from dogwoodchute.gateway import account_rows
+from dogwoodchute.gateway.accounts import account_rows
 from dogwoodchute.tests import raw_endpoint, support, test_faulty_answers
 
 TOKENS = {"X_Dogwoodchute_Token_Count": "1000,40"}
--- a/dogwoodchute/tests/test_waiting_requests.py
+++ b/dogwoodchute/tests/test_waiting_requests.py
@@ -1,6 +1,6 @@
 """Requests that wait for tokens of their account."""
 
-from dogwoodchute.gateway import account_rows, reservations
+from dogwoodchute.gateway.accounts import account_rows, reservations
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, test_accounts
 
--- a/dogwoodchute/tests/test_witnesses.py
+++ b/dogwoodchute/tests/test_witnesses.py
@@ -10,7 +10,7 @@
 
 from dogwoodchute import server
 from dogwoodchute.coordination import escrow, witnesses
-from dogwoodchute.gateway import account_rows, witness_protocol, witnessing
+from dogwoodchute.gateway.accounts import account_rows, witness_protocol, witnessing
 from dogwoodchute.tests import support
 
 LIMITS = {"body_bytes": 1 << 20, "header_bytes": 16384, "idle_timeout": 30.0}
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -26,13 +26,9 @@
 import uvloop
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import gateway, liveness, model, platform_access, tables
+from dogwoodchute.gateway.accounts import (
     budgets,
-    gateway,
-    liveness,
-    model,
-    platform_access,
-    tables,
     transfer_protocol,
     witness_protocol,
     witnessing,
