Callers' connections share one account of memory and descriptors

Cause: what connections hold had a limit each, and none together. 100 bodies of a legal size that stop short of their end took a process of 100 MB to 134-166 MB at any address (with a route, without one, for other hosts), heads of many short fields to 112 MB, and 800 connections that send half a head or nothing to 731-838 descriptors of 400.

Change: an account for all listeners of a process (intake/): bytes of heads, bodies, unread answers and the connections themselves, limited by the memory and the descriptors that the settings name. Beyond it the connection is closed that holds most and moves least, but none with a request that was passed on; a whole request that nothing makes room for is refused as not run. Heads must end within twice headerTimeoutMs, bodies must go on within the idle timeout.

Before, readiness, directory, requests ahead and unread answers stayed within the bounds.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(BIN)/ruff check --fix .
 
 test: lint
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 4 -m "not crowd"
+	$(BIN)/python -m pytest -m crowd
 
 demo: install
 	$(BIN)/python -m dogwoodchute.tools.demo
--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -9,12 +9,22 @@
 from sanic.server.protocols import http_protocol
 
 from dogwoodchute import log
+from dogwoodchute.intake import account
 
 # Reasons for closing a connection by force.
 ABORT = "abort"  # an answer that was begun can't be completed
 STOP = "stop"  # the host stops
 TIMER = "timer"  # the caller sent nothing for too long
 
+CONNECTION_BYTES = 16 << 10  # that an open connection takes
+FIELD_BYTES = 400  # that a field of a head takes, beside its text
+# Stages of a request whose head was read.
+ANSWERING = (
+    constants.Stage.HANDLER,
+    constants.Stage.RESPONSE,
+    constants.Stage.FAILED,
+)
+
 closed_by_force = prometheus_client.Counter(
     "dogwoodchute_connections_cut",
     "Connections that this host closed with a request under way or bytes unread.",
@@ -26,12 +36,78 @@
 
 
 class Connection(http_protocol.HttpProtocol):
-    """A caller's connection; logs what it loses if it is closed by force."""
+    """A caller's connection; logs what it loses if it is closed by force.
+
+    It tells the process's account of callers (`intake.account`) what it holds.
+    """
+
+    # Sanic's metaclass leaves instances without a dictionary.
+    __slots__ = ("_account", "_head_began_at", "_is_passed_on")
+
+    def __init__(self, **options: object) -> None:
+        super().__init__(**options)
+        self._account: account.Account = self.app.ctx.account
+        self._head_began_at: float | None = None  # monotonic seconds, of a partial head
+        self._is_passed_on = False  # the request that was read whole
+
+    @property
+    def held(self) -> int:
+        """Bytes that the process keeps for this connection, as an estimate."""
+        held = CONNECTION_BYTES + len(self.recv_buffer)
+        if self.transport is not None:
+            held += self.transport.get_write_buffer_size()
+        http = self.http
+        if http is None or http.stage not in ANSWERING or http.request is None:
+            return held
+        held += len(http.request.head) + FIELD_BYTES * len(http.request.headers)
+        # Sanic sets both only once a head was read.
+        return held + (http.request_bytes or 0) - (http.request_bytes_left or 0)
+
+    @property
+    def moved_at(self) -> float:
+        """Monotonic seconds of the last byte that was received or sent."""
+        return self._time
+
+    @property
+    def is_expendable(self) -> bool:
+        """Whether no request that was passed on would be lost with this connection."""
+        return not self._is_passed_on or self.http is None or not self.http
+
+    def discard(self, reason: str) -> None:
+        """Close at once; the account of callers logs the reason."""
+        closed_by_force.labels(reason, self._stage).inc()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def admit_request(self) -> bool:
+        """Return whether the request that was read whole may be passed on."""
+        self._is_passed_on = self._account.admits(self)
+        return self._is_passed_on
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count an accepted connection."""
         accepted.inc()
         super().connection_made(transport)
+        self._time = time.monotonic()
+        self._account.open(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count a connection that has ended."""
+        self._account.close(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Count what the caller sent."""
+        if self.http is not None and self.http.stage is constants.Stage.IDLE:
+            self._is_passed_on = False
+            self._head_began_at = self._head_began_at or time.monotonic()
+        super().data_received(data)
+        self._account.update(self)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of an answer, and count what the caller hasn't read."""
+        await super().send(data)
+        self._account.update(self)
 
     def read_on(self) -> None:
         """Read on while a request that was read whole is answered.
@@ -80,22 +156,41 @@
 
     def check_timeouts(self) -> None:
         """Close the connection if its caller has sent nothing for too long."""
+        if self._is_too_slow():
+            self._report(TIMER)
+            self.discard(TIMER)
+            return
         task = self._task
         super().check_timeouts()
         if task is not None and task.cancelling() and not self.idle:
             self._report(TIMER)
 
+    def _is_too_slow(self) -> bool:
+        """Return whether a head takes too long, or a body has stopped for too long."""
+        http = self.http
+        if http is None or self._task is None:
+            return False
+        now = time.monotonic()
+        if http.stage is constants.Stage.REQUEST and self._head_began_at is not None:
+            return now - self._head_began_at > self.app.ctx.head_timeout
+        self._head_began_at = None
+        is_reading = http.stage is constants.Stage.HANDLER and http.request_body
+        return bool(is_reading) and now - self._time > self.keep_alive_timeout
+
+    @property
+    def _stage(self) -> str:
+        return "closing" if self.http is None else self.http.stage.name.lower()
+
     def _report(
         self, reason: str, *, request: str | None = None, unsent: int = 0
     ) -> None:
         if self.idle and not unsent:
             return
-        stage = "closing" if self.http is None else self.http.stage.name.lower()
-        closed_by_force.labels(reason, stage).inc()
+        closed_by_force.labels(reason, self._stage).inc()
         log.warning(
             "connection_cut",
             reason=reason,
-            stage=stage,
+            stage=self._stage,
             request=request,
             unread=len(self.recv_buffer) or None,
             unsent=unsent or None,
--- a/dogwoodchute/gateway/model.py
+++ b/dogwoodchute/gateway/model.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from dogwoodchute.intake import limits
+
 IDEMPOTENT = "idempotent"
 NON_IDEMPOTENT = "non_idempotent"
 STREAM = "stream"
@@ -40,6 +42,8 @@
     bounds: Bounds
     row_bytes: int = 65536  # largest value of a row in the store
     link_mbps: float = 1000.0  # megabits a second of this host's own link
+    memory: int = limits.DEFAULT_MEMORY  # bytes that the process may use
+    descriptors: int = limits.DEFAULT_DESCRIPTORS  # that it may have open
     commits: float = 600.0  # per second that the store accepts from the whole fleet
     part_commits: float = 200.0  # per second that the store accepts to one partition
 
--- a/dogwoodchute/platform/boot.py
+++ b/dogwoodchute/platform/boot.py
@@ -11,6 +11,7 @@
 
 from dogwoodchute.coordination import texts
 from dogwoodchute.gateway import model
+from dogwoodchute.intake import limits as machine
 from dogwoodchute.platform import names
 
 
@@ -88,11 +89,19 @@
         bounds=bounds,
         row_bytes=int(platform.get("rowBytes", 65536)),
         link_mbps=float(limits.get("linkMbps", 1000.0)),
+        memory=_memory(limits),
+        descriptors=int(limits.get("maxFds") or machine.DEFAULT_DESCRIPTORS),
         commits=_rate(platform.get("writesPerS", 600)),
         part_commits=_rate(platform.get("partWritesPerS", 200)),
     )
 
 
+def _memory(limits: dict) -> int:
+    """Return the bytes that the process may use; the settings name megabytes."""
+    megabytes = _amount(limits.get("memoryMb") or 0)
+    return int(megabytes * (1 << 20)) or machine.DEFAULT_MEMORY
+
+
 def _amount(value: object) -> float:
     """Return a number of at least 0; raise `ValueError` unless it is one."""
     number = float(value)
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import ssl
+import time
 from collections import abc
 
 import sanic
@@ -10,11 +11,17 @@
 from sanic.server import async_server
 
 from dogwoodchute import connection, log
+from dogwoodchute.coordination import retry_after
+from dogwoodchute.intake import account
 
 MIN_IDLE_TIMEOUT = 1.0  # seconds
 MIN_HEADER_BYTES = 2048  # also of requests between hosts
 MAX_HEADER_BYTES = http1.Http.HEADER_CEILING
 POLL = 0.02  # seconds between checks for connections that have ended
+HEAD_TIMEOUT = 10.0  # seconds from a head's first byte to its end
+# Multiple of the time that callers may take, as bytes wait on the way.
+HEAD_TIMEOUT_FACTOR = 2.0
+OVERLOAD_RETRY_AFTER = 1.0  # seconds
 REQUEST_SIGNALS = "http."  # prefix of their names
 EXCEPTION_SIGNAL = "http.lifecycle.exception"
 END_BOUND = 0.2  # seconds that aborted connections get to finish their tasks
@@ -55,10 +62,20 @@
 
 
 class Server:
-    """A Sanic application and its listener."""
+    """A Sanic application and its listener.
+
+    `callers` is the account of what the connections of all listeners hold; without it
+    the listener has one of its own.
+    """
 
     def __init__(
-        self, *, name: str, body_bytes: int, header_bytes: int, idle_timeout: float
+        self,
+        *,
+        name: str,
+        body_bytes: int,
+        header_bytes: int,
+        idle_timeout: float,
+        callers: account.Account | None = None,
     ) -> None:
         self.app = _App(name, configure_logging=False)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
@@ -71,6 +88,8 @@
         # Sanic's touch-up rewrites classes shared by all applications, which fails
         # for the second one of a process.
         self.app.config.TOUCHUP = False
+        self.app.ctx.account = callers or account.Account(now=time.monotonic)
+        self.app.ctx.head_timeout = HEAD_TIMEOUT
         self.app.config.MOTD = False
         self.app.config.ACCESS_LOG = False
         self.app.on_request(_read_on)
@@ -78,7 +97,12 @@
         self.port = 0
 
     def set_limits(
-        self, *, body_bytes: int, header_bytes: int, idle_timeout: float
+        self,
+        *,
+        body_bytes: int,
+        header_bytes: int,
+        idle_timeout: float,
+        header_timeout: float = HEAD_TIMEOUT,
     ) -> None:
         """Set limits, in bytes and seconds, for open and later connections.
 
@@ -91,6 +115,7 @@
         self.app.config.REQUEST_MAX_HEADER_SIZE = max(MIN_HEADER_BYTES, header_bytes)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.KEEP_ALIVE_TIMEOUT = keep_alive_timeout
+        self.app.ctx.head_timeout = HEAD_TIMEOUT_FACTOR * header_timeout
         if self._server is None:
             return
         for open_connection in self._server.connections:
@@ -171,9 +196,19 @@
     return
 
 
-def _read_on(request: sanic.Request) -> None:
-    """Read on while `request`, whose body was read, is answered."""
-    request.stream.protocol.read_on()
+def _read_on(request: sanic.Request) -> sanic.HTTPResponse | None:
+    """Read on while `request`, whose body was read, is answered.
+
+    Refuses it if callers hold too much memory already.
+    """
+    protocol = request.stream.protocol
+    if protocol.admit_request():
+        protocol.read_on()
+        return None
+    request.stream.keep_alive = False
+    error = {"code": "overloaded", "message": "The request was not run; retry."}
+    headers = {"Retry-After": f"{retry_after.spread(OVERLOAD_RETRY_AFTER):.2f}"}
+    return sanic.json({"error": error}, status=503, headers=headers)
 
 
 def tls_context(certificate: str, key: str) -> ssl.SSLContext | None:
--- a/dogwoodchute/tests/gateway_process.py
+++ b/dogwoodchute/tests/gateway_process.py
@@ -29,6 +29,8 @@
 directory = "{ip}:8224"
 [bounds]
 graceS = {grace}
+[limits]
+{limits}
 [platform]
 address = "{store}"
 """
@@ -38,9 +40,10 @@
 class GatewayProcess(gateway_site.Site):
     """A site whose gateway is a process on a loopback address of its own."""
 
-    def __init__(self, *, node="h1", **options):
+    def __init__(self, *, node="h1", limits=None, **options):
         super().__init__(**options)
         self._node = node
+        self._limits = limits or {}  # of the machine, as its settings name them
         self.process = None
         self._folder = tempfile.TemporaryDirectory()
         self._log = None
@@ -58,7 +61,10 @@
         ip = gateway_site.own_loopback_ip()
         folder = pathlib.Path(self._folder.name)
         settings = folder / "settings.toml"
-        text = SETTINGS.format(node=self._node, ip=ip, grace=GRACE, store=store)
+        limits = "\n".join(f"{name} = {each}" for name, each in self._limits.items())
+        text = SETTINGS.format(
+            node=self._node, ip=ip, grace=GRACE, store=store, limits=limits
+        )
         settings.write_text(text, encoding="utf-8")
         self._log = folder / "log"
         with self._log.open("ab") as output:
@@ -70,6 +76,11 @@
             )
         self.address = f"{ip}:8227"
 
+    def address_of_listener(self, name):
+        """Return where the process takes connections for `name`, as `LISTENERS` has."""
+        ports = {"callers": 8227, "readiness": 8220, "control": 8229, "directory": 8224}
+        return f"{self.address.rpartition(':')[0]}:{ports[name]}"
+
     async def serves(self):
         """Return whether the process answers requests."""
         try:
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -33,6 +33,7 @@
     witness_protocol,
     witnessing,
 )
+from dogwoodchute.intake import account, limits as intake_limits
 from dogwoodchute.platform import (
     boot,
     decode,
@@ -69,6 +70,8 @@
         self._metrics_port = metrics_port
         self._deployment = deployment
         self._servers: list[server.Server] = []
+        self._account = account.Account(now=clock.monotonic)
+        self._limit_callers(BODY_BYTES)
         self._callers = self._new_server("callers")
         self._transfer_client = transfer_protocol.TransferClient(now=clock.monotonic)
         self._table_client = tables.Client()
@@ -203,6 +206,7 @@
             body_bytes=BODY_BYTES,
             header_bytes=HEADER_BYTES,
             idle_timeout=IDLE_TIMEOUT,
+            callers=self._account,
         )
         self._servers.append(new_server)
         return new_server
@@ -213,6 +217,19 @@
             body_bytes=limits.body_bytes,
             header_bytes=limits.header_bytes,
             idle_timeout=limits.idle_timeout,
+            header_timeout=limits.header_timeout,
+        )
+        self._limit_callers(limits.body_bytes)
+
+    def _limit_callers(self, body_bytes: int) -> None:
+        """Set what callers of all listeners may hold, as this machine allows."""
+        machine = self._deployment
+        self._account.set_limits(
+            intake_limits.limits(
+                memory=machine.memory,
+                descriptors=machine.descriptors,
+                body_bytes=body_bytes,
+            )
         )
 
 
