A lowered budget takes idle tokens back also where other hosts draw

Cause, found in reading again: where idle tokens cover what waits and other hosts draw from the row, that change set any draw to 0, also a return. After a budget was lowered below what is drawn, nobody may use the tokens, so the host raised its limit again and again until its waiters gave up, and returned nothing (163,813 stayed drawn of 1,000). Only positive draws are left out now. The new test fails without that.

--- a/dogwoodchute/gateway/accounts/accounts.py
+++ b/dogwoodchute/gateway/accounts/accounts.py
@@ -364,8 +364,9 @@
             await self._prepare_draw(account)
         draw = self._plan.draw(account)
         if self._covers_waiters(account) and self._is_contended(account):
-            # A commit of this host's own row meets no other host's.
-            draw = 0
+            # A commit of this host's own row meets no other host's. Tokens are returned
+            # all the same, as after a budget was lowered.
+            draw = min(0, draw)
         waiting = account.open_waiters()
         # The first waiter's tokens are idle here, but may be used only after a commit.
         covered_above_limit = waiting and account.ledger.idle >= waiting[0].tokens
--- a/dogwoodchute/tests/test_hot_accounts.py
+++ b/dogwoodchute/tests/test_hot_accounts.py
@@ -13,6 +13,7 @@
 TOKENS = 1_000  # of each request
 WAIT = reservations.max_wait(0.8)  # of a request with that target latency
 BURST = 30  # requests at the same moment
+LOWERED = 1_000  # tokens of a budget, less than a request may use of it
 
 
 class HotAccountTest(support.TestCase):
@@ -53,6 +54,17 @@
         self.assertGreater(idle, 2 * BURST * TOKENS)
         self.assertEqual(BURST, self.served_of_burst())
 
+    def test_a_lowered_budget_takes_idle_tokens_back_beside_other_draws(self):
+        """Guards against commits without end that raise a limit nobody may use."""
+        self.use(10)
+        self.contend()
+        arrivals = self.fleet.store.arrivals
+        before = sum(arrivals.values())
+        self.fleet.config = test_accounts.config(LOWERED)
+        self.assertEqual(0, self.served_of_burst())
+        self.assertLessEqual(self.fleet.drawn(), LOWERED)
+        self.assertLess(sum(arrivals.values()) - before, 10)
+
     def test_idle_tokens_wait_for_no_home_that_does_not_answer(self):
         self.use(10)
         self.fleet.home = "b"
