--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -70,8 +70,14 @@
 
     @property
     def is_expendable(self) -> bool:
-        """Whether no request that was passed on would be lost with this connection."""
-        return not self._is_passed_on or self.http is None or not self.http
+        """Whether no request that was passed on would be lost with this connection.
+
+        One that follows it, and whose body is incomplete, is none.
+        """
+        http = self.http
+        if not self._is_passed_on or http is None or http.stage not in ANSWERING:
+            return True
+        return http.stage is constants.Stage.HANDLER and bool(http.request_body)
 
     def discard(self, reason: str) -> None:
         """Close at once; the account of callers logs the reason."""
@@ -81,6 +87,7 @@
 
     def admit_request(self) -> bool:
         """Return whether the request that was read whole may be passed on."""
+        self._head_began_at = None
         self._is_passed_on = self._account.admits(self)
         return self._is_passed_on
 
@@ -98,9 +105,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Count what the caller sent."""
-        if self.http is not None and self.http.stage is constants.Stage.IDLE:
+        if self.idle:
             self._is_passed_on = False
-            self._head_began_at = self._head_began_at or time.monotonic()
+            self._head_began_at = time.monotonic()
         super().data_received(data)
         self._account.update(self)
 
@@ -171,9 +178,10 @@
         if http is None or self._task is None:
             return False
         now = time.monotonic()
-        if http.stage is constants.Stage.REQUEST and self._head_began_at is not None:
+        if http.stage is constants.Stage.REQUEST:
+            # A head that came behind another request counts from the first check on.
+            self._head_began_at = self._head_began_at or now
             return now - self._head_began_at > self.app.ctx.head_timeout
-        self._head_began_at = None
         is_reading = http.stage is constants.Stage.HANDLER and http.request_body
         return bool(is_reading) and now - self._time > self.keep_alive_timeout
 
--- a/dogwoodchute/tests/test_crowds.py
+++ b/dogwoodchute/tests/test_crowds.py
@@ -96,6 +96,10 @@
     def test_bodies_in_chunks_that_stop_short(self):
         self.check(crowds.body_in_chunks(ROUTE, BODY))
 
+    def test_bodies_behind_a_request_that_was_answered(self):
+        answered = crowds.head(ROUTE, "Content-Length: 0", attempt="first")
+        self.check([answered + each for each in crowds.body_in_one_piece(ROUTE, BODY)])
+
     def test_bodies_at_a_path_without_a_route(self):
         self.check(crowds.body_in_one_piece(NO_ROUTE, BODY))
 
