A host that was live for long counts for a while after it has gone

They were noted only when someone asked for the names or a row changed, and a change that removes a host is applied after it is gone, so one that had been live for minutes in calm was dropped at once. Hosts cut off from one another would then divide the rate anew and send too much together.

The names were also put together anew for each endpoint at each choice, over all hosts. Now what has gone is noted at the change, and nothing is done while no row changes.

--- a/dogwoodchute/gateway/warmup/recent_hosts.py
+++ b/dogwoodchute/gateway/warmup/recent_hosts.py
@@ -23,7 +23,7 @@
 
     @property
     def live(self) -> tuple[host_rows.Host, ...]:
-        """The other live hosts."""
+        """The other live hosts; the same tuple until a row changes."""
 
 
 class RecentHosts:
@@ -39,7 +39,8 @@
         self._fleet = fleet
         self._read_at = read_at  # monotonic seconds of the last read of the table
         self._now = now
-        self._seen_at: dict[str, float] = {}  # monotonic seconds by name
+        self._live: tuple[host_rows.Host, ...] = ()  # as last seen
+        self._gone_at: dict[str, float] = {}  # monotonic seconds by name
         self._names: tuple[str, ...] = ()
 
     @property
@@ -52,13 +53,8 @@
     def names(self) -> tuple[str, ...]:
         """The names; the same tuple is returned until one is added or dropped."""
         self._see_live()
-        if self._is_fresh():
-            oldest = self._now() - KEPT
-            for name, seen_at in list(self._seen_at.items()):
-                if seen_at < oldest:
-                    del self._seen_at[name]
-        if self._seen_at.keys() != set(self._names):
-            self._names = tuple(sorted(self._seen_at))
+        if self._gone_at and self._is_fresh():
+            self._drop_old()
         return self._names
 
     def apply_changes(
@@ -68,8 +64,27 @@
         self._see_live()
 
     def _see_live(self) -> None:
+        live = self._fleet.live
+        if live is self._live:
+            return
         now = self._now()
-        self._seen_at.update((host.name, now) for host in self._fleet.live)
+        # Those that are missing now were live until this change.
+        self._gone_at.update((host.name, now) for host in self._live)
+        for host in live:
+            self._gone_at.pop(host.name, None)
+        self._live = live
+        self._update_names()
+
+    def _drop_old(self) -> None:
+        oldest = self._now() - KEPT
+        kept = {name: at for name, at in self._gone_at.items() if at >= oldest}
+        if len(kept) < len(self._gone_at):
+            self._gone_at = kept
+            self._update_names()
+
+    def _update_names(self) -> None:
+        live = {host.name for host in self._live}
+        self._names = tuple(sorted(live | self._gone_at.keys()))
 
     def _is_fresh(self) -> bool:
         read_at = self._read_at()
--- a/dogwoodchute/tests/test_cold_endpoints.py
+++ b/dogwoodchute/tests/test_cold_endpoints.py
@@ -168,6 +168,24 @@
         self.assertEqual(0.0, fleet.cold["h0"].wait(ENDPOINT))
 
 
+class RecentHostsTest(support.TestCase):
+    def test_a_host_that_was_live_for_long_counts_for_a_while_after_it_has_gone(self):
+        """Nobody asks for the names in calm, so it was last noted long ago."""
+        now = 100.0
+        fleet = warm_endpoints.Fleet(["h2", "h3"])
+        recent = recent_hosts.RecentHosts(
+            fleet=fleet, read_at=lambda: now, now=lambda: now
+        )
+        recent.apply_changes({}, [])
+        now += 10 * recent_hosts.KEPT
+        fleet.live = fleet.live[:1]
+        recent.apply_changes({}, [])
+        self.assertEqual(("h2", "h3"), recent.names)
+        now += recent_hosts.KEPT + 1
+        self.assertEqual(("h2",), recent.names)
+        self.assertIs(recent.names, recent.names)
+
+
 class PhaseTest(support.TestCase):
     def setUp(self):
         super().setUp()
