A budget that is used up is told as such by a fleet of any size

Cause: a request was refused for good (402) only after all other hosts had been asked for tokens, and one request asks eight.

Change: the rows tell it. What is billed and lost only grows, and transfers don't change the sum of what hosts hold, so the total less these tokens bounds what all hosts together may still use. It is taken at each read of an account's rows, the account's row first, and not across a restore. A refusal for good is kept for a second while the total stays the same.

--- a/dogwoodchute/coordination/escrow.py
+++ b/dogwoodchute/coordination/escrow.py
@@ -62,6 +62,16 @@
         """The tokens drawn, with those of dead holders that the row lacks."""
         return max(self.drawn, self.known_drawn)
 
+    def gone(self, holdings: abc.Iterable["Holding"]) -> int:
+        """Return the tokens that no request can use any more: billed or lost ones.
+
+        `holdings` are all open ones, as read after this row. Both only ever grow, and
+        transfers between holders don't change their sum, so the budget less these
+        tokens bounds what all hosts together may still use.
+        """
+        lost = self.lost_reserved + self.lost_headroom + self.lost_risen
+        return self.closed_spent + lost + sum(each.spent for each in holdings)
+
 
 def draw(
     account: Account, tokens: int, *, missing: int, known_drawn: int, store_now: float
--- a/dogwoodchute/gateway/accounts/account_commits.py
+++ b/dogwoodchute/gateway/accounts/account_commits.py
@@ -106,6 +106,7 @@
         failed = await self.refresh(account, serve_waiters=serve_waiters)
         if failed is not None:
             return failed
+        account_row, row_version = account.row, account.row_version
         result = await served_calls.await_call(
             self._store.read(
                 account_rows.HOLDINGS, account.part, f"{name}/", f"{name}0"
@@ -121,6 +122,12 @@
             holding = self._holding_reader.read(row)
             if holding is not None:
                 account.holdings[row.key.partition("/")[2]] = holding
+        # The row was read first, so no holding counts both here and as closed there. A
+        # restored store may hold again what the row counts as closed.
+        is_same_era = rows.era_of(row_version) == rows.era_of(result.version)
+        account.known_gone = (
+            account_row.gone(account.holdings.values()) if is_same_era else 0
+        )
         account.read_at = self._now()
         return None
 
--- a/dogwoodchute/gateway/accounts/account_rows.py
+++ b/dogwoodchute/gateway/accounts/account_rows.py
@@ -81,6 +81,8 @@
         self.holding_version = 0  # of the row of this host's holding
         self.holdings: dict[str, escrow.Holding] = {}  # by holder, as last read
         self.read_at: float | None = None  # monotonic seconds of the last full read
+        # Tokens that no request will use, by the last full read: billed or lost ones.
+        self.known_gone = 0
         self.waiters: list[Waiter] = []
         self.bills: list[Bill] = []  # not yet written
         # Monotonic seconds of the oldest unwritten bill or the last commit of bills.
--- a/dogwoodchute/gateway/accounts/refusals.py
+++ b/dogwoodchute/gateway/accounts/refusals.py
@@ -7,6 +7,8 @@
 from dogwoodchute.gateway.accounts import account_rows, reservations
 
 SHORTAGE_SECONDS = 0.3  # in which requests as large as a refused one are refused too
+# The same for a budget that is used up, as long as its total stays the same.
+EXHAUSTED_SECONDS = 1.0
 
 
 class Shortage(typing.NamedTuple):
@@ -15,6 +17,7 @@
     until: float
     tokens: int
     outcome: reservations.ReserveOutcome
+    prepaid: int | None  # the account's total at that time
 
 
 class Shortages:
@@ -24,28 +27,41 @@
         self._now = now
         self._latest: dict[str, Shortage] = {}  # by account
 
-    def recent(self, account: str, tokens: int) -> reservations.ReserveOutcome | None:
+    def recent(
+        self, account: str, tokens: int, *, prepaid: int | None
+    ) -> reservations.ReserveOutcome | None:
         """Return the outcome of a recent refusal that also covers `tokens`, if any."""
         latest = self._latest.get(account)
         if latest is None or self._now() >= latest.until or tokens < latest.tokens:
             return None
-        return latest.outcome
+        return latest.outcome if latest.prepaid == prepaid else None
 
     def record(
-        self, account: str, tokens: int, outcome: reservations.ReserveOutcome
+        self,
+        account: str,
+        tokens: int,
+        outcome: reservations.ReserveOutcome,
+        *,
+        prepaid: int | None,
     ) -> None:
         """Record that a request for `tokens` was refused."""
-        self._latest[account] = Shortage(
-            self._now() + SHORTAGE_SECONDS, tokens, outcome
-        )
+        is_exhausted = isinstance(outcome, reservations.Exhausted)
+        seconds = EXHAUSTED_SECONDS if is_exhausted else SHORTAGE_SECONDS
+        until = self._now() + seconds
+        self._latest[account] = Shortage(until, tokens, outcome, prepaid)
 
     def record_if_none(
-        self, account: str, tokens: int, outcome: reservations.ReserveOutcome
+        self,
+        account: str,
+        tokens: int,
+        outcome: reservations.ReserveOutcome,
+        *,
+        prepaid: int | None,
     ) -> None:
         """Record a refusal unless an earlier one is still in force."""
         latest = self._latest.get(account)
         if latest is None or latest.until < self._now():
-            self.record(account, tokens, outcome)
+            self.record(account, tokens, outcome, prepaid=prepaid)
 
 
 def out_of_reach(
--- a/dogwoodchute/gateway/accounts/waiters.py
+++ b/dogwoodchute/gateway/accounts/waiters.py
@@ -52,7 +52,8 @@
         self, account: account_rows.Account, tokens: int
     ) -> reservations.ReserveOutcome | None:
         """Return the outcome of a request just after one as large was refused."""
-        outcome = self._shortages.recent(account.name, tokens)
+        prepaid = self._plan.prepaid(account)
+        outcome = self._shortages.recent(account.name, tokens, prepaid=prepaid)
         if isinstance(outcome, reservations.OutOfReach):
             return self.out_of_reach(account, tokens, outcome.reason)
         return outcome
@@ -77,6 +78,10 @@
             if error is not None:
                 await self.serve_from_hosts(account, error.reason)
             return error is None
+        waiting = account.open_waiters()
+        if waiting and (used_up := self._used_up(account, waiting[0].tokens)):
+            self._refuse_from(account, waiting[0].tokens, used_up)
+            return True
         received = await self._request_for_first_waiter(account, account.ledger.idle)
         waiting = account.open_waiters()
         if received is None or not waiting:
@@ -91,11 +96,34 @@
             outcome = self.out_of_reach(account, least, "tokens may yet return")
         else:
             outcome = reservations.Exhausted(remaining=remaining)
-        self._shortages.record(account.name, least, outcome)
-        for waiter in waiting:
+        self._refuse_from(account, least, outcome)
+        return True
+
+    def _used_up(
+        self, account: account_rows.Account, tokens: int
+    ) -> reservations.Exhausted | None:
+        """Return the refusal of a request that the whole fleet has no tokens for.
+
+        This is so if the rows as last read show it. Tokens that are left may lie at any
+        host; in a large fleet not all of them can be asked for one request.
+        """
+        remaining = (self._plan.prepaid(account) or 0) - account.known_gone
+        if tokens <= remaining:
+            return None
+        return reservations.Exhausted(remaining=max(0, remaining))
+
+    def _refuse_from(
+        self,
+        account: account_rows.Account,
+        least: int,
+        outcome: reservations.ReserveOutcome,
+    ) -> None:
+        """Refuse the waiters that want at least so many tokens."""
+        prepaid = self._plan.prepaid(account)
+        self._shortages.record(account.name, least, outcome, prepaid=prepaid)
+        for waiter in account.open_waiters():
             if waiter.tokens >= least:
                 _refuse(account, waiter, outcome)
-        return True
 
     async def serve_from_hosts(
         self, account: account_rows.Account, reason: str
@@ -130,7 +158,12 @@
                 continue
             outcome = self.out_of_reach(account, waiter.tokens, reason)
             _refuse(account, waiter, outcome)
-            self._shortages.record_if_none(account.name, waiter.tokens, outcome)
+            self._shortages.record_if_none(
+                account.name,
+                waiter.tokens,
+                outcome,
+                prepaid=self._plan.prepaid(account),
+            )
 
     async def _request_for_first_waiter(
         self, account: account_rows.Account, have: int
