dogwoodctl config check: a configuration is checked before it is sent

Cause: a host adopts a configuration whole or refuses it whole and names one reason; an entry that no request can reach is adopted in silence. The operators ask for a check before it is sent: errors, entries that can never match, limits that contradict each other, what differs from the version in force.

--- a/dogwoodchute/platform/decode.py
+++ b/dogwoodchute/platform/decode.py
@@ -128,28 +128,29 @@
 def _config(plain: dict) -> model.Config:
     routes: dict[str, dict[str, model.Route]] = {}
     for each in plain["routes"]:
-        route = _route(each)
-        routes.setdefault(route.host, {})[route.prefix] = route
+        found = route(each)
+        routes.setdefault(found.host, {})[found.prefix] = found
     services = {}
     for each in plain.get("services", ()):
-        services[each["name"]] = _service(each)
+        services[each["name"]] = service(each)
     accounts = {}
     accounts_by_key = {}
     for each in plain.get("tenants") or ():
-        account = _account(each)
-        accounts[account.name] = account
-        accounts_by_key.update((key, account.name) for key in account.keys)
+        owner = account(each)
+        accounts[owner.name] = owner
+        accounts_by_key.update((key, owner.name) for key in owner.keys)
     return model.Config(
         version=_whole(plain["version"], "version", MAX_COUNT),
         routes=routes,
         services=services,
         accounts=accounts,
         accounts_by_key=accounts_by_key,
-        limits=_limits(plain.get("limits") or {}),
+        limits=limits(plain.get("limits") or {}),
     )
 
 
-def _route(plain: dict) -> model.Route:
+def route(plain: dict) -> model.Route:
+    """Return one route; raise `KeyError`, `TypeError` or `ValueError` if it is none."""
     splits = plain.get("trafficSplit")
     if splits:
         service_weights = tuple(
@@ -173,7 +174,8 @@
     )
 
 
-def _service(plain: dict) -> model.Service:
+def service(plain: dict) -> model.Service:
+    """Return one service; raises as `route` does."""
     return model.Service(
         str(plain["name"]),
         _engine(plain.get("engine")),
@@ -192,7 +194,8 @@
     )
 
 
-def _account(plain: dict) -> model.Account:
+def account(plain: dict) -> model.Account:
+    """Return one client account; raises as `route` does."""
     prepaid, priority = plain.get("prepaid"), plain.get("priority")
     return model.Account(
         name=str(plain["name"]),
@@ -213,7 +216,8 @@
     return frozenset(regions)
 
 
-def _limits(plain: dict) -> model.Limits:
+def limits(plain: dict) -> model.Limits:
+    """Return the limits of requests; raises as `route` does."""
     default = model.Limits()
     return model.Limits(
         header_bytes=_count(plain.get("maxHeaderBytes", default.header_bytes)),
--- a/dogwoodchute/tools/dogwoodctl.py
+++ b/dogwoodchute/tools/dogwoodctl.py
@@ -7,6 +7,7 @@
 
 from dogwoodchute.tools import (
     ctl_accounts,
+    ctl_config,
     ctl_endpoints,
     ctl_hosts,
     ctl_orders,
@@ -26,6 +27,7 @@
 
     command: cappa.Subcommands[
         ctl_accounts.Account
+        | ctl_config.Config
         | ctl_endpoints.Endpoint
         | ctl_hosts.Host
         | ctl_orders.Order
