Modules about streams, followed tables and registered endpoints in packages

Cause: gateway/ lay flat; three groups of modules belong together by their job.

Change: gateway/streams/ (7 modules), gateway/following/ (8: copies of the store's tables and their sources), gateway/registered/ (5: endpoints by their rows).

Measured: all modules import; 130 tests of placement, tables, queues and streams pass.

--- a/bench/_host_world.py
+++ b/bench/_host_world.py
@@ -17,16 +17,8 @@
 
 from dogwoodchute import clock, server
 from dogwoodchute.coordination import load_groups, watch_ring
-from dogwoodchute.gateway import (
-    followed_tables,
-    gossip,
-    host_rows,
-    liveness,
-    mirror,
-    rows,
-    table_source,
-    tables,
-)
+from dogwoodchute.gateway import gossip, host_rows, liveness, rows
+from dogwoodchute.gateway.following import followed_tables, mirror, table_source, tables
 from dogwoodchute.platform import names
 from dogwoodchute.standins import attempt_endpoint, row_store
 
--- a/dogwoodchute/gateway/accounts/account_rows.py
+++ b/dogwoodchute/gateway/accounts/account_rows.py
@@ -21,7 +21,8 @@
     sizing,
     texts,
 )
-from dogwoodchute.gateway import row_reader, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import row_reader
 
 ACCOUNTS = "accounts"
 HOLDINGS = "holdings"  # one row for each account and holder
--- a/dogwoodchute/gateway/configuration.py
+++ b/dogwoodchute/gateway/configuration.py
@@ -3,7 +3,8 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import model, row_reader, rows
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.following import row_reader
 
 Decode = abc.Callable[[bytes], model.Config]
 
--- a/dogwoodchute/gateway/dispatch.py
+++ b/dogwoodchute/gateway/dispatch.py
@@ -14,15 +14,15 @@
     calls,
     crash_reports,
     endpoint_waits,
-    endpoints,
     failed_calls,
     model,
-    stream_origins,
     tries,
     try_reports,
     try_results,
     upstream,
 )
+from dogwoodchute.gateway.registered import endpoints
+from dogwoodchute.gateway.streams import stream_origins
 
 MIN_TIME_LEFT = 0.02  # seconds to the deadline below which nothing is sent
 
--- a/dogwoodchute/gateway/endpoint_waits.py
+++ b/dogwoodchute/gateway/endpoint_waits.py
@@ -10,13 +10,8 @@
 from collections import abc
 
 from dogwoodchute import endpoint_check, log
-from dogwoodchute.gateway import (
-    calls,
-    crash_reports,
-    endpoints,
-    try_results,
-    upstream,
-)
+from dogwoodchute.gateway import calls, crash_reports, try_results, upstream
+from dogwoodchute.gateway.registered import endpoints
 
 RETRY_CHECK_INTERVAL = 0.1  # seconds between checks whether a late call can be retried
 # Seconds without a byte of an endpoint after which it is checked whether it still
--- a/dogwoodchute/gateway/filters.py
+++ b/dogwoodchute/gateway/filters.py
@@ -8,8 +8,9 @@
 
 from dogwoodchute import exchange, outcomes
 from dogwoodchute.coordination import quarantine, retry_after
-from dogwoodchute.gateway import calls, dispatch, failed_calls, model, stream_origins
+from dogwoodchute.gateway import calls, dispatch, failed_calls, model
 from dogwoodchute.gateway.accounts import account_rows, accounts, reservations
+from dogwoodchute.gateway.streams import stream_origins
 
 ANSWER_MARGIN = 0.2  # seconds to write an answer that comes at its deadline
 STARTING_RETRY_AFTER = 0.3  # seconds
--- a/dogwoodchute/gateway/followed_tables.py
+++ b/dogwoodchute/gateway/following/followed_tables.py
@@ -5,7 +5,8 @@
 from collections import abc
 
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import mirror, model, rows, table_source, tables
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.following import mirror, table_source, tables
 
 CONFIG_WAIT = 0.6  # seconds for which the store holds the configuration's feed open
 CONFIG_PAUSE = 0.05  # seconds between two such calls
--- a/dogwoodchute/gateway/mirror.py
+++ b/dogwoodchute/gateway/following/mirror.py
@@ -9,7 +9,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import rows, table_copy
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import table_copy
 
 RETRY_INTERVAL = 0.25  # seconds after a failed call
 MIN_OUTAGE = 2.0  # seconds without an answer after which entries may have expired
--- a/dogwoodchute/gateway/source_calls.py
+++ b/dogwoodchute/gateway/following/source_calls.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import mirror, tables
+from dogwoodchute.gateway.following import mirror, tables
 
 ANSWER_TIMEOUT = 1.0  # seconds beyond the hold to wait for any source
 FRESH = (True, True, 0)  # the lowest rank of a recent answer
--- a/dogwoodchute/gateway/table_outage.py
+++ b/dogwoodchute/gateway/following/table_outage.py
@@ -5,7 +5,7 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import tables
+from dogwoodchute.gateway.following import tables
 
 ANSWER_TIME = 0.5  # seconds in which hosts must answer to be counted
 
--- a/dogwoodchute/gateway/table_source.py
+++ b/dogwoodchute/gateway/following/table_source.py
@@ -9,11 +9,9 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import (
-    host_rows,
+from dogwoodchute.gateway import host_rows, model, rows
+from dogwoodchute.gateway.following import (
     mirror,
-    model,
-    rows,
     source_calls,
     table_copy,
     table_outage,
--- a/dogwoodchute/gateway/tables.py
+++ b/dogwoodchute/gateway/following/tables.py
@@ -14,7 +14,8 @@
 import sanic
 
 from dogwoodchute import clock, log, pooled_connection
-from dogwoodchute.gateway import mirror, rows, table_copy
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import mirror, table_copy
 
 PATH = "/tables"
 FORMAT = "application/msgpack"
--- a/dogwoodchute/gateway/gateway.py
+++ b/dogwoodchute/gateway/gateway.py
@@ -13,27 +13,24 @@
     crash_reports,
     directory,
     dispatch,
-    endpoints,
     filters,
-    followed_tables,
     gossip,
     host_rows,
     hosts,
     liveness,
-    mirror,
     model,
     observe,
     platform_access,
     readiness,
     registration,
     stopping,
-    stream_origins,
-    table_source,
-    tables,
     upstream,
 )
 from dogwoodchute.gateway.accounts import amounts, budgets, homes, witnessing
+from dogwoodchute.gateway.following import followed_tables, mirror, table_source, tables
 from dogwoodchute.gateway.places import allowed_regions, evacuations
+from dogwoodchute.gateway.registered import endpoints
+from dogwoodchute.gateway.streams import stream_origins
 from dogwoodchute.gateway.warmup import cold_endpoints, recent_hosts
 
 POLL_INTERVAL = 0.02  # seconds between checks of the number of requests in flight
--- a/dogwoodchute/gateway/gossip.py
+++ b/dogwoodchute/gateway/gossip.py
@@ -15,7 +15,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import load_groups
-from dogwoodchute.gateway import crash_reports, datagrams, endpoint_words
+from dogwoodchute.gateway import crash_reports, datagrams
+from dogwoodchute.gateway.registered import endpoint_words
 
 INTERVAL = 0.25  # seconds between datagrams to one host, in a fleet without groups
 GROUPS_INTERVAL = 0.5  # seconds between datagrams to one host, in a fleet with groups
--- a/dogwoodchute/gateway/hosts.py
+++ b/dogwoodchute/gateway/hosts.py
@@ -9,7 +9,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import quarantine, ranking
-from dogwoodchute.gateway import host_rows, model, row_reader, rows
+from dogwoodchute.gateway import host_rows, model, rows
+from dogwoodchute.gateway.following import row_reader
 
 REMOVE_AFTER = 20.0  # seconds for which the row of an ended incarnation is kept
 MAX_REMOVED_AT_ONCE = 50
--- a/dogwoodchute/gateway/platform_access.py
+++ b/dogwoodchute/gateway/platform_access.py
@@ -3,7 +3,8 @@
 import typing
 from collections import abc
 
-from dogwoodchute.gateway import configuration, endpoint_table, rows, upstream
+from dogwoodchute.gateway import configuration, rows, upstream
+from dogwoodchute.gateway.registered import endpoint_table
 
 
 class Platform(typing.NamedTuple):
--- a/dogwoodchute/gateway/readiness.py
+++ b/dogwoodchute/gateway/readiness.py
@@ -3,7 +3,8 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import mirror, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import mirror
 
 # Seconds for which the table of hosts is waited for after the others. Parts of the
 # store may be unavailable, and a host can serve without it.
--- a/dogwoodchute/gateway/endpoint_limits.py
+++ b/dogwoodchute/gateway/registered/endpoint_limits.py
@@ -7,7 +7,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import named_limits
-from dogwoodchute.gateway import endpoint_words, host_rows, model
+from dogwoodchute.gateway import host_rows, model
+from dogwoodchute.gateway.registered import endpoint_words
 
 # Seconds after the last word on a limit. As long as requests are sent to the endpoint
 # by any host, all of them hear of it more often.
--- a/dogwoodchute/gateway/endpoint_table.py
+++ b/dogwoodchute/gateway/registered/endpoint_table.py
@@ -8,15 +8,14 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import hold_offs, leaving, turns
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.following import row_reader
+from dogwoodchute.gateway.places import evacuations
+from dogwoodchute.gateway.registered import (
     endpoint_history,
     endpoint_limits,
     endpoint_words,
-    model,
-    row_reader,
-    rows,
 )
-from dogwoodchute.gateway.places import evacuations
 from dogwoodchute.gateway.warmup import cold_endpoints
 
 # Seconds after an outage of the store in which endpoints renew entries that expired.
--- a/dogwoodchute/gateway/endpoints.py
+++ b/dogwoodchute/gateway/registered/endpoints.py
@@ -11,15 +11,9 @@
     sizing,
     unanswered,
 )
-from dogwoodchute.gateway import (
-    calls,
-    endpoint_limits,
-    endpoint_table,
-    gossip,
-    host_rows,
-    model,
-)
+from dogwoodchute.gateway import calls, gossip, host_rows, model
 from dogwoodchute.gateway.places import evacuations
+from dogwoodchute.gateway.registered import endpoint_limits, endpoint_table
 from dogwoodchute.gateway.warmup import cold_endpoints
 
 PROMPT_RATE_WINDOW = 4.0  # seconds over which the sent prompt tokens are averaged
--- a/dogwoodchute/gateway/stream_origins.py
+++ b/dogwoodchute/gateway/streams/stream_origins.py
@@ -12,13 +12,8 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import (
-    calls,
-    model,
-    rows,
-    stream_records,
-    version_notes,
-)
+from dogwoodchute.gateway import calls, model, rows
+from dogwoodchute.gateway.streams import stream_records, version_notes
 
 NOTES_PAUSE = 10.0  # seconds between reads of the notes, as a mean
 NOTES_RETRY_PAUSE = 0.5  # seconds after a read that failed
--- a/dogwoodchute/gateway/stream_record_cleanup.py
+++ b/dogwoodchute/gateway/streams/stream_record_cleanup.py
@@ -3,7 +3,9 @@
 from collections import abc
 
 from dogwoodchute import log
-from dogwoodchute.gateway import row_reader, rows, stream_record_rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import row_reader
+from dogwoodchute.gateway.streams import stream_record_rows
 
 KEY_DIGITS = "0123456789abcdef"  # with which keys begin
 # Seconds after which a record of another host is left over. It was written when its
--- a/dogwoodchute/gateway/stream_record_rows.py
+++ b/dogwoodchute/gateway/streams/stream_record_rows.py
@@ -9,7 +9,7 @@
 
 from dogwoodchute import bounded_json
 from dogwoodchute.coordination import texts
-from dogwoodchute.gateway import version_notes
+from dogwoodchute.gateway.streams import version_notes
 
 TABLE = "streams"
 PARTS = 2  # so that half of the store's commits are below the rate of each
--- a/dogwoodchute/gateway/stream_records.py
+++ b/dogwoodchute/gateway/streams/stream_records.py
@@ -19,9 +19,9 @@
 
 from dogwoodchute import log, metrics
 from dogwoodchute.coordination import backoff, pacing, stream_versions
-from dogwoodchute.gateway import (
-    row_reader,
-    rows,
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import row_reader
+from dogwoodchute.gateway.streams import (
     stream_record_cleanup,
     stream_record_entries,
     stream_record_rows,
--- a/dogwoodchute/gateway/stream_relay.py
+++ b/dogwoodchute/gateway/streams/stream_relay.py
@@ -3,14 +3,8 @@
 from collections import abc
 
 from dogwoodchute import outcomes, sse
-from dogwoodchute.gateway import (
-    calls,
-    endpoint_waits,
-    endpoints,
-    model,
-    try_results,
-    upstream,
-)
+from dogwoodchute.gateway import calls, endpoint_waits, model, try_results, upstream
+from dogwoodchute.gateway.registered import endpoints
 
 FIRST_EVENT_TIMEOUT = 2.5  # seconds to a stream's first event
 # A caller leaves a stream without events after the longer one of this many seconds and
--- a/dogwoodchute/gateway/version_notes.py
+++ b/dogwoodchute/gateway/streams/version_notes.py
@@ -15,7 +15,8 @@
 
 from dogwoodchute import bounded_json, log
 from dogwoodchute.coordination import backoff, stream_versions, texts
-from dogwoodchute.gateway import row_reader, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import row_reader
 
 TABLE = "versions"
 PART = "versions"  # of its own, so that no other writer waits behind it
--- a/dogwoodchute/gateway/tries.py
+++ b/dogwoodchute/gateway/tries.py
@@ -7,14 +7,13 @@
 from dogwoodchute.gateway import (
     calls,
     endpoint_waits,
-    endpoints,
     model,
-    stream_origins,
-    stream_relay,
     try_reports,
     try_results,
     upstream,
 )
+from dogwoodchute.gateway.registered import endpoints
+from dogwoodchute.gateway.streams import stream_origins, stream_relay
 
 PLAIN_HEAD_TIMEOUT = 0.3  # seconds to the head of an idempotent call's answer
 BODY_TIMEOUT_SHARE = 0.5  # of the time left; the rest remains for a retry
--- a/dogwoodchute/tests/engine_simulation.py
+++ b/dogwoodchute/tests/engine_simulation.py
@@ -10,7 +10,8 @@
 import typing
 
 from dogwoodchute.coordination import load_groups, placement
-from dogwoodchute.gateway import endpoints, gossip, model
+from dogwoodchute.gateway import gossip, model
+from dogwoodchute.gateway.registered import endpoints
 from dogwoodchute.tests import gateway_calls, warm_endpoints
 
 SERVICE = "engines"
--- a/dogwoodchute/tests/table_fleet.py
+++ b/dogwoodchute/tests/table_fleet.py
@@ -7,7 +7,8 @@
 import asyncio
 
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import followed_tables, mirror, rows, table_source, tables
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import followed_tables, mirror, table_source, tables
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import virtual
 
--- a/dogwoodchute/tests/test_endpoint_signals.py
+++ b/dogwoodchute/tests/test_endpoint_signals.py
@@ -5,7 +5,12 @@
 import json
 
 from dogwoodchute.coordination import hold_offs, leaving
-from dogwoodchute.gateway import endpoint_limits, endpoint_table, endpoint_words, rows
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.registered import (
+    endpoint_limits,
+    endpoint_table,
+    endpoint_words,
+)
 from dogwoodchute.platform import egress
 from dogwoodchute.tests import (
     gateway_site,
--- a/dogwoodchute/tests/test_lapsed_endpoints.py
+++ b/dogwoodchute/tests/test_lapsed_endpoints.py
@@ -1,12 +1,8 @@
 """Rows of endpoints that are removed around outages of one host or of the store."""
 
-from dogwoodchute.gateway import (
-    endpoint_limits,
-    endpoint_table,
-    followed_tables,
-    model,
-    rows,
-)
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.following import followed_tables
+from dogwoodchute.gateway.registered import endpoint_limits, endpoint_table
 from dogwoodchute.tests import support, table_fleet, warm_endpoints
 
 BOUND = 2.5  # seconds after its removal in which an endpoint must be left out
--- a/dogwoodchute/tests/test_liveness.py
+++ b/dogwoodchute/tests/test_liveness.py
@@ -4,15 +4,8 @@
 import random
 
 from dogwoodchute.coordination import watch_ring
-from dogwoodchute.gateway import (
-    followed_tables,
-    host_rows,
-    hosts,
-    liveness,
-    mirror,
-    registration,
-    table_source,
-)
+from dogwoodchute.gateway import host_rows, hosts, liveness, registration
+from dogwoodchute.gateway.following import followed_tables, mirror, table_source
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, test_hosts, virtual
 
--- a/dogwoodchute/tests/test_load_groups.py
+++ b/dogwoodchute/tests/test_load_groups.py
@@ -6,7 +6,8 @@
 import msgpack
 
 from dogwoodchute.coordination import load_groups, quarantine
-from dogwoodchute.gateway import crash_reports, endpoint_words, gossip
+from dogwoodchute.gateway import crash_reports, gossip
+from dogwoodchute.gateway.registered import endpoint_words
 from dogwoodchute.tests import support, virtual
 
 SECONDS = 4.0
--- a/dogwoodchute/tests/test_named_limits.py
+++ b/dogwoodchute/tests/test_named_limits.py
@@ -8,7 +8,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import named_limits
-from dogwoodchute.gateway import endpoint_limits, endpoint_words, gossip
+from dogwoodchute.gateway import gossip
+from dogwoodchute.gateway.registered import endpoint_limits, endpoint_words
 from dogwoodchute.tests import gateway_site, raw_endpoint, support, test_odd_rows
 
 HOSTS = 3
--- a/dogwoodchute/tests/test_odd_rows.py
+++ b/dogwoodchute/tests/test_odd_rows.py
@@ -8,17 +8,10 @@
 
 from dogwoodchute import bounded_json
 from dogwoodchute.coordination import texts
-from dogwoodchute.gateway import (
-    endpoint_limits,
-    endpoint_table,
-    host_rows,
-    mirror,
-    model,
-    row_reader,
-    rows,
-    table_copy,
-)
+from dogwoodchute.gateway import host_rows, model, rows
 from dogwoodchute.gateway.accounts import account_rows
+from dogwoodchute.gateway.following import mirror, row_reader, table_copy
+from dogwoodchute.gateway.registered import endpoint_limits, endpoint_table
 from dogwoodchute.platform import decode
 from dogwoodchute.tests import gateway_site, support, test_hosts, warm_endpoints
 
--- a/dogwoodchute/tests/test_silent_connections.py
+++ b/dogwoodchute/tests/test_silent_connections.py
@@ -9,16 +9,9 @@
 import time
 
 from dogwoodchute import clock, pooled_connection, server
-from dogwoodchute.gateway import (
-    mirror,
-    model,
-    rows,
-    table_copy,
-    table_source,
-    tables,
-    upstream,
-)
+from dogwoodchute.gateway import model, rows, upstream
 from dogwoodchute.gateway.accounts import transfer_protocol
+from dogwoodchute.gateway.following import mirror, table_copy, table_source, tables
 from dogwoodchute.platform import egress, store, store_rows
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import silent_proxy, support, test_upstream
--- a/dogwoodchute/tests/test_store_metrics.py
+++ b/dogwoodchute/tests/test_store_metrics.py
@@ -6,7 +6,8 @@
 import prometheus_client
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import configuration, mirror, rows, table_source
+from dogwoodchute.gateway import configuration, rows
+from dogwoodchute.gateway.following import mirror, table_source
 from dogwoodchute.platform import decode, store, store_rows, transport
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support
--- a/dogwoodchute/tests/test_stream_origins.py
+++ b/dogwoodchute/tests/test_stream_origins.py
@@ -2,7 +2,8 @@
 
 import random
 
-from dogwoodchute.gateway import calls, model, rows, stream_origins, version_notes
+from dogwoodchute.gateway import calls, model, rows
+from dogwoodchute.gateway.streams import stream_origins, version_notes
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_calls, support, virtual
 
--- a/dogwoodchute/tests/test_stream_record_faults.py
+++ b/dogwoodchute/tests/test_stream_record_faults.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dogwoodchute.gateway import (
+from dogwoodchute.gateway.streams import (
     stream_record_entries,
     stream_record_rows,
     stream_records,
--- a/dogwoodchute/tests/test_stream_records.py
+++ b/dogwoodchute/tests/test_stream_records.py
@@ -7,8 +7,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import stream_versions
-from dogwoodchute.gateway import (
-    rows,
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.streams import (
     stream_record_cleanup,
     stream_record_rows,
     stream_records,
--- a/dogwoodchute/tests/test_table_copy.py
+++ b/dogwoodchute/tests/test_table_copy.py
@@ -3,7 +3,8 @@
 import random
 
 from dogwoodchute import clock
-from dogwoodchute.gateway import rows, table_copy
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.following import table_copy
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support
 
--- a/dogwoodchute/tests/test_table_waits.py
+++ b/dogwoodchute/tests/test_table_waits.py
@@ -4,16 +4,9 @@
 import time
 
 from dogwoodchute.coordination import sources
-from dogwoodchute.gateway import (
-    endpoints,
-    gossip,
-    mirror,
-    model,
-    rows,
-    table_copy,
-    table_source,
-    tables,
-)
+from dogwoodchute.gateway import gossip, model, rows
+from dogwoodchute.gateway.following import mirror, table_copy, table_source, tables
+from dogwoodchute.gateway.registered import endpoints
 from dogwoodchute.tests import support, virtual, warm_endpoints
 
 BOUND = 2.5  # seconds until all hosts must have a change
--- a/dogwoodchute/tests/test_tables.py
+++ b/dogwoodchute/tests/test_tables.py
@@ -7,7 +7,8 @@
 import socket
 
 from dogwoodchute import clock, server
-from dogwoodchute.gateway import mirror, model, rows, table_copy, tables
+from dogwoodchute.gateway import model, rows
+from dogwoodchute.gateway.following import mirror, table_copy, tables
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import gateway_site, support
 from dogwoodchute.tools import dogwoodgate
--- a/dogwoodchute/tests/test_version_fleet.py
+++ b/dogwoodchute/tests/test_version_fleet.py
@@ -9,7 +9,11 @@
 import random
 
 from dogwoodchute.coordination import hashing, stream_versions
-from dogwoodchute.gateway import stream_record_rows, stream_records, version_notes
+from dogwoodchute.gateway.streams import (
+    stream_record_rows,
+    stream_records,
+    version_notes,
+)
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
--- a/dogwoodchute/tests/test_version_notes.py
+++ b/dogwoodchute/tests/test_version_notes.py
@@ -6,7 +6,8 @@
 
 from dogwoodchute import log
 from dogwoodchute.coordination import stream_versions
-from dogwoodchute.gateway import rows, version_notes
+from dogwoodchute.gateway import rows
+from dogwoodchute.gateway.streams import version_notes
 from dogwoodchute.standins import row_store
 from dogwoodchute.tests import support, virtual
 
--- a/dogwoodchute/tools/dogwoodgate.py
+++ b/dogwoodchute/tools/dogwoodgate.py
@@ -26,7 +26,8 @@
 import uvloop
 
 from dogwoodchute import clock, log, server
-from dogwoodchute.gateway import gateway, liveness, model, platform_access, tables
+from dogwoodchute.gateway import gateway, liveness, model, platform_access
+from dogwoodchute.gateway.following import tables
 from dogwoodchute.gateway.accounts import (
     budgets,
     transfer_protocol,
