What other hosts ask of a host's tokens is a module of its own

Change: gifts.py gives tokens to other hosts and takes some back; the count of tokens that may return is the account's own. Nothing else changes.

--- a/dogwoodchute/gateway/accounts/account_rows.py
+++ b/dogwoodchute/gateway/accounts/account_rows.py
@@ -30,6 +30,7 @@
 PART_PREFIX = "tokens"  # followed by a number in the partitions' names
 MAX_RECENT_BILLS = 60  # rows of one account that are kept to be written again
 DEMAND_WINDOW = 8.0  # seconds over which the use of tokens is averaged
+MAX_RETURN_TIME = 60.0  # seconds from a lost host's last commit to its tokens' return
 MEAN_WEIGHT = 0.1  # of the newest request in the mean size
 
 
@@ -123,6 +124,21 @@
         """Return the waiters that have no outcome yet."""
         return [waiter for waiter in self.waiters if not waiter.done.done()]
 
+    def returnable_tokens(self, live_ids: frozenset[str] | None, oldest: float) -> int:
+        """Return how many tokens hosts that seem lost may not have used.
+
+        These return once it is certain (`reclaim`, `lost_holdings`), which takes no
+        longer than `MAX_RETURN_TIME` as a rule. `live_ids` are the live incarnations,
+        None if all are; holdings written before `oldest` (store's clock) don't count.
+        """
+        if live_ids is None:
+            return 0
+        return sum(
+            max(0, holding.granted - holding.limit)
+            for holder, holding in self.holdings.items()
+            if holding.at >= oldest and holder not in live_ids
+        )
+
     def add_waiter(self, tokens: int, *, priority: int, now: float) -> Waiter:
         """Add a request that waits for tokens, at its place in the order of service."""
         self.arrivals += 1
--- a/dogwoodchute/gateway/accounts/accounts.py
+++ b/dogwoodchute/gateway/accounts/accounts.py
@@ -25,6 +25,7 @@
     checkpointer,
     commit_counts,
     draw_plan,
+    gifts,
     refusals,
     reservations,
     transfers,
@@ -33,20 +34,12 @@
 
 CHECK_INTERVAL = 0.2  # seconds between checks for what to draw, return or write
 QUIET_CHECKS = 5  # intervals between such checks of an account that few requests use
-# Of the tokens that another host asks for, of which more are idle here; fewer aren't
-# given yet.
-MIN_GIFT_SHARE = 0.1
-TRANSFER_TIMEOUT = 0.1  # seconds that another host's request waits for a commit here
 MAX_PAUSE_WITH_WAITERS = 0.1  # seconds after conflicts, while requests wait
 # Seconds that a read of an account's row may take to draw more, while requests wait
 # whose tokens are idle here.
 READ_IN_PASSING = 0.05
 CONTENDED_SECONDS = 10.0  # seconds after a draw that conflicted with another host's
-# Seconds after the store was last found unavailable in which a request of another host
-# is answered without waiting for a commit.
-UNAVAILABLE_FOR = 0.5
 GIVE_BACK_AFTER = 1.0  # seconds after the last request of an account on this host
-MAX_RETURN_TIME = 60.0  # seconds from a lost host's last commit
 MAX_WAIT = 2.5  # seconds that a request waits for tokens, at most
 
 
@@ -100,6 +93,14 @@
             returnable=self._returnable_tokens,
             now=now,
         )
+        self._gifts = gifts.Gifts(
+            plan=self._plan,
+            home=home,
+            commits=self._commits,
+            account_waiters=self._waiters,
+            ensure_committing=self._ensure_committing,
+            now=now,
+        )
         self._reports = account_report.Reports(now=now)
         self._checkpointer = checkpointer.Checkpointer(
             accounts=lambda: list(self._accounts.values()),
@@ -185,45 +186,12 @@
         account.bills.append(bill)
 
     async def transfer_out(self, name: str, tokens: int) -> int:
-        """Transfer up to `tokens` of an account to another host; return how many.
-
-        If its idle tokens may not be used yet, or it is the home host and has too few,
-        this waits briefly for a commit.
-        """
-        account = self._account(name)
-        if not self._plan.may_spend(account):
-            return 0
-        wanted = min(tokens, account.ledger.idle)
-        if self._home.is_local(name):
-            account.demand.record_use(self._now(), tokens)
-            wanted = tokens
-        unavailable = (
-            self._commits.store_unavailable
-            or self._now() - self._waiters.unavailable_at < UNAVAILABLE_FOR
-        )
-        if account.ledger.available(self._now()) < wanted and not unavailable:
-            account.requested_by_hosts += tokens
-            self._ensure_committing(account)
-            await asyncio.wait([account.task], timeout=TRANSFER_TIMEOUT)
-            account.requested_by_hosts -= tokens
-        # What may be used of idle tokens rises by the moment while the store is away. A
-        # few at a time would take very many calls.
-        least = MIN_GIFT_SHARE * min(tokens, account.ledger.idle)
-        if account.ledger.available(self._now()) < least:
-            return 0
-        given = account.ledger.transfer_out(tokens, self._now())
-        if given:
-            log.info("tokens_given", account=name, tokens=given, asked=tokens)
-        return given
+        """Transfer up to `tokens` of an account to another host; return how many."""
+        return await self._gifts.give(self._account(name), tokens)
 
     def take_back(self, name: str, tokens: int) -> bool:
         """Take tokens back that another host gives; return whether they were taken."""
-        if self._plan.is_stopping or not self._home.is_local(name):
-            return False
-        account = self._account(name)
-        account.ledger.transfer_in(tokens)
-        self._waiters.grant(account)
-        return True
+        return self._gifts.take_back(self._account(name), tokens)
 
     async def run(self) -> None:
         """Draw and return tokens and write bills until cancelled."""
@@ -286,20 +254,8 @@
         refusals.log_refusal(account, tokens, outcome, **times)
 
     def _returnable_tokens(self, account: account_rows.Account) -> int:
-        """Return how many tokens of an account hosts that seem lost may not have used.
-
-        These return once it is certain (`reclaim`, `lost_holdings`), which takes no
-        longer than `MAX_RETURN_TIME` as a rule.
-        """
-        live_ids = self._witnesses.live_ids()
-        if live_ids is None:
-            return 0
-        oldest = self._store_now() - MAX_RETURN_TIME
-        return sum(
-            max(0, holding.granted - holding.limit)
-            for holder, holding in account.holdings.items()
-            if holding.at >= oldest and holder not in live_ids
-        )
+        oldest = self._store_now() - account_rows.MAX_RETURN_TIME
+        return account.returnable_tokens(self._witnesses.live_ids(), oldest)
 
     def _is_write_due(self, account: account_rows.Account) -> bool:
         if self._plan.is_stopping:
--- a/dogwoodchute/tests/test_accounts.py
+++ b/dogwoodchute/tests/test_accounts.py
@@ -7,6 +7,7 @@
     accounts,
     amounts,
     draw_plan,
+    gifts,
     reclaim,
     reservations,
     transfer_sources,
@@ -325,7 +326,7 @@
         home = fleet.hosts["a"]
         while fleet.loop.run_until_complete(home.transfer_out("ann", 20_000)):
             pass
-        fleet.loop.run_for(accounts.UNAVAILABLE_FOR)
+        fleet.loop.run_for(gifts.UNAVAILABLE_FOR)
         began = fleet.loop.time()
         fleet.loop.run_until_complete(home.transfer_out("ann", 20_000))
         self.assertLess(fleet.loop.time() - began, 0.01)
