A URL that can't be read is answered; a fuzzer of the callers' door

The connection closed without an answer, and each such request logged a traceback.

Change: the request made for an error may have any URL, so the caller gets 400. The fuzzer sends seeded pipelines in random pieces, a quarter of the requests damaged, and checks order and ownership of answers, 'not run', single runs, that nothing escapes a handler, and an ordinary request afterwards.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 fuzz: install
 	@echo "fuzzing with SEED=$(SEED) EXAMPLES=$(EXAMPLES)"
 	DOGWOODCHUTE_FUZZ_SEED=$(SEED) DOGWOODCHUTE_FUZZ_EXAMPLES=$(EXAMPLES) \
-		$(BIN)/python -m pytest -n 4 -k machine --hypothesis-seed=$(SEED)
+		$(BIN)/python -m pytest -n 4 -k "machine or fuzz" --hypothesis-seed=$(SEED)
 
 clean:
 	rm -rf $(VENV)
--- a/dogwoodchute/server.py
+++ b/dogwoodchute/server.py
@@ -12,7 +12,7 @@
 
 from dogwoodchute import connection, log
 from dogwoodchute.coordination import retry_after
-from dogwoodchute.intake import account
+from dogwoodchute.intake import account, bad_urls
 
 MIN_IDLE_TIMEOUT = 1.0  # seconds
 MIN_HEADER_BYTES = 2048  # also of requests between hosts
@@ -77,7 +77,7 @@
         idle_timeout: float,
         callers: account.Account | None = None,
     ) -> None:
-        self.app = _App(name, configure_logging=False)
+        self.app = _App(name, configure_logging=False, request_class=bad_urls.Request)
         self.app.config.REQUEST_MAX_SIZE = body_bytes
         self.app.config.REQUEST_MAX_HEADER_SIZE = header_bytes
         self.app.config.KEEP_ALIVE_TIMEOUT = idle_timeout
