The first in line waits longer for tokens that come into use: large ones don't starve

Cause: with the store away, what a host may use of its tokens rises by the moment. Each request waits a quarter of its latency target; whenever a large one gave up, small ones behind it took what had risen.

Change: the first in line stays for up to as long again, if what it needs comes into use here by then.

--- a/dogwoodchute/gateway/accounts/accounts.py
+++ b/dogwoodchute/gateway/accounts/accounts.py
@@ -145,12 +145,10 @@
         waiter = account.add_waiter(tokens, priority=priority, now=now)
         self._ensure_committing(account)
         try:
-            await asyncio.wait([waiter.done], timeout=min(wait, MAX_WAIT))
+            await self._waiters.wait(account, waiter, seconds=min(wait, MAX_WAIT))
         except asyncio.CancelledError:
             self._waiters.abandon(account, waiter)
             raise
-        # While the store is away, what may be used rises without a commit.
-        self._waiters.grant(account)
         if waiter.done.done():
             outcome = waiter.done.result()
         else:
--- a/dogwoodchute/gateway/accounts/waiters.py
+++ b/dogwoodchute/gateway/accounts/waiters.py
@@ -1,5 +1,6 @@
 """Gives outcomes to the requests that wait for an account's tokens."""
 
+import asyncio
 from collections import abc
 
 from dogwoodchute.gateway.accounts import (
@@ -11,6 +12,9 @@
     transfers,
 )
 
+# Multiple of its wait for which the first in line may wait for what its host may use.
+FIRST_WAIT_FACTOR = 2.0
+MIN_PAUSE = 0.002  # seconds until it is tried again whether tokens come into use
 MAX_ROW_AGE = 0.3  # seconds; older rows are read again before a request is refused
 
 
@@ -40,6 +44,30 @@
         if self._plan.may_spend(account):
             _grant(account, self._now())
 
+    async def wait(
+        self,
+        account: account_rows.Account,
+        waiter: account_rows.Waiter,
+        *,
+        seconds: float,
+    ) -> None:
+        """Wait for the outcome of a waiter, for some seconds.
+
+        While the store is away, what may be used rises without a commit. The first in
+        line waits longer if its tokens come into use by then. Else large requests would
+        get none: small ones take what has risen whenever a large one gives up.
+        """
+        longest = self._now() + FIRST_WAIT_FACTOR * seconds
+        await asyncio.wait([waiter.done], timeout=seconds)
+        self.grant(account)
+        while not waiter.done.done() and account.waiters[0] is waiter:
+            usable_at = account.ledger.usable_at(waiter.tokens)
+            if max(usable_at, self._now()) > longest:
+                return
+            pause = max(MIN_PAUSE, usable_at - self._now())
+            await asyncio.wait([waiter.done], timeout=pause)
+            self.grant(account)
+
     def abandon(
         self, account: account_rows.Account, waiter: account_rows.Waiter
     ) -> None:
