A crowd at each host of a fleet at the same time

Cause: the crowds of the tests came to one host that had a store of its own.

Change: three processes on one store, a crowd of a hundred half-sent bodies at each; each must live, stay under its memory and descriptors, and answer an ordinary caller. The crowd and the bounds are those of one host.

--- a/dogwoodchute/tests/gateway_process.py
+++ b/dogwoodchute/tests/gateway_process.py
@@ -76,6 +76,11 @@
             )
         self.address = f"{ip}:8227"
 
+    @property
+    def store_address(self):
+        """The address of its store, for other hosts of the same fleet."""
+        return self._store
+
     def address_of_listener(self, name):
         """Return where the process takes connections for `name`, as `LISTENERS` has."""
         ports = {"callers": 8227, "readiness": 8220, "control": 8229, "directory": 8224}
--- a/dogwoodchute/tests/test_crowds.py
+++ b/dogwoodchute/tests/test_crowds.py
@@ -47,8 +47,30 @@
         await gateway.stop()
 
 
+class HostChecks(support.TestCase):
+    """What must hold at a host beside a crowd, and after it."""
+
+    async def check_host(self, gateway, ordinary):
+        self.assertIsNone(gateway.process.poll(), "the process has ended")
+        process = gateway.process.pid
+        self.assertLess(crowds.descriptors(process), DESCRIPTORS)
+        self.assertEqual(200, await self.ordinary_request(gateway, ordinary))
+        self.assertLess(test_endless_memory.peak_memory(process), MEMORY)
+
+    async def ordinary_request(self, gateway, path):
+        """Return the status of one ordinary caller, who asks again after a refusal."""
+        for number in range(40):
+            attempt = f"ordinary{number}-{id(gateway)}"
+            with contextlib.suppress(aiohttp.ClientError):
+                status, _, _ = await gateway.ask(path, attempt=attempt)
+                if status == 200:
+                    return status
+            await asyncio.sleep(0.25)
+        return None
+
+
 @pytest.mark.crowd
-class CrowdTest(support.TestCase):
+class CrowdTest(HostChecks):
     def check(
         self,
         *crowds_pieces,
@@ -69,24 +91,6 @@
 
         self.run_async(scenario(), timeout=120.0)
 
-    async def check_host(self, gateway, ordinary):
-        self.assertIsNone(gateway.process.poll(), "the process has ended")
-        process = gateway.process.pid
-        self.assertLess(crowds.descriptors(process), DESCRIPTORS)
-        self.assertEqual(200, await self.ordinary_request(gateway, ordinary))
-        self.assertLess(test_endless_memory.peak_memory(process), MEMORY)
-
-    async def ordinary_request(self, gateway, path):
-        """Return the status of one ordinary caller, who asks again after a refusal."""
-        for number in range(40):
-            attempt = f"ordinary{number}-{id(gateway)}"
-            with contextlib.suppress(aiohttp.ClientError):
-                status, _, _ = await gateway.ask(path, attempt=attempt)
-                if status == 200:
-                    return status
-            await asyncio.sleep(0.25)
-        return None
-
     def test_bodies_in_one_piece_that_stop_short(self):
         self.check(crowds.body_in_one_piece(ROUTE, BODY))
 
@@ -156,3 +160,43 @@
                     writer.close()
 
         self.run_async(scenario())
+
+
+@pytest.mark.crowd
+class FleetCrowdTest(HostChecks):
+    """A crowd at each of several hosts of one fleet, at the same time."""
+
+    HOSTS = 3
+
+    @contextlib.asynccontextmanager
+    async def fleet(self):
+        """Run hosts on one store; all have the endpoints of the first."""
+        async with contextlib.AsyncExitStack() as stack:
+            first = await stack.enter_async_context(running())
+            hosts = [first]
+            for number in range(1, self.HOSTS):
+                host = gateway_process.GatewayProcess(
+                    node=f"h{number + 1}",
+                    limits={"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS},
+                )
+                stack.push_async_callback(host.stop)
+                await host.start(store=first.store_address)
+                hosts.append(host)
+            yield hosts
+
+    def test_bodies_at_all_hosts(self):
+        pieces = crowds.body_in_small_pieces(ROUTE, BODY, piece=7000)
+
+        async def scenario():
+            async with self.fleet() as hosts, contextlib.AsyncExitStack() as stack:
+                entering = [
+                    stack.enter_async_context(
+                        crowds.Crowd(host.address, pieces, count=COUNT)
+                    )
+                    for host in hosts
+                ]
+                await asyncio.gather(*entering)
+                for host in hosts:
+                    await self.check_host(host, ROUTE)
+
+        self.run_async(scenario(), timeout=120.0)
