A caller that has stopped reading is closed after a minute

Cause: a connection whose caller reads nothing was closed only where memory was short. A few of them stay for ever, each with what it holds.

Change: where bytes wait for a caller and it has taken none for 60 s, the connection is closed and logged as other slow ones are. No caller inside the limits waits as long for the end of an answer; one that reads slowly goes on.

Measured: the new test fails without the check (the whole answer of 20 MB came 2.5 s later).

--- a/dogwoodchute/connection.py
+++ b/dogwoodchute/connection.py
@@ -16,6 +16,9 @@
 STOP = "stop"  # the host stops
 TIMER = "timer"  # the caller sent nothing for too long
 
+# Seconds without any byte taken by a caller, while some wait for it. Callers that read
+# slowly take some now and then; none waits as long for the end of an answer.
+UNREAD_TIMEOUT = 60.0
 CONNECTION_BYTES = 16 << 10  # that an open connection takes
 FIELD_BYTES = 400  # that a field of a head takes, beside its text
 # Stages of a request whose head was read.
@@ -42,13 +45,16 @@
     """
 
     # Sanic's metaclass leaves instances without a dictionary.
-    __slots__ = ("_account", "_head_began_at", "_is_passed_on")
+    __slots__ = ("_account", "_head_began_at", "_is_passed_on", "_reading", "_sent")
 
     def __init__(self, **options: object) -> None:
         super().__init__(**options)
         self._account: account.Account = self.app.ctx.account
         self._head_began_at: float | None = None  # monotonic seconds, of a partial head
         self._is_passed_on = False  # the request that was read whole
+        self._sent = 0  # bytes of answers
+        # Bytes that the caller had taken, and monotonic seconds at which it took more.
+        self._reading = (0, time.monotonic())
 
     @property
     def held(self) -> int:
@@ -114,6 +120,7 @@
     async def send(self, data: bytes) -> None:
         """Send a part of an answer, and count what the caller hasn't read."""
         await super().send(data)
+        self._sent += len(data)
         self._account.update(self)
 
     def read_on(self) -> None:
@@ -173,11 +180,16 @@
             self._report(TIMER)
 
     def _is_too_slow(self) -> bool:
-        """Return whether a head takes too long, or a body has stopped for too long."""
+        """Return whether a head takes too long, or bytes have stopped for too long.
+
+        These are bytes of a body that arrives, or of an answer that the caller reads.
+        """
         http = self.http
         if http is None or self._task is None:
             return False
         now = time.monotonic()
+        if self._has_stopped_reading(now):
+            return True
         if http.stage is constants.Stage.REQUEST:
             # A head that came behind another request counts from the first check on.
             self._head_began_at = self._head_began_at or now
@@ -185,6 +197,15 @@
         is_reading = http.stage is constants.Stage.HANDLER and http.request_body
         return bool(is_reading) and now - self._time > self.keep_alive_timeout
 
+    def _has_stopped_reading(self, now: float) -> bool:
+        """Return whether bytes wait of which the caller has taken none for too long."""
+        unread = self.transport.get_write_buffer_size() if self.transport else 0
+        taken, taken_at = self._reading
+        if not unread or self._sent - unread > taken:
+            self._reading = (self._sent - unread, now)
+            return False
+        return now - taken_at > UNREAD_TIMEOUT
+
     @property
     def _stage(self) -> str:
         return "closing" if self.http is None else self.http.stage.name.lower()
--- a/dogwoodchute/tests/test_server.py
+++ b/dogwoodchute/tests/test_server.py
@@ -16,7 +16,7 @@
 from cryptography.x509 import oid
 from sanic.mixins import routes
 
-from dogwoodchute import server
+from dogwoodchute import connection, server
 from dogwoodchute.tests import support
 
 
@@ -101,6 +101,55 @@
         self.run_async(scenario())
 
 
+class UnreadAnswerTest(support.TestCase):
+    """An answer of 20 MB, which is more than the sockets hold."""
+
+    def answered(self, read):
+        """Return the bytes that a caller gets that calls `read` until the end."""
+        self.patch(connection, "UNREAD_TIMEOUT", 0.6)
+
+        async def answer(request):
+            response = await request.respond(content_type="text/plain")
+            for _ in range(20):
+                await response.send(bytes(1 << 20))
+
+        async def scenario():
+            listener = server.Server(
+                name="unread-test", body_bytes=1000, header_bytes=4096, idle_timeout=1.0
+            )
+            listener.app.add_route(answer, "/")
+            await listener.start("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", listener.port, limit=1 << 16
+            )
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            size = await read(reader)
+            writer.close()
+            await listener.stop()
+            return size
+
+        return self.run_async(scenario())
+
+    def test_a_caller_that_has_stopped_reading_is_closed(self):
+        async def read(reader):
+            await asyncio.sleep(2.5)
+            with contextlib.suppress(ConnectionError):
+                return len(await reader.read())
+            return 0
+
+        self.assertLess(self.answered(read), 20 << 20)
+
+    def test_a_caller_that_reads_slowly_is_not(self):
+        async def read(reader):
+            size = 0
+            while piece := await reader.read(1 << 18):
+                size += len(piece)
+                await asyncio.sleep(0.01)
+            return size
+
+        self.assertGreater(self.answered(read), 20 << 20)
+
+
 class TLSTest(support.TestCase):
     def test_listener_speaks_tls_and_refuses_plain(self):
         async def scenario():
