--- a/dogwoodchute/gateway/accounts/waiters.py
+++ b/dogwoodchute/gateway/accounts/waiters.py
@@ -14,7 +14,7 @@
 
 # Multiple of its wait for which the first in line may wait for what its host may use.
 FIRST_WAIT_FACTOR = 2.0
-MIN_PAUSE = 0.002  # seconds until it is tried again whether tokens come into use
+MIN_PAUSE = 0.002  # seconds between two looks whether the first may be served
 MAX_ROW_AGE = 0.3  # seconds; older rows are read again before a request is refused
 
 
@@ -135,10 +135,11 @@
         This is so if the rows as last read show it. Tokens that are left may lie at any
         host; in a large fleet not all of them can be asked for one request.
         """
-        remaining = (self._plan.prepaid(account) or 0) - account.known_gone
-        if tokens <= remaining:
+        prepaid = self._plan.prepaid(account)
+        if prepaid is None or tokens <= prepaid - account.known_gone:
             return None
-        return reservations.Exhausted(remaining=max(0, remaining))
+        remaining = max(0, prepaid - account.known_gone)
+        return reservations.Exhausted(remaining=remaining)
 
     def _refuse_from(
         self,
