--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -290,7 +290,13 @@
 
     async def serve(self, handle, *, ip="127.0.0.1"):
         """Listen for channels to a server; return its address."""
-        listener = await asyncio.start_server(handle, ip, 0, limit=1 << 23)
+
+        async def run(reader, writer):
+            # The task of a channel may be cancelled at the end of a run.
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await handle(reader, writer)
+
+        listener = await asyncio.start_server(run, ip, 0, limit=1 << 23)
         self._listeners.append(listener)
         at, port = listener.sockets[0].getsockname()[:2]
         return f"{at}:{port}"
@@ -318,6 +324,17 @@
         self.hosts.append(Host(self, name, **options))
         return self.hosts[-1]
 
+    async def start_hosts(self, *names, **options):
+        """Start machines with these names; return them once all are ready."""
+        started = [self.add_host(name, **options) for name in names]
+        for host in started:
+            host.start()
+        for host in started:
+            if not await host.ready():
+                raise RuntimeError(f"{host.name} isn't ready")
+        await asyncio.sleep(1.0)
+        return started
+
     async def stop(self):
         """End all that was started here."""
         for host in self.hosts:
@@ -371,6 +388,29 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def answer(fields, content, *, status=b"200 OK", signature=b"1.1", extra=b""):
+    """Return the bytes of a server's answer to a request with these fields."""
+    attempt = fields.get("x-dogwoodchute-attempt-id", "").encode()
+    return (
+        b"HTTP/1.1 %s\r\nContent-Length: %d\r\n" % (status, len(content))
+        + b"X-Dogwoodchute-Attempt-Id: %s\r\n" % attempt
+        + b"X-Dogwoodchute-Response-Signature: %s\r\n" % signature
+        + extra
+        + b"\r\n"
+        + content
+    )
+
+
+async def ask(host, data, *, seconds=5.0):
+    """Send a request on a new channel; return its answer's first line, or the error."""
+    data = data.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+    try:
+        got = await asyncio.wait_for(exchange(host.front, data), seconds)
+    except (OSError, TimeoutError) as error:
+        return f"none: {error!r}"
+    return got.split(b"\r\n")[0].decode("latin-1") or "none"
+
+
 def run(folder, scenario, *, limit=110.0):
     """Run a scenario; exit with its code, or 2 if it couldn't run."""
     record = Record(folder)
