--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -222,21 +222,21 @@
         """Return the resident memory of the process, None if it has ended."""
         return _memory_mb(self.process.pid, "VmRSS")
 
+    async def is_ready(self, seconds):
+        """Return whether the process says within so many seconds that it is ready."""
+        question = b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        with contextlib.suppress(OSError, TimeoutError, IndexError):
+            address = self.ip, PORTS["ready"]
+            answer = await asyncio.wait_for(exchange(address, question), seconds)
+            return answer.split(b" ", 2)[1] == b"200"
+        return False
+
     async def ready(self, seconds=20.0):
-        """Wait until the process says that it is ready."""
+        """Wait until the process says that it is ready; return whether it did."""
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
-            with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
-                answer = await asyncio.wait_for(
-                    exchange(
-                        (self.ip, PORTS["ready"]),
-                        b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n"
-                        b"Connection: close\r\n\r\n",
-                    ),
-                    1.0,
-                )
-                if answer.split(b" ", 2)[1] == b"200":
-                    return True
+            if await self.is_ready(1.0):
+                return True
             await asyncio.sleep(0.1)
         return False
 
