--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import contextlib
 import json
 import os
@@ -18,6 +19,8 @@
 import time
 import tomllib
 
+import sanic
+
 from dogwoodchute import clock, server
 from dogwoodchute.gateway import rows
 from dogwoodchute.standins import row_store
@@ -27,6 +30,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
 PORTS = {"front": 8227, "ready": 8220, "control": 8229, "directory": 8224}
 METRICS_PORT = 9464
+ROW_BYTES = 65536  # the store takes no larger value
 SETTINGS = """
 node = "{node}"
 role = "gate"
@@ -279,6 +283,7 @@
         row_store.add_routes(
             listener.app, self.store, faults=lambda kind: self.faults(kind)
         )
+        listener.app.on_request(_check_rows)
         await listener.start("127.0.0.1", 0)
         self._store_server = listener
         self.store_address = f"127.0.0.1:{listener.port}"
@@ -350,6 +355,16 @@
         self.folder.cleanup()
 
 
+def _check_rows(request):
+    """Refuse a transaction with a value over the page's limit; nothing is done."""
+    if request.path != "/api/rows-tx":
+        return None
+    sizes = [len(base64.b64decode(put["value"])) for put in request.json["puts"]]
+    if max(sizes, default=0) <= ROW_BYTES:
+        return None
+    return sanic.json({"error": "a value is over rowBytes"}, status=400)
+
+
 async def read_head(reader):
     """Return the head of a message: its first line, and its fields by lower name."""
     data = await reader.readuntil(b"\r\n\r\n")
@@ -373,14 +388,16 @@
     return await reader.readexactly(int(fields.get("content-length", "0")))
 
 
-def request(path, attempt, *, method="POST", body=b"", fields=(), deadline=3000):
+def request(
+    path, attempt, *, method="POST", body=b"", fields=(), deadline=3000, key=KEY
+):
     """Return the bytes of a client's request."""
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Dogwoodchute-Attempt-Id: {attempt}",
         f"X-Dogwoodchute-Deadline-Ms: {deadline}",
-        f"X-Dogwoodchute-Credential: {KEY}",
+        f"X-Dogwoodchute-Credential: {key}",
         *fields,
     ]
     if body or method == "POST":
